Place no filler beside a tail that is over its target

Change: none is placed while the newest or the smoothed report is over the target. Two tests that fail without it.

--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -130,6 +130,8 @@
         """Returns whether a filler may be placed beside what serves there."""
         if not executor.serving_count:
             return True
+        if any(_is_over_target(run) for run in executor.run_by_key.values()):
+            return False
         exposure = _planned_exposure(executor)
         added = _tenths(step.size.cpu_millicores, executor)
         exposure[step.image] = exposure.get(step.image, 0.0) + added
@@ -264,6 +266,17 @@
     return _orders.PaceOrder(executor.entry.id, run.task, run.number, percent)
 
 
+def _is_over_target(run: _runs.Run) -> bool:
+    """Returns whether a tail is over its target or only just recovers.
+
+    The reported tail is smoothed and still high for some reports after the
+    newest one is good again.
+    """
+    if not run.step.serves:
+        return False
+    return run.over_since_s is not None or run.figure > run.step.tail_target_ms
+
+
 def _is_measured(run: _runs.Run, now_s: float) -> bool:
     return (
         run.step.serves
--- a/tests/coordination/scheduling/test_sharing.py
+++ b/tests/coordination/scheduling/test_sharing.py
@@ -130,6 +130,41 @@
         assert sharing.allows(_filler("harmless"), executor)
         assert not sharing.allows(_filler("harmful"), executor)
 
+    def test_none_is_placed_beside_a_tail_over_its_target(self) -> None:
+        """The load of the serving task itself rises for some seconds."""
+        sharing, executor = self._learned()
+        serving = next(
+            run for run in executor.run_by_key.values() if run.step.serves
+        )
+        tails = _Tails({"harmless": 0.01})
+        now_s = 100.0
+        for load in (0.4, 0.4, 0.9, 0.9, 0.9):
+            now_s += _sharing.REPORT_S
+            serving.figure = tails.report(executor, load)
+            sharing.observe(executor, build.at(now_s))
+        serving.headroom_alone = 6.0
+        assert serving.over_since_s is not None
+        assert not sharing.allows(_filler("harmless"), executor)
+
+    def test_one_is_placed_again_once_the_reports_show_the_recovery(
+        self,
+    ) -> None:
+        """A report keeps half of the one before it."""
+        sharing, executor = self._learned()
+        serving = next(
+            run for run in executor.run_by_key.values() if run.step.serves
+        )
+        tails = _Tails({"harmless": 0.01})
+        now_s = 100.0
+        allowed = []
+        for load in (0.4, 0.95, 0.95, 0.4, 0.4, 0.4, 0.4):
+            now_s += _sharing.REPORT_S
+            serving.figure = tails.report(executor, load)
+            sharing.observe(executor, build.at(now_s))
+            serving.headroom_alone = 6.0
+            allowed.append(sharing.allows(_filler("harmless"), executor))
+        assert allowed == [True, False, False, False, False, True, True]
+
     def test_a_successor_takes_over_what_was_learned(self) -> None:
         sharing, executor = self._learned()
         successor = _sharing.Sharing()
