Test what steps ask of executors; leave accelerators to tasks that need them

Requirements, data racks, gangs on one rack, spreading, accelerators and guarded executors were built without tests of their own. One test found a fault: tasks without need took executors with accelerators while others were free.

--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -4,7 +4,8 @@
 fillers use the rest, and some raise the tails of what serves beside them.
 Serving tasks are packed by image onto few executors. A filler goes beside
 serving tasks that it does not harm first, so that executors without serving
-tasks are left to the fillers that harm most of them.
+tasks are left to the fillers that harm most of them. Executors with
+accelerators are left to tasks that ask for them while there is room elsewhere.
 """
 
 from collections.abc import Iterable
@@ -147,10 +148,12 @@
 ) -> tuple[float, ...]:
     """Returns the sort key of an executor for a step; lowest is best."""
     far = bool(step.data_rack) and step.data_rack not in executor.entry.labels
+    idles_gpus = executor.entry.capacity.gpus > 0 and not step.size.gpus
     left = executor.unused_millicores - step.size.cpu_millicores
     if step.serves:
         return (
             executor.failures_in_row,
+            idles_gpus,
             not sharing.suits(step, executor),
             executor.serving_count == 0,
             _other_images(step, executor),
@@ -160,6 +163,7 @@
         return (
             executor.failures_in_row,
             far,
+            idles_gpus,
             round(sharing.drop(step, executor), 1),
             executor.serving_count == 0,
             -left,
@@ -168,6 +172,7 @@
     return (
         executor.failures_in_row,
         far,
+        idles_gpus,
         crowded,
         executor.serving_count == 0,
         -left,
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -58,6 +58,8 @@
         self.is_up = True
         self.answers = True
         self.is_hanging = False
+        self.refuses_for_room = False
+        self.refused_count = 0
         self.run_by_key: dict[RunKey, SimulatedRun] = {}
         self.barred: dict[_job_spec.TaskId, int] = {}
         self.ends: list[_executor.EndReport] = []
@@ -98,6 +100,9 @@
             return _orders.StartResult.SUPERSEDED
         if order.lease_until_ms <= self.clock_ms:
             return _orders.StartResult.TOO_LATE
+        if self.refuses_for_room:
+            self.refused_count += 1
+            return _orders.StartResult.NO_ROOM
         self._extend(order.lease_until_ms)
         step = self.rig.step_of(order.task)
         self.run_by_key[key] = SimulatedRun(
--- /dev/null
+++ b/tests/coordination/scheduling/test_placement.py
@@ -0,0 +1,237 @@
+"""Tests of what steps ask of the executors that run them."""
+
+import collections
+
+import pytest
+
+from basiljunction.coordination.scheduling import _orders
+from basiljunction.state.workload import _executor
+from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _progress
+import cell_rig
+import workload_builders as build
+
+_State = _progress.JobState
+
+
+def _racks(*racks: str, count: int = 2) -> list[_executor.ExecutorEntry]:
+    """Returns some executors of four cores on each rack."""
+    return [
+        build.entry(f"{rack}-{number}", labels=("kind-a", rack))
+        for rack in racks
+        for number in range(count)
+    ]
+
+
+def _executors_of(rig: cell_rig.CellRig) -> list[str]:
+    return [executor for _, executor, _ in rig.starts]
+
+
+class TestRequiredLabel:
+    """A task starts only on executors with the label."""
+
+    def test_only_such_executors_are_used(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", "rack-2", "rack-3"))
+        rig.run(1)
+        rig.submit(build.job(build.step(count=20, required_label="rack-2")))
+        rig.run(6)
+        assert len(rig.starts) == 20
+        assert set(_executors_of(rig)) == {"rack-2-0", "rack-2-1"}
+
+    def test_a_label_that_none_has_is_refused_at_once(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(1)
+        accepted = build.job(build.step(required_label="kind-z"))
+        assert rig.scheduler.submit(accepted, build.at(rig.now_s)) is (
+            _orders.SubmitResult.NEVER_FITS
+        )
+
+    def test_other_tasks_start_while_one_waits_for_its_label(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", "rack-2", count=1))
+        rig.run(1)
+        rig.submit(
+            build.job(
+                build.step(
+                    count=5, required_label="rack-2", runs_until_cancelled=True
+                )
+            )
+        )
+        rig.run(1)
+        other = build.job(job_id="00000000000000b2")
+        rig.submit(other)
+        rig.run(2)
+        assert rig.scheduler.state_of(other.id) is _State.COMPLETED
+
+
+class TestDataRack:
+    """A task runs near its data while there is room, elsewhere otherwise."""
+
+    def test_the_rack_of_the_data_comes_first(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", "rack-2"))
+        rig.run(1)
+        rig.submit(build.job(build.step(count=8, data_rack="rack-2")))
+        rig.run(0.3)
+        assert set(_executors_of(rig)) == {"rack-2-0", "rack-2-1"}
+
+    def test_a_full_rack_does_not_hold_a_task_up(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", "rack-2"))
+        rig.run(1)
+        rig.submit(build.job(build.step(count=12, data_rack="rack-2")))
+        rig.run(0.3)
+        count_by_rack = collections.Counter(
+            name.rpartition("-")[0] for name in _executors_of(rig)
+        )
+        assert count_by_rack == {"rack-2": 8, "rack-1": 4}
+
+
+class TestSameRack:
+    """A gang that works faster on one rack is put on one."""
+
+    def _gang(self, count: int) -> _progress.AcceptedJob:
+        return build.job(build.step(count=count, gang=True, same_rack=True))
+
+    def test_one_rack_takes_all_members(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", "rack-2", "rack-3"))
+        rig.run(1)
+        rig.submit(self._gang(7))
+        rig.run(0.3)
+        racks = {name.rpartition("-")[0] for name in _executors_of(rig)}
+        assert (len(rig.starts), len(racks)) == (7, 1)
+
+    def test_a_gang_larger_than_a_rack_starts_all_the_same(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", "rack-2"))
+        rig.run(1)
+        rig.submit(self._gang(12))
+        rig.run(0.3)
+        assert len(rig.starts) == 12
+
+
+class TestSpread:
+    """No executor runs more tasks of a step than the step allows."""
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_tasks_of_a_step_are_spread(self, gang: bool) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", "rack-2"))
+        rig.run(1)
+        rig.submit(
+            build.job(
+                build.step(
+                    count=8,
+                    max_per_executor=2,
+                    gang=gang,
+                    runs_until_cancelled=True,
+                )
+            )
+        )
+        rig.run(1)
+        assert collections.Counter(_executors_of(rig)) == dict.fromkeys(
+            rig.executor_by_id, 2
+        )
+
+    def test_a_task_beyond_the_limit_waits_for_its_turn(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", count=1))
+        rig.run(1)
+        accepted = build.job(build.step(count=3, max_per_executor=1))
+        rig.submit(accepted)
+        rig.run(0.3)
+        assert len(rig.starts) == 1
+        rig.run(5)
+        assert rig.scheduler.state_of(accepted.id) is _State.COMPLETED
+
+    def test_occurrences_are_counted_apart(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", count=1))
+        rig.run(1)
+        rig.submit(
+            build.job(
+                build.step(max_per_executor=1, runs_until_cancelled=True),
+                repeat_count=3,
+                first_due_wall_s=build.WALL_S,
+                interval_s=0.1,
+            )
+        )
+        rig.run(1)
+        assert sorted(o.task.occurrence for _, _, o in rig.starts) == [0, 1, 2]
+
+    def test_a_run_that_is_being_stopped_still_counts(self) -> None:
+        rig = cell_rig.CellRig(*_racks("rack-1", count=1))
+        rig.run(1)
+        rig.submit(
+            build.job(
+                build.step(
+                    count=2, max_per_executor=1, runs_until_cancelled=True
+                )
+            )
+        )
+        rig.run(1)
+        (run,) = rig.scheduler.cell.executor_by_id[
+            "rack-1-0"
+        ].run_by_key.values()
+        rig.executor_by_id["rack-1-0"].answers = False
+        run.stop(rig.now_s)
+        rig.run(1)
+        assert len(rig.starts) == 1
+
+
+class TestAccelerators:
+    """Accelerators are booked like processors and memory."""
+
+    def _accelerated(self, count: int) -> _progress.AcceptedJob:
+        size = _job_spec.Room(100, 100, 1)
+        return build.job(build.step(count=count, size=size))
+
+    def test_no_more_tasks_than_accelerators(self) -> None:
+        rig = cell_rig.CellRig(
+            build.entry("plain"),
+            build.entry("fast", capacity=_job_spec.Room(4000, 8000, 2)),
+        )
+        rig.run(1)
+        accepted = self._accelerated(5)
+        rig.submit(accepted)
+        rig.run(0.3)
+        assert _executors_of(rig) == ["fast", "fast"]
+        rig.run(5)
+        assert rig.scheduler.state_of(accepted.id) is _State.COMPLETED
+
+    def test_without_any_the_job_is_refused_at_once(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(1)
+        result = rig.scheduler.submit(self._accelerated(1), build.at(rig.now_s))
+        assert result is _orders.SubmitResult.NEVER_FITS
+
+    def test_a_task_without_need_leaves_them_free(self) -> None:
+        rig = cell_rig.CellRig(
+            build.entry("fast", capacity=_job_spec.Room(4000, 8000, 1)),
+            build.entry("plain"),
+        )
+        rig.run(1)
+        rig.submit(build.job(build.step(count=4)))
+        rig.run(0.3)
+        assert set(_executors_of(rig)) == {"plain"}
+
+
+class TestGuardedExecutors:
+    """An executor that refuses for want of room is believed."""
+
+    def test_the_task_starts_elsewhere_and_no_attempt_is_lost(self) -> None:
+        rig = cell_rig.CellRig(build.entry("e1"), build.entry("e2"))
+        rig.run(1)
+        rig.executor_by_id["e1"].refuses_for_room = True
+        accepted = build.job(build.step(count=4))
+        rig.submit(accepted)
+        rig.run(4)
+        assert rig.scheduler.state_of(accepted.id) is _State.COMPLETED
+        assert set(_executors_of(rig)) == {"e2"}
+        job = rig.scheduler.cell.job_by_id[accepted.id]
+        assert job.progress.failures_by_place == {}
+
+    def test_it_is_left_alone_for_a_moment_and_tried_again(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(1)
+        executor = rig.executor_by_id["e1"]
+        executor.refuses_for_room = True
+        rig.submit(build.job())
+        rig.run(2)
+        assert 2 <= executor.refused_count <= 8
+        executor.refuses_for_room = False
+        rig.run(2)
+        assert len(rig.starts) == 1
