--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -3,6 +3,7 @@
 import copy
 import dataclasses
 
+from basiljunction.coordination.scheduling import _approvals
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
@@ -39,6 +40,7 @@
         is_fenced: Whether an executor has seen a later term.
         has_inherited: Whether a predecessor may have runs somewhere.
         sharing: What fillers do to serving tasks.
+        approvals: Which executors an outside policy approves.
         current_run_by_task: The run of each task that has one.
     """
 
@@ -66,6 +68,9 @@
     sharing: _sharing.Sharing = dataclasses.field(
         default_factory=_sharing.Sharing
     )
+    approvals: _approvals.Approvals = dataclasses.field(
+        default_factory=_approvals.Approvals
+    )
     current_run_by_task: dict[_job_spec.TaskId, _runs.Run] = dataclasses.field(
         default_factory=dict
     )
@@ -114,6 +119,7 @@
         job.progress.state = state
         job.progress.finished_wall_s = now.wall_s
         job.bag_by_step.clear()
+        self.approvals.forget(job.id)
         self.note(
             "job.finished",
             job=job.id,
--- a/src/basiljunction/coordination/scheduling/_orders.py
+++ b/src/basiljunction/coordination/scheduling/_orders.py
@@ -19,6 +19,8 @@
         payload: The job's text.
         lease_until_ms: End of the lease on the executor's clock.
         checkpoint: Where to resume; empty for the beginning.
+        approval: Proves that the policy approved the executor; empty if the
+            queue has none.
     """
 
     executor: str
@@ -27,6 +29,7 @@
     payload: str
     lease_until_ms: int
     checkpoint: str
+    approval: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +81,26 @@
     wait_ms: int
 
 
-Order = StartOrder | StopOrder | PaceOrder | HoldOrder
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApprovalOrder:
+    """Ask the policy which executors may run a step.
+
+    Attributes:
+        job: Id of the job.
+        occurrence: Number of the occurrence.
+        step: Number of the step.
+        executors: Ids of the executors that are asked about.
+    """
+
+    job: str
+    occurrence: int
+    step: int
+    executors: tuple[str, ...]
+
+
+ExecutorOrder = StartOrder | StopOrder | PaceOrder | HoldOrder
+
+Order = ExecutorOrder | ApprovalOrder
 
 
 class StartResult(enum.Enum):
@@ -92,6 +114,7 @@
     UNHEALTHY = "unhealthy"
     MALFORMED = "malformed"
     OTHER_LIFE = "other-life"
+    NOT_APPROVED = "not-approved"
     UNKNOWN = "unknown"
 
     @property
@@ -103,6 +126,7 @@
             StartResult.FENCED,
             StartResult.UNHEALTHY,
             StartResult.MALFORMED,
+            StartResult.NOT_APPROVED,
         )
 
 
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -44,7 +44,30 @@
     sharing: _sharing.Sharing,
 ) -> _executors.ExecutorState | None:
     """Returns the best executor for a task now, or None."""
-    fitting = [
+    fitting = _fitting(step, task, executors, sharing)
+    if not fitting:
+        return None
+    return min(fitting, key=lambda each: _cost(step, each, sharing))
+
+
+def ranked(
+    step: _job_spec.StepSpec,
+    task: _job_spec.TaskId,
+    executors: Iterable[_executors.ExecutorState],
+    sharing: _sharing.Sharing,
+) -> list[_executors.ExecutorState]:
+    """Returns the executors that a task could start on now, best first."""
+    fitting = _fitting(step, task, executors, sharing)
+    return sorted(fitting, key=lambda each: _cost(step, each, sharing))
+
+
+def _fitting(
+    step: _job_spec.StepSpec,
+    task: _job_spec.TaskId,
+    executors: Iterable[_executors.ExecutorState],
+    sharing: _sharing.Sharing,
+) -> list[_executors.ExecutorState]:
+    return [
         each
         for each in executors
         if is_eligible(step, each)
@@ -52,9 +75,6 @@
         and _is_spread(step, task, each)
         and (not step.fills or sharing.allows(step, each))
     ]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda each: _cost(step, each, sharing))
 
 
 def choose_gang(
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -210,29 +210,73 @@
         now: _time.Now,
     ) -> int:
         for bag in list(job.bag_by_step.values()):
-            step = job.spec.steps[bag.step]
-            if step.gang:
-                budget -= self._place_gang(job, bag, executors, now)
+            usable = executors
+            if job.queue.approval is not None:
+                key = (job.id, bag.occurrence, bag.step)
+                usable = self._cell.approvals.usable(key, executors, now.boot_s)
+            budget = self._place_bag(job, bag, usable, budget, now)
+            if budget <= 0:
+                return 0
+            if job.queue.approval is not None and bag.ready_s_by_index:
+                self._ask_approval(job, bag, executors, now)
+        return budget
+
+    def _place_bag(
+        self,
+        job: _jobs.Job,
+        bag: _jobs.Bag,
+        executors: list[_executors.ExecutorState],
+        budget: int,
+        now: _time.Now,
+    ) -> int:
+        step = job.spec.steps[bag.step]
+        if step.gang:
+            return budget - self._place_gang(job, bag, executors, now)
+        for index, ready_s in list(bag.ready_s_by_index.items()):
+            waited_s = now.boot_s - ready_s
+            if waited_s < 0:
                 continue
-            for index, ready_s in list(bag.ready_s_by_index.items()):
-                waited_s = now.boot_s - ready_s
-                if waited_s < 0:
-                    continue
-                if not self._may_start(job, step, waited_s):
-                    break
-                task = _job_spec.TaskId(job.id, bag.occurrence, bag.step, index)
-                chosen = self._choose(job, step, task, executors)
-                if chosen is None:
-                    self._make_room(job, step, waited_s, executors, now)
-                    break
-                self._start(
-                    job, task, chosen, self._cell.next_run_number(), now
-                )
-                budget -= 1
-                if budget <= 0:
-                    return 0
+            if not self._may_start(job, step, waited_s):
+                break
+            task = _job_spec.TaskId(job.id, bag.occurrence, bag.step, index)
+            chosen = self._choose(job, step, task, executors)
+            if chosen is None:
+                self._make_room(job, step, waited_s, executors, now)
+                break
+            self._start(job, task, chosen, self._cell.next_run_number(), now)
+            budget -= 1
+            if budget <= 0:
+                return 0
         return budget
 
+    def _ask_approval(
+        self,
+        job: _jobs.Job,
+        bag: _jobs.Bag,
+        executors: list[_executors.ExecutorState],
+        now: _time.Now,
+    ) -> None:
+        """Asks the policy about executors with room for a waiting task."""
+        cell = self._cell
+        step = job.spec.steps[bag.step]
+        index = next(iter(bag.ready_s_by_index))
+        task = _job_spec.TaskId(job.id, bag.occurrence, bag.step, index)
+        order = cell.approvals.ask(
+            (job.id, bag.occurrence, bag.step),
+            _placement.ranked(step, task, executors, cell.sharing),
+            now.boot_s,
+        )
+        if order is None:
+            return
+        cell.orders.append(order)
+        cell.note(
+            "approval.asked",
+            job=job.id,
+            occurrence=bag.occurrence,
+            step=bag.step,
+            executors=len(order.executors),
+        )
+
     def _choose(
         self,
         job: _jobs.Job,
@@ -246,7 +290,11 @@
         if failed is not None and step.size.holds(failed):
             return None
         chosen = _placement.choose(step, task, executors, self._cell.sharing)
-        is_plain = not step.required_label and not step.max_per_executor
+        is_plain = (
+            not step.required_label
+            and not step.max_per_executor
+            and job.queue.approval is None
+        )
         if chosen is None and is_plain:
             self._failed_by_kind[kind] = step.size
         return chosen
@@ -322,6 +370,9 @@
                     now.boot_s, cell.times.lease_s
                 ),
                 checkpoint=run.checkpoint,
+                approval=cell.approvals.proof(
+                    (job.id, task.occurrence, task.step), executor, now.boot_s
+                ),
             )
         )
 
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler of one cell: (state, event, now) -> orders and records."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
@@ -214,6 +215,11 @@
             return
         if result is _orders.StartResult.FENCED:
             self.cell.is_fenced = True
+        if result is _orders.StartResult.NOT_APPROVED:
+            key = (order.task.job, order.task.occurrence, order.task.step)
+            self.cell.approvals.rejected(key, order.executor)
+            self.cell.release(state, run, now, delay_s=_limits.HOLD_RETRY_S)
+            return
         if result.has_not_run:
             if result is _orders.StartResult.UNHEALTHY:
                 state.avoid_until_s = now.boot_s + _limits.UNHEALTHY_S
@@ -251,6 +257,40 @@
                 run.pace_percent = order.percent
             run.paced_s = now.boot_s
 
+    def approval_answered(
+        self,
+        order: _orders.ApprovalOrder,
+        proof_by_executor: Mapping[str, str],
+        now: _time.Now,
+    ) -> None:
+        """Takes the executors that the policy approves for a step."""
+        cell = self.cell
+        job = cell.job_by_id.get(order.job)
+        if job is None or job.queue.approval is None:
+            return
+        cell.approvals.answered(
+            order,
+            proof_by_executor,
+            {key: each.born_ms for key, each in cell.executor_by_id.items()},
+            validity_s=job.queue.approval.validity_s,
+            now_s=now.boot_s,
+        )
+        cell.note(
+            "approval.answered",
+            job=order.job,
+            occurrence=order.occurrence,
+            step=order.step,
+            asked=len(order.executors),
+            approved=len(proof_by_executor),
+        )
+        cell.needs_placing = True
+
+    def approval_failed(
+        self, order: _orders.ApprovalOrder, now: _time.Now
+    ) -> None:
+        """Takes the lack of the policy's answer."""
+        self.cell.approvals.failed(order, now.boot_s)
+
     def hold_answered(
         self,
         order: _orders.HoldOrder,
--- a/src/basiljunction/platform/_clients.py
+++ b/src/basiljunction/platform/_clients.py
@@ -114,6 +114,12 @@
     return _JOB_ID.fullmatch(text) is not None
 
 
+class _Advice(pydantic.BaseModel):
+    """What is known of the policy of a queue; names of the platform."""
+
+    ValidityMs: float
+
+
 class _Route(pydantic.BaseModel):
     """A queue as configured; names of the platform."""
 
@@ -126,7 +132,7 @@
     Priority: int = 0
     MaxAttempts: int = 1
     Stretch: float = 1.0
-    Advice: dict[str, float] | None = None
+    Advice: _Advice | None = None
 
 
 class _Service(pydantic.BaseModel):
@@ -188,10 +194,16 @@
         stretch=route.Stretch,
         target_latency_s=route.TargetLatencyMs / 1000,
         timeout_s=route.TimeoutMs / 1000,
-        needs_approval=route.Advice is not None,
+        approval=_approval(route.Advice),
     )
 
 
+def _approval(advice: _Advice | None) -> _configuration.Approval | None:
+    if advice is None:
+        return None
+    return _configuration.Approval(advice.ValidityMs / 1000)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """An answer to a caller.
--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -23,6 +23,7 @@
     "old": _orders.StartResult.SUPERSEDED,
     "late": _orders.StartResult.TOO_LATE,
     "room": _orders.StartResult.NO_ROOM,
+    "ticket": _orders.StartResult.NOT_APPROVED,
 }
 
 _START_RESULT_BY_STATUS = {
@@ -62,6 +63,8 @@
     }
     if order.checkpoint:
         body["Checkpoint"] = order.checkpoint
+    if order.approval:
+        body["Ticket"] = order.approval
     return _post(address, "/run-start", order.executor, body, timeout_s)
 
 
@@ -116,6 +119,36 @@
     return _post(address, "/hold", order.executor, body, timeout_s)
 
 
+def approval(
+    address: str, order: _orders.ApprovalOrder, *, timeout_s: float
+) -> _http_call.HttpCall:
+    """Returns the call that asks the policy about executors for a step."""
+    body = {
+        "Step": f"{order.job}.{order.occurrence}.{order.step}",
+        "Workers": list(order.executors),
+    }
+    return _http_call.HttpCall(
+        "POST",
+        f"http://{address}/advise",
+        pydantic_core.to_json(body),
+        _JSON_HEADERS,
+        timeout_s,
+    )
+
+
+def approved(reply: _http_call.HttpReply) -> dict[str, str]:
+    """Returns the proof of each approved executor.
+
+    Raises:
+        DecodeError: The answer is malformed.
+    """
+    try:
+        rows = reply.json_object()["Good"]
+        return {str(executor): str(proof) for executor, proof in rows}
+    except (KeyError, TypeError, ValueError) as error:
+        raise _errors.DecodeError("approvals", repr(error)) from error
+
+
 def is_other_life(reply: _http_call.HttpReply) -> bool:
     """Returns whether another life of the executor answered."""
     return reply.status == _OTHER_LIFE
--- a/src/basiljunction/platform/_settings.py
+++ b/src/basiljunction/platform/_settings.py
@@ -77,6 +77,7 @@
             harm_s=values.number("Bounds.HarmMs") / 1000,
         ),
         heartbeat_s=values.number("HeartbeatMs") / 1000,
+        policy_address=values.optional_address("Advice"),
     )
 
 
@@ -119,6 +120,10 @@
             raise SettingsError(name, "ip:port")
         return value
 
+    def optional_address(self, name: str) -> str:
+        """Returns an ``ip:port`` address, or an empty text if there is none."""
+        return self.address(name) if self._value_by_name.get(name) else ""
+
     def first_port(self, name: str) -> int:
         """Returns the first port of a range ``first,last``."""
         first = self.text(name).partition(",")[0]
--- a/src/basiljunction/protocol/_instance_settings.py
+++ b/src/basiljunction/protocol/_instance_settings.py
@@ -56,6 +56,8 @@
         store: The platform's store.
         bounds: Bounds of the deployment.
         heartbeat_s: Time between two reports of an executor, in seconds.
+        policy_address: ``ip:port`` of the policy that approves executors;
+            empty if there is none.
     """
 
     name: str
@@ -66,3 +68,4 @@
     store: StoreSettings
     bounds: Bounds
     heartbeat_s: float
+    policy_address: str = ""
--- a/src/basiljunction/state/workload/_configuration.py
+++ b/src/basiljunction/state/workload/_configuration.py
@@ -3,6 +3,17 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Approval:
+    """How an outside policy approves executors for the steps of a queue.
+
+    Attributes:
+        validity_s: How long an approval may be used, in seconds.
+    """
+
+    validity_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
     """A queue of jobs, selected by host and path prefix.
@@ -17,7 +28,7 @@
         stretch: Objective as a multiple of the job's longest chain of work.
         target_latency_s: Added to the objective, in seconds.
         timeout_s: Longest time that a call on this queue may take, in seconds.
-        needs_approval: Whether an outside policy chooses the executors.
+        approval: Set if an outside policy approves the executors.
     """
 
     name: str
@@ -29,7 +40,7 @@
     stretch: float
     target_latency_s: float
     timeout_s: float
-    needs_approval: bool = False
+    approval: Approval | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/transport/jobs/_apps.py
+++ b/src/basiljunction/transport/jobs/_apps.py
@@ -184,8 +184,6 @@
                 return _clients.refusal(413, "body-too-large")
             except _errors.DecodeError as error:
                 return _clients.refusal(400, str(error))
-            if queue.needs_approval:
-                return _clients.refusal(501, "queue-needs-approval")
         call = _client_calls.ClientCall(
             kind=kind,
             queue=queue.name,
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -82,7 +82,11 @@
             changed=self._executors_changed,
         )
         self._sender = _order_sender.OrderSender(
-            calls=calls, scheduler=self._scheduler, epoch=epoch, clock=clock
+            calls=calls,
+            scheduler=self._scheduler,
+            epoch=epoch,
+            clock=clock,
+            policy_address=settings.policy_address,
         )
         self._submits_by_job: dict[str, list[_call_router.PendingCall]] = {}
         self._cancels_by_job: dict[str, list[_call_router.PendingCall]] = {}
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -15,6 +15,10 @@
 ORDER_TIMEOUT_S = 1.0
 """Longest time for an order; well below the lease that it carries."""
 
+APPROVAL_TIMEOUT_S = 5.0
+"""Longest time for the policy: it works on the questions of one instance in
+turn, a fraction of a second for each."""
+
 HOLD_ANSWER_S = 0.8
 """Time for the answer itself of a renewal, besides the wait it asks for."""
 
@@ -29,6 +33,7 @@
         scheduler: Whose orders are carried.
         epoch: Epoch of its term, the fencing token of every order.
         clock: Returns the time.
+        policy_address: Where approvals are asked for; empty for nowhere.
     """
 
     def __init__(
@@ -38,8 +43,10 @@
         scheduler: _scheduler.Scheduler,
         epoch: int,
         clock: Callable[[], _time.Now],
+        policy_address: str = "",
     ) -> None:
         self.is_closed = False
+        self._policy_address = policy_address
         self._calls = calls
         self._scheduler = scheduler
         self._epoch = epoch
@@ -48,11 +55,52 @@
     def send_all(self) -> None:
         """Sends the orders that the scheduler has collected."""
         for order in self._scheduler.take_orders():
+            if isinstance(order, _orders.ApprovalOrder):
+                self._ask_approval(order)
+                continue
             executor = self._scheduler.cell.executor_by_id.get(order.executor)
             if executor is not None:
                 self._send(executor.entry.address, order)
 
-    def _send(self, address: str, order: _orders.Order) -> None:
+    def _ask_approval(self, order: _orders.ApprovalOrder) -> None:
+        def done(reply: _http_call.HttpReply) -> None:
+            if not self.is_closed:
+                self._approval_answered(order, reply)
+
+        if not self._policy_address:
+            _log.error("approval.no-policy", job=order.job)
+            self._scheduler.approval_failed(order, self._clock())
+            return
+        self._calls.send(
+            _executors.approval(
+                self._policy_address, order, timeout_s=APPROVAL_TIMEOUT_S
+            ),
+            done,
+        )
+
+    def _approval_answered(
+        self, order: _orders.ApprovalOrder, reply: _http_call.HttpReply
+    ) -> None:
+        now = self._clock()
+        if reply.ok:
+            try:
+                proofs = _executors.approved(reply)
+            except _errors.DecodeError as error:
+                _log.warning("approval.torn", job=order.job, error=str(error))
+            else:
+                self._scheduler.approval_answered(order, proofs, now)
+                return
+        else:
+            _log.info(
+                "approval.failed",
+                job=order.job,
+                step=order.step,
+                status=reply.status,
+                fault=reply.fault,
+            )
+        self._scheduler.approval_failed(order, now)
+
+    def _send(self, address: str, order: _orders.ExecutorOrder) -> None:
         if isinstance(order, _orders.HoldOrder):
             self._send_hold(address, order)
         elif isinstance(order, _orders.StartOrder):
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import random
@@ -13,6 +14,7 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -100,9 +102,9 @@
             return _orders.StartResult.SUPERSEDED
         if order.lease_until_ms <= self.clock_ms:
             return _orders.StartResult.TOO_LATE
-        if self.refuses_for_room:
-            self.refused_count += 1
-            return _orders.StartResult.NO_ROOM
+        refusal = self._refusal(order)
+        if refusal is not None:
+            return refusal
         self._extend(order.lease_until_ms)
         step = self.rig.step_of(order.task)
         self.run_by_key[key] = SimulatedRun(
@@ -113,6 +115,18 @@
         self.rig.check_start(self, order)
         return _orders.StartResult.STARTED
 
+    def _refusal(self, order: _orders.StartOrder) -> _orders.StartResult | None:
+        policy = self.rig.policy
+        if policy is not None and not policy.accepts(
+            self.entry.id, order, self.rig.now_s
+        ):
+            self.rig.not_approved_count += 1
+            return _orders.StartResult.NOT_APPROVED
+        if self.refuses_for_room:
+            self.refused_count += 1
+            return _orders.StartResult.NO_ROOM
+        return None
+
     def stop(self, token: int, order: _orders.StopOrder) -> None:
         """Carries out a stop."""
         if token < self.token:
@@ -181,13 +195,55 @@
         )
 
 
+@dataclasses.dataclass
+class SimulatedPolicy:
+    """A policy that approves some executors for every step, for a while.
+
+    Attributes:
+        good: Executors that it approves.
+        validity_s: How long an approval holds.
+        decision_s: Time that a question takes.
+        is_up: Whether it answers.
+        asked: Every question so far.
+        proofs: Valid until, by proof.
+    """
+
+    good: set[str]
+    validity_s: float = 2.0
+    decision_s: float = 0.2
+    is_up: bool = True
+    asked: list[_orders.ApprovalOrder] = dataclasses.field(default_factory=list)
+    until_s_by_proof: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def decide(
+        self, order: _orders.ApprovalOrder, now_s: float
+    ) -> dict[str, str]:
+        """Returns a proof for each approved executor."""
+        proof_by_executor = {}
+        for executor in self.good.intersection(order.executors):
+            step = f"{order.job}.{order.occurrence}.{order.step}"
+            proof = f"{step}@{executor}#{len(self.asked)}"
+            self.until_s_by_proof[proof] = now_s + self.validity_s
+            proof_by_executor[executor] = proof
+        return proof_by_executor
+
+    def accepts(
+        self, executor: str, order: _orders.StartOrder, now_s: float
+    ) -> bool:
+        """Returns whether an executor accepts the proof of a start."""
+        task = order.task
+        expected = f"{task.job}.{task.occurrence}.{task.step}@{executor}#"
+        until_s = self.until_s_by_proof.get(order.approval, 0.0)
+        return order.approval.startswith(expected) and now_s < until_s
+
+
 @dataclasses.dataclass
 class Late:
     """An order without an answer that is carried out later."""
 
     due_s: float
     token: int
-    order: _orders.Order
+    order: _orders.ExecutorOrder
     life: int
 
 
@@ -198,6 +254,7 @@
         entries: The executors.
         seed: For the faults.
         fail_share: Share of the runs that fail.
+        queues: The queues as configured.
     """
 
     def __init__(
@@ -205,7 +262,9 @@
         *entries: _executor.ExecutorEntry,
         seed: int = 1,
         fail_share: float = 0.0,
+        queues: Sequence[_configuration.Queue] = (),
     ) -> None:
+        self.queues = queues
         self.rng = random.Random(seed)
         self.now_s = 0.0
         self.fail_share = fail_share
@@ -222,6 +281,11 @@
         )
         self.starts: list[tuple[float, str, _orders.StartOrder]] = []
         self.late: list[Late] = []
+        self.policy: SimulatedPolicy | None = None
+        self.not_approved_count = 0
+        self.decisions: list[
+            tuple[float, _scheduler.Scheduler, _orders.ApprovalOrder]
+        ] = []
         self.is_carrying_out_late = False
         self.executor_by_id = {
             each.id: SimulatedExecutor(each, self)
@@ -233,7 +297,7 @@
 
     def _begin(self) -> _scheduler.Scheduler:
         self.epoch += 1
-        self.scheduler = build.scheduler(epoch=self.epoch)
+        self.scheduler = build.scheduler(*self.queues, epoch=self.epoch)
         records = [
             _job_records.decode(_job_records.KeyedRecord(key, value))
             for key, value in self.store.items()
@@ -282,8 +346,12 @@
             self.confirmed_s = self.now_s
         now = build.at(self.now_s)
         self.scheduler.tick(now, confirmed_s=self.confirmed_s)
+        self._decide_approvals()
         for order in self.scheduler.take_orders():
-            self._carry_out(order)
+            if isinstance(order, _orders.ApprovalOrder):
+                self._ask_policy(order)
+            else:
+                self._carry_out(order)
         self.scheduler.take_notes()
         if self.store_is_up:
             self._store_batch()
@@ -305,7 +373,25 @@
             if isinstance(reply, _orders.CancelReply):
                 self.cancelled_s.setdefault(reply.job_id, self.now_s)
 
-    def _carry_out(self, order: _orders.Order) -> None:
+    def _ask_policy(self, order: _orders.ApprovalOrder) -> None:
+        assert self.policy is not None
+        self.policy.asked.append(order)
+        due_s = self.now_s + self.policy.decision_s
+        self.decisions.append((due_s, self.scheduler, order))
+
+    def _decide_approvals(self) -> None:
+        due = [each for each in self.decisions if each[0] <= self.now_s]
+        self.decisions = [e for e in self.decisions if e[0] > self.now_s]
+        for _, scheduler, order in due:
+            assert self.policy is not None
+            now = build.at(self.now_s)
+            if self.policy.is_up:
+                proofs = self.policy.decide(order, self.now_s)
+                scheduler.approval_answered(order, proofs, now)
+            else:
+                scheduler.approval_failed(order, now)
+
+    def _carry_out(self, order: _orders.ExecutorOrder) -> None:
         executor = self.executor_by_id[order.executor]
         lost = not executor.is_up or not executor.answers
         if isinstance(order, _orders.HoldOrder) and executor.is_reset:
@@ -321,7 +407,10 @@
         self._answer(order, answer)
 
     def _told(
-        self, executor: SimulatedExecutor, token: int, order: _orders.Order
+        self,
+        executor: SimulatedExecutor,
+        token: int,
+        order: _orders.ExecutorOrder,
     ) -> _orders.StartResult | _executor.HoldReport | bool:
         """Has an executor carry out an order and returns its answer."""
         if isinstance(order, _orders.StartOrder):
@@ -334,7 +423,7 @@
 
     def _answer(
         self,
-        order: _orders.Order,
+        order: _orders.ExecutorOrder,
         answer: _orders.StartResult | _executor.HoldReport | bool | None,
     ) -> None:
         now = build.at(self.now_s)
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -1,6 +1,7 @@
 """Tests of what crosses the border to the platform, and of what stays."""
 
 import ast
+import json
 import pathlib
 import re
 
@@ -15,6 +16,7 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 
@@ -51,6 +53,7 @@
         "/log-append", "/log-read", "/log-newest", "EndOffset", "ClockMs",
         "AntiAffinity", "TightlyCoupled", "LongRunning", "EstDurationMs",
         "MayMiss", "TargetMs", "AdmissionCheck", "NodeName", "ListenAddrs",
+        "/advise", "ValidityMs", '"Ticket"',
         "keyed.", "Expect-Instance", "Deadline-Remaining", "MaxHoldMs",
     )  # fmt: skip
 
@@ -158,6 +161,78 @@
             _clients.parse_job(body)
 
 
+class TestPolicy:
+    """Approvals of executors by the platform's policy."""
+
+    def test_a_queue_tells_how_long_its_approvals_hold(self) -> None:
+        document = {
+            "Version": 1,
+            "Services": [],
+            "Routes": [
+                {
+                    "Name": name,
+                    "Host": "h",
+                    "PathPrefix": f"/{name}/",
+                    "Service": "s",
+                    **more,
+                }
+                for name, more in (
+                    ("plain", {}),
+                    (
+                        "approved",
+                        {
+                            "Advice": {
+                                "DecisionMs": 40,
+                                "PerWorkerMs": 5,
+                                "ValidityMs": 3000,
+                            }
+                        },
+                    ),
+                )
+            ],
+        }
+        found = _clients.parse_configuration(json.dumps(document).encode())
+        plain, approved = (
+            found.queue_named(name) for name in ("plain", "approved")
+        )
+        assert plain is not None
+        assert plain.approval is None
+        assert approved is not None
+        assert approved.approval == _configuration.Approval(3.0)
+
+    def test_a_question_names_the_step_and_the_executors(self) -> None:
+        order = _orders.ApprovalOrder("5c0e7a21d94b36f8", 0, 1, ("a", "b"))
+        call = _executors.approval("10.0.0.9:1", order, timeout_s=1.0)
+        assert call.url == "http://10.0.0.9:1/advise"
+        assert json.loads(call.body or b"") == {
+            "Step": "5c0e7a21d94b36f8.0.1",
+            "Workers": ["a", "b"],
+        }
+
+    def test_an_answer_tells_the_proofs(self) -> None:
+        body = b'{"Good":[["a","c81e-7a21d94b"]],"ValidityMs":3000}'
+        reply = _http_call.HttpReply(status=200, body=body)
+        assert _executors.approved(reply) == {"a": "c81e-7a21d94b"}
+
+    @pytest.mark.parametrize("body", [b"{}", b'{"Good":[1]}', b"[]"])
+    def test_a_torn_answer_is_an_error(self, body: bytes) -> None:
+        reply = _http_call.HttpReply(status=200, body=body)
+        with pytest.raises(_errors.DecodeError):
+            _executors.approved(reply)
+
+    def test_a_start_carries_the_proof(self) -> None:
+        task = _job_spec.TaskId("5c0e7a21d94b36f8", 0, 1, 2)
+        order = _orders.StartOrder("a", task, 1, "", 5000, "", "c81e")
+        call = _executors.start("10.0.0.9:1", 7, order, timeout_s=1.0)
+        assert json.loads(call.body or b"")["Ticket"] == "c81e"
+
+    def test_a_refused_proof_is_told_from_other_refusals(self) -> None:
+        reply = _http_call.HttpReply(status=409, body=b'{"Reason":"ticket"}')
+        result = _executors.start_result(reply)
+        assert result is _orders.StartResult.NOT_APPROVED
+        assert result.has_not_run
+
+
 class TestStore:
     """Records travel in frames that end where they say."""
 
