Move tasks off executors that work far more slowly than the fleet

Cause: an executor at a fifth of its speed answers and renews, so nothing noticed it; each job with a task there waits for it. Its tasks' progress is compared with what the fleet does of an estimated second; where several agree, nothing is placed there for 3 s and what gains by it starts elsewhere. Tests of a slow, a recovered and a healthy fleet with wrong estimates; three fail without the call.

--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -6,6 +6,7 @@
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _runs
+from basiljunction.coordination.scheduling import _slowness
 from basiljunction.coordination.scheduling import _stalls
 from basiljunction.state import _time
 from basiljunction.state.workload import _executor
@@ -155,6 +156,7 @@
             self._running(executor, running, now)
         self._settle_unlisted(executor, listed, sent_s, now)
         cell = self._cell
+        self._move_slow_runs(executor, now)
         for run in _stalls.stalled_runs(executor, now.boot_s):
             cell.note(
                 "task.stalled",
@@ -181,6 +183,30 @@
         gap_s = _limits.UNSTORED_GAP_S if unstored else _limits.HOLD_GAP_S
         executor.next_hold_s = now.boot_s + gap_s
 
+    def _move_slow_runs(
+        self, executor: _executors.ExecutorState, now: _time.Now
+    ) -> None:
+        """Starts tasks of a slow executor elsewhere."""
+        cell = self._cell
+        was_avoided = now.boot_s < executor.avoid_until_s
+        moved = _slowness.slow_runs(executor, cell.usual_speed, now.boot_s)
+        if now.boot_s < executor.avoid_until_s and not was_avoided:
+            cell.note(
+                "executor.slow",
+                executor=executor.entry.id,
+                moved=len(moved),
+                usual_speed=round(cell.usual_speed.value, 2),
+            )
+        for run in moved:
+            cell.note(
+                "task.moved",
+                task=str(run.task),
+                run=run.number,
+                executor=executor.entry.id,
+                percent=run.percent,
+            )
+            run.stop(now.boot_s)
+
     def _end_life(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
@@ -220,6 +246,7 @@
         if report.percent != run.percent:
             run.progress_s = now.boot_s
         run.percent = report.percent
+        _slowness.note_progress(run, now.boot_s)
         run.figure = report.figure
         if report.checkpoint:
             run.checkpoint = report.checkpoint
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -29,6 +29,8 @@
         checkpoint: Newest checkpoint.
         percent: Progress as last listed.
         progress_s: When the progress changed last.
+        measured_from_s: Since when its speed is measured; None before that.
+        measured_from_percent: Progress at that time.
         figure: Tail in ms or millicores in use, as last listed.
         last_figure: The figure that was taken into account last.
         figure_s: When that was.
@@ -52,6 +54,8 @@
     checkpoint: str = ""
     percent: float = 0.0
     progress_s: float = 0.0
+    measured_from_s: float | None = None
+    measured_from_percent: float = 0.0
     figure: float = 0.0
     last_figure: float = 0.0
     figure_s: float = 0.0
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -35,11 +35,13 @@
         step: What runs.
         end_s: When it ends by itself.
         kind: How it ends then.
+        work_s: How long it takes here.
     """
 
     step: _job_spec.StepSpec
     end_s: float
     kind: _executor.EndKind
+    work_s: float = WORK_S
 
 
 class SimulatedExecutor:
@@ -60,6 +62,7 @@
         self.is_up = True
         self.answers = True
         self.is_hanging = False
+        self.slowness = 1.0
         self.refuses_for_room = False
         self.refused_count = 0
         self.run_by_key: dict[RunKey, SimulatedRun] = {}
@@ -107,8 +110,9 @@
             return refusal
         self._extend(order.lease_until_ms)
         step = self.rig.step_of(order.task)
+        work_s = self.rig.work_s * self.slowness
         self.run_by_key[key] = SimulatedRun(
-            step, self.rig.now_s + WORK_S, self.rig.end_kind(step)
+            step, self.rig.now_s + work_s, self.rig.end_kind(step), work_s
         )
         if step.runs_until_cancelled:
             self.run_by_key[key].end_s = float("inf")
@@ -169,7 +173,7 @@
         if run.step.runs_until_cancelled:
             return 100.0
         left_s = max(0.0, run.end_s - self.rig.now_s)
-        return round(100.0 * (1.0 - left_s / WORK_S))
+        return round(100.0 * (1.0 - left_s / run.work_s))
 
     def _extend(self, until_ms: int) -> None:
         longest_ms = int(_limits.LeaseTimes().longest_lease_s * 1000)
@@ -281,6 +285,7 @@
         )
         self.starts: list[tuple[float, str, _orders.StartOrder]] = []
         self.late: list[Late] = []
+        self.work_s = WORK_S
         self.policy: SimulatedPolicy | None = None
         self.not_approved_count = 0
         self.decisions: list[
--- /dev/null
+++ b/tests/coordination/scheduling/test_slowness.py
@@ -0,0 +1,140 @@
+"""Tests of executors that work slowly."""
+
+import pytest
+
+from basiljunction.coordination.scheduling import _slowness
+from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _progress
+import cell_rig
+import workload_builders as build
+
+_State = _progress.JobState
+
+WORK_S = 2.0
+
+
+def _rig(executors: int = 4) -> cell_rig.CellRig:
+    rig = cell_rig.CellRig(
+        *(build.entry(f"e{number}") for number in range(executors))
+    )
+    rig.work_s = WORK_S
+    rig.run(1)
+    return rig
+
+
+def _job(number: int, *, estimate_s: float = WORK_S) -> _progress.AcceptedJob:
+    return build.job(
+        build.step(count=4, estimate_s=estimate_s, checkpoints=True),
+        job_id=f"{number:016x}",
+    )
+
+
+def _play(rig: cell_rig.CellRig, seconds: int) -> None:
+    """Hands in a job of four tasks each second."""
+    for _ in range(seconds):
+        rig.submit(_job(len(rig.specs)))
+        rig.run(1)
+
+
+def _starts_on(rig: cell_rig.CellRig, executor: str, since_s: float) -> int:
+    return sum(
+        name == executor and begun_s > since_s
+        for begun_s, name, _ in rig.starts
+    )
+
+
+class TestSlowExecutors:
+    """Work leaves an executor that does a fraction of what others do."""
+
+    def test_its_tasks_start_elsewhere_and_finish_there(self) -> None:
+        rig = _rig()
+        _play(rig, 4)
+        rig.executor_by_id["e0"].slowness = 6.0
+        _play(rig, 8)
+        rig.run(5)
+        unfinished = [
+            job_id
+            for job_id in rig.specs
+            if rig.scheduler.state_of(job_id) is not _State.COMPLETED
+        ]
+        assert unfinished == []
+
+    def test_it_gets_hardly_any_work_while_it_is_slow(self) -> None:
+        rig = _rig()
+        _play(rig, 4)
+        rig.executor_by_id["e0"].slowness = 6.0
+        since_s = rig.now_s
+        _play(rig, 12)
+        # Found after some two seconds, then tried again every three.
+        assert _starts_on(rig, "e0", since_s) <= 14
+        assert _starts_on(rig, "e1", since_s) >= 14
+
+    def test_it_gets_work_again_once_it_has_recovered(self) -> None:
+        rig = _rig()
+        rig.executor_by_id["e0"].slowness = 6.0
+        _play(rig, 6)
+        rig.executor_by_id["e0"].slowness = 1.0
+        rig.run(4)
+        since_s = rig.now_s
+        _play(rig, 6)
+        assert _starts_on(rig, "e0", since_s) >= 4
+
+    @pytest.mark.parametrize("factor", [0.5, 2.0])
+    def test_estimates_off_by_half_move_nothing(self, factor: float) -> None:
+        rig = _rig()
+        for number in range(12):
+            rig.submit(_job(number, estimate_s=WORK_S * factor))
+            rig.run(1)
+        rig.run(4)
+        assert len(rig.starts) == 4 * 12
+
+    def test_one_job_longer_than_estimated_is_left_where_it_is(self) -> None:
+        rig = _rig(1)
+        rig.submit(_job(0))
+        rig.run(3)
+        rig.work_s = 10 * WORK_S
+        rig.submit(build.job(build.step(estimate_s=WORK_S), job_id="f" * 16))
+        rig.work_s = WORK_S
+        rig.run(8)
+        assert len(rig.starts) == 5
+
+    def test_slowed_down_fillers_say_nothing_of_an_executor(self) -> None:
+        usual = _slowness.UsualSpeed()
+        rig = _rig(1)
+        rig.work_s = 20.0
+        rig.submit(_job(0))
+        rig.run(2)
+        executor = rig.scheduler.cell.executor_by_id["e0"]
+        for run in executor.run_by_key.values():
+            run.pace_percent = 20
+        assert _slowness.slow_runs(executor, usual, rig.now_s) == []
+
+    def test_a_task_about_to_end_stays(self) -> None:
+        usual = _slowness.UsualSpeed()
+        rig = _rig(1)
+        rig.executor_by_id["e0"].slowness = 2.0
+        rig.submit(_job(0))
+        rig.run(3.5)
+        executor = rig.scheduler.cell.executor_by_id["e0"]
+        usual.value = 10.0
+        assert _slowness.slow_runs(executor, usual, rig.now_s) == []
+        assert executor.avoid_until_s > rig.now_s
+
+
+class TestUsualSpeed:
+    """It follows what healthy executors do."""
+
+    def test_it_learns_a_fleet_that_is_slower_than_estimated(self) -> None:
+        rig = _rig()
+        for number in range(30):
+            rig.submit(_job(number, estimate_s=WORK_S / 2))
+            rig.run(0.5)
+        assert rig.scheduler.cell.usual_speed.value < 0.9
+
+    def test_a_room_without_tasks_teaches_nothing(self) -> None:
+        rig = _rig(1)
+        state = rig.scheduler.cell.executor_by_id["e0"]
+        usual = _slowness.UsualSpeed()
+        assert _slowness.slow_runs(state, usual, rig.now_s) == []
+        assert usual.value == 1.0
+        assert state.free.holds(_job_spec.Room(4000, 8000, 0))
