--- a/src/basiljunction/cli/_platform.py
+++ b/src/basiljunction/cli/_platform.py
@@ -27,11 +27,23 @@
     show_default=True,
     help="Lowest level that is logged.",
 )
-def platform(settings_file: pathlib.Path | None, log_level: str) -> None:
+@click.option(
+    "--metrics-port",
+    type=click.IntRange(1, 65535),
+    envvar="BASILJUNCTION_METRICS_PORT",
+    show_envvar=True,
+    help="Port of the metrics on the instance's address; by default none.",
+)
+def platform(
+    settings_file: pathlib.Path | None,
+    log_level: str,
+    metrics_port: int | None,
+) -> None:
     """Run one instance of the job scheduler on the users' platform.
 
     It takes callers, and schedules the executors while it holds the term.
-    Logs go to standard output. SIGTERM lets it hand over and end.
+    Logs go to standard output; metrics are served on a port if one is given.
+    SIGTERM lets it hand over and end.
     """
     try:
         settings = _settings.load(settings_file)
@@ -47,7 +59,7 @@
     )
     daemon = importlib.import_module("basiljunction.transport.jobs._daemon")
     try:
-        code = daemon.run(settings_file)
+        code = daemon.run(settings_file, metrics_port)
     except OSError as error:
         click.echo(f"cannot listen: {error}", err=True)
         sys.exit(_exit_codes.ExitCode.FAILED)
--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -14,6 +14,13 @@
 
 _JSON_HEADERS = ("Content-Type: application/json",)
 
+_OPERATION_BY_PATH = {
+    "/run-start": "executor.start",
+    "/run-stop": "executor.stop",
+    "/pace": "executor.pace",
+    "/hold": "executor.renew",
+}
+
 _INSTANCE_HEADER = "Expect-Instance"
 
 _OTHER_LIFE = 421
@@ -133,6 +140,7 @@
         pydantic_core.to_json(body),
         _JSON_HEADERS,
         timeout_s,
+        operation="policy.approve",
     )
 
 
@@ -253,4 +261,5 @@
         pydantic_core.to_json(body),
         (*_JSON_HEADERS, f"{_INSTANCE_HEADER}: {executor}"),
         timeout_s,
+        operation=_OPERATION_BY_PATH[path],
     )
--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -99,7 +99,11 @@
         }
     body = b"".join(_framed(each) for each in records)
     return _http_call.HttpCall(
-        "POST", _url(address, "/log-append", query), body, timeout_s=timeout_s
+        "POST",
+        _url(address, "/log-append", query),
+        body,
+        timeout_s=timeout_s,
+        operation="store.append",
     )
 
 
@@ -148,7 +152,10 @@
         "WaitMs": int(wait_s * 1000),
     }
     return _http_call.HttpCall(
-        "GET", _url(address, "/log-read", query), timeout_s=timeout_s
+        "GET",
+        _url(address, "/log-read", query),
+        timeout_s=timeout_s,
+        operation="store.read",
     )
 
 
@@ -193,7 +200,10 @@
     if after is not None:
         query["After"] = after
     return _http_call.HttpCall(
-        "GET", _url(address, "/log-newest", query), timeout_s=timeout_s
+        "GET",
+        _url(address, "/log-newest", query),
+        timeout_s=timeout_s,
+        operation="store.read-newest",
     )
 
 
--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -16,6 +16,7 @@
         body: Body; None for none.
         headers: Headers besides the usual ones.
         timeout_s: Longest time for the whole call, in seconds.
+        operation: What the call does, as metrics name it.
     """
 
     method: str
@@ -23,6 +24,7 @@
     body: bytes | None = None
     headers: tuple[str, ...] = ()
     timeout_s: float = 1.0
+    operation: str = "other"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/transport/jobs/_apps.py
+++ b/src/basiljunction/transport/jobs/_apps.py
@@ -18,6 +18,7 @@
 from basiljunction.state.workload import _client_calls
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _progress
+from basiljunction.transport import _metrics
 from basiljunction.transport import _task
 from basiljunction.transport.jobs import _call_router
 from basiljunction.transport.jobs import _cell_task
@@ -119,11 +120,16 @@
     Args:
         task: Answers their calls.
         is_leaving: Tells whether connections are to be closed.
+        metrics: Counts the calls.
     """
 
     def __init__(
-        self, task: _cell_task.CellTask, is_leaving: Callable[[], bool]
+        self,
+        task: _cell_task.CellTask,
+        is_leaving: Callable[[], bool],
+        metrics: _metrics.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._task = task
         self._is_leaving = is_leaving
 
@@ -198,6 +204,12 @@
             timeout_s=_time_left_s(request, queue),
             is_forwarded=False,
         )
+        took_s = time.monotonic() - begun_s
+        outcome = reply.outcome.value
+        self._metrics.count("calls", kind=kind.value, outcome=outcome)
+        self._metrics.observe(
+            "call_duration", took_s, kind=kind.value, outcome=outcome
+        )
         if kind.has_effect or reply.outcome is not _Outcome.FOUND:
             _log.info(
                 "call.answered",
@@ -205,7 +217,7 @@
                 job=job_id,
                 queue=queue.name,
                 outcome=reply.outcome.value,
-                took_ms=round((time.monotonic() - begun_s) * 1000, 1),
+                took_ms=round(took_s * 1000, 1),
             )
         return _clients.answer(call, reply, retry_after_s=RETRY_AFTER_S)
 
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -242,4 +242,5 @@
         _peer_calls.encode_call(call),
         (f"Content-Type: {_peer_calls.MEDIA_TYPE}",),
         timeout_s,
+        operation="peer.call",
     )
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -14,6 +14,7 @@
 from basiljunction.state.workload import _client_calls
 from basiljunction.state.workload import _configuration
 from basiljunction.transport import _clock
+from basiljunction.transport import _metrics
 from basiljunction.transport import _task
 from basiljunction.transport.jobs import _call_router
 from basiljunction.transport.jobs import _feeds
@@ -74,6 +75,7 @@
         settings: Settings of this instance.
         clock: Where the time comes from.
         rng: For the spread of retries.
+        metrics: Takes the values of this instance.
     """
 
     def __init__(
@@ -82,10 +84,12 @@
         settings: _instance_settings.InstanceSettings,
         clock: _clock.Clock,
         rng: random.Random,
+        metrics: _metrics.Metrics,
     ) -> None:
         super().__init__(name="cell", clock=clock, tick_s=FOLLOWER_TICK_S)
         self._settings = settings
-        self._calls = _http_calls.HttpCalls()
+        self._metrics = metrics
+        self._calls = _http_calls.HttpCalls(metrics)
         incarnation = int(clock.now().wall_s * 1000)
         self._terms = _term_keeper.TermKeeper(
             calls=self._calls,
@@ -269,6 +273,7 @@
             epoch=epoch,
             clock=self._clock.now,
             configuration=configuration,
+            metrics=self._metrics,
         )
         _log.info("term.begun", epoch=epoch)
 
@@ -283,6 +288,7 @@
     def _configuration_changed(
         self, configuration: _configuration.Configuration
     ) -> None:
+        self._metrics.set("configuration_version", configuration.version)
         _log.info(
             "configuration.changed",
             version=configuration.version,
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -10,12 +10,15 @@
 import structlog
 
 from basiljunction.platform import _settings as platform_settings
+from basiljunction.protocol import _address
 from basiljunction.protocol import _http_limits
 from basiljunction.protocol import _instance_settings
 from basiljunction.transport import _clock
 from basiljunction.transport import _http_server
+from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _apps
 from basiljunction.transport.jobs import _cell_task
+from basiljunction.transport.jobs import _metrics_app
 
 FRONT_THREADS = 16
 """Calls of callers at once; each waits for the store some 10 ms."""
@@ -26,8 +29,11 @@
 READY_THREADS = 2
 """Readiness checks at once."""
 
-TASK_THREADS = 4
-"""The cell's task and the three servers."""
+METRICS_THREADS = 2
+"""Reads of the metrics at once."""
+
+TASK_THREADS = 5
+"""The cell's task and the servers."""
 
 LEAVE_RESERVE_S = 1.5
 """Kept of the time until SIGKILL for ending the servers."""
@@ -48,6 +54,8 @@
         settings: Its settings.
         clock: Where the time comes from.
         path: Its settings file; None takes it from the environment.
+        metrics_port: Port of the metrics on the peers' address; None serves
+            none.
     """
 
     def __init__(
@@ -55,17 +63,22 @@
         settings: _instance_settings.InstanceSettings,
         clock: _clock.Clock,
         path: pathlib.Path | None = None,
+        metrics_port: int | None = None,
     ) -> None:
         self._settings = settings
         self._path = path
         self._leaving = threading.Event()
         self._reload = threading.Event()
         self._wake = threading.Event()
+        metrics = _metrics.Metrics(settings.name)
         self._pool = futures.ThreadPoolExecutor(TASK_THREADS, "task")
         self._task = _cell_task.CellTask(
-            settings=settings, clock=clock, rng=random.Random()
+            settings=settings,
+            clock=clock,
+            rng=random.Random(),
+            metrics=metrics,
         )
-        self._servers = (
+        self._servers = [
             _server(
                 settings.ready_listen,
                 _apps.ReadyApp(self._is_ready),
@@ -76,10 +89,19 @@
             ),
             _server(
                 settings.front_listen,
-                _apps.FrontApp(self._task, self._leaving.is_set),
+                _apps.FrontApp(self._task, self._leaving.is_set, metrics),
                 FRONT_THREADS,
             ),
-        )
+        ]
+        if metrics_port is not None:
+            host, _ = _address.split(settings.peer_listen)
+            self._servers.append(
+                _server(
+                    f"{host}:{metrics_port}",
+                    _metrics_app.MetricsApp(metrics),
+                    METRICS_THREADS,
+                )
+            )
 
     def run(self) -> int:
         """Serves until told to leave.
@@ -159,18 +181,21 @@
     )
 
 
-def run(path: pathlib.Path | None = None) -> int:
+def run(
+    path: pathlib.Path | None = None, metrics_port: int | None = None
+) -> int:
     """Runs an instance by the settings file of the platform.
 
     Args:
         path: The file; None takes it from the environment.
+        metrics_port: Port of the metrics; None serves none.
 
     Raises:
         SettingsError: A setting is missing or malformed.
         OSError: The file or an address cannot be used.
     """
     settings = platform_settings.load(path)
-    daemon = Daemon(settings, _clock.SystemClock(), path)
+    daemon = Daemon(settings, _clock.SystemClock(), path, metrics_port)
     signal.signal(signal.SIGTERM, lambda *_: daemon.leave())
     signal.signal(signal.SIGINT, lambda *_: daemon.leave())
     signal.signal(signal.SIGHUP, lambda *_: daemon.reload())
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -1,13 +1,16 @@
 """Many HTTP calls at once on one thread, through libcurl's socket interface."""
 
 from collections.abc import Callable
+import dataclasses
 import io
 import selectors
 import socket
+import time
 
 import pycurl
 
 from basiljunction.protocol import _http_call
+from basiljunction.transport import _metrics
 
 CONNECT_TIMEOUT_S = 0.6
 """Longest time to connect; several times the delay between zones."""
@@ -30,13 +33,34 @@
 """Faults after which the call certainly did not leave."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """A call in flight.
+
+    Attributes:
+        done: Takes the reply.
+        body: Takes the bytes of the answer.
+        operation: What the call does.
+        begun_s: When it began.
+    """
+
+    done: Done
+    body: io.BytesIO
+    operation: str
+    begun_s: float
+
+
 class HttpCalls:
     """Makes calls and hands each reply to its callback.
 
     It belongs to one thread; only `wake` may be called from others.
+
+    Args:
+        metrics: Takes the count and the duration of the calls.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: _metrics.Metrics) -> None:
+        self._metrics = metrics
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
@@ -49,7 +73,7 @@
         self._wake_receiver.setblocking(False)
         self._wake_sender.setblocking(False)
         self._selector.register(self._wake_receiver, selectors.EVENT_READ)
-        self._pending_by_handle: dict[pycurl.Curl, tuple[Done, io.BytesIO]] = {}
+        self._pending_by_handle: dict[pycurl.Curl, _Pending] = {}
         self._idle_handles: list[pycurl.Curl] = []
         self._timer_ms = -1
 
@@ -61,7 +85,9 @@
         body = io.BytesIO()
         _set_up(handle, call)
         handle.setopt(pycurl.WRITEFUNCTION, body.write)
-        self._pending_by_handle[handle] = (done, body)
+        self._pending_by_handle[handle] = _Pending(
+            done, body, call.operation, time.monotonic()
+        )
         self._multi.add_handle(handle)
 
     def wake(self) -> None:
@@ -149,14 +175,23 @@
         fault: str = "",
         code: int = 0,
     ) -> None:
-        done, body = self._pending_by_handle.pop(handle)
+        pending = self._pending_by_handle.pop(handle)
+        took_s = time.monotonic() - pending.begun_s
+        self._metrics.count(
+            "outgoing_calls",
+            operation=pending.operation,
+            status=str(status) if status else "none",
+        )
+        self._metrics.observe(
+            "outgoing_call_duration", took_s, operation=pending.operation
+        )
         self._multi.remove_handle(handle)
         handle.reset()
         self._idle_handles.append(handle)
-        done(
+        pending.done(
             _http_call.HttpReply(
                 status=status,
-                body=body.getvalue(),
+                body=pending.body.getvalue(),
                 fault=fault,
                 was_sent=code not in _NEVER_SENT,
             )
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -18,7 +18,9 @@
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _records
+from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _call_router
+from basiljunction.transport.jobs import _cell_metrics
 from basiljunction.transport.jobs import _feeds
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _journal
@@ -42,6 +44,7 @@
         epoch: Epoch of the term.
         clock: Returns the time.
         configuration: The newest configuration.
+        metrics: Takes the values of this term.
     """
 
     def __init__(
@@ -52,7 +55,9 @@
         epoch: int,
         clock: Callable[[], _time.Now],
         configuration: _configuration.Configuration,
+        metrics: _metrics.Metrics,
     ) -> None:
+        self._metrics = _cell_metrics.CellMetrics(metrics)
         self.epoch = epoch
         self._clock = clock
         self._scheduler = _scheduler.Scheduler(
@@ -111,6 +116,7 @@
     def close(self) -> None:
         """Ends the term here; nothing more is ordered or stored."""
         self._sender.is_closed = True
+        self._metrics.closed()
         self._executors.restart()
         for waiting in (self._submits_by_job, self._cancels_by_job):
             for pending_calls in waiting.values():
@@ -136,7 +142,9 @@
             return
         self._scheduler.tick(now, confirmed_s=confirmed_s)
         self._sender.send_all()
+        self._metrics.passed(self._clock().boot_s - now.boot_s)
         for note in self._scheduler.take_notes():
+            self._metrics.noted(note)
             _log.info(note.event, epoch=self.epoch, **note.value_by_field)
         self._log_summary(now)
         if self._journal.is_idle:
@@ -149,6 +157,7 @@
             return
         self._next_summary_s = now.boot_s + SUMMARY_INTERVAL_S
         summary = _summary.summarize(self._scheduler.cell, now.boot_s)
+        self._metrics.summarized(self.epoch, summary)
         _log.info(
             "cell.summary", epoch=self.epoch, **dataclasses.asdict(summary)
         )
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -5,12 +5,14 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
 import dataclasses
 import random
 
 from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.protocol import _job_records
@@ -286,6 +288,7 @@
         self.starts: list[tuple[float, str, _orders.StartOrder]] = []
         self.late: list[Late] = []
         self.work_s = WORK_S
+        self.noted: Callable[[_notes.Note], None] = lambda _: None
         self.policy: SimulatedPolicy | None = None
         self.not_approved_count = 0
         self.decisions: list[
@@ -357,7 +360,8 @@
                 self._ask_policy(order)
             else:
                 self._carry_out(order)
-        self.scheduler.take_notes()
+        for note in self.scheduler.take_notes():
+            self.noted(note)
         if self.store_is_up:
             self._store_batch()
 
--- a/tests/processes/test_platform_instances.py
+++ b/tests/processes/test_platform_instances.py
@@ -50,7 +50,8 @@
         self, folder: pathlib.Path, platform: platform_standin.Platform, n: int
     ) -> None:
         self.name = f"front-{n}"
-        self.peer, self.front, self.ready = _ports.free_ports(3)
+        ports = _ports.free_ports(4)
+        self.peer, self.front, self.ready, self.metrics = ports
         settings = folder / f"{self.name}.conf"
         settings.write_text(
             _SETTINGS.format(
@@ -65,7 +66,11 @@
         self.log = (folder / f"{self.name}.log").open("wb")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "basiljunction", "platform"],
-            env=os.environ | {"BASILJUNCTION_CONFIG": str(settings)},
+            env=os.environ
+            | {
+                "BASILJUNCTION_CONFIG": str(settings),
+                "BASILJUNCTION_METRICS_PORT": str(self.metrics),
+            },
             stdout=self.log,
             stderr=self.log,
         )
@@ -102,6 +107,17 @@
         finally:
             connection.close()
 
+    def read_metrics(self) -> str:
+        """Returns the metrics as they are served."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.metrics, timeout=5
+        )
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def leads(self) -> bool:
         """Returns whether its newest term is its own and not ended."""
         text = pathlib.Path(self.log.name).read_text(encoding="utf-8")
@@ -162,6 +178,14 @@
             lambda: others[1].call("GET", path)[1].get("State") == "completed"
         )
         assert len(platform.starts) == len(set(platform.starts)) == 4
+        text = "".join(each.read_metrics() for each in others)
+        for line in (
+            'basiljunction_calls_total{kind="submit",outcome="accepted"} 1.0',
+            'basiljunction_cell_decisions_total{event="job.finished"} 1.0',
+            'basiljunction_outgoing_calls_total{operation="store.append",',
+            "basiljunction_configuration_version 1.0",
+        ):
+            assert line in text
         assert others[0].call("GET", "/jobs/") == (200, {"Waiting": 0})
 
     def test_sigterm_hands_over_and_ends_with_0(
