--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -161,8 +161,8 @@
         while time.monotonic() < end_s:
             time.sleep(POLL_S)
         _log.info("instance.leaving", quiet=self._task.is_quiet)
-        for server in self._servers:
-            server.stop()
+        with futures.ThreadPoolExecutor(len(self._servers), "stop") as pool:
+            list(pool.map(_http_server.HttpServer.stop, self._servers))
         self._task.stop()
         self._pool.shutdown(wait=True)
         _log.info("instance.stopped")
