--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -11,7 +11,6 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _sharing
-from basiljunction.coordination.scheduling import _slowness
 from basiljunction.state import _time
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _job_spec
@@ -41,7 +40,6 @@
         is_fenced: Whether an executor has seen a later term.
         has_inherited: Whether a predecessor may have runs somewhere.
         sharing: What fillers do to serving tasks.
-        usual_speed: What tasks usually do in a second.
         approvals: Which executors an outside policy approves.
         current_run_by_task: The run of each task that has one.
     """
@@ -70,9 +68,6 @@
     sharing: _sharing.Sharing = dataclasses.field(
         default_factory=_sharing.Sharing
     )
-    usual_speed: _slowness.UsualSpeed = dataclasses.field(
-        default_factory=_slowness.UsualSpeed
-    )
     approvals: _approvals.Approvals = dataclasses.field(
         default_factory=_approvals.Approvals
     )
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -29,6 +29,7 @@
         hold_failures: Renewals in a row without an answer.
         next_hold_s: When the next renewal is due.
         avoid_until_s: No task is placed before this time.
+        is_suspect: Whether it was slow lately and no task has shown otherwise.
         failures_in_row: Failed runs since the last good one.
         inherited_until_s: Until when runs of a predecessor may exist that it
             has not listed; None once that is settled.
@@ -56,6 +57,7 @@
     hold_failures: int = 0
     next_hold_s: float = 0.0
     avoid_until_s: float = 0.0
+    is_suspect: bool = False
     failures_in_row: int = 0
     inherited_until_s: float | None = None
     relieved_s: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -37,6 +37,9 @@
         opened: Steps whose tasks wait or did wait.
         running: Tasks that have a run.
         has_begun: Whether any task has started.
+        done_count_by_step: Tasks that ended well, by occurrence and step.
+        rate_by_place: Executor and newest rate of each task, in percent of its
+            work per second.
     """
 
     accepted: _progress.AcceptedJob
@@ -54,6 +57,9 @@
     done_count_by_step: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    rate_by_place: dict[_progress.Place, tuple[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def id(self) -> str:
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -169,10 +169,11 @@
     """Returns the sort key of an executor for a step; lowest is best."""
     far = bool(step.data_rack) and step.data_rack not in executor.entry.labels
     idles_gpus = executor.entry.capacity.gpus > 0 and not step.size.gpus
+    doubts = executor.failures_in_row + executor.is_suspect
     left = executor.unused_millicores - step.size.cpu_millicores
     if step.serves:
         return (
-            executor.failures_in_row,
+            doubts,
             idles_gpus,
             not sharing.suits(step, executor),
             executor.serving_count == 0,
@@ -181,7 +182,7 @@
         )
     if step.fills:
         return (
-            executor.failures_in_row,
+            doubts,
             far,
             idles_gpus,
             round(sharing.drop(step, executor), 1),
@@ -190,7 +191,7 @@
         )
     crowded = left < 0 and executor.filler_count > 0
     return (
-        executor.failures_in_row,
+        doubts,
         far,
         idles_gpus,
         crowded,
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -343,6 +343,7 @@
             since_s=now.boot_s,
             checkpoint=self._checkpoint(job, task, step),
         )
+        run.started_fresh = not run.checkpoint
         executor.add(run)
         bag = job.bag_by_step.get((task.occurrence, task.step))
         ready_s = now.boot_s
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -189,13 +189,12 @@
         """Starts tasks of a slow executor elsewhere."""
         cell = self._cell
         was_avoided = now.boot_s < executor.avoid_until_s
-        moved = _slowness.slow_runs(executor, cell.usual_speed, now.boot_s)
+        moved = _slowness.slow_runs(executor, cell.job_by_id, now.boot_s)
         if now.boot_s < executor.avoid_until_s and not was_avoided:
             cell.note(
                 "executor.slow",
                 executor=executor.entry.id,
                 moved=len(moved),
-                usual_speed=round(cell.usual_speed.value, 2),
             )
         for run in moved:
             cell.note(
@@ -222,6 +221,7 @@
             executor=executor.entry.id,
             runs=len(executor.run_by_key),
         )
+        executor.is_suspect = False
         executor.born_ms = 0
         executor.processed = 0
         executor.acknowledged = 0
@@ -334,6 +334,12 @@
         is_current = run is current if run is not None else current is None
         if run is not None and end.checkpoint:
             run.checkpoint = end.checkpoint
+        if (
+            run is not None
+            and job is not None
+            and (end.kind is _executor.EndKind.DONE)
+        ):
+            _slowness.note_done(executor, run, job, now.boot_s)
         if job is not None and is_current and cell.step_of(end.task):
             self._note_end(executor, job, end, now)
         if run is not None:
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -27,6 +27,7 @@
         phase: Where the run stands.
         since_s: When the phase began.
         checkpoint: Newest checkpoint.
+        started_fresh: Whether it is known to work from the beginning.
         percent: Progress as last listed.
         progress_s: When the progress changed last.
         measured_from_s: Since when its speed is measured; None before that.
@@ -52,6 +53,7 @@
     phase: Phase
     since_s: float
     checkpoint: str = ""
+    started_fresh: bool = False
     percent: float = 0.0
     progress_s: float = 0.0
     measured_from_s: float | None = None
--- a/tests/coordination/scheduling/test_slowness.py
+++ b/tests/coordination/scheduling/test_slowness.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _slowness
-from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 import cell_rig
 import workload_builders as build
@@ -88,53 +88,46 @@
         rig.run(4)
         assert len(rig.starts) == 4 * 12
 
-    def test_one_job_longer_than_estimated_is_left_where_it_is(self) -> None:
-        rig = _rig(1)
-        rig.submit(_job(0))
-        rig.run(3)
+    def test_steps_much_longer_than_estimated_are_left_where_they_are(
+        self,
+    ) -> None:
+        rig = _rig()
+        _play(rig, 3)
         rig.work_s = 10 * WORK_S
-        rig.submit(build.job(build.step(estimate_s=WORK_S), job_id="f" * 16))
-        rig.work_s = WORK_S
-        rig.run(8)
-        assert len(rig.starts) == 5
+        rig.submit(_job(100))
+        rig.submit(_job(101))
+        rig.run(25)
+        assert len(rig.starts) == 4 * 5
 
     def test_slowed_down_fillers_say_nothing_of_an_executor(self) -> None:
-        usual = _slowness.UsualSpeed()
-        rig = _rig(1)
-        rig.work_s = 20.0
-        rig.submit(_job(0))
-        rig.run(2)
-        executor = rig.scheduler.cell.executor_by_id["e0"]
+        rig, executor = self._late_executor()
         for run in executor.run_by_key.values():
             run.pace_percent = 20
-        assert _slowness.slow_runs(executor, usual, rig.now_s) == []
+        jobs = rig.scheduler.cell.job_by_id
+        assert _slowness.slow_runs(executor, jobs, rig.now_s) == []
 
     def test_a_task_about_to_end_stays(self) -> None:
-        usual = _slowness.UsualSpeed()
-        rig = _rig(1)
-        rig.executor_by_id["e0"].slowness = 2.0
-        rig.submit(_job(0))
-        rig.run(3.5)
-        executor = rig.scheduler.cell.executor_by_id["e0"]
-        usual.value = 10.0
-        assert _slowness.slow_runs(executor, usual, rig.now_s) == []
+        rig, executor = self._late_executor()
+        for run in executor.run_by_key.values():
+            run.percent = 99
+            run.measured_from_percent = 90
+        jobs = rig.scheduler.cell.job_by_id
+        assert _slowness.slow_runs(executor, jobs, rig.now_s) == []
         assert executor.avoid_until_s > rig.now_s
 
-
-class TestUsualSpeed:
-    """It follows what healthy executors do."""
-
-    def test_it_learns_a_fleet_that_is_slower_than_estimated(self) -> None:
+    def _late_executor(
+        self,
+    ) -> tuple[cell_rig.CellRig, _executors.ExecutorState]:
+        """Returns an executor whose tasks stand still, others are at work."""
         rig = _rig()
-        for number in range(30):
-            rig.submit(_job(number, estimate_s=WORK_S / 2))
-            rig.run(0.5)
-        assert rig.scheduler.cell.usual_speed.value < 0.9
-
-    def test_a_room_without_tasks_teaches_nothing(self) -> None:
-        rig = _rig(1)
-        state = rig.scheduler.cell.executor_by_id["e0"]
-        usual = _slowness.UsualSpeed()
-        assert _slowness.slow_runs(state, usual, rig.now_s) == []
-        assert usual.value == 1.0
-        assert state.free.holds(_job_spec.Room(4000, 8000, 0))
+        rig.submit(
+            build.job(build.step(count=16, estimate_s=9.0, checkpoints=True))
+        )
+        rig.work_s = 9.0
+        rig.run(1.5)
+        executor = rig.scheduler.cell.executor_by_id["e0"]
+        for run in executor.run_by_key.values():
+            run.measured_from_s = rig.now_s - 1
+            run.measured_from_percent = run.percent
+        rig.run(0.05)
+        return rig, executor
