--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -130,6 +130,7 @@
             if pending.reply.done():
                 continue
             if now.boot_s >= pending.give_up_s:
+                self._note_given_up(pending)
                 pending.answer(_client_calls.ClientReply(_Outcome.UNAVAILABLE))
             elif pending.next_try_s is not None and (
                 now.boot_s >= pending.next_try_s
@@ -139,6 +140,18 @@
             each for each in self._pending if not each.reply.done()
         ]
 
+    def _note_given_up(self, pending: PendingCall) -> None:
+        leader, epoch = self._local.leader()
+        _log.info(
+            "call.given-up",
+            kind=pending.call.kind.value,
+            job=pending.call.job_id,
+            leader=leader,
+            epoch=max(epoch, self._hint[1]),
+            in_flight=pending.is_in_flight,
+            may_have_had_effect=pending.may_have_had_effect,
+        )
+
     def _try(self, pending: PendingCall, now: _time.Now) -> None:
         pending.next_try_s = now.boot_s + RETRY_S
         if pending.call.kind is _client_calls.CallKind.LEADER:
--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -81,9 +81,11 @@
 
     def is_stuck(self, now: _time.Now) -> bool:
         """Returns whether an append has waited too long."""
-        if self._batch is None:
-            return False
-        return now.boot_s - self._begun_s > STUCK_S
+        return self.waited_s(now) > STUCK_S
+
+    def waited_s(self, now: _time.Now) -> float:
+        """Returns how long the append in progress has waited, in seconds."""
+        return 0.0 if self._batch is None else now.boot_s - self._begun_s
 
     def append(self, batch: _orders.Batch) -> None:
         """Stores a batch; only while the journal is idle."""
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -192,6 +192,13 @@
             accepted.id not in self._scheduler.cell.job_by_id
         ):
             # The job would wait for the store; nothing of it is kept.
+            _log.info(
+                "job.rejected",
+                epoch=self.epoch,
+                job=accepted.id,
+                reason="store-silent",
+                store_waited_s=round(self._journal.waited_s(now), 3),
+            )
             pending.answer(_Reply(_Outcome.UNAVAILABLE))
             return
         result = self._scheduler.submit(accepted, now)
@@ -202,7 +209,12 @@
         elif result is _orders.SubmitResult.ACCEPTED:
             pending.answer(_Reply(_Outcome.ACCEPTED))
         else:
-            _log.info("job.rejected", job=accepted.id, reason=result.value)
+            _log.info(
+                "job.rejected",
+                epoch=self.epoch,
+                job=accepted.id,
+                reason=result.value,
+            )
             pending.answer(_Reply(_Outcome(result.value)))
 
     def _cancel(self, pending: _call_router.PendingCall) -> None:
