Retry a failed task on another executor

Cause: attempts are few, and a retry could go back to the executor that had just failed the task. For a second it waits for another one; tasks that last are not kept away, as they have no limit.

--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -38,6 +38,8 @@
         running: Tasks that have a run.
         has_begun: Whether any task has started.
         done_count_by_step: Tasks that ended well, by occurrence and step.
+        failed_on_by_place: Executors on which each task has failed, as far as
+            this scheduler knows.
         rate_by_place: Executor and newest rate of each task, in percent of its
             work per second.
     """
@@ -57,6 +59,9 @@
     done_count_by_step: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    failed_on_by_place: dict[_progress.Place, set[str]] = dataclasses.field(
+        default_factory=dict
+    )
     rate_by_place: dict[_progress.Place, tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -1,5 +1,6 @@
 """Turns waiting tasks into start orders."""
 
+from collections.abc import Set
 import dataclasses
 
 from basiljunction.coordination.scheduling import _cell_state
@@ -17,6 +18,10 @@
 MAX_STARTS_PER_PASS = 40
 """Starts of one pass; at 0.3 ms each they hold up other events 12 ms."""
 
+RETRY_ELSEWHERE_S = 1.0
+"""How long a retry waits for an executor on which it has not failed: a third of
+the time in which a task has to start where there is room."""
+
 _IDLE_INTERVAL_S = 0.1
 """How often waiting tasks are looked at when nothing has changed, seconds."""
 
@@ -239,7 +244,7 @@
             if not self._may_start(job, step, waited_s):
                 break
             task = _job_spec.TaskId(job.id, bag.occurrence, bag.step, index)
-            chosen = self._choose(job, step, task, executors)
+            chosen = self._choose(job, task, waited_s, executors)
             if chosen is None:
                 self._make_room(job, step, waited_s, executors, now)
                 break
@@ -280,20 +285,25 @@
     def _choose(
         self,
         job: _jobs.Job,
-        step: _job_spec.StepSpec,
         task: _job_spec.TaskId,
+        waited_s: float,
         executors: list[_executors.ExecutorState],
     ) -> _executors.ExecutorState | None:
         """Returns an executor; skips sizes that failed in this pass."""
+        step = job.spec.steps[task.step]
         kind = (job.queue.service, step.image if step.fills else None)
         failed = self._failed_by_kind.get(kind)
         if failed is not None and step.size.holds(failed):
             return None
+        failed_on = _failed_on(job, step, task, waited_s)
+        if failed_on:
+            executors = _others(executors, failed_on)
         chosen = _placement.choose(step, task, executors, self._cell.sharing)
         is_plain = (
             not step.required_label
             and not step.max_per_executor
             and job.queue.approval is None
+            and not failed_on
         )
         if chosen is None and is_plain:
             self._failed_by_kind[kind] = step.size
@@ -392,3 +402,27 @@
         )
         values = (checkpoint_by_place.get(place, "") for place in places)
         return next((value for value in values if value), "")
+
+
+def _failed_on(
+    job: _jobs.Job,
+    step: _job_spec.StepSpec,
+    task: _job_spec.TaskId,
+    waited_s: float,
+) -> Set[str]:
+    """Returns the executors that a retry is kept away from for now."""
+    if step.runs_until_cancelled or waited_s > RETRY_ELSEWHERE_S:
+        return frozenset()
+    place = _cell_state.place_of(task)
+    return job.failed_on_by_place.get(place, frozenset())
+
+
+def _others(
+    executors: list[_executors.ExecutorState], failed_on: Set[str]
+) -> list[_executors.ExecutorState]:
+    """Returns the executors without those that failed a task, if any is left.
+
+    Attempts are few, and the executor may be what is at fault.
+    """
+    others = [each for each in executors if each.entry.id not in failed_on]
+    return others or executors
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -379,6 +379,8 @@
         if end.kind is not _executor.EndKind.FAILED:
             return
         executor.note_failure(now.boot_s)
+        failed_on = job.failed_on_by_place.setdefault(place, set())
+        failed_on.add(executor.entry.id)
         failures = job.progress.failures_by_place
         failures[place] = failures.get(place, 0) + 1
         if step.runs_until_cancelled:
--- a/tests/coordination/scheduling/test_scheduler.py
+++ b/tests/coordination/scheduling/test_scheduler.py
@@ -93,6 +93,36 @@
         assert rig.scheduler.state_of(accepted.id) is _State.FAILED
         assert len(rig.starts) == build.queue().max_attempts
 
+    def test_each_attempt_is_made_on_another_executor(self) -> None:
+        """An executor that fails all it starts costs one attempt only."""
+        rig = cell_rig.CellRig(
+            *(build.entry(f"e{number}") for number in range(3)), fail_share=1.0
+        )
+        rig.run(1)
+        accepted = build.job()
+        rig.submit(accepted)
+        rig.run(12)
+        executors = [executor for _, executor, _ in rig.starts]
+        assert sorted(executors) == ["e0", "e1", "e2"]
+
+    def test_a_retry_waits_a_moment_for_another_executor(self) -> None:
+        rig = cell_rig.CellRig(build.entry("e0"), build.entry("e1"))
+        rig.run(1)
+        size = _job_spec.Room(4000, 1000, 0)
+        rig.submit(
+            build.job(
+                build.step(size=size, runs_until_cancelled=True, may_be_away=1),
+                job_id="00000000000000b2",
+            )
+        )
+        rig.run(0.3)
+        rig.fail_share = 1.0
+        rig.submit(build.job(build.step(size=size)))
+        rig.run(1.5)
+        assert len(rig.starts) == 2
+        rig.run(1.5)
+        assert len(rig.starts) > 2
+
     def test_a_task_that_lasts_is_started_again(self) -> None:
         rig = cell_rig.CellRig()
         rig.run(1)
