--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -42,6 +42,7 @@
         sharing: What fillers do to serving tasks.
         approvals: Which executors an outside policy approves.
         current_run_by_task: The run of each task that has one.
+        copied_tasks: Tasks of which more than one run may be at work.
     """
 
     epoch: int
@@ -75,6 +76,8 @@
         default_factory=dict
     )
 
+    copied_tasks: set[_job_spec.TaskId] = dataclasses.field(default_factory=set)
+
     def note(self, event: str, **fields: str | int | float | bool) -> None:
         """Notes a decision for the log."""
         self.notes.append(_notes.Note(event, fields))
@@ -120,6 +123,7 @@
         job.progress.finished_wall_s = now.wall_s
         job.bag_by_step.clear()
         self.approvals.forget(job.id)
+        self.copied_tasks = {e for e in self.copied_tasks if e.job != job.id}
         self.note(
             "job.finished",
             job=job.id,
@@ -170,6 +174,45 @@
             job.progress.checkpoint_by_place[place] = run.checkpoint
         job.put_back(place_of(run.task), now.boot_s, delay_s)
 
+    def supersede(self, run: _runs.Run, reason: str, now: _time.Now) -> bool:
+        """Lets another copy of a task start; the first to end well counts.
+
+        Returns:
+            Whether the step allows that and the run was the newest copy.
+        """
+        job = self.job_of(run.task)
+        if job is None or not run.step.speculative:
+            return False
+        if self.current_run_by_task.get(run.task) is not run:
+            return False
+        if not self.is_wanted(run.task):
+            return False
+        del self.current_run_by_task[run.task]
+        run.is_superseded = True
+        self.copied_tasks.add(run.task)
+        place = place_of(run.task)
+        job.running.discard(place)
+        job.put_back(place, now.boot_s)
+        self.needs_placing = True
+        self.note(
+            "task.superseded",
+            task=str(run.task),
+            run=run.number,
+            executor=run.executor,
+            reason=reason,
+        )
+        return True
+
+    def stop_copies(self, task: _job_spec.TaskId, now: _time.Now) -> None:
+        """Stops every run of a task that is done."""
+        if task not in self.copied_tasks:
+            return
+        self.copied_tasks.discard(task)
+        for executor in self.executor_by_id.values():
+            for run in executor.run_by_key.values():
+                if run.task == task:
+                    run.stop(now.boot_s)
+
     def take_batch(self) -> _orders.Batch | None:
         """Returns everything that has to be stored, or None."""
         records = self.records
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -32,6 +32,7 @@
         cell = self._cell
         for executor in list(cell.executor_by_id.values()):
             self._settle_lapsed(executor, now)
+            self._supersede_silent(executor, now)
             self._send_stops(executor, now)
             if executor.hold_sent_s is None and (
                 now.boot_s >= executor.next_hold_s
@@ -107,6 +108,18 @@
             )
             self._cell.release(executor, run, now)
 
+    def _supersede_silent(
+        self, executor: _executors.ExecutorState, now: _time.Now
+    ) -> None:
+        """Starts copies of what runs on an executor that does not answer."""
+        if executor.answered_s is None or not self._cell.may_lead:
+            return
+        if now.boot_s - executor.answered_s < _limits.CONTACT_LOST_S:
+            return
+        for run in executor.run_by_key.values():
+            if run.step.speculative and not run.is_superseded:
+                self._cell.supersede(run, "executor-silent", now)
+
     def failed(
         self, order: _orders.HoldOrder, now: _time.Now, *, is_other_life: bool
     ) -> None:
@@ -155,9 +168,24 @@
         for running in report.running:
             self._running(executor, running, now)
         self._settle_unlisted(executor, listed, sent_s, now)
-        cell = self._cell
         self._move_slow_runs(executor, now)
+        self._stop_stalled(executor, now)
+        self._relieve(executor, now)
+        if len(report.ended) < MAX_LISTED_ENDS:
+            executor.inherited_until_s = None
+        unstored = executor.processed > executor.acknowledged
+        gap_s = _limits.UNSTORED_GAP_S if unstored else _limits.HOLD_GAP_S
+        executor.next_hold_s = now.boot_s + gap_s
+
+    def _stop_stalled(
+        self, executor: _executors.ExecutorState, now: _time.Now
+    ) -> None:
+        """Starts tasks that stand still elsewhere."""
+        cell = self._cell
         for run in _stalls.stalled_runs(executor, now.boot_s):
+            executor.avoid_until_s = now.boot_s + _stalls.AVOID_S
+            if run.is_superseded or cell.supersede(run, "stalled", now):
+                continue
             cell.note(
                 "task.stalled",
                 task=str(run.task),
@@ -166,22 +194,22 @@
                 percent=run.percent,
             )
             run.stop(now.boot_s)
-            executor.avoid_until_s = now.boot_s + _stalls.AVOID_S
+
+    def _relieve(
+        self, executor: _executors.ExecutorState, now: _time.Now
+    ) -> None:
+        """Takes fillers away where a tail is over its target, and back."""
+        cell = self._cell
         cell.sharing.observe(executor, now)
-        stopped_before = executor.relieved_s
+        relieved_before_s = executor.relieved_s
         cell.orders += cell.sharing.relieve(executor, now)
-        if executor.relieved_s != stopped_before:
+        if executor.relieved_s != relieved_before_s:
             cell.note(
                 "executor.relieved",
                 executor=executor.entry.id,
                 least_headroom=round(executor.least_headroom(), 2),
                 fillers=executor.filler_count,
             )
-        if len(report.ended) < MAX_LISTED_ENDS:
-            executor.inherited_until_s = None
-        unstored = executor.processed > executor.acknowledged
-        gap_s = _limits.UNSTORED_GAP_S if unstored else _limits.HOLD_GAP_S
-        executor.next_hold_s = now.boot_s + gap_s
 
     def _move_slow_runs(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -197,6 +225,8 @@
                 moved=len(moved),
             )
         for run in moved:
+            if cell.supersede(run, "executor-slow", now):
+                continue
             cell.note(
                 "task.moved",
                 task=str(run.task),
@@ -213,8 +243,8 @@
 
         The new life may have taken orders that name a deadline on the old
         clock, so the latest of these still counts. An order without an answer
-        may still reach the new life, whose clock
-        says nothing about the old deadline, so it is barred there.
+        may still reach the new life, whose clock says nothing about the old
+        deadline, so it is barred there.
         """
         self._cell.note(
             "executor.other-life",
@@ -332,6 +362,7 @@
         job = cell.job_of(end.task)
         current = cell.current_run_by_task.get(end.task)
         is_current = run is current if run is not None else current is None
+        is_current |= run is not None and run.is_superseded
         if run is not None and end.checkpoint:
             run.checkpoint = end.checkpoint
         if (
@@ -340,8 +371,12 @@
             and (end.kind is _executor.EndKind.DONE)
         ):
             _slowness.note_done(executor, run, job, now.boot_s)
-        if job is not None and is_current and cell.step_of(end.task):
-            self._note_end(executor, job, end, now)
+        if job is not None and cell.step_of(end.task):
+            if is_current:
+                self._note_end(executor, job, end, now)
+            elif run is None and self._is_of_predecessor(end):
+                # A predecessor went on after an end that it could not store.
+                self._note_failure(executor, job, end, now)
         if run is not None:
             delay_s = 0.0
             if end.kind is _executor.EndKind.FAILED:
@@ -368,25 +403,43 @@
             run=end.run,
             executor=executor.entry.id,
             how=end.kind.value,
-            failures=job.progress.failures_by_place.get(place, 0),
+            failures=len(job.progress.failed_runs_by_place.get(place, ())),
         )
         if end.kind is _executor.EndKind.DONE:
             executor.note_success()
             self._note_done(job, end.task, step, now)
+            if step.speculative:
+                cell.stop_copies(end.task, now)
             return
         if end.checkpoint:
             job.progress.checkpoint_by_place[place] = end.checkpoint
+        self._note_failure(executor, job, end, now)
+
+    def _is_of_predecessor(self, end: _executor.EndReport) -> bool:
+        return end.run <= (self._cell.epoch - 1) * _limits.RUNS_PER_EPOCH
+
+    def _note_failure(
+        self,
+        executor: _executors.ExecutorState,
+        job: _jobs.Job,
+        end: _executor.EndReport,
+        now: _time.Now,
+    ) -> None:
+        """Counts a failed run, once however often it is listed."""
+        place = _cell_state.place_of(end.task)
         if end.kind is not _executor.EndKind.FAILED:
             return
+        if job.progress.state.is_final or place in job.progress.done:
+            return
         executor.note_failure(now.boot_s)
-        failed_on = job.failed_on_by_place.setdefault(place, set())
-        failed_on.add(executor.entry.id)
-        failures = job.progress.failures_by_place
-        failures[place] = failures.get(place, 0) + 1
-        if step.runs_until_cancelled:
+        job.failed_on_by_place.setdefault(place, set()).add(executor.entry.id)
+        if job.spec.steps[end.task.step].runs_until_cancelled:
             return
-        if failures[place] >= job.queue.max_attempts:
-            cell.finish(job, _progress.JobState.FAILED, now)
+        failed_runs = job.progress.failed_runs_by_place.setdefault(place, set())
+        failed_runs.add(end.run)
+        self._cell.mark_dirty(job)
+        if len(failed_runs) >= job.queue.max_attempts:
+            self._cell.finish(job, _progress.JobState.FAILED, now)
 
     def _note_done(
         self,
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -27,6 +27,7 @@
         phase: Where the run stands.
         since_s: When the phase began.
         checkpoint: Newest checkpoint.
+        is_superseded: Whether another copy was started beside it.
         started_fresh: Whether it is known to work from the beginning.
         percent: Progress as last listed.
         progress_s: When the progress changed last.
@@ -53,6 +54,7 @@
     phase: Phase
     since_s: float
     checkpoint: str = ""
+    is_superseded: bool = False
     started_fresh: bool = False
     percent: float = 0.0
     progress_s: float = 0.0
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -16,7 +16,7 @@
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 
-VERSION = 1
+VERSION = 2
 
 _JOB_KEY = "j."
 _PROGRESS_KEY = "p."
@@ -136,9 +136,9 @@
         "state": progress.state.value,
         "finished": progress.finished_wall_s,
         "done": sorted(progress.done),
-        "failures": [
-            (*place, count)
-            for place, count in progress.failures_by_place.items()
+        "failed_runs": [
+            (*place, *sorted(runs))
+            for place, runs in progress.failed_runs_by_place.items()
         ],
         "checkpoints": [
             (*place, text)
@@ -152,8 +152,9 @@
         state=_progress.JobState(document["state"]),
         finished_wall_s=float(document["finished"]),
         done={_place(row) for row in document["done"]},
-        failures_by_place={
-            _place(row[:3]): int(row[3]) for row in document["failures"]
+        failed_runs_by_place={
+            _place(row[:3]): {int(each) for each in row[3:]}
+            for row in document["failed_runs"]
         },
         checkpoint_by_place={
             _place(row[:3]): str(row[3]) for row in document["checkpoints"]
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -33,14 +33,15 @@
     Attributes:
         state: Where the job stands.
         done: Places of the tasks that ended well.
-        failures_by_place: Failed runs so far.
+        failed_runs_by_place: Numbers of the failed runs so far; an end may be
+            listed again to a successor and counts once.
         checkpoint_by_place: Newest checkpoint of each task that ended early.
         finished_wall_s: When the state became final, since the Unix epoch.
     """
 
     state: JobState = JobState.PENDING
     done: set[Place] = dataclasses.field(default_factory=set)
-    failures_by_place: dict[Place, int] = dataclasses.field(
+    failed_runs_by_place: dict[Place, set[int]] = dataclasses.field(
         default_factory=dict
     )
     checkpoint_by_place: dict[Place, str] = dataclasses.field(
