Repeat an append soon when the store loses its answer

Repeats are told by their number, so the wait follows what answers usually take, doubling while none comes.

--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -13,10 +13,11 @@
 from basiljunction.protocol import _job_records
 from basiljunction.state import _time
 from basiljunction.state.workload import _records
+from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
 
-TIMEOUT_S = 1.0
-"""Longest time for one call; far above the store's usual 10 ms."""
+READ_TIMEOUT_S = 1.0
+"""Longest time for a read; far above the store's usual 10 ms."""
 
 RETRY_S = 0.1
 """Wait after a failed call; it keeps the retries within the store's rate."""
@@ -70,6 +71,8 @@
         self._is_calling = False
         self._next_s = 0.0
         self._sequence = 0
+        self._pace = _call_pace.CallPace()
+        self._sent_s = 0.0
         self._batch: _orders.Batch | None = None
         self._chunks: list[tuple[_job_records.KeyedRecord, ...]] = []
         self._begun_s = 0.0
@@ -114,7 +117,7 @@
                 _store.JOB_TOPIC,
                 0,
                 after=self._after,
-                timeout_s=TIMEOUT_S,
+                timeout_s=READ_TIMEOUT_S,
             )
             self._is_calling = True
             self._calls.send(call, self._read)
@@ -144,23 +147,36 @@
         done: _http_calls.Done,
     ) -> None:
         self._is_calling = True
+        self._sent_s = self._clock().boot_s
         call = _store.append(
             self._settings.address,
             _store.JOB_TOPIC,
             0,
             records,
             fence=_store.Fence(self.epoch, self._sequence),
-            timeout_s=TIMEOUT_S,
+            timeout_s=self._pace.timeout_s,
         )
         self._calls.send(call, done)
 
+    def _note_pace(self, reply: _http_call.HttpReply) -> bool:
+        """Learns from a reply; returns whether none came in time."""
+        took_s = self._clock().boot_s - self._sent_s
+        if reply.is_answered:
+            self._pace.answered(took_s)
+            return False
+        if took_s < self._pace.timeout_s:
+            return False  # Refused or reset, which says nothing of the time.
+        self._pace.lost()
+        return True
+
     def _fenced(self, reply: _http_call.HttpReply) -> None:
         self._is_calling = False
+        is_lost = self._note_pace(reply)
         if reply.ok:
             self.stage = Stage.READING
             self.step(self._clock())
             return
-        self._note_failure(reply, "fence")
+        self._note_failure(reply, "fence", is_lost=is_lost)
 
     def _read(self, reply: _http_call.HttpReply) -> None:
         self._is_calling = False
@@ -190,8 +206,9 @@
 
     def _appended(self, reply: _http_call.HttpReply) -> None:
         self._is_calling = False
+        is_lost = self._note_pace(reply)
         if not reply.ok:
-            self._note_failure(reply, "append")
+            self._note_failure(reply, "append", is_lost=is_lost)
             return
         self._sequence += 1
         del self._chunks[0]
@@ -202,7 +219,9 @@
         if batch is not None:
             self._stored(batch)
 
-    def _note_failure(self, reply: _http_call.HttpReply, step: str) -> None:
+    def _note_failure(
+        self, reply: _http_call.HttpReply, step: str, *, is_lost: bool = False
+    ) -> None:
         """Has the call repeated; the store tells repeats by their number."""
         if _store.is_fenced(reply):
             self.stage = Stage.LOST
@@ -216,7 +235,9 @@
             self._sequence = expected
             self.step(self._clock())
             return
-        self._next_s = self._clock().boot_s + RETRY_S
+        # A lost answer has been waited for already.
+        wait_s = 0.0 if is_lost else RETRY_S
+        self._next_s = self._clock().boot_s + wait_s
         _log.warning(
             "journal.retry",
             step=step,
--- /dev/null
+++ b/tests/transport/jobs/test_call_pace.py
@@ -0,0 +1,54 @@
+"""Tests of the time that a call waits for its answer."""
+
+import random
+
+from basiljunction.transport.jobs import _call_pace
+
+USUAL_S = 0.01
+
+
+def _time_of_append(
+    pace: _call_pace.CallPace, answer_s: float, lost_share: float, seed: int
+) -> tuple[float, int]:
+    """Returns the time until an answer and the number of tries."""
+    rng = random.Random(seed)
+    past_s, tries = 0.0, 0
+    while True:
+        tries += 1
+        if answer_s <= pace.timeout_s and rng.random() >= lost_share:
+            pace.answered(answer_s)
+            return past_s + answer_s, tries
+        past_s += pace.timeout_s
+        pace.lost()
+
+
+class TestCallPace:
+    """Lost answers cost little, slow ones are waited for."""
+
+    def test_half_of_the_answers_lost_delays_an_append_a_little(self) -> None:
+        pace = _call_pace.CallPace()
+        times = [
+            _time_of_append(pace, USUAL_S, 0.5, seed)[0] for seed in range(200)
+        ]
+        assert sum(times) / len(times) < 0.4
+        assert sorted(times)[100] < 0.2
+
+    def test_a_slow_store_is_soon_asked_once_for_each_append(self) -> None:
+        pace = _call_pace.CallPace()
+        tries = [_time_of_append(pace, 0.25, 0.0, 0)[1] for _ in range(10)]
+        assert tries[0] == 3
+        assert tries[2:] == [1] * 8
+
+    def test_a_store_that_recovers_is_called_quickly_again(self) -> None:
+        pace = _call_pace.CallPace()
+        for _ in range(10):
+            _time_of_append(pace, 0.25, 0.0, 0)
+        for _ in range(20):
+            pace.answered(USUAL_S)
+        assert pace.timeout_s == _call_pace.FIRST_TIMEOUT_S
+
+    def test_a_store_that_is_down_is_asked_once_a_second(self) -> None:
+        pace = _call_pace.CallPace()
+        for _ in range(50):
+            pace.lost()
+        assert pace.timeout_s == _call_pace.LONGEST_TIMEOUT_S
