Open a term at once when nobody listens where its scheduler was

Cause: a killed scheduler was waited out for 1.8 s, though its machine refuses connections at once. An instance whose forwarded call is refused claims the term; a renewal outweighs it, and the claim holds only where no other write came.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -135,6 +135,18 @@
         if self.term is not None and epoch > self.term.epoch:
             self.role = Role.FOLLOWER
 
+    def leader_refused(self, epoch: int, now_s: float) -> None:
+        """Takes note that nobody listens where the scheduler of a term was.
+
+        Its machine answered, so its process is gone; its term need not be
+        waited out. A wrong guess loses against the next renewal.
+        """
+        if self.term is None or epoch != self.term.epoch or self.is_leader:
+            return
+        if self._heard_s is None or self.term.instance == self._instance:
+            return
+        self._heard_s = min(self._heard_s, now_s - SILENCE_S - RETRY_S)
+
     def read_failed(self) -> None:
         """The store did not answer: silence is counted anew after this."""
         self._heard_s = None
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -91,6 +91,10 @@
     def is_leader_elsewhere(self) -> bool:
         """Returns whether the newest known scheduler is another instance."""
 
+    @abc.abstractmethod
+    def leader_refused(self, epoch: int) -> None:
+        """Takes note that nobody listens where a scheduler was."""
+
 
 class CallRouter:
     """Brings each call to the scheduler, within its time.
@@ -166,11 +170,11 @@
             return
         address, epoch = self._local.leader()
         if self._hint[1] > epoch:
-            address = self._hint[0]
+            address, epoch = self._hint
         elif not self._local.is_leader_elsewhere():
             return
         if address:
-            self._forward(pending, address, now)
+            self._forward(pending, address, epoch, now)
 
     def _leader_reply(self) -> _client_calls.ClientReply:
         """Returns a reply that only names the newest known scheduler."""
@@ -205,22 +209,26 @@
         self._calls.send(_peer_call(peer, call, PEER_TIMEOUT_S), done)
 
     def _forward(
-        self, pending: PendingCall, address: str, now: _time.Now
+        self, pending: PendingCall, address: str, epoch: int, now: _time.Now
     ) -> None:
         left_s = pending.give_up_s - now.boot_s
         timeout_s = min(PEER_TIMEOUT_S, max(MIN_TRY_S, left_s))
         call = _peer_call(address, pending.call, timeout_s)
         pending.next_try_s = None
         pending.is_in_flight = True
-        self._calls.send(call, lambda reply: self._forwarded(pending, reply))
+        self._calls.send(
+            call, lambda reply: self._forwarded(pending, epoch, reply)
+        )
 
     def _forwarded(
-        self, pending: PendingCall, reply: _http_call.HttpReply
+        self, pending: PendingCall, epoch: int, reply: _http_call.HttpReply
     ) -> None:
         pending.next_try_s = 0.0
         pending.is_in_flight = False
         if not reply.ok:
             pending.may_have_acted |= reply.was_sent
+            if not reply.was_sent:
+                self._local.leader_refused(epoch)
             pending.next_try_s = self._clock().boot_s + RETRY_S
             return
         try:
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -219,6 +219,10 @@
         """Returns whether the newest known scheduler is another instance."""
         return not self._terms.election.is_leader
 
+    def leader_refused(self, epoch: int) -> None:
+        """Takes note that nobody listens where a scheduler was."""
+        self._terms.election.leader_refused(epoch, self._clock.now().boot_s)
+
     def _receive(self, wait_s: float) -> object | None:
         """Waits for a message, or for sockets of calls in flight."""
         with contextlib.suppress(queue.Empty):
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -60,6 +60,36 @@
         assert claim is not None
         assert claim.term.epoch == 4
 
+    def test_a_term_is_open_once_nobody_listens_for_its_scheduler(
+        self,
+    ) -> None:
+        election = _election_of("a")
+        election.read(_term("b", 3), 5, 0.0)
+        election.leader_refused(3, 0.4)
+        claim = election.next_write(0.4 + _election.JITTER_S)
+        assert claim is not None
+        assert (claim.at_offset, claim.term.epoch) == (5, 4)
+
+    def test_a_renewal_outweighs_a_refused_connection(self) -> None:
+        election = _election_of("a")
+        election.read(_term("b", 3), 5, 0.0)
+        election.leader_refused(3, 0.4)
+        election.read(_term("b", 3, beat=1), 6, 0.45)
+        assert election.next_write(1.0) is None
+
+    def test_a_refusal_of_an_earlier_scheduler_says_nothing(self) -> None:
+        election = _election_of("a")
+        election.read(_term("b", 3), 5, 0.0)
+        election.leader_refused(2, 0.4)
+        assert election.next_write(1.0) is None
+
+    def test_a_refusal_says_nothing_while_the_store_is_silent(self) -> None:
+        election = _election_of("a")
+        election.read(_term("b", 3), 5, 0.0)
+        election.read_failed()
+        election.leader_refused(3, 0.4)
+        assert election.next_write(1.0) is None
+
     def test_silence_counts_anew_after_an_outage_of_the_store(self) -> None:
         election = _election_of("a")
         election.read(_term("b", 3), 5, 0.0)
--- a/tests/transport/jobs/test_call_router.py
+++ b/tests/transport/jobs/test_call_router.py
@@ -36,6 +36,9 @@
 class _Local(_call_router.LocalScheduler):
     """An instance that knows another one as the scheduler."""
 
+    def __init__(self) -> None:
+        self.refused_epochs: list[int] = []
+
     def is_serving(self) -> bool:
         return False
 
@@ -48,6 +51,9 @@
     def is_leader_elsewhere(self) -> bool:
         return True
 
+    def leader_refused(self, epoch: int) -> None:
+        self.refused_epochs.append(epoch)
+
 
 class TestRefusals:
     """A refusal is given only where the call certainly had no effect."""
@@ -61,8 +67,9 @@
     ]:
         calls = _Calls()
         self.now_s = 0.0
+        self.local = _Local()
         router = _call_router.CallRouter(
-            calls=calls, local=_Local(), clock=lambda: build.at(self.now_s)
+            calls=calls, local=self.local, clock=lambda: build.at(self.now_s)
         )
         reply: futures.Future[_client_calls.ClientReply] = futures.Future()
         call = _client_calls.ClientCall(kind, "queue", "00000000000000a1")
@@ -82,6 +89,16 @@
         self._pass(router, 1.1)
         assert reply.result(0).outcome is _Outcome.UNAVAILABLE
 
+    def test_only_a_refused_connection_tells_that_the_scheduler_is_gone(
+        self,
+    ) -> None:
+        calls, router, _ = self._begin()
+        calls.fail(was_sent=True)
+        assert self.local.refused_epochs == []
+        self._pass(router, 0.2)
+        calls.fail(was_sent=False)
+        assert self.local.refused_epochs == [3]
+
     def test_a_try_in_flight_at_the_end_is_unknown(self) -> None:
         _, router, reply = self._begin()
         self._pass(router, 1.1)
