--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -432,6 +432,14 @@
         if job.progress.state.is_final or place in job.progress.done:
             return
         executor.note_failure(now.boot_s)
+        if now.boot_s < executor.avoid_until_s:
+            self._cell.note(
+                "executor.avoided",
+                executor=executor.entry.id,
+                reason="failures",
+                failures_in_row=executor.failures_in_row,
+                for_s=round(executor.avoid_until_s - now.boot_s, 3),
+            )
         job.failed_on_by_place.setdefault(place, set()).add(executor.entry.id)
         if job.spec.steps[end.task.step].runs_until_cancelled:
             return
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -221,10 +221,15 @@
             self.cell.release(state, run, now, delay_s=_limits.HOLD_RETRY_S)
             return
         if result.has_not_run:
-            if result is _orders.StartResult.UNHEALTHY:
-                state.avoid_until_s = now.boot_s + _limits.UNHEALTHY_S
-            if result is _orders.StartResult.NO_ROOM:
-                state.avoid_until_s = now.boot_s + _limits.HOLD_RETRY_S
+            avoid_s = _AVOID_S_BY_RESULT.get(result, 0.0)
+            if avoid_s:
+                state.avoid_until_s = now.boot_s + avoid_s
+                self.cell.note(
+                    "executor.avoided",
+                    executor=order.executor,
+                    reason=result.value,
+                    for_s=avoid_s,
+                )
             self.cell.release(state, run, now, delay_s=_limits.HOLD_GAP_S)
             return
         if run.phase is not _runs.Phase.ORDERED:
@@ -382,6 +387,11 @@
                     state.roster_stored = True
 
 
+_AVOID_S_BY_RESULT = {
+    _orders.StartResult.UNHEALTHY: _limits.UNHEALTHY_S,
+    _orders.StartResult.NO_ROOM: _limits.HOLD_RETRY_S,
+}
+
 FORGET_INTERVAL_S = 5.0
 """How often finished jobs are looked through."""
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,6 +12,9 @@
 )
 _LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
 _METRIC = re.compile(r"`(basiljunction_[a-z_]+)`")
+_EVENT = re.compile(
+    r"`((?:call|job|task|term|feed|journal|executor|cell)\.[a-z-]+)`"
+)
 _TABLE = _ROOT / "docs" / "reference" / "metrics.md"
 
 
@@ -29,6 +32,14 @@
         missing = [str(each) for each in targets if not each.exists()]
         assert not missing
 
+    def test_events_are_written_somewhere(self) -> None:
+        page = (_ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+        named = set(_EVENT.findall(page))
+        sources = (_ROOT / "src").rglob("*.py")
+        code = "".join(each.read_text(encoding="utf-8") for each in sources)
+        assert named
+        assert not [name for name in named if f'"{name}"' not in code]
+
     @pytest.mark.parametrize("page", _PAGES, ids=_name)
     def test_metrics_are_in_the_table(self, page: pathlib.Path) -> None:
         table = set(_METRIC.findall(_TABLE.read_text(encoding="utf-8")))
