Begin anew where the store has moved; keep chosen ports from others

- SIGHUP with another address of the store left an instance with a term that it could not renew and did not serve: the election kept the old store's offsets.
It now forgets them, and claims its own earlier term there as that of another life.
- Process tests side by side could choose one port twice before anybody listened (log of a red test_sigterm: 'Address already in use').
Chosen ports are locked for the life of the process that chose them.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -85,6 +85,23 @@
         """Whether this instance holds the newest term that it knows of."""
         return self.role is Role.LEADER
 
+    def store_moved(self, incarnation: int) -> None:
+        """Begins anew where the store is now; an own term there is claimed.
+
+        Args:
+            incarnation: Tells what this instance writes from now on from what
+                it wrote before.
+        """
+        self.role = Role.FOLLOWER
+        self.term = None
+        self.confirmed_s = float("-inf")
+        self._incarnation = incarnation
+        self._end_offset = None
+        self._heard_s = None
+        self._in_flight = None
+        self._last_written = None
+        self._next_write_s = 0.0
+
     def leave(self) -> None:
         """Gives the term up with the next write, and claims none any more."""
         self.is_leaving = True
--- a/src/basiljunction/demo/_ports.py
+++ b/src/basiljunction/demo/_ports.py
@@ -1,7 +1,15 @@
-"""Free ports of the loopback address, for processes that start soon."""
+"""Free ports of the loopback address, for processes that start soon.
 
+A chosen port stays unused until its process listens. A lock on a file that is
+named after it keeps it from others that choose ports, until this process ends.
+"""
+
+import fcntl
+import os
+import pathlib
 import random
 import socket
+import tempfile
 
 HOST = "127.0.0.1"
 
@@ -11,12 +19,18 @@
 could take a port between its choice and the start of the process."""
 
 
+_LOCKS = pathlib.Path(tempfile.gettempdir()) / f"basiljunction-{os.getuid()}"
+
+_lock_by_port: dict[int, int] = {}
+"""Open files whose locks keep ports that this process has chosen."""
+
+
 class NoPortError(RuntimeError):
     """No free port was found."""
 
 
 def free_ports(count: int, source: random.Random | None = None) -> list[int]:
-    """Returns ports that nobody listens on.
+    """Returns ports that nobody listens on or has chosen.
 
     Args:
         count: How many.
@@ -32,7 +46,7 @@
     for port in candidates:
         if len(chosen) == count:
             return chosen
-        if _is_free(port):
+        if _is_free(port) and _keep(port):
             chosen.append(port)
     raise NoPortError(f"found {len(chosen)} of {count} free ports")
 
@@ -44,3 +58,18 @@
         except OSError:
             return False
     return True
+
+
+def _keep(port: int) -> bool:
+    """Returns whether the port is kept for this process from now on."""
+    if port in _lock_by_port:
+        return False
+    _LOCKS.mkdir(mode=0o700, exist_ok=True)
+    lock = os.open(_LOCKS / f"port-{port}", os.O_CREAT | os.O_RDWR, 0o600)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(lock)
+        return False
+    _lock_by_port[port] = lock
+    return True
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -123,6 +123,10 @@
         """Whether every call is answered."""
         return not self._pending
 
+    def forget_leader(self) -> None:
+        """Forgets who scheduled; the store has moved."""
+        self._hint = ("", 0)
+
     def take(self, pending: PendingCall, now: _time.Now) -> None:
         """Takes a call."""
         self._pending.append(pending)
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -163,13 +163,16 @@
             self._move_store(message.address)
 
     def _move_store(self, address: str) -> None:
-        """Reads from the new address; the own term ends with the old one."""
+        """Begins anew at the new address; the own term ends."""
         store = dataclasses.replace(self._settings.store, address=address)
         self._settings = dataclasses.replace(self._settings, store=store)
-        for feed in (self._configurations, self._terms):
-            feed.address = address
-            feed.restart()
-        self._end_term("store moved")
+        self._end_term("store-moved")
+        self._configurations.address = address
+        self._configurations.restart()
+        self._terms.move(address, int(self._clock.now().wall_s * 1000))
+        self._router.forget_leader()
+        self._known_epoch = 0
+        self._ended_epoch = 0
 
     def _take_call(self, asked: CallAsked, now: _time.Now) -> None:
         patience_s = min(asked.timeout_s, _call_router.PATIENCE_S)
--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -87,6 +87,18 @@
         self.is_cut_off = True
         self.election.read_failed()
 
+    def move(self, address: str, incarnation: int) -> None:
+        """Begins anew at another address of the store.
+
+        Args:
+            address: The new address.
+            incarnation: Tells what is written there from what was written.
+        """
+        self.address = address
+        self.address_by_member.clear()
+        self.election.store_moved(incarnation)
+        self.restart()
+
     def _take_member(self, record: _job_records.KeyedRecord) -> None:
         name = record.key.removeprefix(_store.MEMBER_PREFIX)
         if record.value:
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -29,6 +29,39 @@
     return _leadership.Term(epoch, instance, 1, f"{instance}:1", beat)
 
 
+class TestMovedStore:
+    """What was read at the old address says nothing at the new one."""
+
+    def test_an_empty_store_is_claimed_where_it_ends(self) -> None:
+        election = _claimed()
+        election.store_moved(incarnation=2)
+        assert not election.is_leader
+        election.read(None, 0, 5.0)
+        claim = election.next_write(5.0)
+        assert claim is not None
+        assert (claim.at_offset, claim.term.epoch) == (0, 1)
+
+    def test_the_own_term_in_the_same_store_is_followed_by_another(
+        self,
+    ) -> None:
+        election = _claimed()
+        election.store_moved(incarnation=2)
+        election.read(_term("a", 1), 1, 5.0)
+        assert not election.is_leader
+        claim = election.next_write(5.0 + _election.JITTER_S)
+        assert claim is not None
+        assert claim.term.epoch == 2
+
+    def test_the_answer_of_the_old_store_is_ignored(self) -> None:
+        election = _election_of("a")
+        election.read(None, 0, 0.0)
+        assert election.next_write(0.0) is not None
+        election.store_moved(incarnation=2)
+        election.written(1, 0.1)
+        assert not election.is_leader
+        assert election.term is None
+
+
 class TestClaim:
     """A term begins only where none is held."""
 
