--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -225,7 +225,7 @@
                 moved=len(moved),
             )
         for run in moved:
-            if cell.supersede(run, "executor-slow", now):
+            if run.is_superseded or cell.supersede(run, "executor-slow", now):
                 continue
             cell.note(
                 "task.moved",
@@ -361,16 +361,13 @@
         run = executor.run_by_key.get((end.task, end.run))
         job = cell.job_of(end.task)
         current = cell.current_run_by_task.get(end.task)
-        is_current = run is current if run is not None else current is None
-        is_current |= run is not None and run.is_superseded
-        if run is not None and end.checkpoint:
-            run.checkpoint = end.checkpoint
-        if (
-            run is not None
-            and job is not None
-            and (end.kind is _executor.EndKind.DONE)
-        ):
-            _slowness.note_done(executor, run, job, now.boot_s)
+        if run is None:
+            is_current = current is None
+        else:
+            is_current = run is current or run.is_superseded
+            run.checkpoint = end.checkpoint or run.checkpoint
+            if job is not None and end.kind is _executor.EndKind.DONE:
+                _slowness.note_done(executor, run, job, now.boot_s)
         if job is not None and cell.step_of(end.task):
             if is_current:
                 self._note_end(executor, job, end, now)
