--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -74,6 +74,14 @@
         "return True",
         "tests/coordination/leadership",
     ),
+    _mutation(
+        "earlier-life-taken-for-own",
+        "one scheduler",
+        "src/basiljunction/state/workload/_leadership.py",
+        "return (self.instance, self.incarnation) == (instance, incarnation)",
+        "return self.instance == instance and incarnation > 0",
+        "tests/coordination/leadership",
+    ),
     _mutation(
         "any-refusal-opens-the-term",
         "one scheduler",
