--- /dev/null
+++ b/tests/transport/jobs/test_apps.py
@@ -0,0 +1,142 @@
+"""Tests of how callers' requests are checked before any scheduler sees them."""
+
+from concurrent import futures
+import json
+import threading
+from typing import Any
+
+import pytest
+from werkzeug import test
+
+from basiljunction.state.workload import _client_calls
+from basiljunction.state.workload import _configuration
+from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _apps
+from basiljunction.transport.jobs import _cell_task
+import workload_builders as build
+
+_ID = "00000000000000a1"
+_STEP = {"Count": 1, "Cpu": 100, "MemMb": 100, "EstDurationMs": 100}
+
+
+class _Task(_cell_task.CellTask):
+    """Accepts every call and keeps it."""
+
+    def __init__(
+        self, configuration: _configuration.Configuration | None
+    ) -> None:
+        self._newest = configuration
+        self.taken: list[_client_calls.ClientCall] = []
+        self.is_told = threading.Event()
+
+    @property
+    def configuration(self) -> _configuration.Configuration | None:
+        return self._newest
+
+    def tell(self, message: object) -> None:
+        assert isinstance(message, _cell_task.CallAsked)
+        self.taken.append(message.call)
+        reply: futures.Future[_client_calls.ClientReply] = message.reply
+        outcome = _client_calls.Outcome.ACCEPTED
+        reply.set_result(_client_calls.ClientReply(outcome))
+
+
+def _call(
+    body: bytes,
+    path: str = f"/episode/{_ID}",
+    *,
+    configuration: _configuration.Configuration | None = None,
+    method: str = "POST",
+) -> tuple[int, str, _Task]:
+    task = _Task(configuration or build.configuration())
+    app = _apps.FrontApp(task, lambda: False, _metrics.Metrics())
+    response = test.Client(app).open(
+        path,
+        method=method,
+        data=body,
+        headers={"Host": "jobs.example", "Content-Type": "application/json"},
+    )
+    return response.status_code, response.text, task
+
+
+def _job(**changes: Any) -> bytes:
+    return json.dumps({"Spec": "x", "Steps": [_STEP]} | changes).encode()
+
+
+class TestRequests:
+    """What cannot be a job is refused with a reason, and reaches nobody."""
+
+    def test_a_job_reaches_the_scheduler(self) -> None:
+        status, _, task = _call(_job())
+        assert status == 200
+        assert [call.job_id for call in task.taken] == [_ID]
+
+    @pytest.mark.parametrize(
+        ("body", "reason"),
+        [
+            (b"", "job"),
+            (b"{", "job"),
+            (b"\xff\xfe", "job"),
+            (b"[]", "job"),
+            (b"[" * 5000, "job"),
+            (b'{"Steps":' + b"[" * 3000 + b"]" * 3000 + b"}", "recursion"),
+            (_job(Steps=[]), "Steps"),
+            (_job(Steps=[_STEP | {"Count": 0}]), "Count"),
+            (_job(Steps=[_STEP | {"Count": "1"}]), "Count"),
+            (_job(Steps=[_STEP | {"Cpu": -1}]), "Cpu"),
+            (_job(Steps=[_STEP | {"Cpu": 1.5}]), "Cpu"),
+            (_job(Steps=[_STEP | {"After": [0]}]), "After"),
+            (_job(Steps=[_STEP, _STEP | {"After": [1]}]), "After"),
+            (_job(Steps=[_STEP | {"After": [1]}, _STEP]), "After"),
+            (_job(Spec="x" * 4001), "Spec"),
+            (_job(Spec=5), "Spec"),
+            (_job(RepeatCount=-1), "RepeatCount"),
+        ],
+    )
+    def test_a_malformed_job_is_told_why(
+        self, body: bytes, reason: str
+    ) -> None:
+        status, text, task = _call(body)
+        assert status == 400
+        assert reason in text
+        assert task.taken == []
+
+    def test_a_body_over_the_limit_is_refused_unread(self) -> None:
+        limit = build.configuration().max_body_bytes
+        status, text, task = _call(b" " * (limit + 1))
+        assert (status, json.loads(text)["Reason"]) == (413, "body-too-large")
+        assert task.taken == []
+
+    @pytest.mark.parametrize(
+        ("method", "path", "status"),
+        [
+            ("POST", f"/other/{_ID}", 404),
+            ("POST", "/episode/", 404),
+            ("POST", "/episode/00000000000000A1", 404),
+            ("POST", f"/episode/{_ID}/x", 404),
+            ("PUT", f"/episode/{_ID}", 405),
+            ("PATCH", "/episode/", 404),
+        ],
+    )
+    def test_an_unroutable_request_is_told_so(
+        self, method: str, path: str, status: int
+    ) -> None:
+        found, text, task = _call(_job(), path, method=method)
+        assert (found, "Reason" in json.loads(text)) == (status, True)
+        assert task.taken == []
+
+    def test_without_a_configuration_callers_may_come_back(self) -> None:
+        task = _Task(None)
+        app = _apps.FrontApp(task, lambda: False, _metrics.Metrics())
+        response = test.Client(app).post(f"/episode/{_ID}", data=_job())
+        assert response.status_code == 503
+        assert int(response.headers["Retry-After"]) >= 1
+
+    def test_a_leaving_instance_closes_connections(self) -> None:
+        task = _Task(build.configuration())
+        app = _apps.FrontApp(task, lambda: True, _metrics.Metrics())
+        response = test.Client(app).post(
+            f"/episode/{_ID}", data=_job(), headers={"Host": "jobs.example"}
+        )
+        assert response.status_code == 200
+        assert response.headers["Connection"] == "close"
