Add a failing test of recovery over a narrow link

Suspected cause: the new scheduler reads the jobs in pages of up to 1 MB. On an instance with a link of 5 Mbit/s a page takes two seconds, but the whole read is given up after one and begins anew. The term is renewed all the while, so no other instance takes over.

Change: the stand-in's store serves pages of 500 records or 1 MB, at a rate that the test sets. The new test reads 300 jobs at 625 kB/s.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -26,6 +26,15 @@
 POLL_INTERVAL_S = 0.02
 """Time between two checks of a long poll, in seconds."""
 
+MAX_PAGE_RECORDS = 500
+"""Most records in one page of the newest records."""
+
+MAX_PAGE_BYTES = 1_000_000
+"""Size of a page of the newest records above which it ends, in bytes."""
+
+SEND_INTERVAL_S = 0.02
+"""Time between two pieces of an answer over a narrow link, in seconds."""
+
 
 class Topic:
     """A topic of the store, with a single partition.
@@ -65,6 +74,8 @@
     Attributes:
         topics: Topics of the store, by name.
         is_down: Whether the store answers every call with an error.
+        store_bytes_per_s: Rate at which the store's answers arrive, in bytes a
+            second; infinite for a link that is never the bottleneck.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -74,6 +85,7 @@
         self.lock = threading.RLock()
         self.topics: dict[str, Topic] = collections.defaultdict(Topic)
         self.is_down = False
+        self.store_bytes_per_s = float("inf")
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
@@ -257,7 +269,11 @@
             self.send_response(status)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
-            self.wfile.write(body)
+            self.write_body(body)
+
+    def write_body(self, body: bytes) -> None:
+        """Writes the body of a response."""
+        self.wfile.write(body)
 
 
 class _ExecutorHandler(_Handler):
@@ -277,6 +293,17 @@
 class _StoreHandler(_Handler):
     """Handles appends to and reads from the topics of the store."""
 
+    def write_body(self, body: bytes) -> None:
+        """Writes the body at the rate of the link to the caller."""
+        rate = self.owner.store_bytes_per_s
+        if rate == float("inf"):
+            super().write_body(body)
+            return
+        size = max(1, int(rate * SEND_INTERVAL_S))
+        for begin in range(0, len(body), size):
+            self.wfile.write(body[begin : begin + size])
+            time.sleep(SEND_INTERVAL_S)
+
     def _split_url(self) -> tuple[str, dict[str, str]]:
         url = urllib.parse.urlsplit(self.path)
         return url.path, dict(urllib.parse.parse_qsl(url.query))
@@ -300,23 +327,35 @@
             return
         topic = self.owner.topics[query["Topic"]]
         if path == "/log-newest":
-            self.send_reply(200, self._encode_newest(topic))
+            self.send_reply(200, self._encode_newest(topic, query))
         else:
             self.send_reply(200, self._encode_records(topic, query))
 
-    def _encode_newest(self, topic: Topic) -> bytes:
-        """Returns the newest record of each key as a response body."""
+    def _encode_newest(self, topic: Topic, query: dict[str, str]) -> bytes:
+        """Returns a page of the newest record of each key as a body."""
+        after = query.get("After", "")
+        items: list[dict[str, Any]] = []
+        size = 0
         with self.owner.lock:
-            items = [
-                {
-                    "Key": key,
-                    "Value": base64.b64encode(value).decode(),
-                    "Offset": offset,
-                }
-                for key, (offset, value) in sorted(topic.newest_by_key.items())
-            ]
+            keys = sorted(key for key in topic.newest_by_key if key > after)
+            for key in keys:
+                offset, value = topic.newest_by_key[key]
+                size += len(value)
+                items.append(
+                    {
+                        "Key": key,
+                        "Value": base64.b64encode(value).decode(),
+                        "Offset": offset,
+                    }
+                )
+                if len(items) >= MAX_PAGE_RECORDS or size >= MAX_PAGE_BYTES:
+                    break
             end = len(topic.records)
-        answer = {"items": items, "HasMore": False, "EndOffset": end}
+        answer = {
+            "items": items,
+            "HasMore": len(items) < len(keys),
+            "EndOffset": end,
+        }
         return json.dumps(answer).encode()
 
     def _encode_records(self, topic: Topic, query: dict[str, str]) -> bytes:
--- /dev/null
+++ b/tests/transport/jobs/test_journal.py
@@ -0,0 +1,68 @@
+"""Tests of the scheduler's journal against a stand-in of the store."""
+
+from collections.abc import Iterator
+import time
+
+import pytest
+
+from basiljunction.protocol import _instance_settings
+from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _records
+from basiljunction.transport import _clock
+from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _journal
+import platform_standin
+import workload_builders as build
+
+NARROW_LINK_BYTES_PER_S = 625_000
+"""Rate of a link of 5 Mbit/s, in bytes a second."""
+
+JOB_COUNT = 300
+"""Jobs in the store: one page, which takes two seconds on a narrow link."""
+
+RECOVERY_LIMIT_S = 8.0
+"""Longest time that a recovery of that size may take, in seconds."""
+
+
+@pytest.fixture
+def platform() -> Iterator[platform_standin.Platform]:
+    """A platform without executors, whose store holds `JOB_COUNT` jobs."""
+    platform = platform_standin.Platform(executors=0)
+    for number in range(JOB_COUNT):
+        job = build.accepted_job(job_id=f"{number:016x}", payload="x" * 2400)
+        for record in _job_records.encode_record(_records.JobRecord(job)):
+            name = record.key.encode()
+            platform.topics["keyed.jobs"].append_record(
+                bytes((len(name),)) + name + record.value
+            )
+    yield platform
+    platform.close()
+
+
+class TestRecovery:
+    """A new scheduler reads all records of its predecessors."""
+
+    def test_a_narrow_link_delays_recovery_but_does_not_prevent_it(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        platform.store_bytes_per_s = NARROW_LINK_BYTES_PER_S
+        recovered: list[_records.Record] = []
+        clock = _clock.SystemClock()
+        calls = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+        journal = _journal.Journal(
+            calls=calls,
+            settings=_instance_settings.StoreSettings(
+                platform.address, 800, 2000, 262144, 2097152
+            ),
+            epoch=2,
+            clock=clock.now,
+            on_recovered=recovered.extend,
+            on_stored=lambda _batch: None,
+        )
+        end_s = time.monotonic() + RECOVERY_LIMIT_S
+        while not recovered and time.monotonic() < end_s:
+            journal.make_due_call(clock.now())
+            calls.poll(0.01)
+        calls.close()
+        assert len(recovered) == JOB_COUNT
--- a/tests/workload_builders.py
+++ b/tests/workload_builders.py
@@ -64,6 +64,7 @@
     job_id: str = "00000000000000a1",
     in_queue: _configuration.Queue | None = None,
     accepted_s: float = 0.0,
+    payload: str = "payload",
     **changes: Any,
 ) -> _progress.AcceptedJob:
     """Returns an accepted job; its default is a single step."""
@@ -71,7 +72,7 @@
         id=job_id,
         queue=in_queue or queue(),
         spec=_job_spec.JobSpec(
-            payload="payload", steps=steps or (step_spec(),), **changes
+            payload=payload, steps=steps or (step_spec(),), **changes
         ),
         accepted_wall_s=START_WALL_S + accepted_s,
     )
