Hold calls back while the scheduler recovers

Cause: each instance sent each waiting call, with its whole job, to the recovering scheduler every 0.1 s, for up to 2.4 s, over the link that its recovery needs. That the repeated calls took the rest of the link is inferred, not measured.

Change: a scheduler that answers with its own address and term is recovering. One small question each 0.2 s and instance asks whether it has recovered; waiting calls are sent on then, or to the next scheduler, or refused at their deadline.

--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -28,6 +28,13 @@
 RETRY_DELAY_S = 0.1
 """Delay before a call is tried again, in seconds."""
 
+PROBE_INTERVAL_S = 0.2
+"""Interval between two questions whether a scheduler has recovered, in seconds.
+
+All instances ask, so a shorter one would take a noticeable part of a narrow
+link.
+"""
+
 PEER_TIMEOUT_S = 1.5
 """Longest time for one attempt at a peer instance, in seconds."""
 
@@ -140,6 +147,9 @@
         self._local = local
         self._pending: list[PendingCall] = []
         self._leader_from_peer: tuple[str, int] = ("", 0)
+        self._recovering_leader: tuple[str, int] = ("", 0)
+        self._is_probing = False
+        self._next_probe_boot_s = 0.0
 
     @property
     def has_no_pending_calls(self) -> bool:
@@ -152,6 +162,7 @@
         Its epoch is not comparable once the store has moved.
         """
         self._leader_from_peer = ("", 0)
+        self._recovering_leader = ("", 0)
 
     def add_call(self, pending: PendingCall, now: _time.Now) -> None:
         """Adds a client call and makes the first attempt to answer it."""
@@ -175,6 +186,7 @@
         self._pending = [
             each for each in self._pending if not each.reply_future.done()
         ]
+        self._probe_recovering_leader(now)
 
     def _log_given_up(self, pending: PendingCall) -> None:
         """Logs that a call got no answer before its deadline."""
@@ -205,13 +217,79 @@
         if pending.is_forwarded:
             pending.set_reply(self._leader_reply())
             return
+        address, epoch = self._remote_leader()
+        if address and (address, epoch) != self._recovering_leader:
+            self._forward_call(pending, address, epoch, now)
+
+    def _remote_leader(self) -> tuple[str, int]:
+        """Returns address and epoch of the scheduler to forward calls to.
+
+        The address is empty if none is known or this instance is the scheduler.
+        """
         address, epoch = self._local.newest_leader()
         if self._leader_from_peer[1] > epoch:
-            address, epoch = self._leader_from_peer
-        elif not self._local.is_leader_elsewhere():
+            return self._leader_from_peer
+        if not self._local.is_leader_elsewhere():
+            return "", epoch
+        return address, epoch
+
+    def _probe_recovering_leader(self, now: _time.Now) -> None:
+        """Asks a scheduler that has not recovered yet whether it has now.
+
+        Pending calls are held back until it has: they hold whole jobs, and
+        repeating them would take the link that its recovery needs.
+        """
+        leader = self._recovering_leader
+        if (
+            not leader[0]
+            or not self._pending
+            or self._is_probing
+            or now.boot_s < self._next_probe_boot_s
+            or self._remote_leader() != leader
+        ):
             return
-        if address:
-            self._forward_call(pending, address, epoch, now)
+        self._is_probing = True
+        probe = _client_calls.ClientCall(_client_calls.CallKind.WAITING, "")
+        self._calls.send(
+            _build_peer_call(leader[0], probe, PEER_TIMEOUT_S),
+            lambda reply: self._handle_probe_reply(leader, reply),
+        )
+
+    def _handle_probe_reply(
+        self, leader: tuple[str, int], reply: _http_call.HttpReply
+    ) -> None:
+        """Sends the pending calls on if the scheduler answers calls now."""
+        self._is_probing = False
+        self._next_probe_boot_s = self._clock().boot_s + PROBE_INTERVAL_S
+        if leader != self._recovering_leader:
+            return
+        if not reply.is_success:
+            if not reply.may_have_been_sent:
+                self._local.report_unreachable_leader(leader[1])
+            return
+        try:
+            answer = _peer_calls.decode_reply(reply.body)
+        except _errors.DecodeError as error:
+            _log.warning("peer.torn", error=str(error))
+            return
+        if answer.outcome is _Outcome.NOT_LEADER:
+            self._note_leader(answer)
+            return
+        self._recovering_leader = ("", 0)
+        for pending in self._pending:
+            if pending.next_try_boot_s is not None:
+                pending.next_try_boot_s = 0.0
+
+    def _note_leader(self, answer: _client_calls.ClientReply) -> bool:
+        """Adopts a scheduler of a later term that a peer named.
+
+        Returns:
+            Whether its term is later than any that a peer named before.
+        """
+        if answer.leader_epoch <= self._leader_from_peer[1]:
+            return False
+        self._leader_from_peer = (answer.leader_address, answer.leader_epoch)
+        return True
 
     def _leader_reply(self) -> _client_calls.ClientReply:
         """Returns a NOT_LEADER reply that names the newest known scheduler."""
@@ -245,11 +323,7 @@
             except _errors.DecodeError as error:
                 _log.warning("peer.torn", error=str(error))
                 return
-            if answer.leader_epoch > self._leader_from_peer[1]:
-                self._leader_from_peer = (
-                    answer.leader_address,
-                    answer.leader_epoch,
-                )
+            if self._note_leader(answer):
                 on_newer_epoch(answer.leader_epoch)
 
         call = _client_calls.ClientCall(_client_calls.CallKind.LEADER, "")
@@ -268,11 +342,16 @@
         pending.is_in_flight = True
         self._calls.send(
             call,
-            lambda reply: self._handle_forward_reply(pending, epoch, reply),
+            lambda reply: self._handle_forward_reply(
+                pending, (address, epoch), reply
+            ),
         )
 
     def _handle_forward_reply(
-        self, pending: PendingCall, epoch: int, reply: _http_call.HttpReply
+        self,
+        pending: PendingCall,
+        leader: tuple[str, int],
+        reply: _http_call.HttpReply,
     ) -> None:
         """Answers a call with the peer's reply, or schedules a retry."""
         pending.next_try_boot_s = 0.0
@@ -280,7 +359,7 @@
         if not reply.is_success:
             pending.may_have_been_processed |= reply.may_have_been_sent
             if not reply.may_have_been_sent:
-                self._local.report_unreachable_leader(epoch)
+                self._local.report_unreachable_leader(leader[1])
             pending.next_try_boot_s = self._clock().boot_s + RETRY_DELAY_S
             return
         try:
@@ -290,12 +369,11 @@
             pending.may_have_been_processed = True
             return
         if answer.outcome is _Outcome.NOT_LEADER:
-            if answer.leader_epoch > self._leader_from_peer[1]:
-                self._leader_from_peer = (
-                    answer.leader_address,
-                    answer.leader_epoch,
-                )
-            else:
+            named = (answer.leader_address, answer.leader_epoch)
+            if named == leader:
+                # It holds the term but does not answer calls yet.
+                self._recovering_leader = leader
+            if not self._note_leader(answer) or named == leader:
                 pending.next_try_boot_s = self._clock().boot_s + RETRY_DELAY_S
             return
         if answer.outcome is _Outcome.UNKNOWN:
--- a/tests/transport/jobs/test_call_router.py
+++ b/tests/transport/jobs/test_call_router.py
@@ -13,6 +13,12 @@
 _Reply = futures.Future[_client_calls.ClientReply]
 
 
+_RECOVERING = _client_calls.ClientReply(
+    _Outcome.NOT_LEADER, leader_address="10.0.0.2:1", leader_epoch=3
+)
+"""Reply of the scheduler while it holds the term but has not recovered."""
+
+
 class _RecordingHttpClient(_http_calls.HttpClient):
     """Records calls and leaves them open until the test answers them."""
 
@@ -46,6 +52,7 @@
 
     def __init__(self) -> None:
         self.unreachable_epochs: list[int] = []
+        self.leader = ("10.0.0.2:1", 3)
 
     def is_scheduling(self) -> bool:
         return False
@@ -54,7 +61,7 @@
         raise AssertionError("this instance does not schedule")
 
     def newest_leader(self) -> tuple[str, int]:
-        return "10.0.0.2:1", 3
+        return self.leader
 
     def is_leader_elsewhere(self) -> bool:
         return True
@@ -159,3 +166,116 @@
         self._advance_time(router, 0.01)
         assert calls.sent[0][0].url == "http://10.0.0.9:1/calls"
         assert not reply.done()
+
+
+class TestRecoveringScheduler:
+    """Calls wait for a scheduler that holds the term but is recovering."""
+
+    def _start_calls(
+        self, count: int
+    ) -> tuple[
+        _RecordingHttpClient,
+        _call_router.CallRouter,
+        list["futures.Future[_client_calls.ClientReply]"],
+    ]:
+        """Adds submits with a deadline of two seconds to a new router."""
+        calls = _RecordingHttpClient()
+        self.now_s = 0.0
+        self.local = _FollowerScheduler()
+        router = _call_router.CallRouter(
+            calls=calls,
+            local=self.local,
+            clock=lambda: build.clock_readings_at(self.now_s),
+        )
+        replies = []
+        for number in range(count):
+            reply: futures.Future[_client_calls.ClientReply] = futures.Future()
+            call = _client_calls.ClientCall(
+                _client_calls.CallKind.SUBMIT, "queue", f"{number:016x}"
+            )
+            router.add_call(
+                _call_router.PendingCall(call, reply, 2.0, False),
+                build.clock_readings_at(self.now_s),
+            )
+            replies.append(reply)
+        return calls, router, replies
+
+    def _answer_all(
+        self, calls: _RecordingHttpClient, reply: _client_calls.ClientReply
+    ) -> list[_client_calls.CallKind]:
+        """Answers all open calls; returns their kinds."""
+        kinds = []
+        for _ in range(len(calls.sent)):
+            body = calls.sent[0][0].body or b""
+            kinds.append(_peer_calls.decode_call(body).kind)
+            calls.answer_oldest(reply)
+        return kinds
+
+    def _run_for(
+        self,
+        calls: _RecordingHttpClient,
+        router: _call_router.CallRouter,
+        seconds: float,
+        reply: _client_calls.ClientReply,
+    ) -> list[_client_calls.CallKind]:
+        """Answers every call alike for a time; returns their kinds."""
+        kinds = self._answer_all(calls, reply)
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.015
+            router.process_pending_calls(build.clock_readings_at(self.now_s))
+            kinds += self._answer_all(calls, reply)
+        return kinds
+
+    def test_jobs_are_not_sent_again_and_again_while_it_recovers(self) -> None:
+        calls, router, _ = self._start_calls(20)
+        kinds = self._run_for(calls, router, 1.5, _RECOVERING)
+        assert kinds.count(_client_calls.CallKind.SUBMIT) == 20
+        assert len(kinds) <= 20 + 1.5 / _call_router.PROBE_INTERVAL_S + 1
+
+    def test_waiting_calls_are_sent_as_soon_as_it_has_recovered(self) -> None:
+        calls, router, replies = self._start_calls(3)
+        self._run_for(calls, router, 0.5, _RECOVERING)
+        accepted = _client_calls.ClientReply(_Outcome.ACCEPTED)
+        self._run_for(
+            calls, router, _call_router.PROBE_INTERVAL_S + 0.05, accepted
+        )
+        outcomes = [each.result(0).outcome for each in replies]
+        assert outcomes == [_Outcome.ACCEPTED] * 3
+
+    def test_calls_that_waited_in_vain_are_refused(self) -> None:
+        calls, router, replies = self._start_calls(3)
+        self._run_for(calls, router, 2.1, _RECOVERING)
+        outcomes = [each.result(0).outcome for each in replies]
+        assert outcomes == [_Outcome.UNAVAILABLE] * 3
+
+    def test_a_later_scheduler_gets_the_calls_without_a_probe(self) -> None:
+        calls, router, replies = self._start_calls(2)
+        self._run_for(calls, router, 0.5, _RECOVERING)
+        self.local.leader = ("10.0.0.7:1", 4)
+        accepted = _client_calls.ClientReply(_Outcome.ACCEPTED)
+        self._run_for(calls, router, 0.15, accepted)
+        assert [each.done() for each in replies] == [True, True]
+
+    def test_nobody_is_asked_while_no_scheduler_is_known(self) -> None:
+        calls, router, _ = self._start_calls(0)
+        self.local.leader = ("", 0)
+        self._run_for(calls, router, 0.1, _RECOVERING)
+        router.add_call(
+            _call_router.PendingCall(
+                _client_calls.ClientCall(_client_calls.CallKind.STATE, "q"),
+                futures.Future(),
+                2.0,
+                False,
+            ),
+            build.clock_readings_at(self.now_s),
+        )
+        assert self._run_for(calls, router, 0.5, _RECOVERING) == []
+
+    def test_a_scheduler_that_ended_as_it_recovered_is_reported(self) -> None:
+        calls, router, _ = self._start_calls(1)
+        self._run_for(calls, router, 0.1, _RECOVERING)
+        self.now_s += _call_router.PROBE_INTERVAL_S
+        router.process_pending_calls(build.clock_readings_at(self.now_s))
+        calls.fail_oldest(was_sent=False)
+        assert self.local.unreachable_epochs == [3]
