Read stored jobs for as long as bytes arrive

Cause: each call had one timeout for the whole transfer, 1.0 s for a page of stored jobs. A page of 1 MB takes 2 s over a link of 5 Mbit/s, so the read was given up and begun anew for ever. Whether this is what the users' record shows is not known from this test alone.

Change: a call may have a limit on silence. It is given up when no byte of the reply has arrived for that long; the limit on the whole transfer is 30 s.

The error text says how many bytes of the body had come, in what time, and how long the silence was. libcurl's LOW_SPEED_* options were not used: with both set to 1, a server that fell silent after 1 s of sending was noticed 6.0 s later.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -7,6 +7,8 @@
 
 _SCHEDULING = "src/basiljunction/coordination/scheduling"
 _TESTS = "tests/coordination/scheduling"
+_TRANSPORT = "src/basiljunction/transport/jobs"
+_TRANSPORT_TESTS = "tests/transport/jobs"
 
 
 def _mutation(
@@ -209,4 +211,23 @@
         "approval is None",
         f"{_TESTS}/test_approvals.py",
     ),
+    _mutation(
+        "silence-not-noticed",
+        "recovery",
+        f"{_TRANSPORT}/_http_calls.py",
+        "if now_s >= limit_s:",
+        "if now_s < 0:",
+        f"{_TRANSPORT_TESTS}/test_http_calls.py",
+        f"{_TRANSPORT_TESTS}/test_journal.py",
+    ),
+    _mutation(
+        "arriving-bytes-not-counted",
+        "recovery",
+        f"{_TRANSPORT}/_http_calls.py",
+        "        self.last_byte_s = time.monotonic()\n"
+        "        self.response_body.write(data)\n",
+        "        self.response_body.write(data)\n",
+        f"{_TRANSPORT_TESTS}/test_http_calls.py",
+        f"{_TRANSPORT_TESTS}/test_journal.py",
+    ),
 )
--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -221,6 +221,7 @@
     partition: int,
     *,
     timeout_s: float,
+    silence_limit_s: float | None = None,
     after: str | None = None,
 ) -> _http_call.HttpCall:
     """Builds the HTTP call that reads the newest record of each key.
@@ -230,6 +231,8 @@
         topic: Name of the topic.
         partition: Number of the partition.
         timeout_s: Timeout of the call, in seconds.
+        silence_limit_s: Longest time without a byte of the answer, in
+            seconds; None for no limit.
         after: Last key of the previous page; None for the first page.
     """
     query: dict[str, str | int] = {"Topic": topic, "part": partition}
@@ -239,6 +242,7 @@
         "GET",
         _url(address, "/log-newest", query),
         timeout_s=timeout_s,
+        silence_limit_s=silence_limit_s,
         operation="store.read-newest",
     )
 
--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -16,6 +16,9 @@
         body: Body; None for none.
         headers: Headers besides the usual ones.
         timeout_s: Longest time for the whole call, in seconds.
+        silence_limit_s: Longest time without a byte of the reply, in seconds;
+            None if only the whole call is limited. It suits replies whose
+            size is not known, which take the longer the narrower a link is.
         operation: Name of the operation in metrics.
     """
 
@@ -24,6 +27,7 @@
     body: bytes | None = None
     headers: tuple[str, ...] = ()
     timeout_s: float = 1.0
+    silence_limit_s: float | None = None
     operation: str = "other"
 
 
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -18,6 +18,13 @@
 This is several times the delay between zones.
 """
 
+MAX_TRANSFER_S = 30.0
+"""Longest time for a transfer of which bytes keep arriving, in seconds.
+
+The largest answer of the store takes a tenth of it over the narrowest link, so
+there is room for other traffic on it.
+"""
+
 MAX_CONNECTIONS_PER_HOST = 8
 """Most connections to one address: one lease renewal and overlapping orders."""
 
@@ -40,7 +47,7 @@
 """libcurl errors that mean that the request was certainly not sent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _CallInFlight:
     """An HTTP call in flight.
 
@@ -49,12 +56,35 @@
         response_body: Receives the bytes of the response.
         operation: Name of the operation, a label of the metrics.
         started_s: Monotonic time at which the call started, in seconds.
+        last_byte_s: Monotonic time at which the newest byte arrived, or at
+            which the call started, in seconds; kept only with a limit.
+        silence_limit_s: Longest time without a byte of the response, in
+            seconds; None for no limit.
     """
 
     on_reply: ReplyCallback
     response_body: io.BytesIO
     operation: str
     started_s: float
+    last_byte_s: float
+    silence_limit_s: float | None = None
+
+    def receive_header(self, _line: bytes) -> None:
+        """Notes that a line of the header has arrived."""
+        self.last_byte_s = time.monotonic()
+
+    def receive_body(self, data: bytes) -> None:
+        """Keeps a piece of the body and notes that it has arrived."""
+        self.last_byte_s = time.monotonic()
+        self.response_body.write(data)
+
+    def describe_silence(self, now_s: float) -> str:
+        """Returns the error text of a call that is given up for silence."""
+        return (
+            f"no byte for {now_s - self.last_byte_s:.2f} s after"
+            f" {self.response_body.tell()} bytes of the body in"
+            f" {self.last_byte_s - self.started_s:.2f} s"
+        )
 
 
 class HttpClient:
@@ -81,6 +111,10 @@
         self._wake_sender.setblocking(False)
         self._selector.register(self._wake_receiver, selectors.EVENT_READ)
         self._call_by_handle: dict[pycurl.Curl, _CallInFlight] = {}
+        # Calls with a limit on silence, and the earliest time at which one of
+        # them can exceed it.
+        self._watched_by_handle: dict[pycurl.Curl, _CallInFlight] = {}
+        self._next_silence_check_s = float("inf")
         self._idle_handles: list[pycurl.Curl] = []
         self._timer_ms = -1
 
@@ -90,11 +124,21 @@
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
         body = io.BytesIO()
-        _configure_handle(handle, call)
-        handle.setopt(pycurl.WRITEFUNCTION, body.write)
-        self._call_by_handle[handle] = _CallInFlight(
-            on_reply, body, call.operation, time.monotonic()
+        now_s = time.monotonic()
+        in_flight = _CallInFlight(
+            on_reply, body, call.operation, now_s, now_s, call.silence_limit_s
         )
+        _configure_handle(handle, call)
+        self._call_by_handle[handle] = in_flight
+        if call.silence_limit_s is None:
+            handle.setopt(pycurl.WRITEFUNCTION, body.write)
+        else:
+            handle.setopt(pycurl.HEADERFUNCTION, in_flight.receive_header)
+            handle.setopt(pycurl.WRITEFUNCTION, in_flight.receive_body)
+            self._watched_by_handle[handle] = in_flight
+            self._next_silence_check_s = min(
+                self._next_silence_check_s, now_s + call.silence_limit_s
+            )
         self._multi.add_handle(handle)
 
     def wake(self) -> None:
@@ -107,13 +151,16 @@
     def poll(self, wait_s: float) -> None:
         """Waits for socket events and completes the calls that have ended.
 
+        Calls whose limit on silence is exceeded end, too.
+
         Args:
             wait_s: Longest wait, in seconds.
         """
         timer_s = wait_s
         if self._timer_ms >= 0:
             timer_s = min(wait_s, self._timer_ms / 1000)
-        events = self._selector.select(timer_s)
+        silence_left_s = self._next_silence_check_s - time.monotonic()
+        events = self._selector.select(max(0.0, min(timer_s, silence_left_s)))
         is_timer_due = not events
         for key, mask in events:
             if key.fileobj is self._wake_receiver:
@@ -129,12 +176,17 @@
             self._timer_ms = -1
             self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
         self._complete_finished_calls()
+        # After the sockets were read: what arrived while the process was busy
+        # ends the silence.
+        if time.monotonic() >= self._next_silence_check_s:
+            self._give_up_silent_calls()
 
     def close(self) -> None:
         """Drops all calls without a reply and closes all connections."""
         for handle in list(self._call_by_handle):
             self._multi.remove_handle(handle)
         self._call_by_handle.clear()
+        self._watched_by_handle.clear()
         self._multi.close()
         self._selector.close()
         self._wake_receiver.close()
@@ -182,6 +234,25 @@
             if not remaining:
                 return
 
+    def _give_up_silent_calls(self) -> None:
+        """Fails the calls whose limit on silence is exceeded."""
+        now_s = time.monotonic()
+        silent = []
+        self._next_silence_check_s = float("inf")
+        for handle, call in self._watched_by_handle.items():
+            assert call.silence_limit_s is not None  # noqa: S101 - watched
+            limit_s = call.last_byte_s + call.silence_limit_s
+            if now_s >= limit_s:
+                silent.append((handle, call.describe_silence(now_s)))
+            else:
+                self._next_silence_check_s = min(
+                    self._next_silence_check_s, limit_s
+                )
+        for handle, fault in silent:
+            self._complete_call(
+                handle, fault=fault, code=pycurl.E_OPERATION_TIMEDOUT
+            )
+
     def _complete_call(
         self,
         handle: pycurl.Curl,
@@ -192,6 +263,7 @@
     ) -> None:
         """Records the metrics of a call and passes on its reply."""
         call = self._call_by_handle.pop(handle)
+        self._watched_by_handle.pop(handle, None)
         took_s = time.monotonic() - call.started_s
         self._metrics.count(
             "outgoing_calls",
--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -16,8 +16,12 @@
 from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
 
-READ_TIMEOUT_S = 1.0
-"""Timeout of a read, in seconds; far above the store's usual 10 ms."""
+READ_SILENCE_LIMIT_S = 1.0
+"""Longest time without a byte of a read's answer, in seconds.
+
+It is far above the store's usual 10 ms. The time for the whole page, up to
+1 MB, depends on the link.
+"""
 
 RETRY_DELAY_S = 0.1
 """Delay after a failed call, in seconds.
@@ -135,7 +139,8 @@
                 _store.JOB_TOPIC,
                 0,
                 after=self._after_key,
-                timeout_s=READ_TIMEOUT_S,
+                timeout_s=_http_calls.MAX_TRANSFER_S,
+                silence_limit_s=READ_SILENCE_LIMIT_S,
             )
             self._is_calling = True
             self._calls.send(call, self._handle_read_reply)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -76,6 +76,9 @@
         is_down: Whether the store answers every call with an error.
         store_bytes_per_s: Rate at which the store's answers arrive, in bytes a
             second; infinite for a link that is never the bottleneck.
+        silent_after_bytes: For each of the next reads, the bytes of the body
+            after which its answer stops for ever; 0 sends no header either.
+        reads: Paths, with queries, of all reads of the store, in order.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -86,10 +89,12 @@
         self.topics: dict[str, Topic] = collections.defaultdict(Topic)
         self.is_down = False
         self.store_bytes_per_s = float("inf")
+        self.silent_after_bytes: list[int] = []
+        self.reads: list[str] = []
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
-        self._stop = threading.Event()
+        self.stop_event = threading.Event()
         self._heartbeat_thread = threading.Thread(
             target=self._send_heartbeats, daemon=True
         )
@@ -136,7 +141,9 @@
     def _send_heartbeats(self) -> None:
         """Sends heartbeats of all executors until the platform stops."""
         sequence = 0
-        while not self._stop.wait(0 if sequence == 0 else HEARTBEAT_INTERVAL_S):
+        while not self.stop_event.wait(
+            0 if sequence == 0 else HEARTBEAT_INTERVAL_S
+        ):
             sequence += 1
             for executor in self.executors:
                 self.put(
@@ -147,7 +154,7 @@
 
     def close(self) -> None:
         """Stops the heartbeats and all HTTP servers."""
-        self._stop.set()
+        self.stop_event.set()
         self._heartbeat_thread.join()
         for httpd in (self.store, *(e.httpd for e in self.executors)):
             httpd.shutdown()
@@ -293,8 +300,23 @@
 class _StoreHandler(_Handler):
     """Handles appends to and reads from the topics of the store."""
 
+    _sent_bytes: int | None = None
+
+    def send_reply(self, status: int, body: bytes) -> None:
+        """Sends a response, or only as much of it as it is to have."""
+        if self.command == "GET" and self.owner.silent_after_bytes:
+            self._sent_bytes = self.owner.silent_after_bytes.pop(0)
+            if self._sent_bytes == 0:
+                self.owner.stop_event.wait()
+                return
+        super().send_reply(status, body)
+
     def write_body(self, body: bytes) -> None:
         """Writes the body at the rate of the link to the caller."""
+        if self._sent_bytes is not None:
+            self.wfile.write(body[: self._sent_bytes])
+            self.owner.stop_event.wait()
+            return
         rate = self.owner.store_bytes_per_s
         if rate == float("inf"):
             super().write_body(body)
@@ -322,6 +344,7 @@
 
     def do_GET(self) -> None:
         path, query = self._split_url()
+        self.owner.reads.append(self.path)
         if self.owner.is_down:
             self.send_reply(503, b"{}")
             return
--- /dev/null
+++ b/tests/transport/jobs/test_http_calls.py
@@ -0,0 +1,178 @@
+"""Tests of the HTTP client of the cell task, over real sockets."""
+
+from collections.abc import Iterator
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from basiljunction.protocol import _http_call
+from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _http_calls
+
+SILENCE_LIMIT_S = 0.3
+"""Limit on silence of the calls in these tests, in seconds."""
+
+PIECE_INTERVAL_S = 0.05
+"""Time between two pieces of an answer, in seconds."""
+
+NOTICE_MARGIN_S = 0.15
+"""Time for a busy machine beyond the limit on silence, in seconds."""
+
+
+class Server:
+    """Answers one request with a header and pieces of a body, then is silent.
+
+    Args:
+        pieces: Pieces of the body, sent one after the other.
+        missing_bytes: Bytes that the header announces beyond the pieces.
+    """
+
+    def __init__(self, pieces: list[bytes], missing_bytes: int) -> None:
+        self._pieces = pieces
+        self._length = sum(map(len, pieces)) + missing_bytes
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._stop_event = threading.Event()
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    @property
+    def url(self) -> str:
+        """URL to call."""
+        return f"http://127.0.0.1:{self._listener.getsockname()[1]}/"
+
+    def _serve(self) -> None:
+        """Accepts one connection and answers its request."""
+        connection, _ = self._listener.accept()
+        # A client that gives up resets the connection.
+        with connection, contextlib.suppress(ConnectionError):
+            connection.recv(4096)
+            if self._pieces:
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {self._length}"
+                connection.sendall(head.encode() + b"\r\n\r\n")
+            for piece in self._pieces:
+                time.sleep(PIECE_INTERVAL_S)
+                connection.sendall(piece)
+            self._stop_event.wait()
+
+    def close(self) -> None:
+        """Ends the connection."""
+        self._stop_event.set()
+        self._thread.join()
+        self._listener.close()
+
+
+@pytest.fixture
+def calls() -> Iterator[_http_calls.HttpClient]:
+    """The client under test."""
+    client = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+    yield client
+    client.close()
+
+
+def call_server(
+    calls: _http_calls.HttpClient,
+    server: Server,
+    *,
+    timeout_s: float = 10.0,
+    silence_limit_s: float | None = SILENCE_LIMIT_S,
+    poll_s: float = 1.0,
+) -> tuple[_http_call.HttpReply, float]:
+    """Returns the reply of a server and the time it took, in seconds."""
+    replies: list[_http_call.HttpReply] = []
+    call = _http_call.HttpCall(
+        "GET",
+        server.url,
+        timeout_s=timeout_s,
+        silence_limit_s=silence_limit_s,
+    )
+    started_s = time.monotonic()
+    calls.send(call, replies.append)
+    while not replies and time.monotonic() - started_s < timeout_s + 1.0:
+        calls.poll(poll_s)
+    took_s = time.monotonic() - started_s
+    server.close()
+    return replies[0], took_s
+
+
+class TestSilence:
+    """A limit on silence ends calls of which no byte arrives, and no others."""
+
+    def test_a_call_goes_on_for_longer_than_the_limit_while_bytes_arrive(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        server = Server([b"x" * 100] * 20, missing_bytes=0)
+        reply, took_s = call_server(calls, server)
+        assert reply.body == b"x" * 2000
+        assert took_s > 2 * SILENCE_LIMIT_S
+
+    def test_silence_before_the_answer_is_noticed_within_the_limit(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        reply, took_s = call_server(calls, Server([], missing_bytes=0))
+        assert reply.status == 0
+        assert reply.may_have_been_sent
+        assert "after 0 bytes" in reply.error_text
+        assert SILENCE_LIMIT_S <= took_s < SILENCE_LIMIT_S + NOTICE_MARGIN_S
+
+    def test_silence_within_the_answer_is_noticed_within_the_limit(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        server = Server([b"x" * 100] * 10, missing_bytes=1)
+        reply, took_s = call_server(calls, server)
+        silent_s = took_s - 10 * PIECE_INTERVAL_S
+        assert reply.status == 0
+        assert "after 1000 bytes" in reply.error_text
+        assert SILENCE_LIMIT_S <= silent_s < SILENCE_LIMIT_S + NOTICE_MARGIN_S
+
+    def test_an_answer_that_arrived_while_the_process_was_busy_counts(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        server = Server([b"x" * 100], missing_bytes=0)
+        replies: list[_http_call.HttpReply] = []
+        calls.send(
+            _http_call.HttpCall(
+                "GET",
+                server.url,
+                timeout_s=10.0,
+                silence_limit_s=SILENCE_LIMIT_S,
+            ),
+            replies.append,
+        )
+        for _ in range(10):
+            calls.poll(0.01)
+        time.sleep(SILENCE_LIMIT_S + NOTICE_MARGIN_S)
+        while not replies:
+            calls.poll(0.01)
+        server.close()
+        assert replies[0].body == b"x" * 100
+
+    def test_the_limit_on_the_whole_call_holds_while_bytes_arrive(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        server = Server([b"x"] * 20, missing_bytes=0)
+        reply, took_s = call_server(calls, server, timeout_s=0.5)
+        assert reply.status == 0
+        assert took_s < 0.5 + NOTICE_MARGIN_S
+
+    def test_a_call_without_a_limit_on_silence_waits_for_its_timeout(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        reply, took_s = call_server(
+            calls,
+            Server([], missing_bytes=0),
+            timeout_s=0.6,
+            silence_limit_s=None,
+        )
+        assert reply.status == 0
+        assert 0.6 <= took_s < 0.6 + NOTICE_MARGIN_S
+
+    def test_a_silent_call_does_not_end_a_later_one(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        call_server(calls, Server([], missing_bytes=0))
+        server = Server([b"x" * 100] * 10, missing_bytes=0)
+        reply, _ = call_server(calls, server)
+        assert reply.body == b"x" * 1000
