Keep finished jobs without payload and steps in the store

Callers saw a new scheduler serve nothing while it read the store: a job's text of some 2.4 KB and its steps stayed in j.ID for twice the retention of finished jobs, though only the final state is ever asked for. Cause: the record of a job was written once and deleted with the job.

Change: once the final state is stored, j.ID is written again without payload and steps, and p.ID of a finished job holds its state only. The steps stay while a run of the job may exist, known or not yet listed by an executor: a successor takes the size of such a run from them, and would start others over the executor's capacity otherwise. At most 100 records are shortened a second, so that those of an earlier build do not fill one batch. The payload is dropped in memory as well.

The shortened record has all fields of a whole one.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -209,4 +209,28 @@
         "approval is None",
         f"{_TESTS}/test_approvals.py",
     ),
+    _mutation(
+        "shortened-before-the-final-state-is-stored",
+        "acceptance",
+        f"{_SCHEDULING}/_scheduler.py",
+        "cell.unshortened_job_ids - cell.unstored_final_job_ids",
+        "set(cell.unshortened_job_ids)",
+        f"{_TESTS}/test_finished_jobs.py",
+    ),
+    _mutation(
+        "shortened-while-a-run-goes-on",
+        "capacity",
+        f"{_SCHEDULING}/_scheduler.py",
+        "        ready_ids -= {\n            run.task.job\n",
+        "        ready_ids -= {\n            run.executor\n",
+        f"{_TESTS}/test_finished_jobs.py",
+    ),
+    _mutation(
+        "shortened-before-the-executors-have-listed",
+        "capacity",
+        f"{_SCHEDULING}/_scheduler.py",
+        "if not ready_ids or cell.has_inherited_runs:",
+        "if not ready_ids:",
+        f"{_TESTS}/test_finished_jobs.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -1,6 +1,5 @@
 """State of one cell's scheduler, shared by its components."""
 
-import copy
 import dataclasses
 
 from basiljunction.coordination.scheduling import _approvals
@@ -35,6 +34,8 @@
         records: Records to store.
         dirty_job_ids: Jobs whose progress has to be stored.
         unstored_final_job_ids: Jobs whose final state is not stored yet.
+        unshortened_job_ids: Finished jobs whose stored record still contains
+            their payload and steps.
         notes: Decisions to log.
         replies: Answers to callers that wait for the next batch.
         roster_changed: Whether the list of executors has to be stored.
@@ -45,6 +46,8 @@
         is_fenced: Whether an executor has seen a later term.
         has_inherited_runs: Whether runs of an earlier term may still exist on
             executors that have not listed them.
+        next_shorten_finished_s: When records of finished jobs are next
+            shortened.
         next_forget_finished_s: When finished jobs are next cleaned up.
         next_learned_record_s: When the filler models are next stored.
         run_counter: Run numbers that this term has used.
@@ -66,6 +69,7 @@
     records: list[_records.Record] = dataclasses.field(default_factory=list)
     dirty_job_ids: set[str] = dataclasses.field(default_factory=set)
     unstored_final_job_ids: set[str] = dataclasses.field(default_factory=set)
+    unshortened_job_ids: set[str] = dataclasses.field(default_factory=set)
     notes: list[_notes.Note] = dataclasses.field(default_factory=list)
     replies: list[_orders.Reply] = dataclasses.field(default_factory=list)
     roster_changed: bool = True
@@ -73,6 +77,7 @@
     is_term_confirmed: bool = True
     is_fenced: bool = False
     has_inherited_runs: bool = False
+    next_shorten_finished_s: float = 0.0
     next_forget_finished_s: float = 0.0
     next_learned_record_s: float = 0.0
     run_counter: int = 0
@@ -147,6 +152,7 @@
         )
         self.mark_progress_dirty(job)
         self.unstored_final_job_ids.add(job.id)
+        self.unshortened_job_ids.add(job.id)
         for executor in self.executor_by_id.values():
             for run in executor.run_by_key.values():
                 if run.task.job == job.id:
@@ -256,7 +262,7 @@
         for job_id in self.dirty_job_ids:
             job = self.job_by_id.get(job_id)
             if job is not None:
-                progress = copy.deepcopy(job.progress)
+                progress = job.progress.copy_to_store()
                 records.append(_records.ProgressRecord(job_id, progress))
         self.dirty_job_ids.clear()
         if self.roster_changed:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
@@ -73,9 +74,12 @@
             elif isinstance(record, _records.LearnedHeadroomRecord):
                 cell.sharing.restore_learned(record)
         for job_id, accepted in accepted_by_id.items():
+            progress = progress_by_id.get(job_id, _progress.JobProgress())
+            if progress.state.is_final and accepted.spec.steps:
+                cell.unshortened_job_ids.add(job_id)
             cell.job_by_id[job_id] = _jobs.restore_job(
                 accepted,
-                progress_by_id.get(job_id, _progress.JobProgress()),
+                progress,
                 now_s=now.boot_s,
                 wall_s=now.wall_s,
             )
@@ -385,12 +389,39 @@
             now.boot_s - confirmed_s < cell.times.max_unconfirmed_s
         )
         self._renewals.tick(now)
+        self._shorten_finished_jobs(now)
         self._forget_finished_jobs(now)
         if now.boot_s >= cell.next_learned_record_s:
             cell.next_learned_record_s = now.boot_s + LEARNED_RECORD_INTERVAL_S
             cell.records.append(cell.sharing.export_learned())
         self._placer.place_waiting_tasks(now)
 
+    def _shorten_finished_jobs(self, now: _time.Now) -> None:
+        """Drops payload and steps of finished jobs, in memory and in the store.
+
+        A job keeps them until its final state is stored, without which it
+        would have to go on, and while a run of it may exist, because a
+        successor needs the step to know what the run occupies.
+        """
+        cell = self.cell
+        if now.boot_s < cell.next_shorten_finished_s:
+            return
+        cell.next_shorten_finished_s = now.boot_s + SHORTEN_FINISHED_INTERVAL_S
+        ready_ids = cell.unshortened_job_ids - cell.unstored_final_job_ids
+        if not ready_ids or cell.has_inherited_runs:
+            return
+        ready_ids -= {
+            run.task.job
+            for executor in cell.executor_by_id.values()
+            for run in executor.run_by_key.values()
+        }
+        for job_id in itertools.islice(ready_ids, MAX_SHORTENED_AT_ONCE):
+            cell.unshortened_job_ids.discard(job_id)
+            job = cell.job_by_id.get(job_id)
+            if job is not None and job.progress.state.is_final:
+                job.accepted = job.accepted.without_spec()
+                cell.records.append(_records.JobRecord(job.accepted))
+
     def _forget_finished_jobs(self, now: _time.Now) -> None:
         """Removes jobs that finished longer ago than the retention time."""
         cell = self.cell
@@ -466,6 +497,16 @@
 }
 """Seconds without placement on an executor after it refused a start order."""
 
+SHORTEN_FINISHED_INTERVAL_S = 1.0
+"""Interval between searches for finished jobs to shorten, in seconds."""
+
+MAX_SHORTENED_AT_ONCE = 100
+"""Most finished jobs whose records are shortened with one batch.
+
+After a take-over from an earlier build there may be thousands; in one batch,
+they would delay the acceptances in it.
+"""
+
 FORGET_FINISHED_INTERVAL_S = 5.0
 """Interval between searches for finished jobs to remove, in seconds."""
 
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -1,5 +1,6 @@
 """Stored progress of jobs, which must survive the loss of every process."""
 
+import copy
 import dataclasses
 import enum
 
@@ -54,6 +55,18 @@
     )
     finished_wall_s: float = 0.0
 
+    def copy_to_store(self) -> "JobProgress":
+        """Returns a copy of what a successor needs to know.
+
+        Of a final state that is neither tasks nor failures nor checkpoints,
+        because none of the job's tasks will start again.
+        """
+        if self.state.is_final:
+            return JobProgress(
+                state=self.state, finished_wall_s=self.finished_wall_s
+            )
+        return copy.deepcopy(self)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AcceptedJob:
@@ -62,7 +75,8 @@
     Attributes:
         id: Job id chosen by the client.
         queue: The queue as configured at acceptance.
-        spec: Specification of the job.
+        spec: Specification of the job; without steps for a finished job whose
+            record was shortened.
         accepted_wall_s: Time of acceptance, in seconds since the Unix epoch.
     """
 
@@ -70,3 +84,9 @@
     queue: _configuration.Queue
     spec: _job_spec.JobSpec
     accepted_wall_s: float
+
+    def without_spec(self) -> "AcceptedJob":
+        """Returns the job without payload and steps, as kept once finished."""
+        return dataclasses.replace(
+            self, spec=_job_spec.JobSpec(payload="", steps=())
+        )
