Store large batches over narrow links

A scheduler on an instance with a link of 5 Mbit/s could never store a batch of 600 kB and more: acceptances and cancels had no answer from then on. Cause: a batch was cut into parts of 1 MB and each call was given up after 0.12 to 1.0 s, whatever it had to send, and sent again in full.

Change: a part has 64 kB, which takes 0.1 s over such a link, and the timeout is longer by the time that the body takes at 250 kB/s. The second is needed for a single large record (up to 262,144 bytes), which no cut makes smaller.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -233,4 +233,20 @@
         "if not ready_ids:",
         f"{_TESTS}/test_finished_jobs.py",
     ),
+    _mutation(
+        "batch-in-one-append",
+        "acceptance",
+        "src/basiljunction/transport/jobs/_journal.py",
+        "limit = min(MAX_CHUNK_BYTES, self._settings.max_append_bytes // 2)",
+        "limit = self._settings.max_append_bytes // 2",
+        "tests/transport/jobs/test_journal_appends.py",
+    ),
+    _mutation(
+        "timeout-without-the-size-of-the-body",
+        "acceptance",
+        "src/basiljunction/transport/jobs/_call_pace.py",
+        "self.timeout_s + byte_count / SLOW_LINK_BYTES_PER_S",
+        "self.timeout_s + byte_count * 0",
+        "tests/transport/jobs/test_journal_appends.py",
+    ),
 )
--- a/src/basiljunction/transport/jobs/_call_pace.py
+++ b/src/basiljunction/transport/jobs/_call_pace.py
@@ -16,6 +16,12 @@
 ANSWER_TIME_FACTOR = 4.0
 """Timeout as a multiple of the mean answer time."""
 
+SLOW_LINK_BYTES_PER_S = 250_000
+"""Rate at which a body is expected to be sent at least, in bytes a second.
+
+It is two fifths of a link of 5 Mbit/s, which other calls share.
+"""
+
 ANSWER_TIME_SMOOTHING = 0.3
 """Weight of the newest answer in the moving mean of answer times, 0 to 1."""
 
@@ -37,6 +43,14 @@
         base_s = max(MIN_TIMEOUT_S, ANSWER_TIME_FACTOR * self._mean_answer_s)
         return min(MAX_TIMEOUT_S, base_s * 2.0**self._consecutive_timeouts)
 
+    def timeout_for_body_s(self, byte_count: int) -> float:
+        """Returns the timeout of the next attempt with a body of that size.
+
+        A call that is given up while its body is being sent has to send all of
+        it again.
+        """
+        return self.timeout_s + byte_count / SLOW_LINK_BYTES_PER_S
+
     def record_answer(self, took_s: float) -> None:
         """Records an answer that took `took_s` seconds; ends the doubling."""
         self._mean_answer_s += ANSWER_TIME_SMOOTHING * (
--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -28,6 +28,13 @@
 MAX_APPEND_S = 1.0
 """Time in seconds after which an append shows that the store is impaired."""
 
+MAX_CHUNK_BYTES = 65_536
+"""Size above which a batch is stored with several appends, in bytes.
+
+An append of that size takes 0.1 s over a link of 5 Mbit/s, so that a lost
+answer or a link that other calls share costs little to send again.
+"""
+
 _log = structlog.get_logger()
 
 
@@ -87,6 +94,7 @@
         self._sequence = 0
         self._append_timeout = _call_pace.AdaptiveTimeout()
         self._call_sent_boot_s = 0.0
+        self._call_timeout_s = 0.0
         self._batch: _orders.Batch | None = None
         self._unstored_chunks: list[tuple[_job_records.KeyedRecord, ...]] = []
         self._append_started_boot_s = 0.0
@@ -147,11 +155,14 @@
     def _split_into_chunks(
         self, records: list[_job_records.KeyedRecord]
     ) -> list[tuple[_job_records.KeyedRecord, ...]]:
-        """Splits records, in order, into chunks that fit into one append."""
+        """Splits records, in order, into chunks of one append each.
+
+        A record that is larger than a chunk gets one of its own.
+        """
         chunks: list[tuple[_job_records.KeyedRecord, ...]] = []
         chunk: list[_job_records.KeyedRecord] = []
         size = 0
-        limit = self._settings.max_append_bytes // 2
+        limit = min(MAX_CHUNK_BYTES, self._settings.max_append_bytes // 2)
         for record in records:
             length = len(record.key) + len(record.value)
             if chunk and size + length > limit:
@@ -169,13 +180,16 @@
         """Sends a fenced append of the records with the current sequence."""
         self._is_calling = True
         self._call_sent_boot_s = self._clock().boot_s
+        self._call_timeout_s = self._append_timeout.timeout_for_body_s(
+            sum(len(each.key) + len(each.value) for each in records)
+        )
         call = _store.make_append_call(
             self._settings.address,
             _store.JOB_TOPIC,
             0,
             records,
             fence=_store.AppendFence(self.epoch, self._sequence),
-            timeout_s=self._append_timeout.timeout_s,
+            timeout_s=self._call_timeout_s,
         )
         self._calls.send(call, on_reply)
 
@@ -185,7 +199,7 @@
         if reply.has_complete_reply:
             self._append_timeout.record_answer(took_s)
             return False
-        if took_s < self._append_timeout.timeout_s:
+        if took_s < self._call_timeout_s:
             return False  # Refused or reset: no sample of the answer time.
         self._append_timeout.record_timeout()
         return True
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -32,6 +32,9 @@
 MAX_PAGE_BYTES = 1_000_000
 """Size of a page of the newest records above which it ends, in bytes."""
 
+RECEIVE_BYTES = 8192
+"""Size of a piece of a body that a narrow link carries at once, in bytes."""
+
 SEND_INTERVAL_S = 0.02
 """Time between two pieces of an answer over a narrow link, in seconds."""
 
@@ -65,6 +68,27 @@
         self.records.append(record)
 
 
+class Link:
+    """A link that carries the bodies of all calls in one direction.
+
+    Attributes:
+        bytes_per_s: Rate, in bytes a second; infinite for a link that is never
+            the bottleneck.
+    """
+
+    def __init__(self) -> None:
+        self.bytes_per_s = float("inf")
+        self._lock = threading.Lock()
+        self._free_s = 0.0
+
+    def carry(self, byte_count: int) -> None:
+        """Waits until the link has carried these bytes after earlier ones."""
+        with self._lock:
+            begin_s = max(time.monotonic(), self._free_s)
+            self._free_s = end_s = begin_s + byte_count / self.bytes_per_s
+        time.sleep(max(0.0, end_s - time.monotonic()))
+
+
 class Platform:
     """The platform, with a store and executors that send heartbeats.
 
@@ -76,6 +100,8 @@
         is_down: Whether the store answers every call with an error.
         store_bytes_per_s: Rate at which the store's answers arrive, in bytes a
             second; infinite for a link that is never the bottleneck.
+        link_to_store: Link that all calls to the store share.
+        append_sizes: Size of the body of each append that arrived, in bytes.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -86,6 +112,8 @@
         self.topics: dict[str, Topic] = collections.defaultdict(Topic)
         self.is_down = False
         self.store_bytes_per_s = float("inf")
+        self.link_to_store = Link()
+        self.append_sizes: list[int] = []
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
@@ -293,6 +321,22 @@
 class _StoreHandler(_Handler):
     """Handles appends to and reads from the topics of the store."""
 
+    def read_body(self) -> bytes:
+        """Returns the body at the rate of the link from the caller.
+
+        A body whose caller has given up still arrives, as on a real link.
+        """
+        pieces = []
+        left = int(self.headers.get("Content-Length") or 0)
+        while left > 0:
+            piece = self.rfile.read(min(left, RECEIVE_BYTES))
+            if not piece:
+                break
+            self.owner.link_to_store.carry(len(piece))
+            pieces.append(piece)
+            left -= len(piece)
+        return b"".join(pieces)
+
     def write_body(self, body: bytes) -> None:
         """Writes the body at the rate of the link to the caller."""
         rate = self.owner.store_bytes_per_s
@@ -315,6 +359,7 @@
             self.send_reply(503, b"{}")
             return
         with self.owner.lock:
+            self.owner.append_sizes.append(len(body))
             status, answer = _append_to_topic(
                 self.owner.topics[query["Topic"]], query, body
             )
--- a/tests/transport/jobs/test_call_pace.py
+++ b/tests/transport/jobs/test_call_pace.py
@@ -60,3 +60,9 @@
         for _ in range(50):
             pace.record_timeout()
         assert pace.timeout_s == _call_pace.MAX_TIMEOUT_S
+
+    def test_a_body_adds_the_time_that_it_takes_over_a_slow_link(self) -> None:
+        pace = _call_pace.AdaptiveTimeout()
+        added_s = pace.timeout_for_body_s(125_000) - pace.timeout_s
+        assert added_s == 125_000 / _call_pace.SLOW_LINK_BYTES_PER_S
+        assert pace.timeout_for_body_s(0) == pace.timeout_s
