Start lasting tasks that lost their run first

Seen by callers: LOST. A lasting task whose run failed or was lost was not started again for as long as more short tasks waited than the scheduler can start, although executors had room for it.

Cause: placement is ordered by priority, then short before lasting, and a pass starts at most 40 tasks. With more short tasks waiting than that, a pass never came to the lasting ones. A start that was refused also began the task's wait anew.

Change: a lasting task that lost a confirmed run is urgent at once; one that was preempted, or that has not run yet, after 4 s, so that it doesn't take back the room that a short task asked for. Urgent starts go first, the longest urgent first, with at most 20 of the 40 starts of a pass. Starts that never ran don't renew the wait. After a take-over, lasting tasks without a run are urgent at once.

Evidence: in the rig with 20 executors of 64 cores, mostly free, and 80 short tasks handed in a pass, 0 of 6 failed lasting tasks ran 1 s after their end; now 6. Without the change 6 of the 7 tests fail; the seventh guards the room of preempting tasks. The four mutations are noticed.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -52,6 +52,43 @@
         f"{_TESTS}/test_copies.py",
         f"{_TESTS}/test_scheduler.py",
     ),
+    _mutation(
+        "urgent-starts-not-first",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_placer.py",
+        "        if urgent_from_s <= now.boot_s\n",
+        "        if False\n",
+        f"{_TESTS}/test_lasting.py",
+    ),
+    _mutation(
+        "urgent-starts-without-limit",
+        "short tasks start",
+        f"{_SCHEDULING}/_placer.py",
+        "MAX_URGENT_STARTS_PER_PASS = 20",
+        "MAX_URGENT_STARTS_PER_PASS = 40",
+        f"{_TESTS}/test_lasting.py",
+    ),
+    _mutation(
+        "preempted-task-takes-its-room-back",
+        "short tasks start",
+        f"{_SCHEDULING}/_cell_state.py",
+        "_limits.LASTING_START_PATIENCE_S if run.is_preempted else 0.0",
+        "0.0",
+        f"{_TESTS}/test_lasting.py",
+    ),
+    _mutation(
+        "refused-start-begins-the-wait-anew",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_cell_state.py",
+        "        if run.step.runs_until_cancelled and run.was_confirmed:\n"
+        "            patience_s = (\n"
+        "                _limits.LASTING_START_PATIENCE_S if run.is_preempted "
+        "else 0.0\n"
+        "            )\n",
+        "        if run.step.runs_until_cancelled:\n"
+        "            patience_s = _limits.LASTING_START_PATIENCE_S\n",
+        f"{_TESTS}/test_lasting.py",
+    ),
     _mutation(
         "inherited-jobs-not-held",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -178,7 +178,8 @@
         """Removes a run that certainly no longer runs from its executor.
 
         If it was the current run of an unfinished task, the task waits again
-        for `delay_s` and resumes from the run's checkpoint.
+        for `delay_s` and resumes from the run's checkpoint. If a task that runs
+        until cancelled loses a confirmed run, its next start is urgent.
         """
         executor.remove_run(run)
         self.needs_placing = True
@@ -193,6 +194,13 @@
         if run.checkpoint:
             place = place_in_job(run.task)
             job.progress.checkpoint_by_position[place] = run.checkpoint
+        if run.step.runs_until_cancelled and run.was_confirmed:
+            patience_s = (
+                _limits.LASTING_START_PATIENCE_S if run.is_preempted else 0.0
+            )
+            job.urgent_from_s_by_place[place_in_job(run.task)] = (
+                now.boot_s + patience_s
+            )
         job.requeue_task(place_in_job(run.task), now.boot_s, delay_s)
 
     def supersede_run(
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -44,6 +45,8 @@
         done_count_by_step: Successful tasks by occurrence and step.
         failed_executor_ids_by_place: Executors on which each task has failed,
             as far as this scheduler knows.
+        urgent_from_s_by_place: Time from which the start of a task that runs
+            until cancelled goes before short tasks.
         rate_by_place: Executor and newest measured speed of each task, in
             percent of the task's work per second.
     """
@@ -68,6 +71,9 @@
     failed_executor_ids_by_place: dict[_progress.TaskPosition, set[str]] = (
         dataclasses.field(default_factory=dict)
     )
+    urgent_from_s_by_place: dict[_progress.TaskPosition, float] = (
+        dataclasses.field(default_factory=dict)
+    )
     rate_by_place: dict[_progress.TaskPosition, tuple[str, float]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -126,7 +132,10 @@
     def _open_step(
         self, key: tuple[int, int], step: _job_spec.StepSpec, now_s: float
     ) -> None:
-        """Queues the tasks of a step that are neither done nor running."""
+        """Queues the tasks of a step that are neither done nor running.
+
+        Lasting tasks of an earlier term have probably lost their run.
+        """
         self.opened_steps.add(key)
         ready_s_by_index = {
             index: now_s
@@ -138,6 +147,30 @@
             self.waiting_tasks_by_step[key] = WaitingTasks(
                 *key, ready_s_by_index
             )
+        if step.runs_until_cancelled:
+            patience_s = _limits.LASTING_START_PATIENCE_S
+            urgent_from_s = now_s + (0.0 if self.is_inherited else patience_s)
+            for index in ready_s_by_index:
+                self.urgent_from_s_by_place.setdefault(
+                    (*key, index), urgent_from_s
+                )
+
+    def is_start_urgent(
+        self, place: _progress.TaskPosition, now_s: float
+    ) -> bool:
+        """Returns whether a waiting task's start goes before short tasks."""
+        return now_s >= self.urgent_from_s_by_place.get(place, float("inf"))
+
+    def earliest_urgent_start_s(self) -> float:
+        """Returns when the first of the waiting tasks' starts is urgent."""
+        return min(
+            (
+                self.urgent_from_s_by_place.get((*key, index), float("inf"))
+                for key, waiting_tasks in self.waiting_tasks_by_step.items()
+                for index in waiting_tasks.ready_s_by_index
+            ),
+            default=float("inf"),
+        )
 
     def requeue_task(
         self, place: _progress.TaskPosition, now_s: float, delay_s: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -44,6 +44,11 @@
 TASK_RESTART_DELAY_S = 0.1
 """Delay before a failed task is started again, in seconds."""
 
+LASTING_START_PATIENCE_S = 4.0
+"""Time for which the start of a task that runs until cancelled may wait behind
+short tasks, if no run was lost, in seconds; two thirds of the time after which
+a task without a run counts as lost while there is capacity."""
+
 RUNS_PER_EPOCH = 1 << 20
 """Number of run numbers reserved for one epoch, so that run numbers of a later
 epoch are always higher."""
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -1,5 +1,6 @@
 """Placement of waiting tasks on executors, as start orders."""
 
+from collections.abc import Iterable
 from collections.abc import Set
 import dataclasses
 
@@ -21,6 +22,10 @@
 At 0.3 ms each they delay other events by 12 ms.
 """
 
+MAX_URGENT_STARTS_PER_PASS = 20
+"""Most urgent starts of lasting tasks that go before all others in one
+placement pass: half of its starts, so that short tasks keep the other half."""
+
 RETRY_ELSEWHERE_S = 1.0
 """How long a failed task waits for an executor on which it has not failed, in
 seconds: a third of the time in which a task must start if capacity is free."""
@@ -69,6 +74,7 @@
         self._unplaceable_size_by_kind: dict[
             tuple[str, str | None], _job_spec.Resources
         ] = {}
+        self._unplaceable_steps: set[tuple[str, int, int]] = set()
 
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
         """Returns whether each step of a job fits some executor when empty.
@@ -91,6 +97,7 @@
     def place_waiting_tasks(self, now: _time.Now) -> None:
         """Orders the start of waiting tasks that fit, in order of rank.
 
+        Urgent starts of lasting tasks go first, up to a share of the pass.
         Does nothing without a confirmed term, or too soon after the last pass.
         """
         cell = self._cell
@@ -105,6 +112,7 @@
         cell.needs_placing = False
         self._last_pass_s = now.boot_s
         self._unplaceable_size_by_kind.clear()
+        self._unplaceable_steps.clear()
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
         for executor in cell.executor_by_id.values():
             if executor.accepts_new_tasks(now.boot_s):
@@ -113,15 +121,49 @@
                 ).append(executor)
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
-        budget = MAX_STARTS_PER_PASS
+        urgent_budget = self._place_jobs(
+            _jobs_with_urgent_starts(jobs, now),
+            executors_by_service,
+            MAX_URGENT_STARTS_PER_PASS,
+            now,
+            urgent_only=True,
+        )
+        started = MAX_URGENT_STARTS_PER_PASS - urgent_budget
+        budget = self._place_jobs(
+            jobs, executors_by_service, MAX_STARTS_PER_PASS - started, now
+        )
+        cell.needs_placing |= budget <= 0
+
+    def _place_jobs(
+        self,
+        jobs: Iterable[_jobs.Job],
+        executors_by_service: dict[str, list[_executors.ExecutorState]],
+        budget: int,
+        now: _time.Now,
+        *,
+        urgent_only: bool = False,
+    ) -> int:
+        """Places the waiting tasks of jobs in turn while the budget lasts.
+
+        Args:
+            jobs: The jobs, the first to place first.
+            executors_by_service: Executors that accept new tasks.
+            budget: Tasks that this pass may still start.
+            now: The time.
+            urgent_only: Whether to place only urgent starts.
+
+        Returns:
+            The remaining budget, which a gang may exceed.
+        """
         for job in jobs:
-            executors = executors_by_service.get(job.queue.service)
-            if not executors:
-                continue
-            budget = self._place_job(job, executors, budget, now)
             if budget <= 0:
-                cell.needs_placing = True
-                return
+                break
+            executors = executors_by_service.get(job.queue.service)
+            if executors:
+                budget = self._place_job(
+                    job, executors, budget, now, urgent_only=urgent_only
+                )
+        return budget
 
     def _ranked_waiting_jobs(self, now: _time.Now) -> list[_jobs.Job]:
         """Returns the jobs with waiting tasks, the first to place first.
@@ -243,6 +285,7 @@
                 by_job=job.id,
                 waited_s=round(waited_s, 3),
             )
+            run.is_preempted = True
             run.mark_stopping(now.boot_s)
 
     def _place_job(
@@ -251,6 +294,8 @@
         executors: list[_executors.ExecutorState],
         budget: int,
         now: _time.Now,
+        *,
+        urgent_only: bool,
     ) -> int:
         """Places the waiting tasks of a job.
 
@@ -259,6 +304,7 @@
             executors: Executors of its service that accept new tasks.
             budget: Tasks that this pass may still start.
             now: The time.
+            urgent_only: Whether to place only urgent starts.
 
         Returns:
             The remaining budget.
@@ -271,10 +317,15 @@
                     key, executors, now.boot_s
                 )
             budget = self._place_step_tasks(
-                job, waiting_tasks, approved_executors, budget, now
+                job,
+                waiting_tasks,
+                approved_executors,
+                budget,
+                now,
+                urgent_only=urgent_only,
             )
             if budget <= 0:
-                return 0
+                return budget
             if (
                 job.queue.approval is not None
                 and waiting_tasks.ready_s_by_index
@@ -289,25 +340,40 @@
         executors: list[_executors.ExecutorState],
         budget: int,
         now: _time.Now,
+        *,
+        urgent_only: bool,
     ) -> int:
         """Places the waiting tasks of one step; returns the remaining budget.
 
         It stops at the first task that cannot be placed.
         """
+        key = (waiting_tasks.occurrence, waiting_tasks.step)
+        if (job.id, *key) in self._unplaceable_steps:
+            return budget
         step = job.spec.steps[waiting_tasks.step]
         if step.gang:
+            if urgent_only and not any(
+                job.is_start_urgent((*key, index), now.boot_s)
+                for index in waiting_tasks.ready_s_by_index
+            ):
+                return budget
             return budget - self._place_gang(job, waiting_tasks, executors, now)
         for index, ready_s in list(waiting_tasks.ready_s_by_index.items()):
             waited_s = now.boot_s - ready_s
-            if waited_s < 0:
+            is_urgent = job.is_start_urgent((*key, index), now.boot_s)
+            if waited_s < 0 or (urgent_only and not is_urgent):
                 continue
-            if not self._may_start_beside_short_tasks(job, step, waited_s):
+            if not is_urgent and not self._may_start_beside_short_tasks(
+                job, step, waited_s
+            ):
                 break
             task = _job_spec.TaskId(
                 job.id, waiting_tasks.occurrence, waiting_tasks.step, index
             )
             chosen = self._choose_executor(job, task, waited_s, executors)
             if chosen is None:
+                if urgent_only:
+                    self._unplaceable_steps.add((job.id, *key))
                 self._preempt_lasting_run(job, step, waited_s, executors, now)
                 break
             self._start_run(
@@ -315,7 +381,7 @@
             )
             budget -= 1
             if budget <= 0:
-                return 0
+                break
         return budget
 
     def _request_approval(
@@ -492,6 +558,23 @@
         return next((value for value in values if value), "")
 
 
+def _jobs_with_urgent_starts(
+    jobs: Iterable[_jobs.Job], now: _time.Now
+) -> list[_jobs.Job]:
+    """Returns the jobs with urgent starts, the longest urgent first."""
+    urgent_from_s_and_job = [
+        (job.earliest_urgent_start_s(), job)
+        for job in jobs
+        if job.spec.has_lasting_step
+    ]
+    urgent_from_s_and_job.sort(key=lambda pair: pair[0])
+    return [
+        job
+        for urgent_from_s, job in urgent_from_s_and_job
+        if urgent_from_s <= now.boot_s
+    ]
+
+
 def _executor_ids_to_avoid(
     job: _jobs.Job,
     step: _job_spec.StepSpec,
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -339,8 +339,7 @@
         if report.checkpoint:
             run.checkpoint = report.checkpoint
         if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
-            run.phase = _runs.RunPhase.RUNNING
-            run.phase_since_s = now.boot_s
+            run.mark_running(now.boot_s)
 
     def _adopt_run(
         self,
@@ -363,6 +362,7 @@
             step=step or _PLACEHOLDER_STEP,
             phase=_runs.RunPhase.RUNNING,
             phase_since_s=now.boot_s,
+            was_confirmed=True,
         )
         executor.add_run(run)
         is_free = report.task not in cell.current_run_by_task
@@ -446,6 +446,7 @@
         else:
             is_current = run is current or run.is_superseded
             run.checkpoint = end.checkpoint or run.checkpoint
+            run.was_confirmed = True
             if job is not None and end.kind is _executor.RunEndKind.DONE:
                 _slowness.record_completed_rate(executor, run, job, now.boot_s)
         if job is not None and cell.find_step(end.task):
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -37,6 +37,8 @@
         phase: Phase of the run.
         phase_since_s: When the phase began.
         checkpoint: Newest checkpoint, from which a later run can resume.
+        was_confirmed: Whether the executor has confirmed or listed it.
+        is_preempted: Whether it was stopped in favor of a short task.
         is_superseded: Whether its task was requeued to run a second time
             beside it.
         started_without_checkpoint: Whether it is known to have started without
@@ -68,6 +70,8 @@
     phase: RunPhase
     phase_since_s: float
     checkpoint: str = ""
+    was_confirmed: bool = False
+    is_preempted: bool = False
     is_superseded: bool = False
     started_without_checkpoint: bool = False
     progress_percent: float = 0.0
@@ -86,6 +90,12 @@
     next_stop_order_s: float = 0.0
     stop_answered_s: float | None = None
 
+    def mark_running(self, now_s: float) -> None:
+        """Marks the run as running, as its executor confirmed."""
+        self.phase = RunPhase.RUNNING
+        self.phase_since_s = now_s
+        self.was_confirmed = True
+
     def mark_stopping(self, now_s: float) -> None:
         """Marks the run as stopping, with a stop order due at once."""
         if self.phase is RunPhase.STOPPING:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -264,11 +264,11 @@
             return
         if run.phase is not _runs.RunPhase.ORDERED:
             return
-        run.phase_since_s = now.boot_s
         if result is _orders.StartResult.STARTED:
-            run.phase = _runs.RunPhase.RUNNING
+            run.mark_running(now.boot_s)
         else:
             run.phase = _runs.RunPhase.UNSETTLED
+            run.phase_since_s = now.boot_s
 
     def handle_stop_answer(
         self, order: _orders.StopOrder, is_answered: bool, now: _time.Now
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -223,6 +223,12 @@
             elif self.rig.now_s >= run.end_s and not self.is_hanging:
                 self._end_run(key, run.kind)
 
+    def fail_lasting_runs(self) -> None:
+        """Ends all runs that last until cancelled as failed."""
+        for key, run in list(self.run_by_key.items()):
+            if run.step.runs_until_cancelled:
+                self._end_run(key, _executor.RunEndKind.FAILED)
+
     def _end_run(self, key: RunKey, kind: _executor.RunEndKind) -> None:
         """Ends a run, if it is running, and adds the end to the reports."""
         if self.run_by_key.pop(key, None) is None:
@@ -412,6 +418,15 @@
         if result is not None and result.value != "accepted":
             self.refused_jobs.add(accepted.id)
 
+    def count_lasting_runs(self) -> int:
+        """Returns how many runs that last until cancelled are active."""
+        return sum(
+            run.step.runs_until_cancelled
+            for executor in self.executor_by_id.values()
+            if executor.is_up
+            for run in executor.run_by_key.values()
+        )
+
     def cancel(self, job_id: str) -> None:
         """Cancels a job; does nothing if the scheduler does not know it."""
         with contextlib.suppress(KeyError):
--- /dev/null
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -0,0 +1,150 @@
+"""Tests that tasks that last until cancelled run again soon after an end."""
+
+import collections
+
+import pytest
+
+from basiljunction.coordination.scheduling import _limits
+from basiljunction.state.workload import _job_spec
+import cell_rig
+import workload_builders as build
+
+_RESTART_S = 1.0
+"""Longest time in which a lost lasting task has to run again, in seconds."""
+
+_LASTING_JOB_ID = "f0"
+
+
+def _make_large_rig() -> cell_rig.CellRig:
+    """Returns a rig with 20 executors of 64 cores."""
+    capacity = _job_spec.Resources(64_000, 64_000, 0)
+    return cell_rig.CellRig(
+        *(
+            build.executor_entry(f"e{number}", capacity=capacity)
+            for number in range(20)
+        )
+    )
+
+
+def _run_overloaded(rig: cell_rig.CellRig, seconds: float) -> None:
+    """Runs with twice the short tasks that the scheduler can start."""
+    for _ in range(round(seconds / cell_rig.STEP_S)):
+        number = len(rig.spec_by_job)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=80), job_id=f"a{number:015x}"
+            )
+        )
+        rig.step()
+
+
+def _submit_lasting(
+    rig: cell_rig.CellRig, *, count: int = 6, priority: int = 0
+) -> None:
+    """Submits a job of lasting tasks of one core."""
+    rig.submit(
+        build.accepted_job(
+            build.step_spec(count=count, runs_until_cancelled=True),
+            job_id=_LASTING_JOB_ID,
+            in_queue=build.queue("watch", priority=priority),
+        )
+    )
+
+
+class TestBesideManyShortTasks:
+    """More short tasks wait than the scheduler can start, with room free."""
+
+    @pytest.mark.parametrize("priority", [0, 1])
+    def test_a_failed_task_runs_again_at_once(self, priority: int) -> None:
+        rig = _make_large_rig()
+        rig.run(1)
+        _submit_lasting(rig, priority=priority)
+        rig.run(1)
+        assert rig.count_lasting_runs() == 6
+        _run_overloaded(rig, 1)
+        for executor in rig.executor_by_id.values():
+            executor.fail_lasting_runs()
+        assert rig.count_lasting_runs() == 0
+        _run_overloaded(rig, _RESTART_S)
+        assert rig.count_lasting_runs() == 6
+
+    def test_a_new_task_starts_before_it_counts_as_lost(self) -> None:
+        rig = _make_large_rig()
+        rig.run(1)
+        _run_overloaded(rig, 1)
+        _submit_lasting(rig)
+        _run_overloaded(rig, _limits.LASTING_START_PATIENCE_S + _RESTART_S)
+        assert rig.count_lasting_runs() == 6
+
+    def test_refused_starts_do_not_begin_the_wait_anew(self) -> None:
+        rig = _make_large_rig()
+        rig.run(1)
+        for executor in rig.executor_by_id.values():
+            executor.refuses_for_capacity = True
+        _submit_lasting(rig)
+        rig.run(_limits.LASTING_START_PATIENCE_S)
+        assert rig.count_lasting_runs() == 0
+        for executor in rig.executor_by_id.values():
+            executor.refuses_for_capacity = False
+        _run_overloaded(rig, _RESTART_S)
+        assert rig.count_lasting_runs() == 6
+
+    def test_a_lost_task_runs_again_after_a_take_over(self) -> None:
+        rig = _make_large_rig()
+        rig.run(1)
+        _submit_lasting(rig)
+        rig.run(1)
+        for executor in rig.executor_by_id.values():
+            executor.restart()
+        rig.take_over()
+        _run_overloaded(rig, _RESTART_S)
+        assert rig.count_lasting_runs() == 6
+
+    def test_many_lost_tasks_leave_half_of_the_starts_to_short_ones(
+        self,
+    ) -> None:
+        rig = _make_large_rig()
+        rig.run(1)
+        _submit_lasting(rig, count=400)
+        rig.run(1)
+        assert rig.count_lasting_runs() == 400
+        _run_overloaded(rig, 1)
+        for executor in rig.executor_by_id.values():
+            executor.restart()
+        rig.starts.clear()
+        _run_overloaded(rig, 1)
+        starts_by_s = collections.Counter(at for at, _, _ in rig.starts)
+        lasting_starts_by_s = collections.Counter(
+            at
+            for at, _, order in rig.starts
+            if order.task.job == _LASTING_JOB_ID
+        )
+        assert lasting_starts_by_s
+        for at, count in lasting_starts_by_s.items():
+            assert count <= starts_by_s[at] / 2
+        _run_overloaded(rig, _RESTART_S)
+        assert rig.count_lasting_runs() == 400
+
+
+class TestPreempted:
+    """A task that gave way to short ones does not push them out again."""
+
+    def test_it_leaves_them_the_room_for_a_while(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(1)
+        _submit_lasting(rig, count=4)
+        rig.run(1)
+        assert rig.count_lasting_runs() == 4
+        rig.run_time_s = 2.0
+        rig.submit(build.accepted_job(build.step_spec(count=4, estimate_s=4.0)))
+        rig.run(1.5)
+        assert rig.count_lasting_runs() == 0
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=4, estimate_s=4.0), job_id="a2"
+            )
+        )
+        rig.run(2.0)
+        assert rig.count_lasting_runs() == 0
+        rig.run(4.0)
+        assert rig.count_lasting_runs() == 4
