Settle a start without an answer with renewals that don't wait

Seen by callers: a task whose start order got lost was started again only after about five seconds, and its room stayed booked.

Cause: the order's timeout, the renewal in flight, a renewal that tells that nothing runs, and one more after the stop order take about a second each, as an executor holds back its answer until a run ends, and none does.

Change: renewals don't ask the executor to wait while a start without an answer is unsettled there.

Evidence: in the rig, with executors that hold back their answers, the task runs again within 1.7 s of the lost order (the rig has no timeout); before it did not.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -89,6 +89,14 @@
         "            patience_s = _limits.LASTING_START_PATIENCE_S\n",
         f"{_TESTS}/test_lasting.py",
     ),
+    _mutation(
+        "lost-start-settled-late",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_renewals.py",
+        "            or executor.has_unconfirmed_runs()\n",
+        "",
+        f"{_TESTS}/test_lasting.py",
+    ),
     _mutation(
         "inherited-jobs-not-held",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -168,6 +168,14 @@
             + _limits.LEASE_EXPIRY_MARGIN_S
         )
 
+    def has_unconfirmed_runs(self) -> bool:
+        """Returns whether a start without an answer is still to be settled."""
+        unsettled = (_runs.RunPhase.UNSETTLED, _runs.RunPhase.STOPPING)
+        return any(
+            not run.was_confirmed and run.phase in unsettled
+            for run in self.run_by_key.values()
+        )
+
     def min_headroom(self) -> float:
         """Returns the least headroom of its serving runs; 0 if none is known.
 
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -64,7 +64,10 @@
         until_ms = None
         if cell.is_term_confirmed and not is_first and not is_retry:
             until_ms = executor.extend_lease(now.boot_s, cell.times.lease_s)
-        is_short = is_first or is_retry or unstored
+        # A run that never began has no end that would cut the wait short.
+        is_short = (
+            is_first or is_retry or unstored or executor.has_unconfirmed_runs()
+        )
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
         cell.orders.append(
@@ -338,6 +341,7 @@
         run.reported_value = report.reported_value
         if report.checkpoint:
             run.checkpoint = report.checkpoint
+        run.was_confirmed = True
         if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
             run.mark_running(now.boot_s)
 
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -310,6 +310,23 @@
     executor_born_ms: int
 
 
+@dataclasses.dataclass
+class HeldRenewal:
+    """A lease renewal whose answer an executor holds back.
+
+    Attributes:
+        due_s: Virtual time at which it is answered at the latest.
+        token: Fencing token under which it was sent.
+        order: The renewal order.
+        executor_born_ms: Incarnation of the executor that received it.
+    """
+
+    due_s: float
+    token: int
+    order: _orders.RenewalOrder
+    executor_born_ms: int
+
+
 class CellRig:
     """Drives a scheduler and simulated executors through virtual time.
 
@@ -322,6 +339,10 @@
     Attributes:
         lost_share: Share of the orders whose answer is lost.
         delayed_share: Share of the orders that are delayed and not answered.
+        holds_renewals: Whether executors hold back their answer to a renewal
+            for as long as it asks for, until a run ends.
+        held_renewals: Renewals that executors hold back.
+        loses_next_start: Whether the next start order gets lost.
         store: Stored value by key.
         spec_by_job: Specification of each submitted job, by job id.
         cancelled_s_by_job: Virtual time at which a cancel was stored.
@@ -354,6 +375,9 @@
         self.fail_share = fail_share
         self.lost_share = 0.0
         self.delayed_share = 0.0
+        self.holds_renewals = False
+        self.held_renewals: list[HeldRenewal] = []
+        self.loses_next_start = False
         self.store_is_up = True
         self.store: dict[str, bytes] = {}
         self.spec_by_job: dict[str, _job_spec.JobSpec] = {}
@@ -452,6 +476,7 @@
         self._execute_delayed_orders()
         if self.store_is_up:
             self.term_confirmed_s = self.now_s
+        self._answer_held_renewals()
         now = build.clock_readings_at(self.now_s)
         self.scheduler.run_timed_work(now, confirmed_s=self.term_confirmed_s)
         self._answer_due_approval_requests()
@@ -522,6 +547,9 @@
         ):
             executor.fails_next_renewal = False
             is_lost = True
+        if self.loses_next_start and isinstance(order, _orders.StartOrder):
+            self.loses_next_start = False
+            is_lost = True
         if not is_lost and self.rng.random() < self.delayed_share:
             due_s = self.now_s + self.rng.uniform(0.5, 8.0)
             self.delayed_orders.append(
@@ -533,6 +561,18 @@
             if is_lost
             else self._execute_order(executor, self.epoch, order)
         )
+        if (
+            self.holds_renewals
+            and isinstance(order, _orders.RenewalOrder)
+            and isinstance(answer, _executor.LeaseRenewalReply)
+            and order.wait_ms
+            and not answer.unacknowledged_ends
+        ):
+            due_s = self.now_s + order.wait_ms / 1000
+            self.held_renewals.append(
+                HeldRenewal(due_s, self.epoch, order, executor.born_ms)
+            )
+            return
         if self.rng.random() < self.lost_share:
             answer = None
         self._deliver_answer(order, answer)
@@ -575,6 +615,29 @@
                     order, now, is_other_incarnation=False
                 )
 
+    def _answer_held_renewals(self) -> None:
+        """Answers held renewals that are due or whose executor has an end."""
+        held_renewals = self.held_renewals
+        self.held_renewals = []
+        for held in held_renewals:
+            executor = self.executor_by_id[held.order.executor]
+            is_gone = (
+                not executor.is_up
+                or not executor.is_answering
+                or executor.born_ms != held.executor_born_ms
+            )
+            if held.token != self.epoch:
+                continue
+            if not is_gone and self.now_s < held.due_s and not executor.ends:
+                self.held_renewals.append(held)
+                continue
+            answer = (
+                None
+                if is_gone
+                else self._execute_order(executor, held.token, held.order)
+            )
+            self._deliver_answer(held.order, answer)
+
     def _execute_delayed_orders(self) -> None:
         """Lets executors carry out delayed orders that are due."""
         due = [each for each in self.delayed_orders if each.due_s <= self.now_s]
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -148,3 +148,21 @@
         assert rig.count_lasting_runs() == 0
         rig.run(4.0)
         assert rig.count_lasting_runs() == 4
+
+
+class TestStartsWithoutAnswer:
+    """A start that was lost on its way holds up its task only briefly."""
+
+    def test_the_task_starts_elsewhere_within_two_seconds(self) -> None:
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.holds_renewals = True
+        rig.run(1)
+        _submit_lasting(rig, count=1)
+        rig.loses_next_start = True
+        rig.run(0.2)
+        assert rig.count_lasting_runs() == 0
+        # One renewal is in flight; the next one tells that nothing runs.
+        rig.run(_limits.RENEWAL_WAIT_S + 0.5)
+        assert rig.count_lasting_runs() == 1
