--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -64,7 +64,10 @@
         until_ms = None
         if cell.is_term_confirmed and not is_first and not is_retry:
             until_ms = executor.extend_lease(now.boot_s, cell.times.lease_s)
-        is_short = is_first or is_retry or unstored
+        # A run that never began has no end that would cut the wait short.
+        is_short = (
+            is_first or is_retry or unstored or executor.has_unconfirmed_runs()
+        )
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
         cell.orders.append(
@@ -338,9 +341,9 @@
         run.reported_value = report.reported_value
         if report.checkpoint:
             run.checkpoint = report.checkpoint
+        run.was_confirmed = True
         if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
-            run.phase = _runs.RunPhase.RUNNING
-            run.phase_since_s = now.boot_s
+            run.mark_running(now.boot_s)
 
     def _adopt_run(
         self,
@@ -363,6 +366,7 @@
             step=step or _PLACEHOLDER_STEP,
             phase=_runs.RunPhase.RUNNING,
             phase_since_s=now.boot_s,
+            was_confirmed=True,
         )
         executor.add_run(run)
         is_free = report.task not in cell.current_run_by_task
@@ -446,6 +450,7 @@
         else:
             is_current = run is current or run.is_superseded
             run.checkpoint = end.checkpoint or run.checkpoint
+            run.was_confirmed = True
             if job is not None and end.kind is _executor.RunEndKind.DONE:
                 _slowness.record_completed_rate(executor, run, job, now.boot_s)
         if job is not None and cell.find_step(end.task):
