--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -1,5 +1,7 @@
 """Placement of waiting tasks on executors, as start orders."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Set
 import dataclasses
 
@@ -21,6 +23,10 @@
 At 0.3 ms each they delay other events by 12 ms.
 """
 
+MAX_URGENT_STARTS_PER_PASS = 20
+"""Most urgent starts of lasting tasks that go before all others in one
+placement pass: half of its starts, so that short tasks keep the other half."""
+
 RETRY_ELSEWHERE_S = 1.0
 """How long a failed task waits for an executor on which it has not failed, in
 seconds: a third of the time in which a task must start if capacity is free."""
@@ -69,6 +75,7 @@
         self._unplaceable_size_by_kind: dict[
             tuple[str, str | None], _job_spec.Resources
         ] = {}
+        self._unplaceable_steps: set[tuple[str, int, int]] = set()
 
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
         """Returns whether each step of a job fits some executor when empty.
@@ -91,6 +98,7 @@
     def place_waiting_tasks(self, now: _time.Now) -> None:
         """Orders the start of waiting tasks that fit, in order of rank.
 
+        Urgent starts of lasting tasks go first, up to a share of the pass.
         Does nothing without a confirmed term, or too soon after the last pass.
         """
         cell = self._cell
@@ -105,6 +113,7 @@
         cell.needs_placing = False
         self._last_pass_s = now.boot_s
         self._unplaceable_size_by_kind.clear()
+        self._unplaceable_steps.clear()
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
         for executor in cell.executor_by_id.values():
             if executor.accepts_new_tasks(now.boot_s):
@@ -113,15 +122,49 @@
                 ).append(executor)
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
-        budget = MAX_STARTS_PER_PASS
+        urgent_budget = self._place_jobs(
+            _jobs_with_urgent_starts(jobs, now),
+            executors_by_service,
+            MAX_URGENT_STARTS_PER_PASS,
+            now,
+            urgent_only=True,
+        )
+        started = MAX_URGENT_STARTS_PER_PASS - urgent_budget
+        budget = self._place_jobs(
+            jobs, executors_by_service, MAX_STARTS_PER_PASS - started, now
+        )
+        cell.needs_placing |= budget <= 0
+
+    def _place_jobs(
+        self,
+        jobs: Iterable[_jobs.Job],
+        executors_by_service: dict[str, list[_executors.ExecutorState]],
+        budget: int,
+        now: _time.Now,
+        *,
+        urgent_only: bool = False,
+    ) -> int:
+        """Places the waiting tasks of jobs in turn while the budget lasts.
+
+        Args:
+            jobs: The jobs, the first to place first.
+            executors_by_service: Executors that accept new tasks.
+            budget: Tasks that this pass may still start.
+            now: The time.
+            urgent_only: Whether to place only urgent starts.
+
+        Returns:
+            The remaining budget, which a gang may exceed.
+        """
         for job in jobs:
-            executors = executors_by_service.get(job.queue.service)
-            if not executors:
-                continue
-            budget = self._place_job(job, executors, budget, now)
             if budget <= 0:
-                cell.needs_placing = True
-                return
+                break
+            executors = executors_by_service.get(job.queue.service)
+            if executors:
+                budget = self._place_job(
+                    job, executors, budget, now, urgent_only=urgent_only
+                )
+        return budget
 
     def _ranked_waiting_jobs(self, now: _time.Now) -> list[_jobs.Job]:
         """Returns the jobs with waiting tasks, the first to place first.
@@ -243,6 +286,7 @@
                 by_job=job.id,
                 waited_s=round(waited_s, 3),
             )
+            run.is_preempted = True
             run.mark_stopping(now.boot_s)
 
     def _place_job(
@@ -251,6 +295,8 @@
         executors: list[_executors.ExecutorState],
         budget: int,
         now: _time.Now,
+        *,
+        urgent_only: bool,
     ) -> int:
         """Places the waiting tasks of a job.
 
@@ -259,6 +305,7 @@
             executors: Executors of its service that accept new tasks.
             budget: Tasks that this pass may still start.
             now: The time.
+            urgent_only: Whether to place only urgent starts.
 
         Returns:
             The remaining budget.
@@ -271,10 +318,15 @@
                     key, executors, now.boot_s
                 )
             budget = self._place_step_tasks(
-                job, waiting_tasks, approved_executors, budget, now
+                job,
+                waiting_tasks,
+                approved_executors,
+                budget,
+                now,
+                urgent_only=urgent_only,
             )
             if budget <= 0:
-                return 0
+                return budget
             if (
                 job.queue.approval is not None
                 and waiting_tasks.ready_s_by_index
@@ -289,35 +341,73 @@
         executors: list[_executors.ExecutorState],
         budget: int,
         now: _time.Now,
+        *,
+        urgent_only: bool,
     ) -> int:
         """Places the waiting tasks of one step; returns the remaining budget.
 
         It stops at the first task that cannot be placed.
         """
+        key = (job.id, waiting_tasks.occurrence, waiting_tasks.step)
+        if key in self._unplaceable_steps:
+            return budget
         step = job.spec.steps[waiting_tasks.step]
         if step.gang:
-            return budget - self._place_gang(job, waiting_tasks, executors, now)
-        for index, ready_s in list(waiting_tasks.ready_s_by_index.items()):
-            waited_s = now.boot_s - ready_s
-            if waited_s < 0:
-                continue
-            if not self._may_start_beside_short_tasks(job, step, waited_s):
-                break
-            task = _job_spec.TaskId(
-                job.id, waiting_tasks.occurrence, waiting_tasks.step, index
+            return budget - self._place_gang(
+                job, waiting_tasks, executors, now, urgent_only=urgent_only
             )
-            chosen = self._choose_executor(job, task, waited_s, executors)
+        ranking: _placement.StepRanking | None = None
+        for task, waited_s in self._tasks_to_place(
+            job, waiting_tasks, now, urgent_only=urgent_only
+        ):
+            failed_ids = _executor_ids_to_avoid(job, step, task, waited_s)
+            if ranking is None or failed_ids:
+                ranking = self._rank_executors(job, task, failed_ids, executors)
+            chosen = ranking.best_executor()
             if chosen is None:
+                if not failed_ids:
+                    self._remember_unplaceable(job, step)
+                if urgent_only:
+                    self._unplaceable_steps.add(key)
                 self._preempt_lasting_run(job, step, waited_s, executors, now)
                 break
             self._start_run(
                 job, task, chosen, self._cell.next_run_number(), now
             )
+            ranking.update_best_executor()
+            if failed_ids:
+                ranking = None  # The next task may use more executors.
             budget -= 1
             if budget <= 0:
-                return 0
+                break
         return budget
 
+    def _tasks_to_place(
+        self,
+        job: _jobs.Job,
+        waiting_tasks: _jobs.WaitingTasks,
+        now: _time.Now,
+        *,
+        urgent_only: bool,
+    ) -> Iterator[tuple[_job_spec.TaskId, float]]:
+        """Yields the tasks of a step that may start, with their waits in s.
+
+        The capacity that is kept for short tasks is checked anew for each task,
+        since starts use it up.
+        """
+        key = (waiting_tasks.occurrence, waiting_tasks.step)
+        step = job.spec.steps[waiting_tasks.step]
+        for index, ready_s in list(waiting_tasks.ready_s_by_index.items()):
+            waited_s = now.boot_s - ready_s
+            is_urgent = job.is_start_urgent((*key, index), now.boot_s)
+            if waited_s < 0 or (urgent_only and not is_urgent):
+                continue
+            if not is_urgent and not self._may_start_beside_short_tasks(
+                job, step, waited_s
+            ):
+                return
+            yield _job_spec.TaskId(job.id, *key, index), waited_s
+
     def _request_approval(
         self,
         job: _jobs.Job,
@@ -348,38 +438,51 @@
             executors=len(order.executors),
         )
 
-    def _choose_executor(
+    def _rank_executors(
         self,
         job: _jobs.Job,
         task: _job_spec.TaskId,
-        waited_s: float,
+        failed_ids: Set[str],
         executors: list[_executors.ExecutorState],
-    ) -> _executors.ExecutorState | None:
-        """Returns the executor for a task, or None if it fits nowhere.
+    ) -> _placement.StepRanking:
+        """Returns the ranking of the executors on which a task fits.
 
         Tasks at least as large as one that could not be placed earlier in the
-        pass are skipped without a search.
+        pass are not searched for.
+
+        Args:
+            job: The job.
+            task: The task.
+            failed_ids: Executors to avoid if others are left.
+            executors: Executors of its service that accept new tasks.
         """
         step = job.spec.steps[task.step]
-        kind = (job.queue.service, step.image if step.fills else None)
-        unplaceable_size = self._unplaceable_size_by_kind.get(kind)
+        unplaceable_size = self._unplaceable_size_by_kind.get(
+            _kind_of_step(job, step)
+        )
         if unplaceable_size is not None and step.size.covers(unplaceable_size):
-            return None
-        failed_ids = _executor_ids_to_avoid(job, step, task, waited_s)
-        if failed_ids:
+            executors = []
+        elif failed_ids:
             executors = _without_failed_executors(executors, failed_ids)
-        chosen = _placement.choose_executor(
-            step, task, executors, self._cell.sharing
-        )
-        is_plain = (
-            not step.required_label
-            and not step.max_per_executor
-            and job.queue.approval is None
-            and not failed_ids
-        )
-        if chosen is None and is_plain:
+        return _placement.StepRanking(step, task, executors, self._cell.sharing)
+
+    def _remember_unplaceable(
+        self, job: _jobs.Job, step: _job_spec.StepSpec
+    ) -> None:
+        """Notes for the pass that tasks of a step's size fit nowhere.
+
+        It says nothing of other steps if the step is bound to some executors.
+        """
+        if (
+            step.required_label
+            or step.max_per_executor
+            or job.queue.approval is not None
+        ):
+            return
+        kind = _kind_of_step(job, step)
+        known_size = self._unplaceable_size_by_kind.get(kind)
+        if known_size is None or not step.size.covers(known_size):
             self._unplaceable_size_by_kind[kind] = step.size
-        return chosen
 
     def _place_gang(
         self,
@@ -387,10 +490,13 @@
         waiting_tasks: _jobs.WaitingTasks,
         executors: list[_executors.ExecutorState],
         now: _time.Now,
+        *,
+        urgent_only: bool,
     ) -> int:
         """Starts all tasks of a gang step or none.
 
-        A gang is a step whose tasks only run together.
+        A gang is a step whose tasks only run together. With `urgent_only`, it
+        starts only if the start of any member is urgent.
 
         Returns:
             The number of started tasks.
@@ -400,6 +506,12 @@
             return 0
         if max(waiting_tasks.ready_s_by_index.values()) > now.boot_s:
             return 0
+        key = (waiting_tasks.occurrence, waiting_tasks.step)
+        if urgent_only and not any(
+            job.is_start_urgent((*key, index), now.boot_s)
+            for index in waiting_tasks.ready_s_by_index
+        ):
+            return 0
         first = _job_spec.TaskId(
             job.id, waiting_tasks.occurrence, waiting_tasks.step, 0
         )
@@ -492,6 +604,30 @@
         return next((value for value in values if value), "")
 
 
+def _jobs_with_urgent_starts(
+    jobs: Iterable[_jobs.Job], now: _time.Now
+) -> list[_jobs.Job]:
+    """Returns the jobs with urgent starts, the longest urgent first."""
+    urgent_from_s_and_job = [
+        (job.earliest_urgent_start_s(), job)
+        for job in jobs
+        if job.spec.has_lasting_step
+    ]
+    urgent_from_s_and_job.sort(key=lambda pair: pair[0])
+    return [
+        job
+        for urgent_from_s, job in urgent_from_s_and_job
+        if urgent_from_s <= now.boot_s
+    ]
+
+
+def _kind_of_step(
+    job: _jobs.Job, step: _job_spec.StepSpec
+) -> tuple[str, str | None]:
+    """Returns the kind of tasks that fit wherever others of the kind fit."""
+    return (job.queue.service, step.image if step.fills else None)
+
+
 def _executor_ids_to_avoid(
     job: _jobs.Job,
     step: _job_spec.StepSpec,
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -125,7 +125,7 @@
             entry = entry_by_id.get(executor_id)
             state.is_listed = entry is not None
             if entry is not None:
-                state.listing = entry
+                state.update_listing(entry)
             elif state.has_certainly_no_runs(now.boot_s):
                 del cell.executor_by_id[executor_id]
                 cell.roster_changed = True
@@ -268,11 +268,11 @@
             return
         if run.phase is not _runs.RunPhase.ORDERED:
             return
-        run.phase_since_s = now.boot_s
         if result is _orders.StartResult.STARTED:
-            run.phase = _runs.RunPhase.RUNNING
+            run.mark_running(now.boot_s)
         else:
             run.phase = _runs.RunPhase.UNSETTLED
+            run.phase_since_s = now.boot_s
 
     def handle_stop_answer(
         self, order: _orders.StopOrder, is_answered: bool, now: _time.Now
