Read large topics for as long as bytes arrive

Callers would see a new configuration, a new list of executors or a change of scheduler never reach an instance behind a narrow or busy link.

A feed gave up a read after 0.4 to 1.4 s in all, although an answer may have 1,024 KB, and began anew from zero. Besides, versions of 342 KB that are written each 0.3 s are more than a link of 5 Mbit/s carries, so a feed that reads each of them falls behind ever further.

Change: the feeds limit the silence instead (wait + 0.4 s, as long as the whole read had before) and the whole transfer to 30 s. After an answer of more than 512 KB with several records, the newest record of each key is read next, as all topics that are read by feeds are keyed.

Evidence, all over real sockets. At 156 kB/s, a configuration of 342 KB was not applied in 8 s before; the test now takes 3.0 s. At 625 kB/s, of 20 versions in a row the last one was not applied 3.0 s later; now, in runs of 13 to 22 versions, it was applied after 0.8 to 1.8 s. At 156 kB/s, 400 executors that write their entries again were not read in 5 s; now the test takes 1.5 s. All three tests failed before; the second one also fails with the mutation replaced-versions-all-read. A store that falls silent is noticed and read again within 2 s, which held before; new is that the error text names the bytes.

The stand-in's store now shares its link among answers and ends an answer to log-read at 1,024 KB.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -230,4 +230,12 @@
         f"{_TRANSPORT_TESTS}/test_http_calls.py",
         f"{_TRANSPORT_TESTS}/test_journal.py",
     ),
+    _mutation(
+        "replaced-versions-all-read",
+        "configuration",
+        f"{_TRANSPORT}/_feeds.py",
+        "self._offset = None if is_behind else page.next_offset",
+        "self._offset = page.next_offset",
+        f"{_TRANSPORT_TESTS}/test_feeds.py",
+    ),
 )
--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -166,10 +166,19 @@
     *,
     wait_s: float,
     timeout_s: float,
+    silence_limit_s: float | None = None,
 ) -> _http_call.HttpCall:
     """Builds the HTTP call that reads records from an offset.
 
-    The store waits for up to ``wait_s`` seconds for a record.
+    Args:
+        address: ``ip:port`` of the store.
+        topic: Name of the topic.
+        partition: Number of the partition.
+        from_offset: Offset of the first record.
+        wait_s: How long the store waits for a record, in seconds.
+        timeout_s: Timeout of the call, in seconds.
+        silence_limit_s: Longest time without a byte of the answer, in
+            seconds; None for no limit. It includes ``wait_s``.
     """
     query: dict[str, str | int] = {
         "Topic": topic,
@@ -181,6 +190,7 @@
         "GET",
         _url(address, "/log-read", query),
         timeout_s=timeout_s,
+        silence_limit_s=silence_limit_s,
         operation="store.read",
     )
 
--- a/src/basiljunction/transport/jobs/_feeds.py
+++ b/src/basiljunction/transport/jobs/_feeds.py
@@ -24,9 +24,10 @@
 """
 
 ANSWER_MARGIN_S = 0.4
-"""Time for the answer to a read beyond its wait, in seconds.
+"""Longest silence of the store beyond the wait of a read, in seconds.
 
-This is a hundred times the store's usual delay.
+This is a hundred times the store's usual delay. The time for the whole answer
+depends on its size and on the link.
 """
 
 RETRY_DELAY_S = 0.2
@@ -35,6 +36,12 @@
 Several attempts fit into the bound of 2 s.
 """
 
+LONG_ANSWER_BYTES = 524_288
+"""Size of an answer above which later records may have replaced its own.
+
+It takes the better part of a second over a narrow link.
+"""
+
 EXECUTOR_READ_INTERVAL_S = 0.4
 """Time between two reads of the list of executors, in seconds.
 
@@ -91,7 +98,8 @@
                 self._topic,
                 0,
                 after=self._after_key,
-                timeout_s=READ_WAIT_S + ANSWER_MARGIN_S,
+                timeout_s=_http_calls.MAX_TRANSFER_S,
+                silence_limit_s=READ_WAIT_S + ANSWER_MARGIN_S,
             )
         else:
             call = _store.make_read_call(
@@ -100,7 +108,8 @@
                 0,
                 self._offset,
                 wait_s=self._wait_s,
-                timeout_s=self._wait_s + ANSWER_MARGIN_S,
+                timeout_s=_http_calls.MAX_TRANSFER_S,
+                silence_limit_s=self._wait_s + ANSWER_MARGIN_S,
             )
         generation = self._generation
         self._calls.send(
@@ -159,10 +168,7 @@
                 self._apply_newest_page(_store.parse_newest_page(reply))
             else:
                 page = _store.parse_page(reply, self._offset)
-                self._offset = page.next_offset
-                self.apply_records(
-                    page.records, is_whole=False, end_offset=page.end_offset
-                )
+                self._apply_page(page, len(reply.body))
         except _errors.DecodeError as error:
             self.restart()
             self._next_read_boot_s = self.current_time().boot_s + RETRY_DELAY_S
@@ -172,6 +178,23 @@
             self._is_failing = False
             _log.info("feed.regained", topic=self._topic)
 
+    def _apply_page(self, page: _store.RecordPage, size: int) -> None:
+        """Applies records read from the offset on.
+
+        After several records in a long answer, the newest record of each key
+        is read next: records may be written faster than the link carries them
+        all.
+
+        Args:
+            page: The records.
+            size: Size of the answer, in bytes.
+        """
+        is_behind = len(page.records) > 1 and size > LONG_ANSWER_BYTES
+        self._offset = None if is_behind else page.next_offset
+        self.apply_records(
+            page.records, is_whole=False, end_offset=page.end_offset
+        )
+
     def _apply_newest_page(self, page: _store.NewestRecordPage) -> None:
         """Collects a page of newest records; applies all after the last."""
         self._pages += page.records
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -32,6 +32,9 @@
 MAX_PAGE_BYTES = 1_000_000
 """Size of a page of the newest records above which it ends, in bytes."""
 
+MAX_READ_BYTES = 1_048_576
+"""Most bytes of records in an answer to a read from an offset."""
+
 SEND_INTERVAL_S = 0.02
 """Time between two pieces of an answer over a narrow link, in seconds."""
 
@@ -75,7 +78,9 @@
         topics: Topics of the store, by name.
         is_down: Whether the store answers every call with an error.
         store_bytes_per_s: Rate at which the store's answers arrive, in bytes a
-            second; infinite for a link that is never the bottleneck.
+            second; infinite for a link that is never the bottleneck. Answers
+            that are sent at the same time share it.
+        link_lock: Held by the answer whose piece is on the link.
         silent_after_bytes: For each of the next reads, the bytes of the body
             after which its answer stops for ever; 0 sends no header either.
         reads: Paths, with queries, of all reads of the store, in order.
@@ -89,6 +94,7 @@
         self.topics: dict[str, Topic] = collections.defaultdict(Topic)
         self.is_down = False
         self.store_bytes_per_s = float("inf")
+        self.link_lock = threading.Lock()
         self.silent_after_bytes: list[int] = []
         self.reads: list[str] = []
         self.starts: list[str] = []
@@ -323,8 +329,9 @@
             return
         size = max(1, int(rate * SEND_INTERVAL_S))
         for begin in range(0, len(body), size):
-            self.wfile.write(body[begin : begin + size])
-            time.sleep(SEND_INTERVAL_S)
+            with self.owner.link_lock:
+                self.wfile.write(body[begin : begin + size])
+                time.sleep(SEND_INTERVAL_S)
 
     def _split_url(self) -> tuple[str, dict[str, str]]:
         url = urllib.parse.urlsplit(self.path)
@@ -387,12 +394,13 @@
         end_s = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
         while len(topic.records) <= begin and time.monotonic() < end_s:
             time.sleep(POLL_INTERVAL_S)
+        framed = bytearray()
         with self.owner.lock:
-            records = topic.records[begin:]
+            for record in topic.records[begin:]:
+                if framed and len(framed) + len(record) > MAX_READ_BYTES:
+                    break
+                framed += struct.pack(">I", len(record)) + record
             end = len(topic.records)
-        framed = b"".join(
-            struct.pack(">I", len(each)) + each for each in records
-        )
         return struct.pack(">QQ", end, 0) + framed
 
 
