--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -323,4 +323,12 @@
         "self.timeout_s + byte_count * 0",
         "tests/transport/jobs/test_journal_appends.py",
     ),
+    _mutation(
+        "replaced-versions-all-read",
+        "configuration",
+        f"{_TRANSPORT}/_feeds.py",
+        "self._offset = None if is_behind else page.next_offset",
+        "self._offset = page.next_offset",
+        f"{_TRANSPORT_TESTS}/test_feeds.py",
+    ),
 )
