Delay claims of instances that are poorly provided

Suspected: the new scheduler was one of the 32 of 40 instances whose link and processor cannot carry its traffic.

Cause: each instance claims at once when a term is open, so the many weak instances usually win.

Change: an instance compares its link and processor with those of the registered members. Its scarcer resource, as a fraction of the best provided member's, decides how much of 0.8 s it waits after the term became open; the best ones and those of unknown provision do not wait. A share of better members was the first idea, but 8 better ones of 40 give 0.16 s, less than the jitter of claims. Until its own registration was read an instance waits longest, but not for ever. In a cell without any term, all wait another 0.4 s for registrations. A refused connection opens the term when it is reported, not 0.2 s earlier. Which write the store accepts is unchanged.

The new tests fail on the old rules. The search of all courses covers two instances that differ (9 events), and shows for each state after up to 8 events that either of them, left alone, takes over.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -7,13 +7,21 @@
 scheduler that was replaced fails its next renewal. Missing renewals count only
 while the store answers this instance: an outage of the store says nothing
 about the scheduler.
+
+An instance delays its claims the longer, the less it has of what the best
+provided instance has, so that one that can carry the scheduler's traffic
+comes first. The delay decides only who claims first; the conditional write
+alone ensures that there is one scheduler.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 import random
 
+from basiljunction.coordination.leadership import _ranking
 from basiljunction.state.workload import _leadership
+from basiljunction.state.workload import _provision
 
 RENEWAL_INTERVAL_S = 0.6
 """Interval between renewals of a term, in seconds."""
@@ -26,6 +34,20 @@
 """Upper bound of the random delay before a claim, in seconds; most candidates
 then read another's claim before they write their own."""
 
+MAX_PROVISION_DELAY_S = 0.8
+"""Upper bound of the delay of a claim for lack of provision, in seconds.
+
+It is longer than a claim of a better provided instance takes, with its jitter,
+to be read by all, and shorter than calls wait for a scheduler.
+"""
+
+SETTLING_TIME_S = 0.4
+"""Additional delay of claims in a cell without any term, in seconds.
+
+Instances that start together register their provision and read that of the
+others within this time.
+"""
+
 WRITE_RETRY_S = 0.2
 """Delay before a failed claim or renewal is repeated, in seconds."""
 
@@ -69,6 +91,7 @@
         incarnation: Identifies this run of the process.
         address: ``ip:port`` at which other instances reach this one.
         rng: Source of the random delays before claims.
+        provision: Link and processor of this instance.
 
     Attributes:
         role: Role of this instance.
@@ -76,6 +99,8 @@
         last_confirmed_s: Sending time of the newest write of this instance that
             the store confirmed; -inf if there is none.
         is_resigning: Whether this instance resigns and claims no further term.
+        relative_provision: Provision of this instance as a fraction of that of
+            the best provided one; 0 until its own registration was read.
     """
 
     def __init__(
@@ -85,6 +110,7 @@
         incarnation: int,
         address: str,
         rng: random.Random,
+        provision: _provision.Provision = _provision.UNKNOWN,
     ) -> None:
         self.role = ElectionRole.FOLLOWER
         self.term: _leadership.Term | None = None
@@ -94,6 +120,8 @@
         self._incarnation = incarnation
         self._address = address
         self._rng = rng
+        self._provision = provision
+        self.relative_provision = 0.0 if provision.is_known else 1.0
         self._end_offset: int | None = None
         self._renewal_seen_s: float | None = None
         self._next_write_s = 0.0
@@ -106,6 +134,18 @@
         """Whether this instance holds the newest term that it knows of."""
         return self.role is ElectionRole.LEADER
 
+    @property
+    def claim_delay_s(self) -> float:
+        """Delay of a claim after the term became open, in seconds.
+
+        Without a registration, an instance waits longest instead of for ever,
+        as the store may lose the registration and still take a claim.
+        """
+        delay_s = (1 - self.relative_provision) * MAX_PROVISION_DELAY_S
+        if self.term is None and self._provision.is_known:
+            delay_s += SETTLING_TIME_S
+        return delay_s
+
     def reset_after_store_move(self, incarnation: int) -> None:
         """Resets the election after the store has moved to another address.
 
@@ -125,12 +165,31 @@
         self._write_in_flight = None
         self._last_written_term = None
         self._next_write_s = 0.0
+        self.update_provisions({})
 
     def resign(self) -> None:
         """Resigns the term with the next write and stops claiming terms."""
         self.is_resigning = True
         self._next_write_s = 0.0
 
+    def update_provisions(
+        self, provision_by_member: Mapping[str, _provision.Provision]
+    ) -> None:
+        """Ranks this instance among the registered ones.
+
+        Args:
+            provision_by_member: Registered provision of each instance, as read
+                from the store.
+        """
+        if not self._provision.is_known:
+            return
+        if provision_by_member.get(self._instance) != self._provision:
+            self.relative_provision = 0.0
+            return
+        self.relative_provision = _ranking.compute_relative_provision(
+            self._provision, provision_by_member.values()
+        )
+
     def apply_read(
         self,
         term: _leadership.Term | None,
@@ -197,9 +256,7 @@
             return
         if self._renewal_seen_s is None or self.term.instance == self._instance:
             return
-        self._renewal_seen_s = min(
-            self._renewal_seen_s, now_s - TERM_EXPIRY_S - WRITE_RETRY_S
-        )
+        self._renewal_seen_s = min(self._renewal_seen_s, now_s - TERM_EXPIRY_S)
 
     def record_read_failure(self) -> None:
         """Restarts the wait for the term's expiry after a failed read.
@@ -252,14 +309,24 @@
 
     def _may_claim(self, now_s: float) -> bool:
         """Returns whether this instance may claim the next term."""
+        open_since_s = self._term_open_since_s()
+        if open_since_s is None:
+            return False
+        return now_s >= open_since_s + self.claim_delay_s
+
+    def _term_open_since_s(self) -> float | None:
+        """Returns the time from which the next term may be claimed by anyone.
+
+        None if the store was not read since the last failure.
+        """
+        if self._renewal_seen_s is None:
+            return None
         if self.term is None or self.term.is_resigned:
-            return self._renewal_seen_s is not None
+            return self._renewal_seen_s
         if self.term.instance == self._instance:
             # The term belongs to an earlier incarnation, which has ended.
-            return self._renewal_seen_s is not None
-        if self._renewal_seen_s is None:
-            return False
-        return now_s - self._renewal_seen_s > TERM_EXPIRY_S
+            return self._renewal_seen_s
+        return self._renewal_seen_s + TERM_EXPIRY_S
 
     def record_write_success(self, end_offset: int, now_s: float) -> None:
         """Records that the write in flight succeeded.
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -1,18 +1,32 @@
 """Tests of the election of the scheduler that holds a cell's term."""
 
+from collections.abc import Callable
 import random
 
+import pytest
+
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _ranking
 from basiljunction.state.workload import _leadership
+from basiljunction.state.workload import _provision
+import election_rig
+
+_WEAK_DELAY_S = 0.95 * _election.MAX_PROVISION_DELAY_S
+"""Delay of `election_rig.WEAK` beside `election_rig.STRONG`, in seconds."""
 
 
-def _make_election(instance: str, incarnation: int = 1) -> _election.Election:
+def _make_election(
+    instance: str,
+    incarnation: int = 1,
+    provision: _provision.Provision = _provision.UNKNOWN,
+) -> _election.Election:
     """Returns an election of an instance that has read nothing yet."""
     return _election.Election(
         instance=instance,
         incarnation=incarnation,
         address=f"{instance}:1",
         rng=random.Random(1),
+        provision=provision,
     )
 
 
@@ -151,6 +165,197 @@
         assert claim.term.epoch == 4
 
 
+def _open_by_expiry(election: _election.Election) -> None:
+    """Makes the term open at 10 s for lack of renewals."""
+    election.apply_read(_make_term("c", 3), 5, 10.0 - _election.TERM_EXPIRY_S)
+
+
+def _open_by_resignation(election: _election.Election) -> None:
+    """Makes the term open at 10 s by a resignation."""
+    election.apply_read(
+        _leadership.Term(3, "c", 1, "c:1", 9, is_resigned=True), 5, 10.0
+    )
+
+
+def _open_by_refused_connection(election: _election.Election) -> None:
+    """Makes the term open at 10 s by a refused connection."""
+    election.apply_read(_make_term("c", 3), 5, 9.0)
+    election.expire_unreachable_leader(3, 10.0)
+
+
+def _open_by_restart(election: _election.Election) -> None:
+    """Makes the term open at 10 s as that of an earlier incarnation."""
+    election.apply_read(_make_term("a", 3), 5, 10.0)
+
+
+_OPENINGS = (
+    _open_by_expiry,
+    _open_by_resignation,
+    _open_by_refused_connection,
+    _open_by_restart,
+)
+
+
+class TestProvision:
+    """An instance claims later if others are better provided."""
+
+    def _make_ranked_election(
+        self, own: _provision.Provision, other: _provision.Provision
+    ) -> _election.Election:
+        """Returns an election that has read both registrations."""
+        election = _make_election("a", incarnation=2, provision=own)
+        election.update_provisions({"a": own, "b": other})
+        return election
+
+    def _first_claim_s(
+        self, election: _election.Election, since_s: float
+    ) -> float:
+        """Returns the delay of the first claim after a time, in seconds."""
+        for step in range(1000):
+            if election.next_term_write(since_s + step / 100) is not None:
+                return step / 100
+        raise TimeoutError("no claim")
+
+    @pytest.mark.parametrize("open_term", _OPENINGS)
+    def test_a_weak_instance_leaves_time_for_a_strong_one(
+        self, open_term: Callable[[_election.Election], None]
+    ) -> None:
+        election = self._make_ranked_election(
+            election_rig.WEAK, election_rig.STRONG
+        )
+        open_term(election)
+        delay_s = self._first_claim_s(election, 10.0)
+        assert delay_s == pytest.approx(_WEAK_DELAY_S, abs=0.02)
+
+    @pytest.mark.parametrize("open_term", _OPENINGS)
+    @pytest.mark.parametrize(
+        ("own", "other"),
+        [
+            (election_rig.STRONG, election_rig.WEAK),
+            (election_rig.WEAK, election_rig.WEAK),
+            (election_rig.WEAK, _provision.UNKNOWN),
+            (_provision.UNKNOWN, election_rig.STRONG),
+            (_provision.UNKNOWN, _provision.UNKNOWN),
+        ],
+    )
+    def test_an_instance_that_none_surpasses_claims_without_delay(
+        self,
+        own: _provision.Provision,
+        other: _provision.Provision,
+        open_term: Callable[[_election.Election], None],
+    ) -> None:
+        election = self._make_ranked_election(own, other)
+        open_term(election)
+        assert election.claim_delay_s == 0.0
+        delay_s = self._first_claim_s(election, 10.0)
+        assert delay_s <= _election.MAX_CLAIM_JITTER_S / 2 + 0.01
+
+    @pytest.mark.parametrize(
+        "registered", [{}, {"b": election_rig.WEAK}], ids=["none", "other"]
+    )
+    def test_a_lost_registration_delays_a_claim_but_does_not_prevent_it(
+        self, registered: dict[str, _provision.Provision]
+    ) -> None:
+        election = _make_election("a", provision=election_rig.STRONG)
+        election.update_provisions(registered)
+        election.apply_read(None, 0, 10.0)
+        delay_s = self._first_claim_s(election, 10.0)
+        assert delay_s == pytest.approx(
+            _election.MAX_PROVISION_DELAY_S + _election.SETTLING_TIME_S,
+            abs=0.02,
+        )
+
+    def test_a_first_term_waits_until_the_others_have_registered(self) -> None:
+        election = _make_election("a", provision=election_rig.WEAK)
+        election.update_provisions({"a": election_rig.WEAK})
+        election.apply_read(None, 0, 10.0)
+        settled_s = 10.0 + _election.SETTLING_TIME_S
+        assert election.next_term_write(settled_s - 0.01) is None
+        assert election.next_term_write(settled_s + 0.01) is not None
+
+    def test_a_move_of_the_store_requires_another_registration(self) -> None:
+        election = _make_election("a", provision=election_rig.WEAK)
+        election.update_provisions({"a": election_rig.WEAK})
+        election.reset_after_store_move(incarnation=2)
+        assert election.relative_provision == 0.0
+
+    def test_a_strong_instance_schedules_after_each_change_of_terms(
+        self,
+    ) -> None:
+        for seed in range(50):
+            self._simulate_changes(random.Random(seed))
+
+    def _simulate_changes(self, rng: random.Random) -> None:
+        """Ends terms in drawn ways until no strong instance is left."""
+        strong = {f"strong-{number}" for number in range(8)}
+        provision_by_instance = dict.fromkeys(
+            sorted(strong), election_rig.STRONG
+        ) | {f"weak-{number}": election_rig.WEAK for number in range(32)}
+        rig = election_rig.ElectionRig(provision_by_instance, rng)
+        leader = rig.run_until_term(1, limit_s=2.0)
+        assert leader in strong
+        rig.run_for(1.0)
+        others = sorted(strong - {leader})
+        rig.kill(rng.sample(others, rng.randint(3, 7)))
+        for epoch in range(2, 10):
+            has_strong = bool((strong & rig.alive) - {leader})
+            change = rng.choice(("expiry", "resignation", "refusal"))
+            if change == "resignation":
+                rig.resign(leader)
+                rig.run_for(1.0)
+            rig.kill({leader})
+            if change == "refusal":
+                rig.refuse_connections(epoch - 1)
+            leader = rig.run_until_term(epoch, limit_s=4.0)
+            assert (leader in strong) == has_strong, (epoch, change)
+            if not has_strong:
+                return
+            rig.run_for(1.0)
+
+
+class TestRanking:
+    """The scarcer of both resources decides how well provided one is."""
+
+    @pytest.mark.parametrize(
+        ("own", "others", "expected"),
+        [
+            ((10.0, 0.5), [], 1.0),
+            ((100.0, 2.0), [(10.0, 2.0)], 1.0),
+            ((10.0, 2.0), [(100.0, 2.0)], 0.1),
+            ((100.0, 0.5), [(100.0, 2.0)], 0.25),
+            ((10.0, 2.0), [(100.0, 0.5)], 0.4),
+            ((100.0, 0.5), [(10.0, 2.0)], 1.0),
+            ((None, 0.5), [(100.0, 2.0)], 0.25),
+            ((10.0, None), [(100.0, 2.0), (None, None)], 0.1),
+            ((10.0, None), [(None, 2.0)], 1.0),
+        ],
+    )
+    def test_the_scarcer_resource_decides(
+        self,
+        own: tuple[float | None, float | None],
+        others: list[tuple[float | None, float | None]],
+        expected: float,
+    ) -> None:
+        members = [_provision.Provision(*each) for each in others]
+        relative = _ranking.compute_relative_provision(
+            _provision.Provision(*own), members
+        )
+        assert relative == pytest.approx(expected)
+
+    def test_at_least_one_member_claims_without_delay(self) -> None:
+        rng = random.Random(1)
+        values = (None, 5.0, 10.0, 100.0)
+        for _ in range(200):
+            members = [
+                _provision.Provision(rng.choice(values), rng.choice(values))
+                for _ in range(rng.randint(1, 6))
+            ]
+            assert 1.0 in [
+                _ranking.compute_relative_provision(each, members)
+                for each in members
+            ]
+
+
 class TestTerm:
     """A leader renews its term and stops once a later term exists."""
 
--- a/tests/election_model.py
+++ b/tests/election_model.py
@@ -3,6 +3,9 @@
 The store holds the newest term and the length of its topic. A write is stored
 and acknowledged, stored without an acknowledgement, or delayed until its
 condition may no longer hold. Instances read, write and restart in any order.
+
+The provision of the instances may differ. Then each registers its own at any
+time or never, and the other one reads it.
 """
 
 from collections.abc import Callable
@@ -13,6 +16,7 @@
 
 from basiljunction.coordination.leadership import _election
 from basiljunction.state.workload import _leadership
+from basiljunction.state.workload import _provision
 
 STEP_S = 0.7
 """Seconds per step; three steps exceed the silence that allows a new term."""
@@ -20,6 +24,20 @@
 MAX_STEPS = 3
 """Most time steps in one sequence of events."""
 
+MAX_RANKED_STEPS = 5
+"""Most time steps if the provision of the instances differs; the weaker one
+claims its first term after one or two, and an expired one after four more."""
+
+MAX_TAKEOVER_S = (
+    _election.TERM_EXPIRY_S
+    + _election.MAX_PROVISION_DELAY_S
+    + _election.SETTLING_TIME_S
+    + _election.MAX_CLAIM_JITTER_S
+    + 2 * STEP_S
+)
+"""Longest time until an instance that reaches the store alone holds the term,
+in seconds; reads and writes happen at steps only."""
+
 MAX_RESTARTS = 1
 """Most instance restarts in one sequence of events."""
 
@@ -65,6 +83,8 @@
         term: Newest term; None before the first.
         holders_by_epoch: Instance and incarnation in each epoch's writes.
         elections: Election logic of each instance.
+        provisions: Provision of each instance.
+        registered: Indexes of the instances whose provision is stored.
         delayed_writes: Writes that have not reached the store yet.
         restarts: Instance restarts so far.
         events: Events that led to this state, for the failure message.
@@ -79,6 +99,8 @@
     elections: list[_election.Election] = dataclasses.field(
         default_factory=list
     )
+    provisions: tuple[_provision.Provision, ...] = ()
+    registered: frozenset[int] = frozenset()
     delayed_writes: tuple[DelayedWrite, ...] = ()
     restarts: int = 0
     events: tuple[str, ...] = ()
@@ -97,6 +119,7 @@
             self.steps,
             self.end_offset,
             self.term,
+            self.registered,
             self.delayed_writes,
             self.restarts,
             tuple(
@@ -117,6 +140,14 @@
         other.events = (*self.events, event)
         return other
 
+    def apply_read(self, index: int) -> None:
+        """Lets an instance read the registrations and the newest term."""
+        election = self.elections[index]
+        election.update_provisions(
+            {"ab"[each]: self.provisions[each] for each in self.registered}
+        )
+        election.apply_read(self.term, self.end_offset, self.now_s)
+
     def apply_write(
         self, claim: _election.TermWrite, condition: Condition
     ) -> bool:
@@ -136,26 +167,39 @@
     return claim.expected_end_offset <= end_offset
 
 
-def make_initial_state() -> ModelState:
-    """Returns the state of two instances and an empty store."""
+def make_initial_state(*provisions: _provision.Provision) -> ModelState:
+    """Returns the state of two instances and an empty store.
+
+    Args:
+        provisions: Provision of each instance; unknown by default.
+    """
+    provisions = provisions or (_provision.UNKNOWN, _provision.UNKNOWN)
     return ModelState(
-        elections=[_make_election("a", 1), _make_election("b", 1)]
+        elections=[
+            _make_election("a", 1, provisions[0]),
+            _make_election("b", 1, provisions[1]),
+        ],
+        provisions=provisions,
     )
 
 
-def _make_election(instance: str, incarnation: int) -> _election.Election:
+def _make_election(
+    instance: str, incarnation: int, provision: _provision.Provision
+) -> _election.Election:
     """Returns the election logic of a newly started instance."""
     return _election.Election(
         instance=instance,
         incarnation=incarnation,
         address=f"{instance}:1",
         rng=_NoJitter(),
+        provision=provision,
     )
 
 
 def successors(state: ModelState, condition: Condition) -> Iterator[ModelState]:
     """Yields every state that one event can lead to."""
-    if state.steps < MAX_STEPS:
+    is_ranked = any(each.is_known for each in state.provisions)
+    if state.steps < (MAX_RANKED_STEPS if is_ranked else MAX_STEPS):
         later = state.copy_with_event("time")
         later.steps += 1
         yield later
@@ -169,13 +213,18 @@
     for index, election in enumerate(state.elections):
         name = "ab"[index]
         read = state.copy_with_event(f"{name} reads")
-        read.elections[index].apply_read(
-            state.term, state.end_offset, state.now_s
-        )
+        read.apply_read(index)
         yield read
+        if state.provisions[index].is_known and index not in state.registered:
+            registered = state.copy_with_event(f"{name} registers")
+            registered.registered |= {index}
+            registered.end_offset += 1
+            yield registered
         if state.restarts < MAX_RESTARTS:
             restarted = state.copy_with_event(f"{name} restarts")
-            restarted.elections[index] = _make_election(name, 2)
+            restarted.elections[index] = _make_election(
+                name, 2, state.provisions[index]
+            )
             restarted.restarts += 1
             yield restarted
         if copy.copy(election).next_term_write(state.now_s) is not None:
@@ -227,18 +276,51 @@
     return ""
 
 
-def search_states(depth: int, condition: Condition) -> tuple[int, str]:
+def find_idle_survivor(state: ModelState) -> str:
+    """Returns which instance, left alone, does not take over; empty if none.
+
+    The other one is gone, and the store answers each read and write of the
+    survivor from now on. The survivor registers nothing more. Delayed writes
+    that have not arrived are lost.
+    """
+    for index, name in enumerate("ab"):
+        left = state.copy_with_event(f"only {name} is left")
+        election = left.elections[index]
+        end_s = left.now_s + MAX_TAKEOVER_S
+        left.apply_read(index)
+        while not election.is_leader:
+            if left.now_s > end_s:
+                return f"{name} does not take over"
+            election.apply_read(None, left.end_offset, left.now_s)
+            claim = election.next_term_write(left.now_s)
+            if claim is None:
+                left.steps += 1
+            elif left.apply_write(claim, is_read_current):
+                election.record_write_success(left.end_offset, left.now_s)
+            else:
+                election.record_write_conflict(left.now_s)
+    return ""
+
+
+def search_states(
+    depth: int,
+    condition: Condition,
+    *provisions: _provision.Provision,
+    find_fault: Callable[[ModelState], str] = find_violation,
+) -> tuple[int, str]:
     """Searches all states that a number of events can lead to.
 
     Args:
         depth: Number of events.
         condition: Decides whether the store accepts a write.
+        provisions: Provision of each instance; unknown by default.
+        find_fault: Returns what is wrong with a state; empty if nothing.
 
     Returns:
         Number of states, and the first violation with the events that led to
         it; empty if there is none.
     """
-    level = [make_initial_state()]
+    level = [make_initial_state(*provisions)]
     seen = {level[0].deduplication_key()}
     for _ in range(depth):
         following: list[ModelState] = []
@@ -248,7 +330,7 @@
                 if key in seen:
                     continue
                 seen.add(key)
-                violation = find_violation(found)
+                violation = find_fault(found)
                 if violation:
                     return len(seen), f"{violation}: {', '.join(found.events)}"
                 following.append(found)
