Register the provision of each instance for the election

Change: the link and the processor (share times cores) are read from the settings file; absent or 0 counts as unknown. Each instance registers them under provision.NAME beside its address, in one append. member.NAME stays a plain address for older builds, which ignore the new key; a record that is absent or malformed ranks as equal. A registration counts once it was read back, is repeated half a second after an answer or a failure until then, and its failure is logged. Before, a failed one was repeated with each tick, and one that an earlier store confirmed after a move counted for the new one. term.claiming is logged with each claim.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -84,6 +84,15 @@
         "return now_s >= open_since_s",
         "tests/coordination/leadership/test_election.py",
     ),
+    _mutation(
+        "unregistered-instances-claim-at-once",
+        "scheduler on a well provided instance",
+        "src/basiljunction/coordination/leadership/_election.py",
+        "if provision_by_member.get(self._instance) != self._provision:",
+        "if self._instance in provision_by_member and self.is_leader:",
+        "tests/coordination/leadership/test_election.py",
+        "tests/transport/jobs/test_term_keeper.py",
+    ),
     _mutation(
         "earlier-life-taken-for-own",
         "one scheduler",
--- a/src/basiljunction/platform/_settings.py
+++ b/src/basiljunction/platform/_settings.py
@@ -5,6 +5,7 @@
 import pathlib
 
 from basiljunction.protocol import _instance_settings
+from basiljunction.state.workload import _provision
 
 SETTINGS_PATH_VARIABLE = "BASILJUNCTION_CONFIG"
 """Environment variable that holds the path of the settings file."""
@@ -90,6 +91,23 @@
         ),
         heartbeat_s=values.require_number("HeartbeatMs") / 1000,
         policy_address=values.optional_address("Advice"),
+        provision=_parse_provision(values),
+    )
+
+
+def _parse_provision(values: "_SettingValues") -> _provision.Provision:
+    """Returns link and processor of this instance, as far as they are set.
+
+    Raises:
+        SettingsError: A setting is malformed.
+    """
+    cpu_share = values.optional_limit("Limits.CpuShare")
+    cores = values.optional_limit("Limits.Cores")
+    return _provision.Provision(
+        link_mbps=values.optional_limit("Limits.LinkMbps"),
+        cpu_cores=(
+            None if cpu_share is None or cores is None else cpu_share * cores
+        ),
     )
 
 
@@ -132,6 +150,16 @@
             raise SettingsError(name, "a finite number of at least 0")
         return value
 
+    def optional_limit(self, name: str) -> float | None:
+        """Returns a limit, or None if it is absent or 0, which is no limit.
+
+        Raises:
+            SettingsError: It is no number, negative or infinite.
+        """
+        if not self._value_by_name.get(name):
+            return None
+        return self.require_number(name) or None
+
     def require_address(self, name: str) -> str:
         """Returns a setting that is an ``ip:port`` address.
 
--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -35,6 +35,12 @@
 MEMBER_PREFIX = "member."
 """Prefix of the keys under which instances register in the term topic."""
 
+PROVISION_PREFIX = "provision."
+"""Prefix of the keys of the instances' provision in the term topic.
+
+It differs from `MEMBER_PREFIX`, as older builds read an address there.
+"""
+
 _PRODUCER_NAME = "scheduler"
 """Producer under which the store fences the scheduler's appends."""
 
--- a/src/basiljunction/protocol/_instance_settings.py
+++ b/src/basiljunction/protocol/_instance_settings.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from basiljunction.state.workload import _provision
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSettings:
@@ -61,6 +63,7 @@
         heartbeat_s: Interval between two reports of an executor, in seconds.
         policy_address: ``ip:port`` of the policy service that approves
             executors; empty for none.
+        provision: Link and processor of this instance, as far as known.
     """
 
     name: str
@@ -72,3 +75,4 @@
     bounds: DeploymentTimeLimits
     heartbeat_s: float
     policy_address: str = ""
+    provision: _provision.Provision = _provision.UNKNOWN
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from typing import Any
 
 import pydantic
@@ -14,6 +15,7 @@
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _progress
+from basiljunction.state.workload import _provision
 from basiljunction.state.workload import _records
 
 RECORD_VERSION = 2
@@ -39,6 +41,8 @@
 """Converts the learned headroom by serving image to and from JSON."""
 _term_adapter = pydantic.TypeAdapter(_leadership.Term)
 """Converts leadership terms to and from JSON."""
+_provision_adapter = pydantic.TypeAdapter(_provision.Provision)
+"""Converts the provision of instances to and from JSON."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,6 +157,28 @@
         raise _errors.DecodeError("term", str(error)) from error
 
 
+def encode_provision(provision: _provision.Provision) -> bytes:
+    """Encodes the provision of an instance for the store."""
+    return _provision_adapter.dump_json(provision)
+
+
+def decode_provision(data: bytes) -> _provision.Provision:
+    """Decodes the provision of an instance from the store.
+
+    Raises:
+        DecodeError: The bytes are not a provision, or a value in it is not
+            positive and finite.
+    """
+    try:
+        provision = _provision_adapter.validate_json(data)
+    except ValueError as error:
+        raise _errors.DecodeError("provision", str(error)) from error
+    for value in (provision.link_mbps, provision.cpu_cores):
+        if value is not None and not 0 < value < math.inf:
+            raise _errors.DecodeError("provision", f"{value} is out of range")
+    return provision
+
+
 def _wrap_with_version(document: Any) -> bytes:  # noqa: ANN401 - any JSON value
     """Encodes a document as JSON together with the record version."""
     return pydantic_core.to_json({"v": RECORD_VERSION, "d": document})
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -113,9 +113,11 @@
                 incarnation=incarnation,
                 address=settings.peer_listen,
                 rng=rng,
+                provision=settings.provision,
             ),
             member=settings.name,
             member_address=settings.peer_listen,
+            provision=settings.provision,
         )
         self._rng = rng
         self._next_peer_query_boot_s = 0.0
@@ -214,7 +216,7 @@
         """Advances the feeds, the election, the session and pending calls."""
         self._configurations.start_due_read(now)
         self._terms.start_due_read(now)
-        self._terms.register_member_address()
+        self._terms.register_member(now)
         self._terms.send_due_write(now)
         self._apply_newest_term()
         self._ask_peer_for_leader(now)
--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -14,6 +14,7 @@
 from basiljunction.protocol import _http_call
 from basiljunction.protocol import _job_records
 from basiljunction.state import _time
+from basiljunction.state.workload import _provision
 from basiljunction.transport.jobs import _feeds
 from basiljunction.transport.jobs import _http_calls
 
@@ -23,6 +24,10 @@
 It is below the silence after which another instance may claim the term.
 """
 
+REGISTRATION_INTERVAL_S = 0.5
+"""Time from the answer to a registration until it is repeated unless it was
+read back, in seconds."""
+
 _log = structlog.get_logger()
 
 
@@ -30,6 +35,8 @@
     """Connects the leader election to the term topic of the store.
 
     Passes the terms read to the election, and writes the terms that it claims.
+    Registers the address and the provision of this instance, and counts both
+    as registered once they have been read back.
 
     Args:
         calls: HTTP client for the calls to the store.
@@ -38,9 +45,11 @@
         election: Decides which terms to write.
         member: Name of this instance.
         member_address: Address at which other instances reach this one.
+        provision: Link and processor of this instance.
 
     Attributes:
         address_by_member: Addresses of all registered instances by name.
+        provision_by_member: Known provisions of registered instances by name.
         is_store_unreachable: Whether the last read of the store failed.
     """
 
@@ -53,6 +62,7 @@
         election: _election.Election,
         member: str,
         member_address: str,
+        provision: _provision.Provision = _provision.UNKNOWN,
     ) -> None:
         super().__init__(
             calls=calls,
@@ -62,11 +72,14 @@
         )
         self.election = election
         self.address_by_member: dict[str, str] = {}
+        self.provision_by_member: dict[str, _provision.Provision] = {}
         self.is_store_unreachable = False
         self._clock = clock
         self._member = member
         self._member_address = member_address
+        self._provision = provision
         self._is_registering = False
+        self._next_registration_s = 0.0
 
     def current_time(self) -> _time.Now:
         """Returns the current time."""
@@ -86,12 +99,15 @@
         for record in records:
             if record.key.startswith(_store.MEMBER_PREFIX):
                 self._apply_member_record(record)
+            if record.key.startswith(_store.PROVISION_PREFIX):
+                self._apply_provision_record(record)
             if record.key != _store.TERM_KEY or not record.value:
                 continue
             try:
                 newest = _job_records.decode_term(record.value)
             except _errors.DecodeError as error:
                 _log.warning("term.malformed", error=str(error))
+        self.election.update_provisions(self.provision_by_member)
         self.election.apply_read(newest, end_offset, now_s)
 
     def handle_read_failure(self) -> None:
@@ -109,6 +125,8 @@
         """
         self.address = address
         self.address_by_member.clear()
+        self.provision_by_member.clear()
+        self._next_registration_s = 0.0
         self.election.reset_after_store_move(incarnation)
         self.restart()
 
@@ -120,36 +138,83 @@
         else:
             self.address_by_member.pop(name, None)
 
-    def register_member_address(self) -> None:
-        """Publishes this instance's address in the store unless it is known."""
-        known = self.address_by_member.get(self._member)
-        if self._is_registering or known == self._member_address:
+    def _apply_provision_record(self, record: _job_records.KeyedRecord) -> None:
+        """Updates the provision of an instance; a malformed one is unknown."""
+        name = record.key.removeprefix(_store.PROVISION_PREFIX)
+        self.provision_by_member.pop(name, None)
+        if not record.value:
+            return
+        try:
+            self.provision_by_member[name] = _job_records.decode_provision(
+                record.value
+            )
+        except _errors.DecodeError as error:
+            _log.warning("provision.malformed", member=name, error=str(error))
+
+    def register_member(self, now: _time.Now) -> None:
+        """Publishes what the store does not know of this instance, if due."""
+        if self._is_registering or self._offset is None:
+            return
+        if now.boot_s < self._next_registration_s:
             return
-        if self._offset is None:
+        records = self._missing_records()
+        if not records:
             return
         self._is_registering = True
-        key = _store.MEMBER_PREFIX + self._member
-        value = self._member_address.encode()
         call = _store.make_append_call(
             self.address,
             _store.TERM_TOPIC,
             0,
-            (_job_records.KeyedRecord(key, value),),
+            records,
             timeout_s=WRITE_TIMEOUT_S,
         )
-        self._calls.send(call, self._handle_register_reply)
+        self._calls.send(call, self._handle_registration_reply)
+
+    def _missing_records(self) -> tuple[_job_records.KeyedRecord, ...]:
+        """Returns the records of this instance that were not read back."""
+        records = []
+        if self.address_by_member.get(self._member) != self._member_address:
+            records.append(
+                _job_records.KeyedRecord(
+                    _store.MEMBER_PREFIX + self._member,
+                    self._member_address.encode(),
+                )
+            )
+        known = self.provision_by_member.get(self._member)
+        if self._provision.is_known and known != self._provision:
+            records.append(
+                _job_records.KeyedRecord(
+                    _store.PROVISION_PREFIX + self._member,
+                    _job_records.encode_provision(self._provision),
+                )
+            )
+        return tuple(records)
 
-    def _handle_register_reply(self, reply: _http_call.HttpReply) -> None:
-        """Records that the address of this instance is stored."""
+    def _handle_registration_reply(self, reply: _http_call.HttpReply) -> None:
+        """Logs a failed registration, which is repeated unless read back."""
         self._is_registering = False
-        if reply.is_success:
-            self.address_by_member[self._member] = self._member_address
+        self._next_registration_s = (
+            self.current_time().boot_s + REGISTRATION_INTERVAL_S
+        )
+        if not reply.is_success:
+            _log.warning(
+                "member.write-failed",
+                status=reply.status,
+                fault=reply.error_text,
+            )
 
     def send_due_write(self, now: _time.Now) -> None:
         """Sends the term write that the election asks for, if any."""
         claim = self.election.next_term_write(now.boot_s)
         if claim is None:
             return
+        if self.election.role is _election.ElectionRole.CLAIMING:
+            _log.info(
+                "term.claiming",
+                epoch=claim.term.epoch,
+                relative_provision=round(self.election.relative_provision, 3),
+                delay_s=round(self.election.claim_delay_s, 3),
+            )
         value = _job_records.encode_term(claim.term)
         call = _store.make_append_call(
             self.address,
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -19,6 +19,7 @@
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _provision
 
 _ROOT = pathlib.Path(basiljunction.__file__).parent
 
@@ -55,6 +56,7 @@
         "MayMiss", "TargetMs", "AdmissionCheck", "NodeName", "ListenAddrs",
         "/advise", "ValidityMs", '"Ticket"',
         "keyed.", "Expect-Instance", "Deadline-Remaining", "MaxHoldMs",
+        "CpuShare", "LinkMbps",
     )  # fmt: skip
 
     def test_no_other_module_holds_a_name_of_the_platform(self) -> None:
@@ -86,6 +88,34 @@
         settings = _settings.parse_settings(_SETTINGS_TEXT)
         assert settings.peer_listen == "10.1.0.13:7720"
         assert settings.bounds.longest_lease_s == 10.0
+        assert not settings.provision.is_known
+
+    @pytest.mark.parametrize(
+        ("lines", "expected"),
+        [
+            ("Limits.LinkMbps=10.0\nLimits.CpuShare=0.75\nLimits.Cores=2\n",
+             _provision.Provision(10.0, 1.5)),
+            ("Limits.LinkMbps=10\n", _provision.Provision(10.0, None)),
+            ("Limits.CpuShare=0.75\nLimits.Cores=2\n",
+             _provision.Provision(None, 1.5)),
+            ("Limits.CpuShare=0.75\n", _provision.UNKNOWN),
+            ("Limits.LinkMbps=0\nLimits.CpuShare=0\nLimits.Cores=0\n",
+             _provision.UNKNOWN),
+            ("Limits.LinkMbps=\n", _provision.UNKNOWN),
+        ],
+    )  # fmt: skip
+    def test_an_instance_knows_its_link_and_processor_as_far_as_set(
+        self, lines: str, expected: _provision.Provision
+    ) -> None:
+        settings = _settings.parse_settings(_SETTINGS_TEXT + lines)
+        assert settings.provision == expected
+
+    @pytest.mark.parametrize("value", ["wide", "-1", "inf", "nan"])
+    def test_a_bad_limit_names_its_key(self, value: str) -> None:
+        with pytest.raises(_settings.SettingsError, match=r"Limits\.LinkMbps"):
+            _settings.parse_settings(
+                f"{_SETTINGS_TEXT}Limits.LinkMbps={value}\n"
+            )
 
     @pytest.mark.parametrize(
         ("line", "message"),
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -315,7 +315,7 @@
             self.send_reply(503, b"{}")
             return
         with self.owner.lock:
-            status, answer = _append_to_topic(
+            status, answer = append_to_topic(
                 self.owner.topics[query["Topic"]], query, body
             )
         self.send_reply(status, json.dumps(answer).encode())
@@ -333,29 +333,8 @@
 
     def _encode_newest(self, topic: Topic, query: dict[str, str]) -> bytes:
         """Returns a page of the newest record of each key as a body."""
-        after = query.get("After", "")
-        items: list[dict[str, Any]] = []
-        size = 0
         with self.owner.lock:
-            keys = sorted(key for key in topic.newest_by_key if key > after)
-            for key in keys:
-                offset, value = topic.newest_by_key[key]
-                size += len(value)
-                items.append(
-                    {
-                        "Key": key,
-                        "Value": base64.b64encode(value).decode(),
-                        "Offset": offset,
-                    }
-                )
-                if len(items) >= MAX_PAGE_RECORDS or size >= MAX_PAGE_BYTES:
-                    break
-            end = len(topic.records)
-        answer = {
-            "items": items,
-            "HasMore": len(items) < len(keys),
-            "EndOffset": end,
-        }
+            answer = newest_page(topic, query.get("After", ""))
         return json.dumps(answer).encode()
 
     def _encode_records(self, topic: Topic, query: dict[str, str]) -> bytes:
@@ -373,7 +352,31 @@
         return struct.pack(">QQ", end, 0) + framed
 
 
-def _append_to_topic(
+def newest_page(topic: Topic, after: str) -> dict[str, Any]:
+    """Returns the answer to a read of the newest record of each key."""
+    items: list[dict[str, Any]] = []
+    size = 0
+    keys = sorted(key for key in topic.newest_by_key if key > after)
+    for key in keys:
+        offset, value = topic.newest_by_key[key]
+        size += len(value)
+        items.append(
+            {
+                "Key": key,
+                "Value": base64.b64encode(value).decode(),
+                "Offset": offset,
+            }
+        )
+        if len(items) >= MAX_PAGE_RECORDS or size >= MAX_PAGE_BYTES:
+            break
+    return {
+        "items": items,
+        "HasMore": len(items) < len(keys),
+        "EndOffset": len(topic.records),
+    }
+
+
+def append_to_topic(
     topic: Topic, query: dict[str, str], body: bytes
 ) -> tuple[int, dict[str, Any]]:
     """Appends records, checked for epoch and sequence; returns the answer."""
@@ -393,7 +396,7 @@
         elif epoch > topic.epoch:
             topic.sequence = sequence - 1
         topic.epoch = epoch
-    for record in _split_records(body):
+    for record in split_records(body):
         topic.append_record(record)
     answer = {"Offset": end, "EndOffset": len(topic.records)}
     if "epoch" in query and body:
@@ -401,7 +404,7 @@
     return 200, answer
 
 
-def _split_records(body: bytes) -> Iterator[bytes]:
+def split_records(body: bytes) -> Iterator[bytes]:
     """Yields the length-prefixed records of a request body."""
     position = 0
     while position < len(body):
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -9,6 +9,7 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _progress
+from basiljunction.state.workload import _provision
 from basiljunction.state.workload import _records
 import workload_builders as build
 
@@ -82,3 +83,45 @@
         record = _job_records.KeyedRecord("roster", b'{"v":3,"d":[]}')
         with pytest.raises(_errors.DecodeError, match="version 3, expected 2"):
             _job_records.decode_record(record)
+
+
+class TestProvision:
+    """A registered provision decodes to what was encoded, or not at all."""
+
+    @pytest.mark.parametrize(
+        "provision",
+        [
+            _provision.Provision(10.0, 0.1 * 3),
+            _provision.Provision(None, 0.5),
+            _provision.UNKNOWN,
+        ],
+    )
+    def test_a_provision_comes_back_as_it_was(
+        self, provision: _provision.Provision
+    ) -> None:
+        data = _job_records.encode_provision(provision)
+        assert _job_records.decode_provision(data) == provision
+
+    def test_fields_of_later_builds_are_ignored(self) -> None:
+        data = b'{"link_mbps":10,"memory_mb":[300],"later":{}}'
+        provision = _job_records.decode_provision(data)
+        assert provision == _provision.Provision(10.0, None)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"10.1.0.13:7720",
+            b"[]",
+            b"\xff",
+            b'{"link_mbps":10',
+            b'{"link_mbps":"wide"}',
+            b'{"link_mbps":0}',
+            b'{"link_mbps":-1}',
+            b'{"cpu_cores":NaN}',
+            b'{"cpu_cores":Infinity}',
+            b'{"cpu_cores":1e999}',
+        ],
+    )
+    def test_malformed_values_are_rejected(self, data: bytes) -> None:
+        with pytest.raises(_errors.DecodeError):
+            _job_records.decode_provision(data)
--- /dev/null
+++ b/tests/transport/jobs/test_cell_task.py
@@ -0,0 +1,79 @@
+"""Tests of the cell task against a stand-in of the store."""
+
+from collections.abc import Iterator
+from concurrent import futures
+import random
+import time
+
+import pytest
+
+from basiljunction.coordination.leadership import _election
+from basiljunction.platform import _store
+from basiljunction.protocol import _instance_settings
+from basiljunction.protocol import _job_records
+from basiljunction.transport import _clock
+from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _cell_task
+import election_rig
+import platform_standin
+
+_TERM_TIMEOUT_S = 10.0
+"""Longest time to a term, in seconds; far more than it usually takes."""
+
+
+@pytest.fixture
+def platform() -> Iterator[platform_standin.Platform]:
+    """A platform whose store names a better provided instance, b."""
+    platform = platform_standin.Platform(executors=0)
+    value = _job_records.encode_provision(election_rig.STRONG)
+    platform.topics[_store.TERM_TOPIC].append_record(b"\x0bprovision.b" + value)
+    yield platform
+    platform.close()
+
+
+@pytest.fixture
+def weak_task(
+    platform: platform_standin.Platform,
+) -> Iterator[_cell_task.CellTask]:
+    """The task of a poorly provided instance, which runs."""
+    settings = _instance_settings.InstanceSettings(
+        name="a",
+        zone="zone-a",
+        front_listen="127.0.0.1:1",
+        ready_listen="127.0.0.1:2",
+        peer_listen="127.0.0.1:3",
+        store=_instance_settings.StoreSettings(
+            platform.address, 800, 2000, 262144, 2097152
+        ),
+        bounds=_instance_settings.DeploymentTimeLimits(4, 10, 120, 3, 0.9, 4),
+        heartbeat_s=0.5,
+        provision=election_rig.WEAK,
+    )
+    task = _cell_task.CellTask(
+        settings=settings,
+        clock=_clock.SystemClock(),
+        rng=random.Random(1),
+        metrics=_metrics.Metrics("a"),
+    )
+    with futures.ThreadPoolExecutor(1) as pool:
+        task.start(pool)
+        yield task
+        task.stop()
+
+
+class TestProvision:
+    """The settings' provision is registered and delays the own claims."""
+
+    @pytest.mark.usefixtures("weak_task")
+    def test_a_poorly_provided_instance_registers_and_then_claims_late(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        topic = platform.topics[_store.TERM_TOPIC]
+        begin_s = time.monotonic()
+        while _store.TERM_KEY not in topic.newest_by_key:
+            assert time.monotonic() < begin_s + _TERM_TIMEOUT_S
+            time.sleep(0.01)
+        # The task may have run for a moment before the test began.
+        assert time.monotonic() - begin_s > _election.SETTLING_TIME_S + 0.6
+        registered = topic.newest_by_key["provision.a"][1]
+        assert _job_records.decode_provision(registered) == election_rig.WEAK
