Report how far a term is that answers no calls

Callers saw nothing served for 17 s while an instance held the term. The record has term.begun without term.recovered and nothing between, so a recovery that never ends, a process without processor time, and a term whose session had ended could not be told apart.

While a term is held and calls are not answered, term.not-answering is logged each second: stage, pages, records and bytes read, time since the term began and since it last advanced, last failure, time since the store confirmed the term, longest lag of the loop. The same values are metrics, beside the age of the oldest waiting call of each kind. call.given-up names what the call waited for; a leader's NOT_LEADER reply carries its stage in a new last field, which earlier builds skip and leave empty.

Bytes of a page that is read again count once, so that a page read over and over does not look like progress.

Evidence: tests/transport/jobs/test_cell_task.py plays an endless read and a missing executor list against the stand-in; before, no line tells them apart.

--- a/src/basiljunction/protocol/_peer_calls.py
+++ b/src/basiljunction/protocol/_peer_calls.py
@@ -69,6 +69,7 @@
         waiting=reply.waiting_job_count,
         leaderAddress=leader_address,
         leaderEpoch=leader_epoch,
+        termStage=reply.term_stage,
     )
     encoded: bytes = message.to_bytes_packed()
     return encoded
@@ -89,6 +90,7 @@
             waiting_job_count=message.waiting,
             leader_address=message.leaderAddress,
             leader_epoch=message.leaderEpoch,
+            term_stage=message.termStage,
         )
     except (capnp.KjException, ValueError) as error:
         raise _errors.DecodeError("peer reply", str(error)) from error
--- a/src/basiljunction/protocol/peer_calls.capnp
+++ b/src/basiljunction/protocol/peer_calls.capnp
@@ -19,4 +19,5 @@
   waiting @2 :Int64;
   leaderAddress @3 :Text;
   leaderEpoch @4 :Int64;
+  termStage @5 :Text;
 }
--- a/src/basiljunction/state/workload/_client_calls.py
+++ b/src/basiljunction/state/workload/_client_calls.py
@@ -100,6 +100,8 @@
         leader_address: Address of the newest known scheduler; empty if none
             is known.
         leader_epoch: Epoch of that scheduler's term.
+        term_stage: Stage of the term that the answering instance holds without
+            answering calls; empty if it holds none.
     """
 
     outcome: CallOutcome
@@ -107,3 +109,4 @@
     waiting_job_count: int = 0
     leader_address: str = ""
     leader_epoch: int = 0
+    term_stage: str = ""
--- a/src/basiljunction/transport/_metric_names.py
+++ b/src/basiljunction/transport/_metric_names.py
@@ -211,6 +211,56 @@
         "",
         "Epoch of this instance's term as scheduling leader; 0 if it is none",
     ),
+    Metric(
+        "cell_term_stage",
+        MetricKind.GAUGE,
+        "",
+        "1 for the stage of the term that this instance holds, else 0",
+        ("stage",),
+    ),
+    Metric(
+        "cell_term_unanswered",
+        MetricKind.GAUGE,
+        "s",
+        "Time for which the held term has not answered calls; 0 if it does",
+    ),
+    Metric(
+        "cell_term_idle",
+        MetricKind.GAUGE,
+        "s",
+        "Time for which a term that answers no calls has not advanced",
+    ),
+    Metric(
+        "cell_recovery_pages",
+        MetricKind.GAUGE,
+        "",
+        "Pages that the held term has read from the store to recover",
+    ),
+    Metric(
+        "cell_recovery_records",
+        MetricKind.GAUGE,
+        "",
+        "Records that the held term has read from the store to recover",
+    ),
+    Metric(
+        "cell_recovery_bytes",
+        MetricKind.GAUGE,
+        "",
+        "Bytes that the held term has read from the store to recover",
+    ),
+    Metric(
+        "cell_tick_lag",
+        MetricKind.HISTOGRAM,
+        "s",
+        "Time by which a pass of the cell task's loop was late",
+    ),
+    Metric(
+        "oldest_call_wait",
+        MetricKind.GAUGE,
+        "s",
+        "Age of the oldest client call that waits for an answer, by kind",
+        ("kind",),
+    ),
     Metric(
         "cell_jobs", MetricKind.GAUGE, "", "Jobs that are not in a final state"
     ),
--- a/src/basiljunction/transport/_task.py
+++ b/src/basiljunction/transport/_task.py
@@ -103,6 +103,9 @@
         """
         return self._tick_s
 
+    def observe_tick_lag(self, lag_s: float) -> None:  # noqa: B027 - optional
+        """Does nothing; subclasses may record how late a tick runs."""
+
     def _run_loop(self) -> None:
         """Handles messages and ticks until a stop message arrives."""
         next_tick_s = self._clock.now().boot_s
@@ -117,6 +120,7 @@
                 next_tick_s = min(next_tick_s, due_s)
             now = self._clock.now()
             if now.boot_s >= next_tick_s:
+                self.observe_tick_lag(now.boot_s - next_tick_s)
                 self._run_logging_errors(self._run_tick, None)
                 next_tick_s = self._clock.now().boot_s + self.tick_interval_s()
 
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -57,6 +57,8 @@
         is_in_flight: Whether an attempt at another instance has no answer yet.
         next_try_boot_s: Boot time of the next attempt, in seconds; None while
             an attempt is in progress.
+        added_boot_s: Boot time at which the call arrived, in seconds.
+        waits_for: What the newest attempt waits for or failed on.
     """
 
     call: _client_calls.ClientCall
@@ -66,6 +68,8 @@
     may_have_been_processed: bool = False
     is_in_flight: bool = False
     next_try_boot_s: float | None = 0.0
+    added_boot_s: float = 0.0
+    waits_for: str = ""
 
     def set_reply(self, reply: _client_calls.ClientReply) -> None:
         """Answers the call; any later answer is ignored.
@@ -110,6 +114,10 @@
     def is_leader_elsewhere(self) -> bool:
         """Returns whether this instance does not hold the newest known term."""
 
+    def describe_term_stage(self) -> str:
+        """Returns the stage of the held term; empty if none is held."""
+        return ""
+
     @abc.abstractmethod
     def report_unreachable_leader(self, epoch: int) -> None:
         """Reports that no connection to a scheduler could be made.
@@ -155,9 +163,28 @@
 
     def add_call(self, pending: PendingCall, now: _time.Now) -> None:
         """Adds a client call and makes the first attempt to answer it."""
+        pending.added_boot_s = now.boot_s
         self._pending.append(pending)
         self._try_call(pending, now)
 
+    def oldest_wait_s_by_kind(self, now: _time.Now) -> dict[str, float]:
+        """Returns the age of the oldest waiting call of each kind.
+
+        It is 0 for a kind of which no call waits.
+        """
+        wait_s_by_kind = {
+            kind.value: 0.0
+            for kind in _client_calls.CallKind
+            if kind is not _client_calls.CallKind.LEADER
+        }
+        for pending in self._pending:
+            kind = pending.call.kind.value
+            if kind in wait_s_by_kind and not pending.reply_future.done():
+                wait_s_by_kind[kind] = max(
+                    wait_s_by_kind[kind], now.boot_s - pending.added_boot_s
+                )
+        return wait_s_by_kind
+
     def process_pending_calls(self, now: _time.Now) -> None:
         """Retries calls that are due and answers those past their deadline."""
         for pending in self._pending:
@@ -185,6 +212,7 @@
             job=pending.call.job_id,
             leader=leader,
             epoch=max(epoch, self._leader_from_peer[1]),
+            waits_for=pending.waits_for,
             in_flight=pending.is_in_flight,
             may_have_had_effect=pending.may_have_changed_state,
         )
@@ -200,6 +228,7 @@
             return
         if self._local.is_scheduling():
             pending.next_try_boot_s = None
+            pending.waits_for = "store"
             self._local.answer_locally(pending)
             return
         if pending.is_forwarded:
@@ -209,8 +238,11 @@
         if self._leader_from_peer[1] > epoch:
             address, epoch = self._leader_from_peer
         elif not self._local.is_leader_elsewhere():
+            pending.waits_for = f"own-term-{self._local.describe_term_stage()}"
             return
-        if address:
+        if not address:
+            pending.waits_for = "leader-unknown"
+        else:
             self._forward_call(pending, address, epoch, now)
 
     def _leader_reply(self) -> _client_calls.ClientReply:
@@ -224,6 +256,7 @@
             _Outcome.NOT_LEADER,
             leader_address=newest[0],
             leader_epoch=newest[1],
+            term_stage=self._local.describe_term_stage(),
         )
 
     def ask_peer_for_leader(
@@ -266,6 +299,7 @@
         call = _build_peer_call(address, pending.call, timeout_s)
         pending.next_try_boot_s = None
         pending.is_in_flight = True
+        pending.waits_for = "leader"
         self._calls.send(
             call,
             lambda reply: self._handle_forward_reply(pending, epoch, reply),
@@ -279,6 +313,11 @@
         pending.is_in_flight = False
         if not reply.is_success:
             pending.may_have_been_processed |= reply.may_have_been_sent
+            pending.waits_for = (
+                "leader-silent"
+                if reply.may_have_been_sent
+                else "leader-unreachable"
+            )
             if not reply.may_have_been_sent:
                 self._local.report_unreachable_leader(epoch)
             pending.next_try_boot_s = self._clock().boot_s + RETRY_DELAY_S
@@ -289,7 +328,10 @@
             _log.warning("peer.torn", error=str(error))
             pending.may_have_been_processed = True
             return
+        pending.waits_for = f"leader-{answer.outcome.value}"
         if answer.outcome is _Outcome.NOT_LEADER:
+            if answer.term_stage:
+                pending.waits_for = f"leader-term-{answer.term_stage}"
             if answer.leader_epoch > self._leader_from_peer[1]:
                 self._leader_from_peer = (
                     answer.leader_address,
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -13,6 +13,7 @@
 import structlog
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _term_progress
 from basiljunction.protocol import _instance_settings
 from basiljunction.state import _time
 from basiljunction.state.workload import _client_calls
@@ -25,6 +26,7 @@
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _leader_session
 from basiljunction.transport.jobs import _term_keeper
+from basiljunction.transport.jobs import _term_report
 
 LEADER_TICK_INTERVAL_S = 0.015
 """Longest time between two ticks while scheduling or with open calls, in
@@ -131,6 +133,8 @@
         self._session: _leader_session.LeaderSession | None = None
         self._known_epoch = 0
         self._ended_epoch = 0
+        self._watch = _term_progress.ProgressWatch()
+        self._report = _term_report.TermReport(metrics, self._watch)
 
     @property
     def configuration(self) -> _configuration.Configuration | None:
@@ -223,8 +227,44 @@
             self._session.run_timed_work(now, confirmed_s=confirmed_s)
             if self._session.is_superseded:
                 self._end_session("fenced")
+        self._watch_term(now)
         self._router.process_pending_calls(now)
 
+    def _watch_term(self, now: _time.Now) -> None:
+        """Measures the progress of the held term and reports it if due."""
+        election = self._terms.election
+        epoch = 0 if election.term is None else election.term.epoch
+        progress = self._term_progress()
+        self._watch.observe(epoch, progress, now.boot_s)
+        if self._report.is_due(now.boot_s):
+            self._report.write(
+                epoch,
+                progress,
+                now.boot_s,
+                confirmed_s=election.last_confirmed_s,
+                oldest_wait_s_by_kind=self._router.oldest_wait_s_by_kind(now),
+            )
+
+    def _term_progress(self) -> _term_progress.TermProgress | None:
+        """Returns the progress of the held term; None if none is held."""
+        stages = _term_progress.TermStage
+        if not self._terms.election.is_leader:
+            return None
+        if self._session is None:
+            stage = (
+                stages.NO_CONFIGURATION
+                if self._configurations.newest_configuration is None
+                else stages.ENDED
+            )
+            return _term_progress.TermProgress(stage)
+        if self._session.answers_calls:
+            return _term_progress.TermProgress(stages.ANSWERING)
+        return self._session.progress
+
+    def observe_tick_lag(self, lag_s: float) -> None:
+        """Records how late a tick runs, in seconds."""
+        self._report.observe_tick_lag(lag_s)
+
     def tick_interval_s(self) -> float:
         """Returns the longest time until the next tick, in seconds.
 
@@ -252,6 +292,11 @@
         """Returns whether this instance does not hold the newest known term."""
         return not self._terms.election.is_leader
 
+    def describe_term_stage(self) -> str:
+        """Returns the stage of the held term; empty if none is held."""
+        progress = self._term_progress()
+        return "" if progress is None else progress.stage.value
+
     def report_unreachable_leader(self, epoch: int) -> None:
         """Notifies the election that the scheduler of a term is unreachable."""
         self._terms.election.expire_unreachable_leader(
--- a/src/basiljunction/transport/jobs/_feeds.py
+++ b/src/basiljunction/transport/jobs/_feeds.py
@@ -16,6 +16,7 @@
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _read_progress
 
 READ_WAIT_S = 1.0
 """Time that a read waits for a new record, in seconds.
@@ -56,6 +57,11 @@
         topic: Name of the topic.
         wait_s: How long a read waits for a record, in seconds.
         interval_s: Time between two reads, in seconds.
+
+    Attributes:
+        address: Address of the store.
+        progress: Progress of the reads.
+        last_failure: Error of the newest failed read; empty if none failed.
     """
 
     def __init__(
@@ -68,6 +74,8 @@
         interval_s: float = 0.0,
     ) -> None:
         self.address = address
+        self.progress = _read_progress.ReadProgress(calls)
+        self.last_failure = ""
         self._calls = calls
         self._topic = topic
         self._wait_s = wait_s
@@ -102,6 +110,7 @@
                 wait_s=self._wait_s,
                 timeout_s=self._wait_s + ANSWER_MARGIN_S,
             )
+        self.progress.begin_page(call)
         generation = self._generation
         self._calls.send(
             call, lambda reply: self._handle_read_reply(reply, generation)
@@ -156,14 +165,19 @@
             return
         try:
             if self._offset is None:
-                self._apply_newest_page(_store.parse_newest_page(reply))
+                newest_page = _store.parse_newest_page(reply)
+                self.progress.add_page(reply, len(newest_page.records))
+                self._apply_newest_page(newest_page)
             else:
                 page = _store.parse_page(reply, self._offset)
+                self.progress.add_page(reply, len(page.records))
                 self._offset = page.next_offset
                 self.apply_records(
                     page.records, is_whole=False, end_offset=page.end_offset
                 )
         except _errors.DecodeError as error:
+            self.progress.fail_page(reply)
+            self.last_failure = str(error)
             self.restart()
             self._next_read_boot_s = self.current_time().boot_s + RETRY_DELAY_S
             _log.warning("feed.torn", topic=self._topic, error=str(error))
@@ -185,6 +199,8 @@
 
     def _handle_failed_reply(self, reply: _http_call.HttpReply) -> None:
         """Schedules a retry; restarts the feed if the offset is gone (410)."""
+        self.progress.fail_page(reply)
+        self.last_failure = reply.error_text or str(reply.status)
         self._next_read_boot_s = self.current_time().boot_s + RETRY_DELAY_S
         if reply.status == 410:
             self.restart()
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -47,13 +47,13 @@
     Attributes:
         on_reply: Called with the reply.
         response_body: Receives the bytes of the response.
-        operation: Name of the operation, a label of the metrics.
+        call: The call.
         started_s: Monotonic time at which the call started, in seconds.
     """
 
     on_reply: ReplyCallback
     response_body: io.BytesIO
-    operation: str
+    call: _http_call.HttpCall
     started_s: float
 
 
@@ -93,10 +93,17 @@
         _configure_handle(handle, call)
         handle.setopt(pycurl.WRITEFUNCTION, body.write)
         self._call_by_handle[handle] = _CallInFlight(
-            on_reply, body, call.operation, time.monotonic()
+            on_reply, body, call, time.monotonic()
         )
         self._multi.add_handle(handle)
 
+    def received_bytes(self, call: _http_call.HttpCall) -> int:
+        """Returns the bytes received for a call in flight; 0 for any other."""
+        for each in self._call_by_handle.values():
+            if each.call is call:
+                return each.response_body.tell()
+        return 0
+
     def wake(self) -> None:
         """Ends a waiting `poll` early; safe to call from any thread."""
         try:
@@ -195,11 +202,11 @@
         took_s = time.monotonic() - call.started_s
         self._metrics.count(
             "outgoing_calls",
-            operation=call.operation,
+            operation=call.call.operation,
             status=str(status) if status else "none",
         )
         self._metrics.observe(
-            "outgoing_call_duration", took_s, operation=call.operation
+            "outgoing_call_duration", took_s, operation=call.call.operation
         )
         self._multi.remove_handle(handle)
         handle.reset()
--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -15,6 +15,7 @@
 from basiljunction.state.workload import _records
 from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _read_progress
 
 READ_TIMEOUT_S = 1.0
 """Timeout of a read, in seconds; far above the store's usual 10 ms."""
@@ -61,6 +62,13 @@
         clock: Returns the current time.
         on_recovered: Called once with all records stored by earlier terms.
         on_stored: Called with each batch after it is stored.
+
+    Attributes:
+        stage: Stage within the term.
+        epoch: Epoch of the term.
+        progress: Progress of the read of earlier records.
+        last_failure: Step and error of the newest failed call; empty if none
+            failed.
     """
 
     def __init__(
@@ -75,6 +83,8 @@
     ) -> None:
         self.stage = JournalStage.FENCING
         self.epoch = epoch
+        self.progress = _read_progress.ReadProgress(calls)
+        self.last_failure = ""
         self._calls = calls
         self._settings = settings
         self._clock = clock
@@ -138,6 +148,7 @@
                 timeout_s=READ_TIMEOUT_S,
             )
             self._is_calling = True
+            self.progress.begin_page(call)
             self._calls.send(call, self._handle_read_reply)
         elif self.stage is JournalStage.OPEN and self._unstored_chunks:
             self._send_append(
@@ -204,14 +215,18 @@
         """Collects a page of stored records; opens the journal at the end."""
         self._is_calling = False
         if not reply.is_success:
+            self.progress.fail_page(reply)
             self._handle_failed_reply(reply, "read")
             return
         try:
             page = _store.parse_newest_page(reply)
         except _errors.DecodeError as error:
             _log.warning("journal.torn-page", error=str(error))
+            self.progress.fail_page(reply)
+            self.last_failure = f"read: {error}"
             self._next_call_boot_s = self._clock().boot_s + RETRY_DELAY_S
             return
+        self.progress.add_page(reply, len(page.records))
         for record in page.records:
             if not record.value:
                 continue
@@ -253,6 +268,7 @@
         Retries are safe because the store recognizes a repeated append by its
         sequence number.
         """
+        self.last_failure = f"{step}: {reply.error_text or reply.status}"
         if _store.is_fenced(reply):
             self.stage = JournalStage.LOST
             _log.warning("journal.fenced", epoch=self.epoch, step=step)
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from basiljunction.coordination.leadership import _term_progress
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
@@ -113,6 +114,35 @@
             or self._scheduler.cell.is_fenced
         )
 
+    @property
+    def progress(self) -> _term_progress.TermProgress:
+        """What has been done so far towards answering calls."""
+        journal, listing = self._journal.progress, self._executors.progress
+        return _term_progress.TermProgress(
+            stage=self._stage,
+            pages=journal.pages + listing.pages,
+            records=journal.records + listing.records,
+            bytes_read=journal.received_bytes + listing.received_bytes,
+            last_failure=(
+                f"executors: {self._executors.last_failure}"
+                if self._has_recovered and self._executors.last_failure
+                else self._journal.last_failure
+            ),
+        )
+
+    @property
+    def _stage(self) -> _term_progress.TermStage:
+        """The stage of the term."""
+        if self.is_superseded:
+            return _term_progress.TermStage.ENDED
+        if self._has_executor_list:
+            return _term_progress.TermStage.ANSWERING
+        if self._has_recovered:
+            return _term_progress.TermStage.LISTING
+        if self._journal.stage is _journal.JournalStage.FENCING:
+            return _term_progress.TermStage.FENCING
+        return _term_progress.TermStage.READING
+
     def close(self) -> None:
         """Ends the session: no further orders are sent or records stored.
 
--- /dev/null
+++ b/tests/instance_rig.py
@@ -0,0 +1,148 @@
+"""Instances of the job scheduler with real sockets, in the test's process."""
+
+from collections.abc import Callable
+from concurrent import futures
+import http.client
+import random
+import time
+
+from basiljunction.demo import _ports
+from basiljunction.protocol import _http_limits
+from basiljunction.protocol import _instance_settings
+from basiljunction.transport import _clock
+from basiljunction.transport import _http_server
+from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _apps
+from basiljunction.transport.jobs import _cell_task
+from basiljunction.transport.jobs import _daemon
+import platform_standin
+
+WAIT_TIMEOUT_S = 15.0
+"""Longest wait for a condition, in seconds."""
+
+DRAIN_S = 0.1
+"""Time for requests in progress when an instance stops, in seconds."""
+
+
+def wait_until(check: Callable[[], object]) -> None:
+    """Polls `check` until it is true; fails after `WAIT_TIMEOUT_S`."""
+    deadline_s = time.monotonic() + WAIT_TIMEOUT_S
+    while not check():
+        assert time.monotonic() < deadline_s, "condition not met in time"
+        time.sleep(0.02)
+
+
+def make_settings(
+    name: str, *, front_port: int, peer_port: int, store_address: str
+) -> _instance_settings.InstanceSettings:
+    """Returns the settings of an instance on loopback."""
+    return _instance_settings.InstanceSettings(
+        name=name,
+        zone="zone-a",
+        front_listen=f"127.0.0.1:{front_port}",
+        ready_listen="127.0.0.1:0",
+        peer_listen=f"127.0.0.1:{peer_port}",
+        store=_instance_settings.StoreSettings(
+            store_address, 800, 2000, 262144, 2097152
+        ),
+        bounds=_instance_settings.DeploymentTimeLimits(
+            grace_s=4.0,
+            longest_lease_s=10.0,
+            finished_job_visible_s=120.0,
+            gang_timeout_s=3.0,
+            stop_timeout_s=0.9,
+            max_over_target_s=4.0,
+        ),
+        heartbeat_s=0.5,
+    )
+
+
+class Instance:
+    """An instance whose task and servers run in threads.
+
+    Args:
+        platform: The platform that it uses.
+        name: Name of the instance.
+
+    Attributes:
+        name: Name of the instance.
+        metrics: Metrics of the instance.
+        task: Its cell task.
+    """
+
+    def __init__(
+        self, platform: platform_standin.Platform, name: str = "front-1"
+    ) -> None:
+        self.name = name
+        self.metrics = _metrics.Metrics(name)
+        front_port, peer_port = _ports.reserve_free_ports(2)
+        self.front_port = front_port
+        self.settings = make_settings(
+            name,
+            front_port=front_port,
+            peer_port=peer_port,
+            store_address=platform.address,
+        )
+        self.task = _cell_task.CellTask(
+            settings=self.settings,
+            clock=_clock.SystemClock(),
+            rng=random.Random(1),
+            metrics=self.metrics,
+        )
+        self._servers = [
+            _make_server(
+                self.settings.peer_listen,
+                _apps.PeerApp(self.task),
+                _daemon.PEER_THREADS,
+            ),
+            _make_server(
+                self.settings.front_listen,
+                _apps.FrontApp(self.task, lambda: False, self.metrics),
+                _daemon.FRONT_THREADS,
+            ),
+        ]
+        self._pool = futures.ThreadPoolExecutor(1 + len(self._servers))
+        for server in self._servers:
+            server.bind()
+            server.start(self._pool)
+        self.task.start(self._pool)
+
+    def call(
+        self, method: str, path: str, body: str = "", *, timeout_s: float = 5.0
+    ) -> tuple[int, str]:
+        """Makes a client's request on a connection of its own.
+
+        Returns:
+            Status and body of the response; status 0 if there is none in time.
+        """
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.front_port, timeout=timeout_s
+        )
+        try:
+            connection.request(
+                method, path, body or None, headers={"Host": "jobs.example"}
+            )
+            response = connection.getresponse()
+            return response.status, response.read().decode()
+        except OSError:
+            return 0, ""
+        finally:
+            connection.close()
+
+    def close(self) -> None:
+        """Stops the servers and the task, without resigning a term."""
+        self.task.stop()
+        for server in self._servers:
+            server.stop()
+        self._pool.shutdown(wait=True)
+
+
+def _make_server(
+    listen: str, application: _http_server.Application, threads: int
+) -> _http_server.HttpServer:
+    """Returns a server like that of an instance."""
+    return _http_server.HttpServer(
+        listen=listen,
+        application=application,
+        limits=_http_limits.Limits(http_threads=threads, drain_s=DRAIN_S),
+    )
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -76,6 +76,8 @@
         is_down: Whether the store answers every call with an error.
         store_bytes_per_s: Rate at which the store's answers arrive, in bytes a
             second; infinite for a link that is never the bottleneck.
+        silent_topics: Topics whose newest records the store does not answer
+            with, while it answers all other calls.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -86,6 +88,7 @@
         self.topics: dict[str, Topic] = collections.defaultdict(Topic)
         self.is_down = False
         self.store_bytes_per_s = float("inf")
+        self.silent_topics: set[str] = set()
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
@@ -327,6 +330,8 @@
             return
         topic = self.owner.topics[query["Topic"]]
         if path == "/log-newest":
+            while query["Topic"] in self.owner.silent_topics:
+                time.sleep(POLL_INTERVAL_S)
             self.send_reply(200, self._encode_newest(topic, query))
         else:
             self.send_reply(200, self._encode_records(topic, query))
--- /dev/null
+++ b/tests/transport/jobs/test_cell_task.py
@@ -0,0 +1,134 @@
+"""Tests of the cell task against a stand-in of the platform."""
+
+from collections.abc import Iterator
+import time
+from typing import Any
+
+import pytest
+import structlog
+from structlog import testing
+
+import instance_rig
+import platform_standin
+
+_JOB_PATH = "/jobs/00000000000000a1"
+_JOB = (
+    '{"Spec":"x","Steps":[{"Count":1,"Cpu":100,"MemMb":100,'
+    '"EstDurationMs":300}]}'
+)
+
+
+@pytest.fixture
+def platform() -> Iterator[platform_standin.Platform]:
+    """A platform with one route, /jobs/."""
+    platform = platform_standin.Platform(executors=1)
+    platform.configure(1, "/jobs/")
+    yield platform
+    platform.silent_topics.clear()
+    platform.close()
+
+
+@pytest.fixture
+def instances(
+    platform: platform_standin.Platform,
+) -> Iterator[list[instance_rig.Instance]]:
+    """Instances started by the test, which are closed after it."""
+    started: list[instance_rig.Instance] = []
+    yield started
+    for each in started:
+        each.close()
+
+
+@pytest.fixture
+def logs() -> Iterator[list[Any]]:
+    """Collects the log entries, which the other tests silence."""
+    silent = structlog.get_config()["wrapper_class"]
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(20))
+    with testing.capture_logs() as entries:
+        yield entries
+    structlog.configure(wrapper_class=silent)
+
+
+def _events(logs: list[Any], name: str) -> list[Any]:
+    """Returns the log entries of an event."""
+    return [each for each in logs if each["event"] == name]
+
+
+class TestReports:
+    """A term that answers no calls says what it waits for."""
+
+    def test_a_recovery_that_does_not_end_is_not_silent(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        platform.silent_topics.add("keyed.jobs")
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(
+            lambda: len(_events(logs, "term.not-answering")) >= 3
+        )
+        last = _events(logs, "term.not-answering")[-1]
+        assert last["stage"] == "reading"
+        assert last["pages"] == 0
+        assert "timed out" in last["last_failure"]
+        assert last["unanswered_s"] > 1
+        text = instances[0].metrics.render_prometheus_text().decode()
+        assert 'basiljunction_cell_term_stage{stage="reading"} 1.0' in text
+        assert "basiljunction_cell_recovery_pages 0.0" in text
+
+    def test_a_missing_executor_list_is_told_from_an_endless_recovery(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        platform.silent_topics.add("keyed.servers")
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(
+            lambda: any(
+                each["stage"] == "listing"
+                for each in _events(logs, "term.not-answering")
+            )
+        )
+        assert _events(logs, "term.recovered")
+
+    def test_a_call_given_up_names_what_the_leader_waited_for(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        platform.silent_topics.add("keyed.jobs")
+        leader = instance_rig.Instance(platform, "front-1")
+        instances.append(leader)
+        instance_rig.wait_until(lambda: _events(logs, "term.begun"))
+        entry = instance_rig.Instance(platform, "front-2")
+        instances.append(entry)
+        instance_rig.wait_until(lambda: entry.task.is_ready)
+        assert entry.call("POST", _JOB_PATH, _JOB)[0] == 503
+        assert leader.call("POST", _JOB_PATH, _JOB)[0] == 503
+        given_up = _events(logs, "call.given-up")
+        assert [each["waits_for"] for each in given_up] == [
+            "leader-term-reading",
+            "own-term-reading",
+        ]
+
+    def test_a_term_that_answers_calls_reports_no_wait(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(
+            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
+        )
+        logs.clear()
+        time.sleep(1.5)
+        assert not _events(logs, "term.not-answering")
+        text = instances[0].metrics.render_prometheus_text().decode()
+        assert 'basiljunction_cell_term_stage{stage="answering"} 1.0' in text
+        assert "basiljunction_cell_term_unanswered_seconds 0.0" in text
+        assert 'basiljunction_oldest_call_wait_seconds{kind="cancel"}' in text
+        assert "basiljunction_cell_tick_lag_seconds_count" in text
