End the reads of a term that has ended

A session that was closed while it recovered read on: each page that arrived started the read of the next one, and the last one logged term.recovered for a term that was over. On a narrow link these reads delay whatever comes next, and the log names a scheduler that is none.

Evidence: test_a_term_that_has_ended_reads_no_further saw the epochs [1, 2] recover before, and [2] now.

--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -69,6 +69,7 @@
         progress: Progress of the read of earlier records.
         last_failure: Step and error of the newest failed call; empty if none
             failed.
+        is_closed: Whether the term has ended, so that no further calls start.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self.epoch = epoch
         self.progress = _read_progress.ReadProgress(calls)
         self.last_failure = ""
+        self.is_closed = False
         self._calls = calls
         self._settings = settings
         self._clock = clock
@@ -135,7 +137,9 @@
 
     def make_due_call(self, now: _time.Now) -> None:
         """Makes the next call to the store if one is due and none in flight."""
-        if self._is_calling or now.boot_s < self._next_call_boot_s:
+        if self.is_closed or self._is_calling:
+            return
+        if now.boot_s < self._next_call_boot_s:
             return
         if self.stage is JournalStage.FENCING:
             self._send_append((), self._handle_fence_reply)
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -149,6 +149,7 @@
         Pending calls become due for the router to try elsewhere.
         """
         self._sender.is_closed = True
+        self._journal.is_closed = True
         self._metrics.clear_term()
         self._executors.restart()
         for waiting in (self._submits_by_job_id, self._cancels_by_job_id):
@@ -277,6 +278,8 @@
 
     def _restore_scheduler(self, records: list[_records.Record]) -> None:
         """Restores the scheduler's state from the records of earlier terms."""
+        if self._journal.is_closed:
+            return
         now = self._clock()
         self._scheduler.restore_from_records(records, now)
         self._has_recovered = True
