Give up a term whose scheduler makes no progress

A term is renewed by the term feed and the election, whether or not the scheduler behind it gets anywhere; while it is renewed nobody else may claim. The class of fault: a lease kept alive by a part that does not do the work.

When a term that answers no calls has not advanced for 3 s (no change of stage, no page, no 16 KiB more of a page than any attempt before), while the store confirms its renewals, the instance resigns it as on shutdown and leaves the next claim to others for 2 s. A link that is slow but advances is left alone. Time in which the store confirms no renewal does not count. The term record counts the terms given up in a row, and after every fourth the limit doubles, up to 24 s; a term that answers calls ends the count.

The model of the election also gives up terms; no course breaks it.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -26,6 +26,10 @@
 """Upper bound of the random delay before a claim, in seconds; most candidates
 then read another's claim before they write their own."""
 
+ABSTENTION_S = 2.0
+"""Time for which an instance that gave up a term leaves the next one to others,
+in seconds; they read the resignation and claim well within it."""
+
 WRITE_RETRY_S = 0.2
 """Delay before a failed claim or renewal is repeated, in seconds."""
 
@@ -100,6 +104,8 @@
         self._write_in_flight: TermWrite | None = None
         self._last_written_term: _leadership.Term | None = None
         self._write_sent_s = 0.0
+        self._given_up_epoch = 0
+        self._answered_epoch = 0
 
     @property
     def is_leader(self) -> bool:
@@ -125,6 +131,41 @@
         self._write_in_flight = None
         self._last_written_term = None
         self._next_write_s = 0.0
+        self._given_up_epoch = 0
+        self._answered_epoch = 0
+
+    def is_confirmed(self, now_s: float) -> bool:
+        """Returns whether the store confirmed the own term recently.
+
+        Until then nobody can tell the own term from an expired one, and a
+        resignation would not be stored either.
+        """
+        return now_s - self.last_confirmed_s <= TERM_EXPIRY_S
+
+    def record_answering(self) -> None:
+        """Records that the scheduler of the own term answers calls."""
+        if self.is_leader and self.term is not None:
+            self._answered_epoch = self.term.epoch
+
+    def give_up(self) -> None:
+        """Resigns the own term, so that another instance claims the next.
+
+        This instance may claim again `ABSTENTION_S` after its resignation.
+        """
+        if not self.is_leader or self.term is None:
+            return
+        if self._given_up_epoch != self.term.epoch:
+            self._given_up_epoch = self.term.epoch
+            self._next_write_s = 0.0
+
+    def _leaves_claim_to_others(self, now_s: float) -> bool:
+        """Returns whether the newest term is one that was just given up."""
+        return (
+            self.term is not None
+            and self.term.epoch == self._given_up_epoch
+            and self._renewal_seen_s is not None
+            and now_s - self._renewal_seen_s < ABSTENTION_S
+        )
 
     def resign(self) -> None:
         """Resigns the term with the next write and stops claiming terms."""
@@ -221,11 +262,19 @@
             return self._renew_or_resign(now_s)
         if self.is_resigning or not self._may_claim(now_s):
             return None
+        if self._leaves_claim_to_others(now_s):
+            return None
         epoch = 1 if self.term is None else self.term.epoch + 1
         self.role = ElectionRole.CLAIMING
         return self._begin_write(
             _leadership.Term(
-                epoch, self._instance, self._incarnation, self._address
+                epoch,
+                self._instance,
+                self._incarnation,
+                self._address,
+                given_up_terms=(
+                    0 if self.term is None else self.term.given_up_terms
+                ),
             ),
             now_s,
         )
@@ -233,11 +282,18 @@
     def _renew_or_resign(self, now_s: float) -> TermWrite:
         """Returns the write that renews the own term, or resigns it."""
         assert self.term is not None  # noqa: S101 - a leader has a term
+        is_given_up = self.term.epoch == self._given_up_epoch
+        given_up_terms = self.term.given_up_terms
+        if is_given_up:
+            given_up_terms += 1
+        elif self.term.epoch == self._answered_epoch:
+            given_up_terms = 0
         return self._begin_write(
             dataclasses.replace(
                 self.term,
                 beat=self.term.beat + 1,
-                is_resigned=self.is_resigning,
+                is_resigned=self.is_resigning or is_given_up,
+                given_up_terms=given_up_terms,
             ),
             now_s,
         )
--- a/src/basiljunction/coordination/leadership/_term_progress.py
+++ b/src/basiljunction/coordination/leadership/_term_progress.py
@@ -9,6 +9,21 @@
 Attempts that end at almost the same byte again and again do not count.
 """
 
+STALL_LIMIT_S = 3.0
+"""Time without progress after which a term is given up, in seconds.
+
+Several failed calls to the store fit into it.
+"""
+
+TERMS_PER_DOUBLING = 4
+"""Number of terms given up in a row after which that time doubles.
+
+If several instances do not advance, changing the scheduler is no help.
+"""
+
+MAX_DOUBLINGS = 3
+"""Most doublings of that time."""
+
 
 class TermStage(enum.Enum):
     """Stage of a term that this instance holds.
@@ -58,9 +73,15 @@
         self._advance: tuple[object, ...] = ()
         self._unanswered_since_s: float | None = None
         self._advanced_s = 0.0
+        self._stalled_since_s = 0.0
 
     def observe(
-        self, epoch: int, progress: TermProgress | None, now_s: float
+        self,
+        epoch: int,
+        progress: TermProgress | None,
+        now_s: float,
+        *,
+        is_confirmed: bool,
     ) -> None:
         """Updates the measurements.
 
@@ -68,6 +89,7 @@
             epoch: Epoch of the held term.
             progress: Progress of the term; None if this instance holds none.
             now_s: Current time in seconds.
+            is_confirmed: Whether the store confirms the renewals of the term.
         """
         if progress is None or progress.stage is TermStage.ANSWERING:
             self._unanswered_since_s = None
@@ -84,6 +106,10 @@
         if advance != self._advance:
             self._advance = advance
             self._advanced_s = now_s
+            self._stalled_since_s = now_s
+        if not is_confirmed:
+            # The store is impaired, which another scheduler cannot help.
+            self._stalled_since_s = now_s
 
     def unanswered_s(self, now_s: float) -> float:
         """Returns for how long the held term has not answered calls.
@@ -94,6 +120,20 @@
             return 0.0
         return now_s - self._unanswered_since_s
 
+    def is_stalled(self, now_s: float, given_up_terms: int) -> bool:
+        """Returns whether the held term is to be given up.
+
+        Args:
+            now_s: Current time in seconds.
+            given_up_terms: Number of terms in a row, up to the held one, that
+                were given up.
+        """
+        if self._unanswered_since_s is None:
+            return False
+        doublings = min(MAX_DOUBLINGS, given_up_terms // TERMS_PER_DOUBLING)
+        limit_s = STALL_LIMIT_S * 2.0**doublings
+        return now_s - self._stalled_since_s >= limit_s
+
     def idle_s(self, now_s: float) -> float:
         """Returns how long ago the term last advanced towards answering calls.
 
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -17,6 +17,8 @@
         address: ``ip:port`` for calls from other instances.
         beat: Number of renewals of this term.
         is_resigned: Whether the scheduler has resigned this term.
+        given_up_terms: Number of terms in a row, up to this one, that ended
+            without answering calls.
     """
 
     epoch: int
@@ -25,6 +27,7 @@
     address: str
     beat: int = 0
     is_resigned: bool = False
+    given_up_terms: int = 0
 
     def is_held_by(self, instance: str, incarnation: int) -> bool:
         """Returns whether this run of the instance's process holds the term."""
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -231,11 +231,19 @@
         self._router.process_pending_calls(now)
 
     def _watch_term(self, now: _time.Now) -> None:
-        """Measures the progress of the held term and reports it if due."""
+        """Measures and reports the progress of the held term.
+
+        Gives the term up if it does not come to answer calls.
+        """
         election = self._terms.election
         epoch = 0 if election.term is None else election.term.epoch
         progress = self._term_progress()
-        self._watch.observe(epoch, progress, now.boot_s)
+        self._watch.observe(
+            epoch,
+            progress,
+            now.boot_s,
+            is_confirmed=election.is_confirmed(now.boot_s),
+        )
         if self._report.is_due(now.boot_s):
             self._report.write(
                 epoch,
@@ -244,6 +252,21 @@
                 confirmed_s=election.last_confirmed_s,
                 oldest_wait_s_by_kind=self._router.oldest_wait_s_by_kind(now),
             )
+        self._give_up_useless_term(progress, now)
+
+    def _give_up_useless_term(
+        self, progress: _term_progress.TermProgress | None, now: _time.Now
+    ) -> None:
+        """Gives up the held term if its session is stalled."""
+        election = self._terms.election
+        if progress is None or election.term is None:
+            return
+        if progress.stage is _term_progress.TermStage.ANSWERING:
+            election.record_answering()
+            return
+        if self._watch.is_stalled(now.boot_s, election.term.given_up_terms):
+            self._end_session("stalled")
+            election.give_up()
 
     def _term_progress(self) -> _term_progress.TermProgress | None:
         """Returns the progress of the held term; None if none is held."""
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -151,6 +151,63 @@
         assert claim.term.epoch == 4
 
 
+class TestGivingUp:
+    """A leader that does not get anywhere lets another instance try."""
+
+    def _give_up(self) -> _election.Election:
+        """Returns an election that gave up its term at time 4."""
+        election = _make_leader()
+        election.give_up()
+        resignation = election.next_term_write(4.0)
+        assert resignation is not None
+        assert resignation.term.is_resigned
+        election.record_write_success(2, 4.01)
+        return election
+
+    def test_a_given_up_term_is_left_to_others_at_first(self) -> None:
+        election = self._give_up()
+        assert not election.is_leader
+        after_s = 4.0 + _election.ABSTENTION_S - 0.1
+        assert election.next_term_write(after_s) is None
+
+    def test_a_given_up_term_is_claimed_again_if_nobody_else_does(self) -> None:
+        election = self._give_up()
+        claim = election.next_term_write(4.1 + _election.ABSTENTION_S)
+        assert claim is not None
+        assert claim.term.epoch == 2
+
+    def test_a_resignation_that_was_not_stored_is_repeated(self) -> None:
+        election = _make_leader()
+        election.give_up()
+        assert election.next_term_write(4.0) is not None
+        election.record_write_failure(4.1)
+        repeated = election.next_term_write(5.0)
+        assert repeated is not None
+        assert repeated.term.is_resigned
+
+    def test_the_terms_given_up_in_a_row_are_counted(self) -> None:
+        given_up = self._give_up().term
+        assert given_up is not None
+        other = _make_election("b")
+        other.apply_read(given_up, 2, 4.1)
+        claim = other.next_term_write(4.1 + _election.MAX_CLAIM_JITTER_S)
+        assert claim is not None
+        assert claim.term.given_up_terms == 1
+
+    def test_a_term_that_answers_calls_ends_the_count(self) -> None:
+        given_up = self._give_up().term
+        assert given_up is not None
+        other = _make_election("b")
+        other.apply_read(given_up, 2, 4.1)
+        assert other.next_term_write(4.5) is not None
+        other.record_write_success(3, 4.6)
+        other.record_answering()
+        renewal = other.next_term_write(6.0)
+        assert renewal is not None
+        assert renewal.term.given_up_terms == 0
+        assert not renewal.term.is_resigned
+
+
 class TestTerm:
     """A leader renews its term and stops once a later term exists."""
 
--- a/tests/election_model.py
+++ b/tests/election_model.py
@@ -26,6 +26,9 @@
 MAX_DELAYED_WRITES = 1
 """Most writes that are delayed at the same time."""
 
+MAX_GIVEN_UP_TERMS = 1
+"""Most terms that are given up in one sequence of events."""
+
 Condition = Callable[[_election.TermWrite, int], bool]
 """Decides from a write and the end offset whether the store accepts it."""
 
@@ -67,6 +70,7 @@
         elections: Election logic of each instance.
         delayed_writes: Writes that have not reached the store yet.
         restarts: Instance restarts so far.
+        given_up_terms: Terms given up so far.
         events: Events that led to this state, for the failure message.
     """
 
@@ -81,6 +85,7 @@
     )
     delayed_writes: tuple[DelayedWrite, ...] = ()
     restarts: int = 0
+    given_up_terms: int = 0
     events: tuple[str, ...] = ()
 
     @property
@@ -99,6 +104,7 @@
             self.term,
             self.delayed_writes,
             self.restarts,
+            self.given_up_terms,
             tuple(
                 tuple(
                     value
@@ -178,10 +184,27 @@
             restarted.elections[index] = _make_election(name, 2)
             restarted.restarts += 1
             yield restarted
+        yield from _give_up_successors(state, index)
         if copy.copy(election).next_term_write(state.now_s) is not None:
             yield from _write_successors(state, index, condition)
 
 
+def _give_up_successors(state: ModelState, index: int) -> Iterator[ModelState]:
+    """Yields the state after the first instance has given up its term.
+
+    The instances are alike, so the second one need not do it as well.
+    """
+    if (
+        index == 0
+        and state.given_up_terms < MAX_GIVEN_UP_TERMS
+        and state.elections[index].is_leader
+    ):
+        given_up = state.copy_with_event("a gives up")
+        given_up.given_up_terms += 1
+        given_up.elections[index].give_up()
+        yield given_up
+
+
 def _write_successors(
     state: ModelState, index: int, condition: Condition
 ) -> Iterator[ModelState]:
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -82,3 +82,21 @@
         record = _job_records.KeyedRecord("roster", b'{"v":3,"d":[]}')
         with pytest.raises(_errors.DecodeError, match="version 3, expected 2"):
             _job_records.decode_record(record)
+
+
+class TestTerms:
+    """Builds with and without a field of the term read each other."""
+
+    def test_a_term_of_an_earlier_build_counts_no_given_up_terms(self) -> None:
+        term = _job_records.decode_term(
+            b'{"epoch":3,"instance":"a","incarnation":1,"address":"a:1",'
+            b'"beat":2,"is_resigned":false}'
+        )
+        assert (term.epoch, term.given_up_terms) == (3, 0)
+
+    def test_a_field_of_a_later_build_is_ignored(self) -> None:
+        term = _job_records.decode_term(
+            b'{"epoch":3,"instance":"a","incarnation":1,"address":"a:1",'
+            b'"new_field":1}'
+        )
+        assert (term.epoch, term.is_resigned) == (3, False)
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -59,6 +59,24 @@
 class TestUselessTerms:
     """A term whose scheduler answers no calls is not held for ever."""
 
+    def test_a_scheduler_that_never_recovers_makes_way(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        platform.silent_topics.add("keyed.jobs")
+        instances.append(instance_rig.Instance(platform, "front-1"))
+        instance_rig.wait_until(lambda: _events(logs, "term.begun"))
+        instances.append(instance_rig.Instance(platform, "front-2"))
+        instance_rig.wait_until(lambda: len(_events(logs, "term.begun")) > 1)
+        platform.silent_topics.clear()
+        instance_rig.wait_until(
+            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
+        )
+        assert not instances[0].task.is_scheduling()
+        assert instances[1].task.is_scheduling()
+
     def test_a_term_that_has_ended_reads_no_further(
         self,
         platform: platform_standin.Platform,
@@ -76,6 +94,22 @@
         recovered = _events(logs, "term.recovered")
         assert [each["epoch"] for each in recovered] == [2]
 
+    def test_a_recovery_that_advances_slowly_keeps_its_term(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        for number in range(1500):
+            name = f"{number:04}".encode()
+            platform.topics["keyed.jobs"].append_record(
+                bytes((len(name),)) + name + b"x" * 100
+            )
+        platform.store_bytes_per_s = 150_000
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(lambda: _events(logs, "term.recovered"))
+        assert not _events(logs, "term.ended")
+
 
 class TestReports:
     """A term that answers no calls says what it waits for."""
