Resign a term whose session was fenced

An instance whose start order was refused with a higher fencing token ended its session, but the election went on renewing the term: no session of an epoch that has ended is started again, and no other instance may claim a term that is renewed. The cell had no scheduler for ever. It takes a store whose epochs are behind the executors' tokens, as after a move to another store.

The instance resigns such a term at once. If a later term exists, the conditional write fails and the next read tells who holds it.

--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -257,7 +257,7 @@
     def _give_up_useless_term(
         self, progress: _term_progress.TermProgress | None, now: _time.Now
     ) -> None:
-        """Gives up the held term if its session is stalled."""
+        """Gives up the held term if its session has ended or is stalled."""
         election = self._terms.election
         if progress is None or election.term is None:
             return
@@ -267,6 +267,8 @@
         if self._watch.is_stalled(now.boot_s, election.term.given_up_terms):
             self._end_session("stalled")
             election.give_up()
+        elif progress.stage is _term_progress.TermStage.ENDED:
+            election.give_up()
 
     def _term_progress(self) -> _term_progress.TermProgress | None:
         """Returns the progress of the held term; None if none is held."""
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -110,6 +110,25 @@
         instance_rig.wait_until(lambda: _events(logs, "term.recovered"))
         assert not _events(logs, "term.ended")
 
+    def test_a_term_that_executors_fence_is_not_renewed_for_ever(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(
+            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
+        )
+        instance_rig.wait_until(lambda: len(platform.starts) == 1)
+        platform.executors[0].highest_token = 2
+        other_path = _JOB_PATH.replace("a1", "a2")
+        assert instances[0].call("POST", other_path, _JOB)[0] == 200
+        instance_rig.wait_until(lambda: len(platform.starts) == 2)
+        assert [each["reason"] for each in _events(logs, "term.ended")] == [
+            "fenced"
+        ]
+
 
 class TestReports:
     """A term that answers no calls says what it waits for."""
