Claim no term without a configuration

An instance that had read the terms but no configuration claimed the term and renewed it without a scheduler, since a session needs a configuration.

Evidence: test_an_instance_without_a_configuration_claims_no_term saw term 1 begin before.

--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -219,7 +219,7 @@
         self._configurations.start_due_read(now)
         self._terms.start_due_read(now)
         self._terms.register_member_address()
-        self._terms.send_due_write(now)
+        self._send_due_term_write(now)
         self._apply_newest_term()
         self._ask_peer_for_leader(now)
         if self._session is not None:
@@ -230,6 +230,18 @@
         self._watch_term(now)
         self._router.process_pending_calls(now)
 
+    def _send_due_term_write(self, now: _time.Now) -> None:
+        """Sends the term write that is due.
+
+        A term is not claimed before a configuration is known, as the instance
+        could not schedule.
+        """
+        if (
+            self._terms.election.is_leader
+            or self._configurations.newest_configuration is not None
+        ):
+            self._terms.send_due_write(now)
+
     def _watch_term(self, now: _time.Now) -> None:
         """Measures and reports the progress of the held term.
 
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -129,6 +129,19 @@
             "fenced"
         ]
 
+    def test_an_instance_without_a_configuration_claims_no_term(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        platform.silent_topics.add("keyed.op")
+        instances.append(instance_rig.Instance(platform))
+        time.sleep(1.0)
+        assert not _events(logs, "term.seen")
+        platform.silent_topics.clear()
+        instance_rig.wait_until(lambda: _events(logs, "term.recovered"))
+
 
 class TestReports:
     """A term that answers no calls says what it waits for."""
