Keep threads free for cancels

A cancel got no answer while submissions waited for the store: each holds one of 16 threads, at the entry for up to 2.4 s and at the scheduler, which serves the calls of all instances, for up to 1.5 s. A cancel that could be answered at once waited behind them.

Eight threads of each server are left to cancels and to questions for the leader. A call that finds no other thread is refused at once, to be sent again, instead of waiting for one past its deadline. The servers get 32 and 64 threads, since refusals now begin where waiting began before.

--- a/src/basiljunction/transport/jobs/_apps.py
+++ b/src/basiljunction/transport/jobs/_apps.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from concurrent import futures
 import math
+import threading
 import time
 from typing import Any
 
@@ -42,16 +43,45 @@
 _Outcome = _client_calls.CallOutcome
 _Reply = _client_calls.ClientReply
 
+_UNLIMITED_KINDS = frozenset(
+    {_client_calls.CallKind.CANCEL, _client_calls.CallKind.LEADER}
+)
+"""Kinds of call that may occupy every thread of a server."""
+
 _log = structlog.get_logger()
 
 StartResponse = Callable[..., Any]
 """The `start_response` callable of a WSGI server."""
 
 
+class CallSlots:
+    """Limits how many threads of a server calls may occupy while they wait.
+
+    Cancels and questions for the leader may use every thread: submissions that
+    wait for the store or for a scheduler must not delay them.
+
+    Args:
+        count: Most other calls that wait at the same time.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._free = threading.Semaphore(count)
+
+    def acquire(self, kind: _client_calls.CallKind) -> bool:
+        """Returns whether a call may wait; `release` has to follow then."""
+        return kind in _UNLIMITED_KINDS or self._free.acquire(blocking=False)
+
+    def release(self, kind: _client_calls.CallKind) -> None:
+        """Records that a call no longer waits."""
+        if kind not in _UNLIMITED_KINDS:
+            self._free.release()
+
+
 def call_cell_task(
     task: _cell_task.CellTask,
     call: _client_calls.ClientCall,
     *,
+    slots: CallSlots,
     timeout_s: float,
     is_forwarded: bool,
 ) -> _client_calls.ClientReply:
@@ -60,13 +90,33 @@
     Args:
         task: The task that answers the call.
         call: The client call.
+        slots: Limit of the server that received the call.
         timeout_s: Time in which the task has to answer, in seconds.
         is_forwarded: Whether a peer instance forwarded the call.
 
     Returns:
-        The reply; unavailable if the task's mailbox is full, and unknown if
-        the task does not answer in time.
+        The reply; unavailable if too many calls wait or the task's mailbox is
+        full, and unknown if the task does not answer in time.
     """
+    if not slots.acquire(call.kind):
+        _log.warning("call.refused", error="too many calls wait")
+        return _Reply(_Outcome.UNAVAILABLE)
+    try:
+        return _wait_for_cell_task(
+            task, call, timeout_s=timeout_s, is_forwarded=is_forwarded
+        )
+    finally:
+        slots.release(call.kind)
+
+
+def _wait_for_cell_task(
+    task: _cell_task.CellTask,
+    call: _client_calls.ClientCall,
+    *,
+    timeout_s: float,
+    is_forwarded: bool,
+) -> _client_calls.ClientReply:
+    """Sends a call that holds a slot to the cell task; returns the reply."""
     reply_future: futures.Future[_client_calls.ClientReply] = futures.Future()
     try:
         task.tell(
@@ -105,10 +155,12 @@
 
     Args:
         task: The cell task that answers the calls.
+        slots: Limit of the calls that wait.
     """
 
-    def __init__(self, task: _cell_task.CellTask) -> None:
+    def __init__(self, task: _cell_task.CellTask, slots: CallSlots) -> None:
         self._task = task
+        self._slots = slots
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -124,6 +176,7 @@
         reply = call_cell_task(
             self._task,
             call,
+            slots=self._slots,
             timeout_s=_call_router.PEER_TIMEOUT_S,
             is_forwarded=True,
         )
@@ -142,6 +195,7 @@
         is_leaving: Returns whether the instance is shutting down, in which
             case every response closes its connection.
         metrics: Receives the count and duration of the calls.
+        slots: Limit of the calls that wait.
     """
 
     def __init__(
@@ -149,7 +203,9 @@
         task: _cell_task.CellTask,
         is_leaving: Callable[[], bool],
         metrics: _metrics.Metrics,
+        slots: CallSlots,
     ) -> None:
+        self._slots = slots
         self._metrics = metrics
         self._task = task
         self._is_leaving = is_leaving
@@ -224,6 +280,7 @@
         reply = call_cell_task(
             self._task,
             call,
+            slots=self._slots,
             timeout_s=_caller_timeout_s(request, queue),
             is_forwarded=False,
         )
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -20,11 +20,15 @@
 from basiljunction.transport.jobs import _cell_task
 from basiljunction.transport.jobs import _metrics_app
 
-FRONT_THREADS = 16
+FRONT_THREADS = 32
 """Client calls served concurrently; each waits about 10 ms for the store."""
 
-PEER_THREADS = 16
-"""Calls of peer instances served concurrently."""
+PEER_THREADS = 64
+"""Calls of peer instances served concurrently; a scheduler serves the calls of
+all instances."""
+
+RESERVED_THREADS = 8
+"""Threads of each of these servers that only cancels use."""
 
 READY_THREADS = 2
 """Readiness checks served concurrently."""
@@ -88,12 +92,19 @@
                 READY_THREADS,
             ),
             _build_server(
-                settings.peer_listen, _apps.PeerApp(self._task), PEER_THREADS
+                settings.peer_listen,
+                _apps.PeerApp(
+                    self._task, _apps.CallSlots(PEER_THREADS - RESERVED_THREADS)
+                ),
+                PEER_THREADS,
             ),
             _build_server(
                 settings.front_listen,
                 _apps.FrontApp(
-                    self._task, self._shutdown_event.is_set, metrics
+                    self._task,
+                    self._shutdown_event.is_set,
+                    metrics,
+                    _apps.CallSlots(FRONT_THREADS - RESERVED_THREADS),
                 ),
                 FRONT_THREADS,
             ),
--- a/tests/instance_rig.py
+++ b/tests/instance_rig.py
@@ -17,6 +17,7 @@
 from basiljunction.transport.jobs import _cell_task
 from basiljunction.transport.jobs import _daemon
 import platform_standin
+import socket_relay
 
 WAIT_TIMEOUT_S = 15.0
 """Longest wait for a condition, in seconds."""
@@ -64,24 +65,34 @@
     Args:
         platform: The platform that it uses.
         name: Name of the instance.
+        has_relay: Whether other instances reach it through a relay.
 
     Attributes:
         name: Name of the instance.
+        front_port: Port on which it serves clients.
+        peer_port: Port on which it serves other instances, behind the relay.
+        relay: The relay, if it has one.
         metrics: Metrics of the instance.
         task: Its cell task.
     """
 
     def __init__(
-        self, platform: platform_standin.Platform, name: str = "front-1"
+        self,
+        platform: platform_standin.Platform,
+        name: str = "front-1",
+        *,
+        has_relay: bool = False,
     ) -> None:
         self.name = name
         self.metrics = _metrics.Metrics(name)
         front_port, peer_port = _ports.reserve_free_ports(2)
         self.front_port = front_port
+        self.peer_port = peer_port
+        self.relay = socket_relay.Relay(peer_port) if has_relay else None
         self.settings = make_settings(
             name,
             front_port=front_port,
-            peer_port=peer_port,
+            peer_port=peer_port if self.relay is None else self.relay.port,
             store_address=platform.address,
         )
         self.task = _cell_task.CellTask(
@@ -92,13 +103,21 @@
         )
         self._servers = [
             _make_server(
-                self.settings.peer_listen,
-                _apps.PeerApp(self.task),
+                f"127.0.0.1:{peer_port}",
+                _apps.PeerApp(
+                    self.task,
+                    _make_slots(_daemon.PEER_THREADS),
+                ),
                 _daemon.PEER_THREADS,
             ),
             _make_server(
                 self.settings.front_listen,
-                _apps.FrontApp(self.task, lambda: False, self.metrics),
+                _apps.FrontApp(
+                    self.task,
+                    lambda: False,
+                    self.metrics,
+                    _make_slots(_daemon.FRONT_THREADS),
+                ),
                 _daemon.FRONT_THREADS,
             ),
         ]
@@ -147,9 +166,16 @@
         self.task.stop()
         for server in self._servers:
             server.stop()
+        if self.relay is not None:
+            self.relay.close()
         self._pool.shutdown(wait=True)
 
 
+def _make_slots(threads: int) -> _apps.CallSlots:
+    """Returns the limit of a server like that of an instance."""
+    return _apps.CallSlots(threads - _daemon.RESERVED_THREADS)
+
+
 def _make_server(
     listen: str, application: _http_server.Application, threads: int
 ) -> _http_server.HttpServer:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -78,6 +78,8 @@
             second; infinite for a link that is never the bottleneck.
         silent_topics: Topics whose newest records the store does not answer
             with, while it answers all other calls.
+        silent_append_topics: Topics whose appends the store neither carries out
+            nor answers.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -89,6 +91,7 @@
         self.is_down = False
         self.store_bytes_per_s = float("inf")
         self.silent_topics: set[str] = set()
+        self.silent_append_topics: set[str] = set()
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
@@ -317,6 +320,11 @@
         if self.owner.is_down or path != "/log-append":
             self.send_reply(503, b"{}")
             return
+        if query["Topic"] in self.owner.silent_append_topics:
+            while query["Topic"] in self.owner.silent_append_topics:
+                time.sleep(POLL_INTERVAL_S)
+            self.close_connection = True
+            return
         with self.owner.lock:
             status, answer = _append_to_topic(
                 self.owner.topics[query["Topic"]], query, body
--- a/tests/transport/jobs/test_apps.py
+++ b/tests/transport/jobs/test_apps.py
@@ -50,7 +50,9 @@
 ) -> tuple[int, str, _AcceptingTask]:
     """Sends a request; returns the status, the body and the recording task."""
     task = _AcceptingTask(configuration or build.configuration())
-    app = _apps.FrontApp(task, lambda: False, _metrics.Metrics())
+    app = _apps.FrontApp(
+        task, lambda: False, _metrics.Metrics(), _apps.CallSlots(1)
+    )
     response = test.Client(app).open(
         path,
         method=method,
@@ -131,7 +133,9 @@
 
     def test_without_a_configuration_callers_may_come_back(self) -> None:
         task = _AcceptingTask(None)
-        app = _apps.FrontApp(task, lambda: False, _metrics.Metrics())
+        app = _apps.FrontApp(
+            task, lambda: False, _metrics.Metrics(), _apps.CallSlots(1)
+        )
         response = test.Client(app).post(
             f"/episode/{_JOB_ID}", data=_job_body()
         )
@@ -140,7 +144,9 @@
 
     def test_a_leaving_instance_closes_connections(self) -> None:
         task = _AcceptingTask(build.configuration())
-        app = _apps.FrontApp(task, lambda: True, _metrics.Metrics())
+        app = _apps.FrontApp(
+            task, lambda: True, _metrics.Metrics(), _apps.CallSlots(1)
+        )
         response = test.Client(app).post(
             f"/episode/{_JOB_ID}",
             data=_job_body(),
