Keep connections to the scheduler free for cancels

An instance makes at most 8 connections to another one. Eight submissions that waited for the store held them all, and a cancel of the same entry waited in libcurl's queue until one of them was answered or timed out.

Forwarded submissions use at most 6 of them; others wait in the router and are refused at their deadline, as they were certainly not sent.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -109,6 +109,22 @@
         "",
         "tests/coordination/leadership/test_election.py",
     ),
+    _mutation(
+        "submits-take-every-connection",
+        "cancelling",
+        "src/basiljunction/transport/jobs/_call_router.py",
+        "and self._submits_in_flight[address] >= limit",
+        "and self._submits_in_flight[address] >= 2 * limit",
+        "tests/transport/jobs/test_cancels.py",
+    ),
+    _mutation(
+        "submits-take-every-thread",
+        "cancelling",
+        "src/basiljunction/transport/jobs/_apps.py",
+        "return kind in _UNLIMITED_KINDS or self._free.acquire(blocking=False)",
+        "return kind in _UNLIMITED_KINDS or self._free.acquire(timeout=9)",
+        "tests/transport/jobs/test_cancels.py",
+    ),
     _mutation(
         "earlier-life-taken-for-own",
         "one scheduler",
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import collections
 from collections.abc import Callable
 from concurrent import futures
 import dataclasses
@@ -37,6 +38,12 @@
 No instance could answer in less.
 """
 
+RESERVED_CONNECTIONS = 2
+"""Connections to a peer that forwarded submissions leave free.
+
+A submission holds its connection until the job is stored.
+"""
+
 _Outcome = _client_calls.CallOutcome
 
 _log = structlog.get_logger()
@@ -148,6 +155,9 @@
         self._local = local
         self._pending: list[PendingCall] = []
         self._leader_from_peer: tuple[str, int] = ("", 0)
+        self._submits_in_flight: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     @property
     def has_no_pending_calls(self) -> bool:
@@ -242,6 +252,9 @@
             return
         if not address:
             pending.waits_for = "leader-unknown"
+        elif self._must_hold_back(pending, address):
+            pending.waits_for = "connection"
+            pending.next_try_boot_s = now.boot_s
         else:
             self._forward_call(pending, address, epoch, now)
 
@@ -290,6 +303,14 @@
             _build_peer_call(peer, call, PEER_TIMEOUT_S), handle_reply
         )
 
+    def _must_hold_back(self, pending: PendingCall, address: str) -> bool:
+        """Returns whether a submission has to wait for a connection."""
+        limit = _http_calls.MAX_CONNECTIONS_PER_HOST - RESERVED_CONNECTIONS
+        return (
+            pending.call.kind is _client_calls.CallKind.SUBMIT
+            and self._submits_in_flight[address] >= limit
+        )
+
     def _forward_call(
         self, pending: PendingCall, address: str, epoch: int, now: _time.Now
     ) -> None:
@@ -300,10 +321,14 @@
         pending.next_try_boot_s = None
         pending.is_in_flight = True
         pending.waits_for = "leader"
-        self._calls.send(
-            call,
-            lambda reply: self._handle_forward_reply(pending, epoch, reply),
-        )
+        is_submit = pending.call.kind is _client_calls.CallKind.SUBMIT
+        self._submits_in_flight[address] += is_submit
+
+        def handle_reply(reply: _http_call.HttpReply) -> None:
+            self._submits_in_flight[address] -= is_submit
+            self._handle_forward_reply(pending, epoch, reply)
+
+        self._calls.send(call, handle_reply)
 
     def _handle_forward_reply(
         self, pending: PendingCall, epoch: int, reply: _http_call.HttpReply
--- a/tests/transport/jobs/test_cancels.py
+++ b/tests/transport/jobs/test_cancels.py
@@ -109,6 +109,14 @@
         with _waiting_submits(leader, platform, _daemon.FRONT_THREADS + 4):
             assert _cancel(leader) == (200, True)
 
+    def test_submits_that_wait_leave_a_connection_to_cancels(
+        self,
+        platform: platform_standin.Platform,
+        entry: instance_rig.Instance,
+    ) -> None:
+        with _waiting_submits(entry, platform, 10):
+            assert _cancel(entry) == (200, True)
+
     def test_forwarded_submits_leave_a_thread_to_cancels(
         self,
         platform: platform_standin.Platform,
