--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -15,6 +15,7 @@
 from basiljunction.state.workload import _records
 from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _read_progress
 
 READ_SILENCE_LIMIT_S = 1.0
 """Longest time without a byte of a read's answer, in seconds.
@@ -72,6 +73,14 @@
         clock: Returns the current time.
         on_recovered: Called once with all records stored by earlier terms.
         on_stored: Called with each batch after it is stored.
+
+    Attributes:
+        stage: Stage within the term.
+        epoch: Epoch of the term.
+        progress: Progress of the read of earlier records.
+        last_failure: Step and error of the newest failed call; empty if none
+            failed.
+        is_closed: Whether the term has ended, so that no further calls start.
     """
 
     def __init__(
@@ -86,6 +95,9 @@
     ) -> None:
         self.stage = JournalStage.FENCING
         self.epoch = epoch
+        self.progress = _read_progress.ReadProgress(calls)
+        self.last_failure = ""
+        self.is_closed = False
         self._calls = calls
         self._settings = settings
         self._clock = clock
@@ -137,7 +149,9 @@
 
     def make_due_call(self, now: _time.Now) -> None:
         """Makes the next call to the store if one is due and none in flight."""
-        if self._is_calling or now.boot_s < self._next_call_boot_s:
+        if self.is_closed or self._is_calling:
+            return
+        if now.boot_s < self._next_call_boot_s:
             return
         if self.stage is JournalStage.FENCING:
             self._send_append((), self._handle_fence_reply)
@@ -151,6 +165,7 @@
                 silence_limit_s=READ_SILENCE_LIMIT_S,
             )
             self._is_calling = True
+            self.progress.begin_page(call)
             self._calls.send(call, self._handle_read_reply)
         elif self.stage is JournalStage.OPEN and self._unstored_chunks:
             self._send_append(
@@ -223,14 +238,18 @@
         """Collects a page of stored records; opens the journal at the end."""
         self._is_calling = False
         if not reply.is_success:
+            self.progress.fail_page(reply)
             self._handle_failed_reply(reply, "read")
             return
         try:
             page = _store.parse_newest_page(reply)
         except _errors.DecodeError as error:
             _log.warning("journal.torn-page", error=str(error))
+            self.progress.fail_page(reply)
+            self.last_failure = f"read: {error}"
             self._next_call_boot_s = self._clock().boot_s + RETRY_DELAY_S
             return
+        self.progress.add_page(reply, len(page.records))
         for record in page.records:
             if not record.value:
                 continue
@@ -272,6 +291,7 @@
         Retries are safe because the store recognizes a repeated append by its
         sequence number.
         """
+        self.last_failure = f"{step}: {reply.error_text or reply.status}"
         if _store.is_fenced(reply):
             self.stage = JournalStage.LOST
             _log.warning("journal.fenced", epoch=self.epoch, step=step)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -110,6 +110,10 @@
         reads: Paths, with queries, of all reads of the store, in order.
         link_to_store: Link that all calls to the store share.
         append_sizes: Size of the body of each append that arrived, in bytes.
+        silent_topics: Topics whose newest records the store does not answer
+            with, while it answers all other calls.
+        silent_append_topics: Topics whose appends the store neither carries out
+            nor answers.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -125,6 +129,8 @@
         self.reads: list[str] = []
         self.link_to_store = Link()
         self.append_sizes: list[int] = []
+        self.silent_topics: set[str] = set()
+        self.silent_append_topics: set[str] = set()
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
@@ -387,6 +393,11 @@
         if self.owner.is_down or path != "/log-append":
             self.send_reply(503, b"{}")
             return
+        if query["Topic"] in self.owner.silent_append_topics:
+            while query["Topic"] in self.owner.silent_append_topics:
+                time.sleep(POLL_INTERVAL_S)
+            self.close_connection = True
+            return
         with self.owner.lock:
             self.owner.append_sizes.append(len(body))
             status, answer = append_to_topic(
@@ -402,6 +413,8 @@
             return
         topic = self.owner.topics[query["Topic"]]
         if path == "/log-newest":
+            while query["Topic"] in self.owner.silent_topics:
+                time.sleep(POLL_INTERVAL_S)
             self.send_reply(200, self._encode_newest(topic, query))
         else:
             self.send_reply(200, self._encode_records(topic, query))
