--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -11,7 +11,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobRecord:
-    """Record of an accepted job; written once per job.
+    """Record of an accepted job.
+
+    It is written on acceptance, and again without payload and steps once the
+    job has finished.
 
     Attributes:
         job: The accepted job.
