Leave default values out of job records

A new scheduler reads some 390 bytes for each step of a job, most of them fields that have their default. These are now left out of j.ID; both builds fill them in when they read, so the defaults are part of the format.

The test of the stored fields failed before.

--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -1,7 +1,8 @@
 """Codec of the records that the job scheduler keeps in the store.
 
 Each record is JSON under a key whose first letter names its kind. Field names
-in records never change meaning; a record of a later version is skipped.
+in records never change meaning; a record of a later version is skipped. Records
+of jobs leave out fields with their default, so these defaults never change.
 """
 
 import dataclasses
@@ -67,7 +68,9 @@
     """
     if isinstance(record, _records.JobRecord):
         value = _wrap_with_version(
-            _accepted_job_adapter.dump_python(record.job, mode="json")
+            _accepted_job_adapter.dump_python(
+                record.job, mode="json", exclude_defaults=True
+            )
         )
         return (KeyedRecord(_JOB_KEY + record.job.id, value),)
     if isinstance(record, _records.ProgressRecord):
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -1,5 +1,7 @@
 """Tests of the encoding of scheduler records in the store."""
 
+import dataclasses
+import json
 import random
 
 from hypothesis import given
@@ -44,6 +46,29 @@
         (keyed,) = _job_records.encode_record(record)
         assert _job_records.decode_record(keyed) == record
 
+    def test_a_job_s_defaults_are_not_stored(self) -> None:
+        """Each scheduler after this one has to read them."""
+        (keyed,) = _job_records.encode_record(
+            _records.JobRecord(build.accepted_job())
+        )
+        document = json.loads(keyed.value)["d"]
+        assert document["spec"] == {
+            "payload": "payload",
+            "steps": [
+                {
+                    "count": 1,
+                    "size": {"cpu_millicores": 1000, "memory_mb": 1000},
+                    "estimate_s": 1.0,
+                }
+            ],
+        }
+
+    def test_a_record_with_all_fields_of_an_earlier_build_is_read(self) -> None:
+        job = build.accepted_job(build.step_spec(), build.step_spec(after=(0,)))
+        value = json.dumps({"v": 2, "d": dataclasses.asdict(job)}).encode()
+        record = _job_records.KeyedRecord(f"j.{job.id}", value)
+        assert _job_records.decode_record(record) == _records.JobRecord(job)
+
     def test_a_forgotten_job_drops_both_keys(self) -> None:
         job = _records.JobRecord(build.accepted_job())
         keys = {
