Don't count failures of lasting tasks far apart as failures in a row

Seen by callers: on an executor that runs only lasting tasks, the third failure, however long after the others, and each one after it kept all tasks away for 1 to 8 s. With no other executor free, a lasting task waited that long for its next start although there was room.

Cause: only a success ends the row of failures, and lasting tasks never end with one.

Change: a lasting run of more than 8 s ends the row.

Evidence: in the rig, two tasks that fail every 11 s on the only executor run again within 1 s each time; before they did not from the second time on. Tasks that fail right after each start still keep others away.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -106,6 +106,22 @@
         f"{_TESTS}/test_scheduler.py",
         f"{_TESTS}/test_placement.py",
     ),
+    _mutation(
+        "failures-far-apart-avoid-the-executor",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_renewals.py",
+        "now.boot_s - run.phase_since_s > _limits.MAX_UNHEALTHY_AVOID_S",
+        "False",
+        f"{_TESTS}/test_lasting.py",
+    ),
+    _mutation(
+        "each-lasting-failure-forgets-the-others",
+        "executors that fail are avoided",
+        f"{_SCHEDULING}/_renewals.py",
+        "now.boot_s - run.phase_since_s > _limits.MAX_UNHEALTHY_AVOID_S",
+        "True",
+        f"{_TESTS}/test_lasting.py",
+    ),
     _mutation(
         "inherited-jobs-not-held",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -39,7 +39,7 @@
         is_suspect: Whether it was slow lately and no task has run at normal
             speed since.
         consecutive_failures: Number of failed runs since the last successful
-            one.
+            one, or the last one that lasted.
         inherited_until_s: Time until which unreported runs of an earlier
             scheduler may exist on it; None once all its runs are known.
         fillers_adjusted_s: Time at which fillers were last stopped or slowed
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -453,6 +453,11 @@
             run.was_confirmed = True
             if job is not None and end.kind is _executor.RunEndKind.DONE:
                 _slowness.record_completed_rate(executor, run, job, now.boot_s)
+            if run.step.runs_until_cancelled and (
+                now.boot_s - run.phase_since_s > _limits.MAX_UNHEALTHY_AVOID_S
+            ):
+                # It never succeeds, but having lasted shows as much.
+                executor.reset_failures()
         if job is not None and cell.find_step(end.task):
             if is_current:
                 self._record_end(executor, job, end, now)
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -166,3 +166,30 @@
         # One renewal is in flight; the next one tells that nothing runs.
         rig.run(_limits.RENEWAL_WAIT_S + 0.5)
         assert rig.count_lasting_runs() == 1
+
+
+class TestRareFailures:
+    """Failures far apart don't count as failures in a row."""
+
+    def test_the_executor_of_lasting_tasks_is_not_avoided(self) -> None:
+        """A lasting task never succeeds, so no success ends the row."""
+        rig = cell_rig.CellRig()
+        rig.run(1)
+        _submit_lasting(rig, count=2)
+        rig.run(1)
+        for _ in range(6):
+            rig.run(10)
+            rig.executor_by_id["e1"].fail_lasting_runs()
+            rig.run(_RESTART_S)
+            assert rig.count_lasting_runs() == 2
+
+    def test_one_that_fails_each_start_is_avoided(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(1)
+        _submit_lasting(rig, count=1)
+        rig.run(1)
+        start_count = len(rig.starts)
+        for _ in range(40):
+            rig.executor_by_id["e1"].fail_lasting_runs()
+            rig.run(0.5)
+        assert len(rig.starts) - start_count < 8
