Count the wait for earlier runs from the begin of the term

Seen by callers: after a take-over, lasting tasks of a silent executor waited up to 10.2 s longer than the recovery took, which over a narrow link is many seconds; LOST counts from 9 s after their last run.

Cause: runs of an earlier term end at most 10.2 s after its last confirmation, which is before the next term begins. The scheduler counted from the end of its recovery.

Change: it counts from the begin of its term, and adds the executors' delay of 0.3 s in ending their runs, which the later count used to cover. The hold stays for every inherited task: starts aren't stored, so any task may run on a silent executor, and one seen alive may have been started anew there by a scheduler that lost sight of it before its term ended.

Evidence: in the rig, with a recovery of 8 s and one lost executor, its tasks run again 3.5 s later; counted from the recovery they don't (the mutation is noticed). The wait itself is still kept (10.5 s after the begin).

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -122,6 +122,22 @@
         "True",
         f"{_TESTS}/test_lasting.py",
     ),
+    _mutation(
+        "earlier-runs-counted-from-the-recovery",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_scheduler.py",
+        "self._add_inherited_executor(roster_entry, term_begun_s)",
+        "self._add_inherited_executor(roster_entry, now.boot_s)",
+        f"{_TESTS}/test_lasting.py",
+    ),
+    _mutation(
+        "earlier-runs-end-too-early",
+        "one run",
+        f"{_SCHEDULING}/_scheduler.py",
+        "            + self.cell.times.max_run_after_term_s\n",
+        "            + 5.0\n",
+        f"{_TESTS}/test_lasting.py",
+    ),
     _mutation(
         "inherited-jobs-not-held",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -52,12 +52,22 @@
     # Recovery.
 
     def restore_from_records(
-        self, records: Iterable[_records.Record], now: _time.Now
+        self,
+        records: Iterable[_records.Record],
+        now: _time.Now,
+        *,
+        term_begun_s: float,
     ) -> None:
         """Rebuilds jobs and executors from the records of earlier terms.
 
         No task of an inherited job starts until each executor that may run one
         has listed its runs, or until its lease has certainly expired.
+
+        Args:
+            records: The stored records.
+            now: The time.
+            term_begun_s: When this term was known to have begun, on the steady
+                clock; no earlier term was confirmed after it.
         """
         cell = self.cell
         accepted_by_id: dict[str, _progress.AcceptedJob] = {}
@@ -69,7 +79,7 @@
                 progress_by_id[record.job_id] = record.progress
             elif isinstance(record, _records.ExecutorRosterRecord):
                 for roster_entry in record.executors:
-                    self._add_inherited_executor(roster_entry, now)
+                    self._add_inherited_executor(roster_entry, term_begun_s)
             elif isinstance(record, _records.LearnedHeadroomRecord):
                 cell.sharing.restore_learned(record)
         for job_id, accepted in accepted_by_id.items():
@@ -83,14 +93,16 @@
         self.set_configuration(cell.configuration)
 
     def _add_inherited_executor(
-        self, roster_entry: _executor.ListedExecutor, now: _time.Now
+        self, roster_entry: _executor.ListedExecutor, term_begun_s: float
     ) -> None:
         """Adds an executor that may still run tasks of an earlier term."""
         state = _executors.ExecutorState(
             listing=roster_entry, is_listed=False, is_roster_stored=True
         )
         state.inherited_until_s = (
-            now.boot_s + self.cell.times.max_run_after_term_s
+            term_begun_s
+            + self.cell.times.max_run_after_term_s
+            + _limits.LEASE_EXPIRY_MARGIN_S
         )
         self.cell.executor_by_id[roster_entry.id] = state
 
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -248,7 +248,9 @@
     def _restore_scheduler(self, records: list[_records.Record]) -> None:
         """Restores the scheduler's state from the records of earlier terms."""
         now = self._clock()
-        self._scheduler.restore_from_records(records, now)
+        self._scheduler.restore_from_records(
+            records, now, term_begun_s=self._started_boot_s
+        )
         self._has_recovered = True
         cell = self._scheduler.cell
         _log.info(
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -407,24 +407,40 @@
         self.term_confirmed_s = 0.0
         self.scheduler = self._start_scheduler()
 
-    def _start_scheduler(self) -> _scheduler.Scheduler:
-        """Starts a scheduler of the next epoch, restored from the store."""
+    def _start_scheduler(self, recovery_s: float = 0.0) -> _scheduler.Scheduler:
+        """Starts a scheduler of the next epoch, restored from the store.
+
+        Args:
+            recovery_s: Time that reading the store takes, in seconds.
+        """
         self.epoch += 1
         self.scheduler = build.scheduler(*self.queues, epoch=self.epoch)
+        begun_s = self.now_s
+        self._pass_recovery_time(recovery_s)
         records = [
             _job_records.decode_record(_job_records.KeyedRecord(key, value))
             for key, value in self.store.items()
         ]
         self.scheduler.restore_from_records(
-            records, build.clock_readings_at(self.now_s)
+            records,
+            build.clock_readings_at(self.now_s),
+            term_begun_s=begun_s,
         )
         self.term_confirmed_s = self.now_s
         self.list_executors()
         return self.scheduler
 
-    def take_over(self) -> None:
+    def _pass_recovery_time(self, seconds: float) -> None:
+        """Lets virtual time pass while no scheduler is at work."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now_s += STEP_S
+            for executor in self.executor_by_id.values():
+                if executor.is_up:
+                    executor.end_due_runs()
+
+    def take_over(self, recovery_s: float = 0.0) -> None:
         """Replaces the scheduler by one that restores from the store."""
-        self._start_scheduler()
+        self._start_scheduler(recovery_s)
 
     def list_executors(self) -> None:
         """Passes the list of executors that are up to the scheduler."""
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -193,3 +193,33 @@
             rig.executor_by_id["e1"].fail_lasting_runs()
             rig.run(0.5)
         assert len(rig.starts) - start_count < 8
+
+
+class TestSilentExecutorAfterTakeOver:
+    """Runs of an earlier term end a known time after that term."""
+
+    def _take_over_from_lost_executor(
+        self, recovery_s: float
+    ) -> cell_rig.CellRig:
+        """Returns a rig after the loss of executor e1 and the scheduler."""
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.run(1)
+        _submit_lasting(rig, count=4)
+        rig.run(1)
+        assert len(rig.executor_by_id["e1"].run_by_key) == 2
+        rig.executor_by_id["e1"].is_up = False
+        rig.take_over(recovery_s)
+        return rig
+
+    def test_a_long_recovery_counts_towards_that_time(self) -> None:
+        rig = self._take_over_from_lost_executor(8.0)
+        rig.run(3.5)
+        assert rig.count_lasting_runs() == 4
+
+    def test_its_tasks_wait_for_that_time(self) -> None:
+        rig = self._take_over_from_lost_executor(2.0)
+        start_count = len(rig.starts)
+        rig.run(8.0)
+        assert len(rig.starts) == start_count
