Test lasting tasks in a seeded rig at twice the load

The load is twice what fits, or twice what a placement pass can start; executors restart and lasting tasks fail at random.

--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -223,6 +223,13 @@
             elif self.rig.now_s >= run.end_s and not self.is_hanging:
                 self._end_run(key, run.kind)
 
+    def has_room_for(self, size: _job_spec.Resources) -> bool:
+        """Returns whether the runs leave room for another of a size."""
+        used = _job_spec.Resources()
+        for run in self.run_by_key.values():
+            used += run.step.reserved_resources
+        return (self.entry.capacity - used).covers(size)
+
     def fail_lasting_runs(self) -> None:
         """Ends all runs that last until cancelled as failed."""
         for key, run in list(self.run_by_key.items()):
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -1,10 +1,12 @@
 """Tests that tasks that last until cancelled run again soon after an end."""
 
 import collections
+from typing import Any
 
 import pytest
 
 from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _notes
 from basiljunction.state.workload import _job_spec
 import cell_rig
 import workload_builders as build
@@ -12,6 +14,10 @@
 _RESTART_S = 1.0
 """Longest time in which a lost lasting task has to run again, in seconds."""
 
+_RESTART_DETECTION_S = 0.7
+"""Time after which the scheduler knows that an executor has restarted, in
+seconds: two renewals fail, and each is repeated after some tenths."""
+
 _LASTING_JOB_ID = "f0"
 
 
@@ -39,12 +45,12 @@
 
 
 def _submit_lasting(
-    rig: cell_rig.CellRig, *, count: int = 6, priority: int = 0
+    rig: cell_rig.CellRig, *, count: int = 6, priority: int = 0, **changes: Any
 ) -> None:
-    """Submits a job of lasting tasks of one core."""
+    """Submits a job of lasting tasks of one core each, unless changed."""
     rig.submit(
         build.accepted_job(
-            build.step_spec(count=count, runs_until_cancelled=True),
+            build.step_spec(count=count, runs_until_cancelled=True, **changes),
             job_id=_LASTING_JOB_ID,
             in_queue=build.queue("watch", priority=priority),
         )
@@ -223,3 +229,105 @@
         start_count = len(rig.starts)
         rig.run(8.0)
         assert len(rig.starts) == start_count
+
+
+class _WaitMeter:
+    """Measures how long lasting tasks without a run wait beside room.
+
+    Args:
+        rig: The rig that runs them.
+        tasks: The tasks.
+    """
+
+    def __init__(
+        self, rig: cell_rig.CellRig, tasks: list[_job_spec.TaskId]
+    ) -> None:
+        self._rig = rig
+        self._waited_s_by_task = dict.fromkeys(tasks, 0.0)
+        self.preempted: set[str] = set()
+        rig.on_note = self.track_preemption
+
+    def track_preemption(self, note: _notes.Note) -> None:
+        """Remembers tasks from their preemption to their next start."""
+        task = str(note.value_by_field.get("task"))
+        if note.event == "task.preempted":
+            self.preempted.add(task)
+        elif note.event == "task.started":
+            self.preempted.discard(task)
+
+    def check_step(self) -> None:
+        """Asserts that no task has waited too long after a step of the rig."""
+        executors = self._rig.executor_by_id.values()
+        running = {task for e in executors for task, _ in e.run_by_key}
+        known = [
+            e
+            for e in executors
+            if self._rig.now_s - e.born_s > _RESTART_DETECTION_S
+        ]
+        for task in self._waited_s_by_task:
+            size = self._rig.step_spec_of(task).size
+            has_room = any(e.has_room_for(size) for e in known)
+            if task in running or not has_room:
+                self._waited_s_by_task[task] = 0.0
+                continue
+            self._waited_s_by_task[task] += cell_rig.STEP_S
+            patience_s = (
+                _limits.LASTING_START_PATIENCE_S
+                if str(task) in self.preempted
+                else 0.0
+            )
+            assert (
+                self._waited_s_by_task[task] <= patience_s + _RESTART_S + 1e-6
+            ), f"{task} waits at {self._rig.now_s:.2f} s"
+
+
+@pytest.mark.parametrize(
+    ("cores", "short_count"),
+    [
+        pytest.param(16, 10, id="twice-what-fits"),
+        pytest.param(128, 80, id="twice-what-a-pass-starts"),
+    ],
+)
+@pytest.mark.parametrize("seed", range(3))
+class TestOverload:
+    """Lasting tasks run wherever there is room, at twice the load."""
+
+    def test_none_waits_beside_room(
+        self, seed: int, cores: int, short_count: int
+    ) -> None:
+        capacity = _job_spec.Resources(cores * 1000, cores * 4000, 0)
+        rig = cell_rig.CellRig(
+            *(
+                build.executor_entry(f"e{number}", capacity=capacity)
+                for number in range(8)
+            ),
+            seed=seed,
+        )
+        rig.holds_renewals = True
+        rig.run(1)
+        rng = rig.rng
+        size = _job_spec.Resources(3000, 1000, 0)
+        _submit_lasting(rig, count=12, size=size)
+        rig.run(1)
+        assert rig.count_lasting_runs() == 12
+        meter = _WaitMeter(
+            rig, [_job_spec.TaskId(_LASTING_JOB_ID, 0, 0, n) for n in range(12)]
+        )
+        for step in range(150):
+            # They run for 0.5 s, that is, ten steps of the rig.
+            rig.submit(
+                build.accepted_job(
+                    build.step_spec(
+                        count=short_count,
+                        size=_job_spec.Resources(2500, 1000, 0),
+                    ),
+                    job_id=f"a{step:015x}",
+                )
+            )
+            if rng.random() < 0.03:
+                rng.choice(list(rig.executor_by_id.values())).restart()
+            if rng.random() < 0.03:
+                executor = rng.choice(list(rig.executor_by_id.values()))
+                executor.fail_lasting_runs()
+            rig.step()
+            meter.check_step()
