Read replies in each tick, also while messages wait

Seen by callers: an instance with more calls waiting than it can handle hears neither the store nor an executor: as scheduler it then starts nothing and loses its term.

Cause: the loop takes the next message without a look at the sockets, and comes to them only when no message waits.

Change: each tick reads the replies that have arrived.

Evidence: with 600 waiting messages of 5 ms each the task did not know the cell's term after 2.5 s; now it does. The mutation is noticed.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -138,6 +138,14 @@
         "            + 5.0\n",
         f"{_TESTS}/test_lasting.py",
     ),
+    _mutation(
+        "sockets-starve-beside-messages",
+        "the scheduler hears its executors",
+        "src/basiljunction/transport/jobs/_cell_task.py",
+        "        self._calls.poll(0.0)\n",
+        "",
+        "tests/transport/jobs/test_cell_loop.py",
+    ),
     _mutation(
         "inherited-jobs-not-held",
         "one run",
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -211,7 +211,12 @@
         )
 
     def tick(self, now: _time.Now) -> None:
-        """Advances the feeds, the election, the session and pending calls."""
+        """Advances the feeds, the election, the session and pending calls.
+
+        It reads the replies that have arrived first: while messages wait, the
+        loop handles those and does not come to the sockets.
+        """
+        self._calls.poll(0.0)
         self._configurations.start_due_read(now)
         self._terms.start_due_read(now)
         self._terms.register_member_address()
