Don't take executors for silent while the scheduler is late

Seen by callers: where the scheduler ticks every 0.15 s or more slowly, no task was placed on an executor for a part of each renewal, though it had answered in time; tasks bound to few executors waited for it.

Cause: an executor counts as silent 1.4 s after its last answer. A renewal waits for a tick to be due and for its end to be sent, and the answer for the end of another tick, which the 0.4 s don't cover.

Change: the silence is excused by three times the longest gap between two ticks of the last 3 s, at most 1.2 s.

Evidence: with ticks of 0.35 s the executor of the test is silent in some ticks without the change, and at no tick with it; a silent executor is still noticed. Both mutations are noticed.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -146,6 +146,22 @@
         "",
         "tests/transport/jobs/test_cell_loop.py",
     ),
+    _mutation(
+        "own-delay-taken-for-silence",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_executors.py",
+        "_limits.CONTACT_TIMEOUT_S + own_delay_s",
+        "_limits.CONTACT_TIMEOUT_S",
+        f"{_TESTS}/test_lasting.py",
+    ),
+    _mutation(
+        "silence-never-noticed",
+        "silent executors get no tasks",
+        f"{_SCHEDULING}/_executors.py",
+        "_limits.CONTACT_TIMEOUT_S + own_delay_s",
+        "_limits.CONTACT_TIMEOUT_S + 9.0",
+        f"{_TESTS}/test_lasting.py",
+    ),
     _mutation(
         "inherited-jobs-not-held",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -48,6 +48,9 @@
         next_forget_finished_s: When finished jobs are next cleaned up.
         next_learned_record_s: When the filler models are next stored.
         run_counter: Run numbers that this term has used.
+        last_tick_s: When the scheduler last did its timed work.
+        tick_gap_s: Longest gap between two such times lately.
+        tick_gap_until_s: When that gap no longer counts.
         sharing: Learned effect of fillers (tasks that use spare processor
             time) on serving tasks.
         approvals: Executors that the outside approval policy approves.
@@ -76,6 +79,9 @@
     next_forget_finished_s: float = 0.0
     next_learned_record_s: float = 0.0
     run_counter: int = 0
+    last_tick_s: float = float("inf")
+    tick_gap_s: float = 0.0
+    tick_gap_until_s: float = 0.0
     sharing: _sharing.FillerController = dataclasses.field(
         default_factory=_sharing.FillerController
     )
@@ -99,6 +105,25 @@
         self.run_counter += 1
         return (self.epoch - 1) * _limits.RUNS_PER_EPOCH + self.run_counter
 
+    def is_usable(
+        self, executor: _executors.ExecutorState, now_s: float
+    ) -> bool:
+        """Returns whether an executor accepts new tasks now.
+
+        Its silence is excused as far as the scheduler itself is late.
+        """
+        own_delay_s = self.tick_gap_s * _limits.TICKS_PER_RENEWAL
+        return executor.accepts_new_tasks(now_s, own_delay_s=own_delay_s)
+
+    def measure_tick_gap(self, now_s: float) -> None:
+        """Measures the longest gap between two ticks of the last seconds."""
+        gap_s = max(0.0, now_s - self.last_tick_s)
+        gap_s = min(gap_s, _limits.MAX_TICK_GAP_S)
+        self.last_tick_s = now_s
+        if gap_s >= self.tick_gap_s or now_s >= self.tick_gap_until_s:
+            self.tick_gap_s = gap_s
+            self.tick_gap_until_s = now_s + _limits.TICK_GAP_MEMORY_S
+
     def find_job(self, task: _job_spec.TaskId) -> _jobs.Job | None:
         """Returns the job of a task, or None if it is not known."""
         return self.job_by_id.get(task.job)
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -137,11 +137,15 @@
             and capacity.gpus - reserved.gpus >= resources.gpus
         )
 
-    def accepts_new_tasks(self, now_s: float) -> bool:
+    def accepts_new_tasks(self, now_s: float, *, own_delay_s: float) -> bool:
         """Returns whether the executor accepts new tasks now.
 
         It has to be listed, not draining, stored in the roster, in contact and
         not avoided.
+
+        Args:
+            now_s: Current time in seconds.
+            own_delay_s: Part of its silence that the scheduler may have caused.
         """
         if not self.is_listed or self.listing.is_draining:
             return False
@@ -149,7 +153,8 @@
             return False
         if now_s < self.avoid_until_s:
             return False
-        return now_s - self.last_answer_s < _limits.CONTACT_TIMEOUT_S
+        silent_s = now_s - self.last_answer_s
+        return silent_s < _limits.CONTACT_TIMEOUT_S + own_delay_s
 
     def min_clock_at(self, now_s: float) -> int:
         """Returns a lower bound of the executor's clock, in milliseconds."""
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -29,6 +29,19 @@
 """Time since an executor's last answer after which no task is placed on it, in
 seconds: the answer to a lease renewal is overdue."""
 
+TICKS_PER_RENEWAL = 3
+"""Ticks of the scheduler by which an executor's answer may be older than its
+own: the renewal waits for one tick to be due and for its end to be sent, and
+the answer for the end of another."""
+
+MAX_TICK_GAP_S = 0.4
+"""Longest gap between two ticks that excuses an executor's silence, in seconds;
+with longer ones, renewals time out."""
+
+TICK_GAP_MEMORY_S = 3.0
+"""Time for which the longest gap between two ticks counts, in seconds: two
+renewals."""
+
 LEASE_EXPIRY_MARGIN_S = 0.3
 """Time added to the end of a lease for the executor's delay in ending its runs,
 in seconds."""
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -116,7 +116,7 @@
         self._unplaceable_steps.clear()
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
         for executor in cell.executor_by_id.values():
-            if executor.accepts_new_tasks(now.boot_s):
+            if cell.is_usable(executor, now.boot_s):
                 executors_by_service.setdefault(
                     executor.listing.service, []
                 ).append(executor)
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -396,6 +396,7 @@
         cell.is_term_confirmed = (
             now.boot_s - confirmed_s < cell.times.max_unconfirmed_s
         )
+        cell.measure_tick_gap(now.boot_s)
         self._renewals.tick(now)
         self._forget_finished_jobs(now)
         if now.boot_s >= cell.next_learned_record_s:
--- a/src/basiljunction/coordination/scheduling/_summary.py
+++ b/src/basiljunction/coordination/scheduling/_summary.py
@@ -55,7 +55,7 @@
         ),
         runs=len(runs),
         executors=len(listed),
-        usable=sum(e.accepts_new_tasks(now_s) for e in listed),
+        usable=sum(cell.is_usable(e, now_s) for e in listed),
         serving=sum(e.serving_count > 0 for e in listed),
         serving_runs=sum(run.step.is_serving for run in runs),
         filler_runs=sum(run.step.fills for run in runs),
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -7,6 +7,8 @@
 
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
+from basiljunction.coordination.scheduling import _orders
+from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 import cell_rig
 import workload_builders as build
@@ -331,3 +333,51 @@
                 executor.fail_lasting_runs()
             rig.step()
             meter.check_step()
+
+
+class TestLateScheduler:
+    """Executors are in contact although the scheduler itself is late."""
+
+    @pytest.mark.parametrize("tick_s", [0.05, 0.15, 0.25, 0.35])
+    def test_they_accept_tasks_at_each_tick(self, tick_s: float) -> None:
+        """Orders leave after a tick; answers are read before the next one."""
+        scheduler = build.scheduler()
+        scheduler.set_executors(
+            [build.executor_entry()], build.clock_readings_at(0.0)
+        )
+        executor = scheduler.cell.executor_by_id["e1"]
+        executor.is_roster_stored = True
+        answers: list[tuple[float, _orders.RenewalOrder]] = []
+        accepting: list[bool] = []
+        for tick in range(1, 200):
+            now = build.clock_readings_at(tick * tick_s)
+            for due_s, order in [e for e in answers if e[0] <= now.boot_s]:
+                answers.remove((due_s, order))
+                scheduler.handle_renewal_answer(
+                    order,
+                    _executor.LeaseRenewalReply(
+                        int(now.boot_s * 1000), 1, (), ()
+                    ),
+                    now,
+                )
+            scheduler.run_timed_work(now, confirmed_s=now.boot_s)
+            accepting.append(scheduler.cell.is_usable(executor, now.boot_s))
+            leaves_s = now.boot_s + tick_s
+            answers += [
+                (leaves_s + order.wait_ms / 1000, order)
+                for order in scheduler.take_orders()
+                if isinstance(order, _orders.RenewalOrder)
+            ]
+        assert all(accepting[20:])
+
+    def test_a_silent_executor_is_still_noticed(self) -> None:
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.holds_renewals = True
+        rig.run(2)
+        rig.executor_by_id["e1"].is_answering = False
+        rig.run(_limits.CONTACT_TIMEOUT_S + 0.2)
+        cell = rig.scheduler.cell
+        assert not cell.is_usable(cell.executor_by_id["e1"], rig.now_s)
+        assert cell.is_usable(cell.executor_by_id["e2"], rig.now_s)
