--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -281,7 +281,9 @@
         if self._journal.is_closed:
             return
         now = self._clock()
-        self._scheduler.restore_from_records(records, now)
+        self._scheduler.restore_from_records(
+            records, now, term_begun_s=self._started_boot_s
+        )
         self._has_recovered = True
         cell = self._scheduler.cell
         _log.info(
