Read lists of runs for as long as bytes arrive

Callers would see nothing start after a take-over by an instance behind a narrow link: it doesn't learn what runs.

The answer to a lease renewal lists up to 500 ended runs, and the answers of all executors share the link of the scheduler. A renewal was given up 0.8 s after its wait, with all that had arrived, and the next one asks for the same list again.

Change: the 0.8 s beyond the wait limit the silence of the executor, so one that does not answer is noticed as fast as before; the whole transfer has 30 s. An answer that takes long only shortens what the scheduler believes of the lease, since the executor's clock in it is older then.

Evidence: 20 executors with 500 ended runs each, over 625 kB/s in all. A silent executor is still noticed within 1 s, which the mutation silent-executor-not-noticed breaks.

The pieces of answers over the stand-in's link now take turns.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -238,4 +238,13 @@
         "self._offset = page.next_offset",
         f"{_TRANSPORT_TESTS}/test_feeds.py",
     ),
+    _mutation(
+        "silent-executor-not-noticed",
+        "one run",
+        f"{_TRANSPORT}/_order_sender.py",
+        "                silence_limit_s=order.wait_ms / 1000"
+        " + RENEWAL_ANSWER_MARGIN_S,\n",
+        "",
+        f"{_TRANSPORT_TESTS}/test_order_sender.py",
+    ),
 )
--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -136,12 +136,24 @@
 
 
 def make_renewal_call(
-    address: str, epoch: int, order: _orders.RenewalOrder, *, timeout_s: float
+    address: str,
+    epoch: int,
+    order: _orders.RenewalOrder,
+    *,
+    timeout_s: float,
+    silence_limit_s: float | None = None,
 ) -> _http_call.HttpCall:
     """Builds the HTTP call that renews an executor's lease.
 
-    It also requests the list of active and ended runs. The epoch fences off
-    the orders of earlier leaders.
+    It also requests the list of active and ended runs.
+
+    Args:
+        address: ``ip:port`` of the executor.
+        epoch: Epoch of the term; it fences off the orders of earlier leaders.
+        order: The order.
+        timeout_s: Timeout of the call, in seconds.
+        silence_limit_s: Longest time without a byte of the answer, in
+            seconds; None for no limit. It includes the wait of the order.
     """
     body = {
         "FencingToken": epoch,
@@ -150,7 +162,14 @@
     }
     if order.lease_until_ms is not None:
         body["DeadlineMs"] = order.lease_until_ms
-    return _make_post_call(address, "/hold", order.executor, body, timeout_s)
+    return _make_post_call(
+        address,
+        "/hold",
+        order.executor,
+        body,
+        timeout_s,
+        silence_limit_s=silence_limit_s,
+    )
 
 
 def make_approval_call(
@@ -311,6 +330,8 @@
     executor: str,
     body: dict[str, Any],
     timeout_s: float,
+    *,
+    silence_limit_s: float | None = None,
 ) -> _http_call.HttpCall:
     """Builds a POST that only the named executor at the address may accept."""
     return _http_call.HttpCall(
@@ -319,5 +340,6 @@
         pydantic_core.to_json(body),
         (*_JSON_HEADERS, f"{_INSTANCE_HEADER}: {executor}"),
         timeout_s,
+        silence_limit_s,
         operation=_OPERATION_BY_PATH[path],
     )
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -23,8 +23,12 @@
 """
 
 RENEWAL_ANSWER_MARGIN_S = 0.8
-"""Time for the answer to a lease renewal beyond the wait it asks for, in
-seconds."""
+"""Longest silence of an executor beyond the wait that a lease renewal asks for,
+in seconds.
+
+The time for the whole answer depends on the runs that it lists, on those of
+the other executors and on the link.
+"""
 
 _log = structlog.get_logger()
 
@@ -202,7 +206,8 @@
                 address,
                 self._epoch,
                 order,
-                timeout_s=order.wait_ms / 1000 + RENEWAL_ANSWER_MARGIN_S,
+                timeout_s=_http_calls.MAX_TRANSFER_S,
+                silence_limit_s=order.wait_ms / 1000 + RENEWAL_ANSWER_MARGIN_S,
             ),
             handle_reply,
         )
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -35,7 +35,7 @@
 MAX_READ_BYTES = 1_048_576
 """Most bytes of records in an answer to a read from an offset."""
 
-SEND_INTERVAL_S = 0.02
+SEND_INTERVAL_S = 0.005
 """Time between two pieces of an answer over a narrow link, in seconds."""
 
 
@@ -80,7 +80,7 @@
         store_bytes_per_s: Rate at which the store's answers arrive, in bytes a
             second; infinite for a link that is never the bottleneck. Answers
             that are sent at the same time share it.
-        link_lock: Held by the answer whose piece is on the link.
+        executor_bytes_per_s: The same for the answers of all executors.
         silent_after_bytes: For each of the next reads, the bytes of the body
             after which its answer stops for ever; 0 sends no header either.
         reads: Paths, with queries, of all reads of the store, in order.
@@ -94,7 +94,8 @@
         self.topics: dict[str, Topic] = collections.defaultdict(Topic)
         self.is_down = False
         self.store_bytes_per_s = float("inf")
-        self.link_lock = threading.Lock()
+        self.executor_bytes_per_s = float("inf")
+        self._link_free_s = 0.0
         self.silent_after_bytes: list[int] = []
         self.reads: list[str] = []
         self.starts: list[str] = []
@@ -118,6 +119,17 @@
         with self.lock:
             self.topics[topic].append_record(record)
 
+    def wait_for_link(self, transfer_s: float) -> None:
+        """Waits until a piece of an answer has passed over the link.
+
+        Args:
+            transfer_s: How long the piece occupies the link, in seconds.
+        """
+        with self.lock:
+            begin_s = max(self._link_free_s, time.monotonic())
+            self._link_free_s = end_s = begin_s + transfer_s
+        time.sleep(max(0.0, end_s - time.monotonic()))
+
     def configure(self, version: int, *paths: str) -> None:
         """Publishes a configuration with one queue for each path prefix."""
         routes = [
@@ -272,6 +284,16 @@
         """The executor or platform that this server belongs to."""
         return self.server.owner  # type: ignore[attr-defined]
 
+    @property
+    def platform(self) -> Platform:
+        """The platform that this server belongs to."""
+        return self.owner  # type: ignore[no-any-return]
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Rate at which the answers of this server arrive."""
+        return self.platform.store_bytes_per_s
+
     def read_body(self) -> bytes:
         """Returns the body of the request."""
         return self.rfile.read(int(self.headers.get("Content-Length") or 0))
@@ -285,13 +307,30 @@
             self.write_body(body)
 
     def write_body(self, body: bytes) -> None:
-        """Writes the body of a response."""
-        self.wfile.write(body)
+        """Writes the body of a response at the rate of the link."""
+        rate = self.bytes_per_s
+        if rate == float("inf"):
+            self.wfile.write(body)
+            return
+        size = max(1, int(rate * SEND_INTERVAL_S))
+        for begin in range(0, len(body), size):
+            self.wfile.write(body[begin : begin + size])
+            self.platform.wait_for_link(SEND_INTERVAL_S)
 
 
 class _ExecutorHandler(_Handler):
     """Handles calls to an executor, with long polls for ended runs."""
 
+    @property
+    def platform(self) -> Platform:
+        """The platform that this executor belongs to."""
+        return self.owner.platform  # type: ignore[no-any-return]
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Rate at which the answers of all executors arrive."""
+        return self.platform.executor_bytes_per_s
+
     def do_POST(self) -> None:
         body = json.loads(self.read_body())
         wait_until_s = time.monotonic() + body.get("WaitMs", 0) / 1000
@@ -318,20 +357,12 @@
         super().send_reply(status, body)
 
     def write_body(self, body: bytes) -> None:
-        """Writes the body at the rate of the link to the caller."""
+        """Writes the body, or only as much of it as it is to have."""
         if self._sent_bytes is not None:
             self.wfile.write(body[: self._sent_bytes])
             self.owner.stop_event.wait()
             return
-        rate = self.owner.store_bytes_per_s
-        if rate == float("inf"):
-            super().write_body(body)
-            return
-        size = max(1, int(rate * SEND_INTERVAL_S))
-        for begin in range(0, len(body), size):
-            with self.owner.link_lock:
-                self.wfile.write(body[begin : begin + size])
-                time.sleep(SEND_INTERVAL_S)
+        super().write_body(body)
 
     def _split_url(self) -> tuple[str, dict[str, str]]:
         url = urllib.parse.urlsplit(self.path)
@@ -449,5 +480,7 @@
     httpd = server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
     httpd.daemon_threads = True
     httpd.owner = owner  # type: ignore[attr-defined]
-    threading.Thread(target=httpd.serve_forever, daemon=True).start()
+    threading.Thread(
+        target=httpd.serve_forever, args=(POLL_INTERVAL_S,), daemon=True
+    ).start()
     return httpd
--- /dev/null
+++ b/tests/transport/jobs/test_order_sender.py
@@ -0,0 +1,131 @@
+"""Tests of the scheduler's orders against stand-ins of executors."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import socket
+import time
+
+import pydantic_core
+import pytest
+
+from basiljunction.platform import _executors
+from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _executor
+from basiljunction.transport import _clock
+from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _order_sender
+import platform_standin
+import workload_builders as build
+
+NARROW_LINK_BYTES_PER_S = 625_000
+"""Rate of a link of 5 Mbit/s, in bytes a second."""
+
+EXECUTOR_COUNT = 20
+"""Executors, whose lists have some 700 KB together."""
+
+ENDED_RUNS = 500
+"""Ended runs that each executor lists, the most in one answer."""
+
+ANSWER_LIMIT_S = 4.0
+"""Longest time until all executors have answered, in seconds.
+
+Their lists alone take 1.1 s over a narrow link.
+"""
+
+
+@pytest.fixture
+def platform() -> Iterator[platform_standin.Platform]:
+    """A platform whose executors list many runs that have ended."""
+    platform = platform_standin.Platform(EXECUTOR_COUNT)
+    for executor in platform.executors:
+        executor.ended = [
+            [number, f"{number:016x}.0.0.{number}", 1, "lapsed", "0" * 16]
+            for number in range(1, ENDED_RUNS + 1)
+        ]
+    yield platform
+    platform.close()
+
+
+class Rig:
+    """A scheduler that sends its orders to executors over real sockets.
+
+    Attributes:
+        scheduler: The scheduler.
+    """
+
+    def __init__(self) -> None:
+        self.scheduler = build.scheduler(epoch=2)
+        self._clock = _clock.SystemClock()
+        self._calls = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+        self._sender = _order_sender.OrderSender(
+            calls=self._calls,
+            scheduler=self.scheduler,
+            epoch=2,
+            clock=self._clock.now,
+        )
+
+    def list_executors(
+        self, executors: Iterable[_executor.ListedExecutor]
+    ) -> None:
+        """Gives the scheduler the platform's list of executors."""
+        self.scheduler.set_executors(executors, self._clock.now())
+
+    def count_answering(self) -> int:
+        """Returns how many executors have answered."""
+        states = self.scheduler.cell.executor_by_id.values()
+        return sum(each.last_answer_s is not None for each in states)
+
+    def run_until(self, is_done: Callable[[], bool], *, limit_s: float) -> None:
+        """Runs the scheduler until a condition holds or a time has passed."""
+        end_s = time.monotonic() + limit_s
+        while not is_done() and time.monotonic() < end_s:
+            now = self._clock.now()
+            self.scheduler.run_timed_work(now, confirmed_s=now.boot_s)
+            self._sender.send_collected_orders()
+            self._calls.poll(0.01)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._calls.close()
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    """A scheduler and its orders."""
+    rig = Rig()
+    yield rig
+    rig.close()
+
+
+class TestRenewal:
+    """A scheduler learns the runs of all executors that answer."""
+
+    def test_long_lists_of_runs_arrive_over_a_narrow_link(
+        self, rig: Rig, platform: platform_standin.Platform
+    ) -> None:
+        platform.executor_bytes_per_s = NARROW_LINK_BYTES_PER_S
+        rig.list_executors(
+            _executors.parse_listed_executor(
+                _job_records.KeyedRecord(
+                    each.id, pydantic_core.to_json(each.describe())
+                )
+            )
+            for each in platform.executors
+        )
+        rig.run_until(
+            lambda: rig.count_answering() == EXECUTOR_COUNT,
+            limit_s=ANSWER_LIMIT_S,
+        )
+        assert rig.count_answering() == EXECUTOR_COUNT
+
+    def test_an_executor_that_does_not_answer_is_noticed_within_a_second(
+        self, rig: Rig
+    ) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            rig.list_executors([build.executor_entry(address=address)])
+            (executor,) = rig.scheduler.cell.executor_by_id.values()
+            rig.run_until(lambda: executor.renewal_failures > 0, limit_s=1.0)
+        assert executor.renewal_failures == 1
