Read again what changes between two pages of a topic

Callers could see tasks ordered from an executor that has left: on a site with more than 500 executors it stayed in the list, as no later record names it.

A feed went on at the end offset of the last page, so a change to the records of an earlier page in between was never read.

Change: a feed goes on at the end offset of the first page.

Evidence: test_an_executor_removed_between_two_pages_is_not_kept failed before (501 executors in each list for 3 s) and passes now; it also fails with the mutation changes-between-pages-not-read.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -247,4 +247,13 @@
         "",
         f"{_TRANSPORT_TESTS}/test_order_sender.py",
     ),
+    _mutation(
+        "changes-between-pages-not-read",
+        "executors",
+        f"{_TRANSPORT}/_feeds.py",
+        "        if self._first_page_end is None:\n"
+        "            self._first_page_end = page.end_offset\n",
+        "        self._first_page_end = page.end_offset\n",
+        f"{_TRANSPORT_TESTS}/test_feeds.py",
+    ),
 )
--- a/src/basiljunction/transport/jobs/_feeds.py
+++ b/src/basiljunction/transport/jobs/_feeds.py
@@ -84,6 +84,7 @@
         self._next_read_boot_s = 0.0
         self._after_key: str | None = None
         self._pages: list[_job_records.KeyedRecord] = []
+        self._first_page_end: int | None = None
         self._is_failing = False
         self._generation = 0
 
@@ -125,6 +126,7 @@
         self._offset = None
         self._after_key = None
         self._pages = []
+        self._first_page_end = None
         self._is_reading = False
         self._next_read_boot_s = 0.0
 
@@ -196,15 +198,21 @@
         )
 
     def _apply_newest_page(self, page: _store.NewestRecordPage) -> None:
-        """Collects a page of newest records; applies all after the last."""
+        """Collects a page of newest records; applies all after the last.
+
+        The pages are not a snapshot, so what was appended since the first one
+        is read again.
+        """
         self._pages += page.records
+        if self._first_page_end is None:
+            self._first_page_end = page.end_offset
         self._after_key = page.continue_after_key
         self._next_read_boot_s = 0.0
         if page.continue_after_key is not None:
             return
         records, self._pages = self._pages, []
-        self._offset = page.end_offset
-        self.apply_records(records, is_whole=True, end_offset=page.end_offset)
+        self._offset, self._first_page_end = self._first_page_end, None
+        self.apply_records(records, is_whole=True, end_offset=self._offset)
 
     def _handle_failed_reply(self, reply: _http_call.HttpReply) -> None:
         """Schedules a retry; restarts the feed if the offset is gone (410)."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -6,6 +6,7 @@
 
 import base64
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -84,6 +85,8 @@
         silent_after_bytes: For each of the next reads, the bytes of the body
             after which its answer stops for ever; 0 sends no header either.
         reads: Paths, with queries, of all reads of the store, in order.
+        before_read: Called with the path and query of each read of the store
+            before it is answered.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -98,6 +101,7 @@
         self._link_free_s = 0.0
         self.silent_after_bytes: list[int] = []
         self.reads: list[str] = []
+        self.before_read: Callable[[str], None] = lambda _path: None
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
@@ -383,6 +387,7 @@
     def do_GET(self) -> None:
         path, query = self._split_url()
         self.owner.reads.append(self.path)
+        self.owner.before_read(self.path)
         if self.owner.is_down:
             self.send_reply(503, b"{}")
             return
--- a/tests/transport/jobs/test_feeds.py
+++ b/tests/transport/jobs/test_feeds.py
@@ -163,6 +163,30 @@
         assert rig.executors[-1] == EXECUTOR_COUNT + 1
 
 
+class TestPages:
+    """The newest records of a topic take several pages."""
+
+    def test_an_executor_removed_between_two_pages_is_not_kept(
+        self, rig: Rig
+    ) -> None:
+        entry = platform_standin.Executor(rig.platform, 0)
+        entry.httpd.shutdown()
+        entry.httpd.server_close()
+        count = platform_standin.MAX_PAGE_RECORDS + 1
+        for number in range(count):
+            rig.platform.put("keyed.servers", f"i-{number}", entry.describe())
+
+        def remove_executor(path: str) -> None:
+            if "After=" in path:
+                rig.platform.topics["keyed.servers"].append_record(b"\x03i-0")
+
+        rig.platform.before_read = remove_executor
+        rig.run_until(
+            rig.executor_list, lambda: count - 1 in rig.executors, limit_s=3.0
+        )
+        assert rig.executors == [count, count - 1]
+
+
 class TestSilence:
     """A feed notices a silent store and reads again."""
 
