--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -453,4 +453,22 @@
         "self._offset = page.next_offset",
         f"{_TRANSPORT_TESTS}/test_feeds.py",
     ),
+    _mutation(
+        "silent-executor-not-noticed",
+        "one run",
+        f"{_TRANSPORT}/_order_sender.py",
+        "                silence_limit_s=order.wait_ms / 1000"
+        " + RENEWAL_ANSWER_MARGIN_S,\n",
+        "",
+        f"{_TRANSPORT_TESTS}/test_order_sender.py",
+    ),
+    _mutation(
+        "changes-between-pages-not-read",
+        "executors",
+        f"{_TRANSPORT}/_feeds.py",
+        "        if self._first_page_end is None:\n"
+        "            self._first_page_end = page.end_offset\n",
+        "        self._first_page_end = page.end_offset\n",
+        f"{_TRANSPORT_TESTS}/test_feeds.py",
+    ),
 )
