Repeat forwarded calls on a new connection

A cancel ended in 504 although the scheduler was well and the link was whole again. Connections that an interruption had silenced stay in the pool of the entry, up to eight to the scheduler; an attempt on one of them was given up after 1.5 s, and the second one took the next silent connection. Each entry has such a pool, so that callers who repeat a cancel elsewhere fare alike.

After an attempt without an answer the next ones use a new connection, for calls of every kind. The first attempt of a cancel or query is given up after 0.5 s, later ones after 1.5 s, so that a slow scheduler still gets its time.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -117,6 +117,14 @@
         "and self._submits_in_flight[address] >= 2 * limit",
         "tests/transport/jobs/test_cancels.py",
     ),
+    _mutation(
+        "silent-connections-tried-again",
+        "cancelling",
+        "src/basiljunction/transport/jobs/_call_router.py",
+        "needs_new_connection=pending.has_timed_out,",
+        "needs_new_connection=False,",
+        "tests/transport/jobs/test_cancels.py",
+    ),
     _mutation(
         "submits-take-every-thread",
         "cancelling",
--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -17,6 +17,7 @@
         headers: Headers besides the usual ones.
         timeout_s: Longest time for the whole call, in seconds.
         operation: Name of the operation in metrics.
+        needs_new_connection: Whether no open connection may be used.
     """
 
     method: str
@@ -25,6 +26,7 @@
     headers: tuple[str, ...] = ()
     timeout_s: float = 1.0
     operation: str = "other"
+    needs_new_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -32,6 +32,14 @@
 PEER_TIMEOUT_S = 1.5
 """Longest time for one attempt at a peer instance, in seconds."""
 
+FIRST_TIMEOUT_S = 0.5
+"""Longest time for the first attempt of a cancel or query, in seconds.
+
+If its connection has fallen silent, time is left for an attempt on a new one.
+A submission has more time, since each attempt at it occupies a thread of the
+scheduler until the job is stored.
+"""
+
 MIN_PEER_TIMEOUT_S = 0.05
 """Shortest time for one attempt at a peer instance, in seconds.
 
@@ -66,6 +74,8 @@
             an attempt is in progress.
         added_boot_s: Boot time at which the call arrived, in seconds.
         waits_for: What the newest attempt waits for or failed on.
+        has_timed_out: Whether an attempt got no answer; open connections may
+            have fallen silent then.
     """
 
     call: _client_calls.ClientCall
@@ -77,6 +87,7 @@
     next_try_boot_s: float | None = 0.0
     added_boot_s: float = 0.0
     waits_for: str = ""
+    has_timed_out: bool = False
 
     def set_reply(self, reply: _client_calls.ClientReply) -> None:
         """Answers the call; any later answer is ignored.
@@ -316,8 +327,19 @@
     ) -> None:
         """Forwards a call to the scheduler at an address."""
         left_s = pending.deadline_boot_s - now.boot_s
-        timeout_s = min(PEER_TIMEOUT_S, max(MIN_PEER_TIMEOUT_S, left_s))
-        call = _build_peer_call(address, pending.call, timeout_s)
+        longest_s = (
+            PEER_TIMEOUT_S
+            if pending.has_timed_out
+            or pending.call.kind is _client_calls.CallKind.SUBMIT
+            else FIRST_TIMEOUT_S
+        )
+        timeout_s = min(longest_s, max(MIN_PEER_TIMEOUT_S, left_s))
+        call = _build_peer_call(
+            address,
+            pending.call,
+            timeout_s,
+            needs_new_connection=pending.has_timed_out,
+        )
         pending.next_try_boot_s = None
         pending.is_in_flight = True
         pending.waits_for = "leader"
@@ -338,6 +360,7 @@
         pending.is_in_flight = False
         if not reply.is_success:
             pending.may_have_been_processed |= reply.may_have_been_sent
+            pending.has_timed_out |= reply.may_have_been_sent
             pending.waits_for = (
                 "leader-silent"
                 if reply.may_have_been_sent
@@ -378,7 +401,11 @@
 
 
 def _build_peer_call(
-    address: str, call: _client_calls.ClientCall, timeout_s: float
+    address: str,
+    call: _client_calls.ClientCall,
+    timeout_s: float,
+    *,
+    needs_new_connection: bool = False,
 ) -> _http_call.HttpCall:
     """Returns the HTTP call that sends a client call to a peer instance."""
     return _http_call.HttpCall(
@@ -388,4 +415,5 @@
         (f"Content-Type: {_peer_calls.MEDIA_TYPE}",),
         timeout_s,
         operation="peer.call",
+        needs_new_connection=needs_new_connection,
     )
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -229,6 +229,7 @@
     handle.setopt(pycurl.TCP_NODELAY, 1)
     handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
+    handle.setopt(pycurl.FRESH_CONNECT, int(call.needs_new_connection))
     handle.setopt(pycurl.HTTPHEADER, ["Expect:", *call.headers])
     if call.body is not None:
         handle.setopt(pycurl.POST, 1)
--- a/tests/transport/jobs/test_cancels.py
+++ b/tests/transport/jobs/test_cancels.py
@@ -142,3 +142,28 @@
             assert _call_peer(leader.peer_port, call) == "found"
             assert time.monotonic() - started_s < _LIMIT_S
             platform.silent_append_topics.clear()
+
+    def _open_and_silence_connections(
+        self, leader: instance_rig.Instance, entry: instance_rig.Instance
+    ) -> None:
+        """Opens connections from the entry to the leader that fall silent."""
+        with futures.ThreadPoolExecutor(8) as pool:
+            paths = [f"/jobs/{number:016x}" for number in range(8)]
+            submits = [
+                pool.submit(entry.call, "POST", path, _JOB) for path in paths
+            ]
+        assert [each.result()[0] for each in submits] == [200] * 8
+        assert leader.relay is not None
+        assert leader.relay.silence_open_connections() > 1
+
+    def test_silent_connections_do_not_use_up_the_time_of_a_cancel(
+        self, leader: instance_rig.Instance, entry: instance_rig.Instance
+    ) -> None:
+        self._open_and_silence_connections(leader, entry)
+        assert _cancel(entry) == (200, True)
+
+    def test_silent_connections_do_not_use_up_the_time_of_a_submit(
+        self, leader: instance_rig.Instance, entry: instance_rig.Instance
+    ) -> None:
+        self._open_and_silence_connections(leader, entry)
+        assert entry.call("POST", "/jobs/00000000000000d1", _JOB)[0] == 200
