End a term whose lease renewals are fenced

Only a refused start order told a scheduler that an executor had seen a later term. Lease renewals that were refused with the same reason counted as failures of the executor: where every executor had seen a higher token, none was usable, so no start was ordered and the scheduler went on taking jobs that it could not run. It takes a store whose epochs are behind the executors' tokens.

A fenced renewal ends the session, the term is resigned and the next one has a higher epoch. A fenced term that answered calls does not count among the terms given up in a row.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -284,10 +284,10 @@
         assert self.term is not None  # noqa: S101 - a leader has a term
         is_given_up = self.term.epoch == self._given_up_epoch
         given_up_terms = self.term.given_up_terms
-        if is_given_up:
-            given_up_terms += 1
-        elif self.term.epoch == self._answered_epoch:
+        if self.term.epoch == self._answered_epoch:
             given_up_terms = 0
+        elif is_given_up:
+            given_up_terms += 1
         return self._begin_write(
             dataclasses.replace(
                 self.term,
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -351,6 +351,10 @@
         """Applies an executor's answer to a lease renewal."""
         self._renewals.handle_answer(order, report, now)
 
+    def handle_fence(self) -> None:
+        """Ends this scheduler's work, as an executor has seen a later term."""
+        self.cell.is_fenced = True
+
     def handle_renewal_failure(
         self,
         order: _orders.RenewalOrder,
--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -187,6 +187,11 @@
         raise _errors.DecodeError("approvals", repr(error)) from error
 
 
+def is_fenced(reply: _http_call.HttpReply) -> bool:
+    """Returns whether the executor has seen an order of a later term."""
+    return parse_start_result(reply) is _orders.StartResult.FENCED
+
+
 def is_other_incarnation(reply: _http_call.HttpReply) -> bool:
     """Returns whether another incarnation of the executor answered."""
     return reply.status == _OTHER_INCARNATION_STATUS
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -231,6 +231,9 @@
                 fault=reply.error_text,
                 body=reply.body[:100].decode("latin-1"),
             )
+        if _executors.is_fenced(reply):
+            self._scheduler.handle_fence()
+            return
         self._scheduler.handle_renewal_failure(
             order,
             now,
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -207,6 +207,15 @@
         assert renewal.term.given_up_terms == 0
         assert not renewal.term.is_resigned
 
+    def test_a_fenced_term_that_answered_calls_is_not_counted(self) -> None:
+        election = _make_leader()
+        election.record_answering()
+        election.give_up()
+        resignation = election.next_term_write(4.0)
+        assert resignation is not None
+        assert resignation.term.is_resigned
+        assert resignation.term.given_up_terms == 0
+
 
 class TestTerm:
     """A leader renews its term and stops once a later term exists."""
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -129,6 +129,21 @@
             "fenced"
         ]
 
+    def test_a_term_whose_renewals_executors_fence_is_not_held_for_ever(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        platform.executors[0].highest_token = 2
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(
+            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
+        )
+        instance_rig.wait_until(lambda: platform.starts)
+        ended = _events(logs, "term.ended")
+        assert [each["reason"] for each in ended] == ["fenced"]
+
     def test_an_instance_without_a_configuration_claims_no_term(
         self,
         platform: platform_standin.Platform,
