--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -20,6 +20,7 @@
             None if only the whole call is limited. It suits replies whose
             size is not known, which take the longer the narrower a link is.
         operation: Name of the operation in metrics.
+        needs_new_connection: Whether no open connection may be used.
     """
 
     method: str
@@ -29,6 +30,7 @@
     timeout_s: float = 1.0
     silence_limit_s: float | None = None
     operation: str = "other"
+    needs_new_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
