--- a/tests/coordination/scheduling/test_finished_jobs.py
+++ b/tests/coordination/scheduling/test_finished_jobs.py
@@ -135,7 +135,9 @@
                 )
             )
         scheduler = build.scheduler(epoch=2)
-        scheduler.restore_from_records(records, build.clock_readings_at(0.0))
+        scheduler.restore_from_records(
+            records, build.clock_readings_at(0.0), term_begun_s=0.0
+        )
         shortened: set[str] = set()
         for second in range(20):
             now = build.clock_readings_at(float(second))
@@ -324,6 +326,7 @@
             for key, value in _fold(writes).items()
         ],
         build.clock_readings_at(60.0),
+        term_begun_s=60.0,
     )
     return scheduler
 
