--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -7,13 +7,21 @@
 scheduler that was replaced fails its next renewal. Missing renewals count only
 while the store answers this instance: an outage of the store says nothing
 about the scheduler.
+
+An instance delays its claims the longer, the less it has of what the best
+provided instance has, so that one that can carry the scheduler's traffic
+comes first. The delay decides only who claims first; the conditional write
+alone ensures that there is one scheduler.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 import random
 
+from basiljunction.coordination.leadership import _ranking
 from basiljunction.state.workload import _leadership
+from basiljunction.state.workload import _provision
 
 RENEWAL_INTERVAL_S = 0.6
 """Interval between renewals of a term, in seconds."""
@@ -26,6 +34,24 @@
 """Upper bound of the random delay before a claim, in seconds; most candidates
 then read another's claim before they write their own."""
 
+MAX_PROVISION_DELAY_S = 0.8
+"""Upper bound of the delay of a claim for lack of provision, in seconds.
+
+It is longer than a claim of a better provided instance takes, with its jitter,
+to be read by all, and shorter than calls wait for a scheduler.
+"""
+
+SETTLING_TIME_S = 0.4
+"""Additional delay of claims in a cell without any term, in seconds.
+
+Instances that start together register their provision and read that of the
+others within this time.
+"""
+
+ABSTENTION_S = 2.0
+"""Time for which an instance that gave up a term leaves the next one to others,
+in seconds; they read the resignation and claim well within it."""
+
 WRITE_RETRY_S = 0.2
 """Delay before a failed claim or renewal is repeated, in seconds."""
 
@@ -69,6 +95,7 @@
         incarnation: Identifies this run of the process.
         address: ``ip:port`` at which other instances reach this one.
         rng: Source of the random delays before claims.
+        provision: Link and processor of this instance.
 
     Attributes:
         role: Role of this instance.
@@ -76,6 +103,8 @@
         last_confirmed_s: Sending time of the newest write of this instance that
             the store confirmed; -inf if there is none.
         is_resigning: Whether this instance resigns and claims no further term.
+        relative_provision: Provision of this instance as a fraction of that of
+            the best provided one; 0 until its own registration was read.
     """
 
     def __init__(
@@ -85,6 +114,7 @@
         incarnation: int,
         address: str,
         rng: random.Random,
+        provision: _provision.Provision = _provision.UNKNOWN,
     ) -> None:
         self.role = ElectionRole.FOLLOWER
         self.term: _leadership.Term | None = None
@@ -94,18 +124,34 @@
         self._incarnation = incarnation
         self._address = address
         self._rng = rng
+        self._provision = provision
+        self.relative_provision = 0.0 if provision.is_known else 1.0
         self._end_offset: int | None = None
         self._renewal_seen_s: float | None = None
         self._next_write_s = 0.0
         self._write_in_flight: TermWrite | None = None
         self._last_written_term: _leadership.Term | None = None
         self._write_sent_s = 0.0
+        self._given_up_epoch = 0
+        self._answered_epoch = 0
 
     @property
     def is_leader(self) -> bool:
         """Whether this instance holds the newest term that it knows of."""
         return self.role is ElectionRole.LEADER
 
+    @property
+    def claim_delay_s(self) -> float:
+        """Delay of a claim after the term became open, in seconds.
+
+        Without a registration, an instance waits longest instead of for ever,
+        as the store may lose the registration and still take a claim.
+        """
+        delay_s = (1 - self.relative_provision) * MAX_PROVISION_DELAY_S
+        if self.term is None and self._provision.is_known:
+            delay_s += SETTLING_TIME_S
+        return delay_s
+
     def reset_after_store_move(self, incarnation: int) -> None:
         """Resets the election after the store has moved to another address.
 
@@ -125,12 +171,66 @@
         self._write_in_flight = None
         self._last_written_term = None
         self._next_write_s = 0.0
+        self.update_provisions({})
+        self._given_up_epoch = 0
+        self._answered_epoch = 0
+
+    def is_confirmed(self, now_s: float) -> bool:
+        """Returns whether the store confirmed the own term recently.
+
+        Until then nobody can tell the own term from an expired one, and a
+        resignation would not be stored either.
+        """
+        return now_s - self.last_confirmed_s <= TERM_EXPIRY_S
+
+    def record_answering(self) -> None:
+        """Records that the scheduler of the own term answers calls."""
+        if self.is_leader and self.term is not None:
+            self._answered_epoch = self.term.epoch
+
+    def give_up(self) -> None:
+        """Resigns the own term, so that another instance claims the next.
+
+        This instance may claim again `ABSTENTION_S` after its resignation.
+        """
+        if not self.is_leader or self.term is None:
+            return
+        if self._given_up_epoch != self.term.epoch:
+            self._given_up_epoch = self.term.epoch
+            self._next_write_s = 0.0
+
+    def _leaves_claim_to_others(self, now_s: float) -> bool:
+        """Returns whether the newest term is one that was just given up."""
+        return (
+            self.term is not None
+            and self.term.epoch == self._given_up_epoch
+            and self._renewal_seen_s is not None
+            and now_s - self._renewal_seen_s < ABSTENTION_S
+        )
 
     def resign(self) -> None:
         """Resigns the term with the next write and stops claiming terms."""
         self.is_resigning = True
         self._next_write_s = 0.0
 
+    def update_provisions(
+        self, provision_by_member: Mapping[str, _provision.Provision]
+    ) -> None:
+        """Ranks this instance among the registered ones.
+
+        Args:
+            provision_by_member: Registered provision of each instance, as read
+                from the store.
+        """
+        if not self._provision.is_known:
+            return
+        if provision_by_member.get(self._instance) != self._provision:
+            self.relative_provision = 0.0
+            return
+        self.relative_provision = _ranking.compute_relative_provision(
+            self._provision, provision_by_member.values()
+        )
+
     def apply_read(
         self,
         term: _leadership.Term | None,
@@ -197,9 +297,7 @@
             return
         if self._renewal_seen_s is None or self.term.instance == self._instance:
             return
-        self._renewal_seen_s = min(
-            self._renewal_seen_s, now_s - TERM_EXPIRY_S - WRITE_RETRY_S
-        )
+        self._renewal_seen_s = min(self._renewal_seen_s, now_s - TERM_EXPIRY_S)
 
     def record_read_failure(self) -> None:
         """Restarts the wait for the term's expiry after a failed read.
@@ -221,11 +319,19 @@
             return self._renew_or_resign(now_s)
         if self.is_resigning or not self._may_claim(now_s):
             return None
+        if self._leaves_claim_to_others(now_s):
+            return None
         epoch = 1 if self.term is None else self.term.epoch + 1
         self.role = ElectionRole.CLAIMING
         return self._begin_write(
             _leadership.Term(
-                epoch, self._instance, self._incarnation, self._address
+                epoch,
+                self._instance,
+                self._incarnation,
+                self._address,
+                given_up_terms=(
+                    0 if self.term is None else self.term.given_up_terms
+                ),
             ),
             now_s,
         )
@@ -233,11 +339,18 @@
     def _renew_or_resign(self, now_s: float) -> TermWrite:
         """Returns the write that renews the own term, or resigns it."""
         assert self.term is not None  # noqa: S101 - a leader has a term
+        is_given_up = self.term.epoch == self._given_up_epoch
+        given_up_terms = self.term.given_up_terms
+        if self.term.epoch == self._answered_epoch:
+            given_up_terms = 0
+        elif is_given_up:
+            given_up_terms += 1
         return self._begin_write(
             dataclasses.replace(
                 self.term,
                 beat=self.term.beat + 1,
-                is_resigned=self.is_resigning,
+                is_resigned=self.is_resigning or is_given_up,
+                given_up_terms=given_up_terms,
             ),
             now_s,
         )
@@ -252,14 +365,24 @@
 
     def _may_claim(self, now_s: float) -> bool:
         """Returns whether this instance may claim the next term."""
+        open_since_s = self._term_open_since_s()
+        if open_since_s is None:
+            return False
+        return now_s >= open_since_s + self.claim_delay_s
+
+    def _term_open_since_s(self) -> float | None:
+        """Returns the time from which the next term may be claimed by anyone.
+
+        None if the store was not read since the last failure.
+        """
+        if self._renewal_seen_s is None:
+            return None
         if self.term is None or self.term.is_resigned:
-            return self._renewal_seen_s is not None
+            return self._renewal_seen_s
         if self.term.instance == self._instance:
             # The term belongs to an earlier incarnation, which has ended.
-            return self._renewal_seen_s is not None
-        if self._renewal_seen_s is None:
-            return False
-        return now_s - self._renewal_seen_s > TERM_EXPIRY_S
+            return self._renewal_seen_s
+        return self._renewal_seen_s + TERM_EXPIRY_S
 
     def record_write_success(self, end_offset: int, now_s: float) -> None:
         """Records that the write in flight succeeded.
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -39,7 +39,7 @@
         is_suspect: Whether it was slow lately and no task has run at normal
             speed since.
         consecutive_failures: Number of failed runs since the last successful
-            one.
+            one, or the last one that lasted.
         inherited_until_s: Time until which unreported runs of an earlier
             scheduler may exist on it; None once all its runs are known.
         fillers_adjusted_s: Time at which fillers were last stopped or slowed
@@ -127,11 +127,15 @@
             self.free_capacity.cpu_millicores + idle - self.filler_millicores
         )
 
-    def accepts_new_tasks(self, now_s: float) -> bool:
+    def accepts_new_tasks(self, now_s: float, *, own_delay_s: float) -> bool:
         """Returns whether the executor accepts new tasks now.
 
         It has to be listed, not draining, stored in the roster, in contact and
         not avoided.
+
+        Args:
+            now_s: Current time in seconds.
+            own_delay_s: Part of its silence that the scheduler may have caused.
         """
         if not self.is_listed or self.listing.is_draining:
             return False
@@ -139,7 +143,8 @@
             return False
         if now_s < self.avoid_until_s:
             return False
-        return now_s - self.last_answer_s < _limits.CONTACT_TIMEOUT_S
+        silent_s = now_s - self.last_answer_s
+        return silent_s < _limits.CONTACT_TIMEOUT_S + own_delay_s
 
     def min_clock_at(self, now_s: float) -> int:
         """Returns a lower bound of the executor's clock, in milliseconds."""
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import collections
 from collections.abc import Callable
 from concurrent import futures
 import dataclasses
@@ -38,12 +39,26 @@
 PEER_TIMEOUT_S = 1.5
 """Longest time for one attempt at a peer instance, in seconds."""
 
+FIRST_TIMEOUT_S = 0.5
+"""Longest time for the first attempt of a cancel or query, in seconds.
+
+If its connection has fallen silent, time is left for an attempt on a new one.
+A submission has more time, since each attempt at it occupies a thread of the
+scheduler until the job is stored.
+"""
+
 MIN_PEER_TIMEOUT_S = 0.05
 """Shortest time for one attempt at a peer instance, in seconds.
 
 No instance could answer in less.
 """
 
+RESERVED_CONNECTIONS = 2
+"""Connections to a peer that forwarded submissions leave free.
+
+A submission holds its connection until the job is stored.
+"""
+
 _Outcome = _client_calls.CallOutcome
 
 _log = structlog.get_logger()
@@ -64,6 +79,10 @@
         is_in_flight: Whether an attempt at another instance has no answer yet.
         next_try_boot_s: Boot time of the next attempt, in seconds; None while
             an attempt is in progress.
+        added_boot_s: Boot time at which the call arrived, in seconds.
+        waits_for: What the newest attempt waits for or failed on.
+        has_timed_out: Whether an attempt got no answer; open connections may
+            have fallen silent then.
     """
 
     call: _client_calls.ClientCall
@@ -73,6 +92,9 @@
     may_have_been_processed: bool = False
     is_in_flight: bool = False
     next_try_boot_s: float | None = 0.0
+    added_boot_s: float = 0.0
+    waits_for: str = ""
+    has_timed_out: bool = False
 
     def set_reply(self, reply: _client_calls.ClientReply) -> None:
         """Answers the call; any later answer is ignored.
@@ -117,6 +139,10 @@
     def is_leader_elsewhere(self) -> bool:
         """Returns whether this instance does not hold the newest known term."""
 
+    def describe_term_stage(self) -> str:
+        """Returns the stage of the held term; empty if none is held."""
+        return ""
+
     @abc.abstractmethod
     def report_unreachable_leader(self, epoch: int) -> None:
         """Reports that no connection to a scheduler could be made.
@@ -148,8 +174,12 @@
         self._pending: list[PendingCall] = []
         self._leader_from_peer: tuple[str, int] = ("", 0)
         self._recovering_leader: tuple[str, int] = ("", 0)
+        self._recovering_stage = ""
         self._is_probing = False
         self._next_probe_boot_s = 0.0
+        self._submits_in_flight: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     @property
     def has_no_pending_calls(self) -> bool:
@@ -166,9 +196,28 @@
 
     def add_call(self, pending: PendingCall, now: _time.Now) -> None:
         """Adds a client call and makes the first attempt to answer it."""
+        pending.added_boot_s = now.boot_s
         self._pending.append(pending)
         self._try_call(pending, now)
 
+    def oldest_wait_s_by_kind(self, now: _time.Now) -> dict[str, float]:
+        """Returns the age of the oldest waiting call of each kind.
+
+        It is 0 for a kind of which no call waits.
+        """
+        wait_s_by_kind = {
+            kind.value: 0.0
+            for kind in _client_calls.CallKind
+            if kind is not _client_calls.CallKind.LEADER
+        }
+        for pending in self._pending:
+            kind = pending.call.kind.value
+            if kind in wait_s_by_kind and not pending.reply_future.done():
+                wait_s_by_kind[kind] = max(
+                    wait_s_by_kind[kind], now.boot_s - pending.added_boot_s
+                )
+        return wait_s_by_kind
+
     def process_pending_calls(self, now: _time.Now) -> None:
         """Retries calls that are due and answers those past their deadline."""
         for pending in self._pending:
@@ -197,6 +246,7 @@
             job=pending.call.job_id,
             leader=leader,
             epoch=max(epoch, self._leader_from_peer[1]),
+            waits_for=pending.waits_for,
             in_flight=pending.is_in_flight,
             may_have_had_effect=pending.may_have_changed_state,
         )
@@ -212,26 +262,43 @@
             return
         if self._local.is_scheduling():
             pending.next_try_boot_s = None
+            pending.waits_for = "store"
             self._local.answer_locally(pending)
             return
         if pending.is_forwarded:
             pending.set_reply(self._leader_reply())
             return
+        if self._is_own_term_newest():
+            pending.waits_for = f"own-term-{self._local.describe_term_stage()}"
+            return
         address, epoch = self._remote_leader()
-        if address and (address, epoch) != self._recovering_leader:
+        if not address:
+            pending.waits_for = "leader-unknown"
+        elif (address, epoch) == self._recovering_leader:
+            pending.waits_for = self._recovering_stage
+        elif self._must_hold_back(pending, address):
+            pending.waits_for = "connection"
+            pending.next_try_boot_s = now.boot_s
+        else:
             self._forward_call(pending, address, epoch, now)
 
+    def _is_own_term_newest(self) -> bool:
+        """Returns whether no term is known that is later than the held one."""
+        _, epoch = self._local.newest_leader()
+        return (
+            not self._local.is_leader_elsewhere()
+            and self._leader_from_peer[1] <= epoch
+        )
+
     def _remote_leader(self) -> tuple[str, int]:
-        """Returns address and epoch of the scheduler to forward calls to.
+        """Returns address and epoch of the newest scheduler known.
 
-        The address is empty if none is known or this instance is the scheduler.
+        The address is empty if there is none.
         """
-        address, epoch = self._local.newest_leader()
-        if self._leader_from_peer[1] > epoch:
+        newest = self._local.newest_leader()
+        if self._leader_from_peer[1] > newest[1]:
             return self._leader_from_peer
-        if not self._local.is_leader_elsewhere():
-            return "", epoch
-        return address, epoch
+        return newest
 
     def _probe_recovering_leader(self, now: _time.Now) -> None:
         """Asks a scheduler that has not recovered yet whether it has now.
@@ -245,6 +312,7 @@
             or not self._pending
             or self._is_probing
             or now.boot_s < self._next_probe_boot_s
+            or self._is_own_term_newest()
             or self._remote_leader() != leader
         ):
             return
@@ -302,6 +370,7 @@
             _Outcome.NOT_LEADER,
             leader_address=newest[0],
             leader_epoch=newest[1],
+            term_stage=self._local.describe_term_stage(),
         )
 
     def ask_peer_for_leader(
@@ -331,21 +400,43 @@
             _build_peer_call(peer, call, PEER_TIMEOUT_S), handle_reply
         )
 
+    def _must_hold_back(self, pending: PendingCall, address: str) -> bool:
+        """Returns whether a submission has to wait for a connection."""
+        limit = _http_calls.MAX_CONNECTIONS_PER_HOST - RESERVED_CONNECTIONS
+        return (
+            pending.call.kind is _client_calls.CallKind.SUBMIT
+            and self._submits_in_flight[address] >= limit
+        )
+
     def _forward_call(
         self, pending: PendingCall, address: str, epoch: int, now: _time.Now
     ) -> None:
         """Forwards a call to the scheduler at an address."""
         left_s = pending.deadline_boot_s - now.boot_s
-        timeout_s = min(PEER_TIMEOUT_S, max(MIN_PEER_TIMEOUT_S, left_s))
-        call = _build_peer_call(address, pending.call, timeout_s)
+        longest_s = (
+            PEER_TIMEOUT_S
+            if pending.has_timed_out
+            or pending.call.kind is _client_calls.CallKind.SUBMIT
+            else FIRST_TIMEOUT_S
+        )
+        timeout_s = min(longest_s, max(MIN_PEER_TIMEOUT_S, left_s))
+        call = _build_peer_call(
+            address,
+            pending.call,
+            timeout_s,
+            needs_new_connection=pending.has_timed_out,
+        )
         pending.next_try_boot_s = None
         pending.is_in_flight = True
-        self._calls.send(
-            call,
-            lambda reply: self._handle_forward_reply(
-                pending, (address, epoch), reply
-            ),
-        )
+        pending.waits_for = "leader"
+        is_submit = pending.call.kind is _client_calls.CallKind.SUBMIT
+        self._submits_in_flight[address] += is_submit
+
+        def handle_reply(reply: _http_call.HttpReply) -> None:
+            self._submits_in_flight[address] -= is_submit
+            self._handle_forward_reply(pending, (address, epoch), reply)
+
+        self._calls.send(call, handle_reply)
 
     def _handle_forward_reply(
         self,
@@ -358,6 +449,12 @@
         pending.is_in_flight = False
         if not reply.is_success:
             pending.may_have_been_processed |= reply.may_have_been_sent
+            pending.has_timed_out |= reply.may_have_been_sent
+            pending.waits_for = (
+                "leader-silent"
+                if reply.may_have_been_sent
+                else "leader-unreachable"
+            )
             if not reply.may_have_been_sent:
                 self._local.report_unreachable_leader(leader[1])
             pending.next_try_boot_s = self._clock().boot_s + RETRY_DELAY_S
@@ -368,11 +465,15 @@
             _log.warning("peer.torn", error=str(error))
             pending.may_have_been_processed = True
             return
+        pending.waits_for = f"leader-{answer.outcome.value}"
         if answer.outcome is _Outcome.NOT_LEADER:
+            if answer.term_stage:
+                pending.waits_for = f"leader-term-{answer.term_stage}"
             named = (answer.leader_address, answer.leader_epoch)
             if named == leader:
                 # It holds the term but does not answer calls yet.
                 self._recovering_leader = leader
+                self._recovering_stage = pending.waits_for
             if not self._note_leader(answer) or named == leader:
                 pending.next_try_boot_s = self._clock().boot_s + RETRY_DELAY_S
             return
@@ -389,7 +490,11 @@
 
 
 def _build_peer_call(
-    address: str, call: _client_calls.ClientCall, timeout_s: float
+    address: str,
+    call: _client_calls.ClientCall,
+    timeout_s: float,
+    *,
+    needs_new_connection: bool = False,
 ) -> _http_call.HttpCall:
     """Returns the HTTP call that sends a client call to a peer instance."""
     return _http_call.HttpCall(
@@ -399,4 +504,5 @@
         (f"Content-Type: {_peer_calls.MEDIA_TYPE}",),
         timeout_s,
         operation="peer.call",
+        needs_new_connection=needs_new_connection,
     )
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -13,6 +13,7 @@
 import structlog
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _term_progress
 from basiljunction.protocol import _instance_settings
 from basiljunction.state import _time
 from basiljunction.state.workload import _client_calls
@@ -25,6 +26,7 @@
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _leader_session
 from basiljunction.transport.jobs import _term_keeper
+from basiljunction.transport.jobs import _term_report
 
 LEADER_TICK_INTERVAL_S = 0.015
 """Longest time between two ticks while scheduling or with open calls, in
@@ -113,9 +115,11 @@
                 incarnation=incarnation,
                 address=settings.peer_listen,
                 rng=rng,
+                provision=settings.provision,
             ),
             member=settings.name,
             member_address=settings.peer_listen,
+            provision=settings.provision,
         )
         self._rng = rng
         self._next_peer_query_boot_s = 0.0
@@ -131,6 +135,8 @@
         self._session: _leader_session.LeaderSession | None = None
         self._known_epoch = 0
         self._ended_epoch = 0
+        self._watch = _term_progress.ProgressWatch()
+        self._report = _term_report.TermReport(metrics, self._watch)
 
     @property
     def configuration(self) -> _configuration.Configuration | None:
@@ -211,11 +217,16 @@
         )
 
     def tick(self, now: _time.Now) -> None:
-        """Advances the feeds, the election, the session and pending calls."""
+        """Advances the feeds, the election, the session and pending calls.
+
+        It reads the replies that have arrived first: while messages wait, the
+        loop handles those and does not come to the sockets.
+        """
+        self._calls.poll(0.0)
         self._configurations.start_due_read(now)
         self._terms.start_due_read(now)
-        self._terms.register_member_address()
-        self._terms.send_due_write(now)
+        self._terms.register_member(now)
+        self._send_due_term_write(now)
         self._apply_newest_term()
         self._ask_peer_for_leader(now)
         if self._session is not None:
@@ -223,8 +234,81 @@
             self._session.run_timed_work(now, confirmed_s=confirmed_s)
             if self._session.is_superseded:
                 self._end_session("fenced")
+        self._watch_term(now)
         self._router.process_pending_calls(now)
 
+    def _send_due_term_write(self, now: _time.Now) -> None:
+        """Sends the term write that is due.
+
+        A term is not claimed before a configuration is known, as the instance
+        could not schedule.
+        """
+        if (
+            self._terms.election.is_leader
+            or self._configurations.newest_configuration is not None
+        ):
+            self._terms.send_due_write(now)
+
+    def _watch_term(self, now: _time.Now) -> None:
+        """Measures and reports the progress of the held term.
+
+        Gives the term up if it does not come to answer calls.
+        """
+        election = self._terms.election
+        epoch = 0 if election.term is None else election.term.epoch
+        progress = self._term_progress()
+        self._watch.observe(
+            epoch,
+            progress,
+            now.boot_s,
+            is_confirmed=election.is_confirmed(now.boot_s),
+        )
+        if self._report.is_due(now.boot_s):
+            self._report.write(
+                epoch,
+                progress,
+                now.boot_s,
+                confirmed_s=election.last_confirmed_s,
+                oldest_wait_s_by_kind=self._router.oldest_wait_s_by_kind(now),
+            )
+        self._give_up_useless_term(progress, now)
+
+    def _give_up_useless_term(
+        self, progress: _term_progress.TermProgress | None, now: _time.Now
+    ) -> None:
+        """Gives up the held term if its session has ended or is stalled."""
+        election = self._terms.election
+        if progress is None or election.term is None:
+            return
+        if progress.stage is _term_progress.TermStage.ANSWERING:
+            election.record_answering()
+            return
+        if self._watch.is_stalled(now.boot_s, election.term.given_up_terms):
+            self._end_session("stalled")
+            election.give_up()
+        elif progress.stage is _term_progress.TermStage.ENDED:
+            election.give_up()
+
+    def _term_progress(self) -> _term_progress.TermProgress | None:
+        """Returns the progress of the held term; None if none is held."""
+        stages = _term_progress.TermStage
+        if not self._terms.election.is_leader:
+            return None
+        if self._session is None:
+            stage = (
+                stages.NO_CONFIGURATION
+                if self._configurations.newest_configuration is None
+                else stages.ENDED
+            )
+            return _term_progress.TermProgress(stage)
+        if self._session.answers_calls:
+            return _term_progress.TermProgress(stages.ANSWERING)
+        return self._session.progress
+
+    def observe_tick_lag(self, lag_s: float) -> None:
+        """Records how late a tick runs, in seconds."""
+        self._report.observe_tick_lag(lag_s)
+
     def tick_interval_s(self) -> float:
         """Returns the longest time until the next tick, in seconds.
 
@@ -252,6 +336,11 @@
         """Returns whether this instance does not hold the newest known term."""
         return not self._terms.election.is_leader
 
+    def describe_term_stage(self) -> str:
+        """Returns the stage of the held term; empty if none is held."""
+        progress = self._term_progress()
+        return "" if progress is None else progress.stage.value
+
     def report_unreachable_leader(self, epoch: int) -> None:
         """Notifies the election that the scheduler of a term is unreachable."""
         self._terms.election.expire_unreachable_leader(
--- a/src/basiljunction/transport/jobs/_feeds.py
+++ b/src/basiljunction/transport/jobs/_feeds.py
@@ -16,6 +16,7 @@
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _read_progress
 
 READ_WAIT_S = 1.0
 """Time that a read waits for a new record, in seconds.
@@ -24,9 +25,10 @@
 """
 
 ANSWER_MARGIN_S = 0.4
-"""Time for the answer to a read beyond its wait, in seconds.
+"""Longest silence of the store beyond the wait of a read, in seconds.
 
-This is a hundred times the store's usual delay.
+This is a hundred times the store's usual delay. The time for the whole answer
+depends on its size and on the link.
 """
 
 RETRY_DELAY_S = 0.2
@@ -35,6 +37,12 @@
 Several attempts fit into the bound of 2 s.
 """
 
+LONG_ANSWER_BYTES = 524_288
+"""Size of an answer above which later records may have replaced its own.
+
+It takes the better part of a second over a narrow link.
+"""
+
 EXECUTOR_READ_INTERVAL_S = 0.4
 """Time between two reads of the list of executors, in seconds.
 
@@ -56,6 +64,11 @@
         topic: Name of the topic.
         wait_s: How long a read waits for a record, in seconds.
         interval_s: Time between two reads, in seconds.
+
+    Attributes:
+        address: Address of the store.
+        progress: Progress of the reads.
+        last_failure: Error of the newest failed read; empty if none failed.
     """
 
     def __init__(
@@ -68,6 +81,8 @@
         interval_s: float = 0.0,
     ) -> None:
         self.address = address
+        self.progress = _read_progress.ReadProgress(calls)
+        self.last_failure = ""
         self._calls = calls
         self._topic = topic
         self._wait_s = wait_s
@@ -77,6 +92,7 @@
         self._next_read_boot_s = 0.0
         self._after_key: str | None = None
         self._pages: list[_job_records.KeyedRecord] = []
+        self._first_page_end: int | None = None
         self._is_failing = False
         self._generation = 0
 
@@ -91,7 +107,8 @@
                 self._topic,
                 0,
                 after=self._after_key,
-                timeout_s=READ_WAIT_S + ANSWER_MARGIN_S,
+                timeout_s=_http_calls.MAX_TRANSFER_S,
+                silence_limit_s=READ_WAIT_S + ANSWER_MARGIN_S,
             )
         else:
             call = _store.make_read_call(
@@ -100,8 +117,10 @@
                 0,
                 self._offset,
                 wait_s=self._wait_s,
-                timeout_s=self._wait_s + ANSWER_MARGIN_S,
+                timeout_s=_http_calls.MAX_TRANSFER_S,
+                silence_limit_s=self._wait_s + ANSWER_MARGIN_S,
             )
+        self.progress.begin_page(call)
         generation = self._generation
         self._calls.send(
             call, lambda reply: self._handle_read_reply(reply, generation)
@@ -116,6 +135,7 @@
         self._offset = None
         self._after_key = None
         self._pages = []
+        self._first_page_end = None
         self._is_reading = False
         self._next_read_boot_s = 0.0
 
@@ -156,14 +176,16 @@
             return
         try:
             if self._offset is None:
-                self._apply_newest_page(_store.parse_newest_page(reply))
+                newest_page = _store.parse_newest_page(reply)
+                self.progress.add_page(reply, len(newest_page.records))
+                self._apply_newest_page(newest_page)
             else:
                 page = _store.parse_page(reply, self._offset)
-                self._offset = page.next_offset
-                self.apply_records(
-                    page.records, is_whole=False, end_offset=page.end_offset
-                )
+                self.progress.add_page(reply, len(page.records))
+                self._apply_page(page, len(reply.body))
         except _errors.DecodeError as error:
+            self.progress.fail_page(reply)
+            self.last_failure = str(error)
             self.restart()
             self._next_read_boot_s = self.current_time().boot_s + RETRY_DELAY_S
             _log.warning("feed.torn", topic=self._topic, error=str(error))
@@ -172,19 +194,44 @@
             self._is_failing = False
             _log.info("feed.regained", topic=self._topic)
 
+    def _apply_page(self, page: _store.RecordPage, size: int) -> None:
+        """Applies records read from the offset on.
+
+        After several records in a long answer, the newest record of each key
+        is read next: records may be written faster than the link carries them
+        all.
+
+        Args:
+            page: The records.
+            size: Size of the answer, in bytes.
+        """
+        is_behind = len(page.records) > 1 and size > LONG_ANSWER_BYTES
+        self._offset = None if is_behind else page.next_offset
+        self.apply_records(
+            page.records, is_whole=False, end_offset=page.end_offset
+        )
+
     def _apply_newest_page(self, page: _store.NewestRecordPage) -> None:
-        """Collects a page of newest records; applies all after the last."""
+        """Collects a page of newest records; applies all after the last.
+
+        The pages are not a snapshot, so what was appended since the first one
+        is read again.
+        """
         self._pages += page.records
+        if self._first_page_end is None:
+            self._first_page_end = page.end_offset
         self._after_key = page.continue_after_key
         self._next_read_boot_s = 0.0
         if page.continue_after_key is not None:
             return
         records, self._pages = self._pages, []
-        self._offset = page.end_offset
-        self.apply_records(records, is_whole=True, end_offset=page.end_offset)
+        self._offset, self._first_page_end = self._first_page_end, None
+        self.apply_records(records, is_whole=True, end_offset=self._offset)
 
     def _handle_failed_reply(self, reply: _http_call.HttpReply) -> None:
         """Schedules a retry; restarts the feed if the offset is gone (410)."""
+        self.progress.fail_page(reply)
+        self.last_failure = reply.error_text or str(reply.status)
         self._next_read_boot_s = self.current_time().boot_s + RETRY_DELAY_S
         if reply.status == 410:
             self.restart()
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -54,7 +54,7 @@
     Attributes:
         on_reply: Called with the reply.
         response_body: Receives the bytes of the response.
-        operation: Name of the operation, a label of the metrics.
+        call: The call.
         started_s: Monotonic time at which the call started, in seconds.
         last_byte_s: Monotonic time at which the newest byte arrived, or at
             which the call started, in seconds; kept only with a limit.
@@ -64,7 +64,7 @@
 
     on_reply: ReplyCallback
     response_body: io.BytesIO
-    operation: str
+    call: _http_call.HttpCall
     started_s: float
     last_byte_s: float
     silence_limit_s: float | None = None
@@ -126,7 +126,7 @@
         body = io.BytesIO()
         now_s = time.monotonic()
         in_flight = _CallInFlight(
-            on_reply, body, call.operation, now_s, now_s, call.silence_limit_s
+            on_reply, body, call, now_s, now_s, call.silence_limit_s
         )
         _configure_handle(handle, call)
         self._call_by_handle[handle] = in_flight
@@ -141,6 +141,13 @@
             )
         self._multi.add_handle(handle)
 
+    def received_bytes(self, call: _http_call.HttpCall) -> int:
+        """Returns the bytes received for a call in flight; 0 for any other."""
+        for each in self._call_by_handle.values():
+            if each.call is call:
+                return each.response_body.tell()
+        return 0
+
     def wake(self) -> None:
         """Ends a waiting `poll` early; safe to call from any thread."""
         try:
@@ -267,11 +274,11 @@
         took_s = time.monotonic() - call.started_s
         self._metrics.count(
             "outgoing_calls",
-            operation=call.operation,
+            operation=call.call.operation,
             status=str(status) if status else "none",
         )
         self._metrics.observe(
-            "outgoing_call_duration", took_s, operation=call.operation
+            "outgoing_call_duration", took_s, operation=call.call.operation
         )
         self._multi.remove_handle(handle)
         handle.reset()
@@ -294,6 +301,7 @@
     handle.setopt(pycurl.TCP_NODELAY, 1)
     handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
+    handle.setopt(pycurl.FRESH_CONNECT, int(call.needs_new_connection))
     handle.setopt(pycurl.HTTPHEADER, ["Expect:", *call.headers])
     if call.body is not None:
         handle.setopt(pycurl.POST, 1)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -6,6 +6,7 @@
 
 import base64
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -35,7 +36,10 @@
 RECEIVE_BYTES = 8192
 """Size of a piece of a body that a narrow link carries at once, in bytes."""
 
-SEND_INTERVAL_S = 0.02
+MAX_READ_BYTES = 1_048_576
+"""Most bytes of records in an answer to a read from an offset."""
+
+SEND_INTERVAL_S = 0.005
 """Time between two pieces of an answer over a narrow link, in seconds."""
 
 
@@ -99,12 +103,20 @@
         topics: Topics of the store, by name.
         is_down: Whether the store answers every call with an error.
         store_bytes_per_s: Rate at which the store's answers arrive, in bytes a
-            second; infinite for a link that is never the bottleneck.
+            second; infinite for a link that is never the bottleneck. Answers
+            that are sent at the same time share it.
+        executor_bytes_per_s: The same for the answers of all executors.
         silent_after_bytes: For each of the next reads, the bytes of the body
             after which its answer stops for ever; 0 sends no header either.
         reads: Paths, with queries, of all reads of the store, in order.
         link_to_store: Link that all calls to the store share.
         append_sizes: Size of the body of each append that arrived, in bytes.
+        silent_topics: Topics whose newest records the store does not answer
+            with, while it answers all other calls.
+        silent_append_topics: Topics whose appends the store neither carries out
+            nor answers.
+        before_read: Called with the path and query of each read of the store
+            before it is answered.
         starts: Task of each run that an executor started, in order.
         executors: Executors.
         store: HTTP server of the store.
@@ -115,10 +127,15 @@
         self.topics: dict[str, Topic] = collections.defaultdict(Topic)
         self.is_down = False
         self.store_bytes_per_s = float("inf")
+        self.executor_bytes_per_s = float("inf")
+        self._link_free_s = 0.0
         self.silent_after_bytes: list[int] = []
         self.reads: list[str] = []
         self.link_to_store = Link()
         self.append_sizes: list[int] = []
+        self.silent_topics: set[str] = set()
+        self.silent_append_topics: set[str] = set()
+        self.before_read: Callable[[str], None] = lambda _path: None
         self.starts: list[str] = []
         self.executors = [Executor(self, n) for n in range(executors)]
         self.store = _start_server(_StoreHandler, self)
@@ -140,6 +157,17 @@
         with self.lock:
             self.topics[topic].append_record(record)
 
+    def wait_for_link(self, transfer_s: float) -> None:
+        """Waits until a piece of an answer has passed over the link.
+
+        Args:
+            transfer_s: How long the piece occupies the link, in seconds.
+        """
+        with self.lock:
+            begin_s = max(self._link_free_s, time.monotonic())
+            self._link_free_s = end_s = begin_s + transfer_s
+        time.sleep(max(0.0, end_s - time.monotonic()))
+
     def configure(self, version: int, *paths: str) -> None:
         """Publishes a configuration with one queue for each path prefix."""
         routes = [
@@ -294,6 +322,16 @@
         """The executor or platform that this server belongs to."""
         return self.server.owner  # type: ignore[attr-defined]
 
+    @property
+    def platform(self) -> Platform:
+        """The platform that this server belongs to."""
+        return self.owner  # type: ignore[no-any-return]
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Rate at which the answers of this server arrive."""
+        return self.platform.store_bytes_per_s
+
     def read_body(self) -> bytes:
         """Returns the body of the request."""
         return self.rfile.read(int(self.headers.get("Content-Length") or 0))
@@ -307,13 +345,30 @@
             self.write_body(body)
 
     def write_body(self, body: bytes) -> None:
-        """Writes the body of a response."""
-        self.wfile.write(body)
+        """Writes the body of a response at the rate of the link."""
+        rate = self.bytes_per_s
+        if rate == float("inf"):
+            self.wfile.write(body)
+            return
+        size = max(1, int(rate * SEND_INTERVAL_S))
+        for begin in range(0, len(body), size):
+            self.wfile.write(body[begin : begin + size])
+            self.platform.wait_for_link(SEND_INTERVAL_S)
 
 
 class _ExecutorHandler(_Handler):
     """Handles calls to an executor, with long polls for ended runs."""
 
+    @property
+    def platform(self) -> Platform:
+        """The platform that this executor belongs to."""
+        return self.owner.platform  # type: ignore[no-any-return]
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Rate at which the answers of all executors arrive."""
+        return self.platform.executor_bytes_per_s
+
     def do_POST(self) -> None:
         body = json.loads(self.read_body())
         wait_until_s = time.monotonic() + body.get("WaitMs", 0) / 1000
@@ -356,19 +411,12 @@
         return b"".join(pieces)
 
     def write_body(self, body: bytes) -> None:
-        """Writes the body at the rate of the link to the caller."""
+        """Writes the body, or only as much of it as it is to have."""
         if self._sent_bytes is not None:
             self.wfile.write(body[: self._sent_bytes])
             self.owner.stop_event.wait()
             return
-        rate = self.owner.store_bytes_per_s
-        if rate == float("inf"):
-            super().write_body(body)
-            return
-        size = max(1, int(rate * SEND_INTERVAL_S))
-        for begin in range(0, len(body), size):
-            self.wfile.write(body[begin : begin + size])
-            time.sleep(SEND_INTERVAL_S)
+        super().write_body(body)
 
     def _split_url(self) -> tuple[str, dict[str, str]]:
         url = urllib.parse.urlsplit(self.path)
@@ -380,9 +428,14 @@
         if self.owner.is_down or path != "/log-append":
             self.send_reply(503, b"{}")
             return
+        if query["Topic"] in self.owner.silent_append_topics:
+            while query["Topic"] in self.owner.silent_append_topics:
+                time.sleep(POLL_INTERVAL_S)
+            self.close_connection = True
+            return
         with self.owner.lock:
             self.owner.append_sizes.append(len(body))
-            status, answer = _append_to_topic(
+            status, answer = append_to_topic(
                 self.owner.topics[query["Topic"]], query, body
             )
         self.send_reply(status, json.dumps(answer).encode())
@@ -390,40 +443,22 @@
     def do_GET(self) -> None:
         path, query = self._split_url()
         self.owner.reads.append(self.path)
+        self.owner.before_read(self.path)
         if self.owner.is_down:
             self.send_reply(503, b"{}")
             return
         topic = self.owner.topics[query["Topic"]]
         if path == "/log-newest":
+            while query["Topic"] in self.owner.silent_topics:
+                time.sleep(POLL_INTERVAL_S)
             self.send_reply(200, self._encode_newest(topic, query))
         else:
             self.send_reply(200, self._encode_records(topic, query))
 
     def _encode_newest(self, topic: Topic, query: dict[str, str]) -> bytes:
         """Returns a page of the newest record of each key as a body."""
-        after = query.get("After", "")
-        items: list[dict[str, Any]] = []
-        size = 0
         with self.owner.lock:
-            keys = sorted(key for key in topic.newest_by_key if key > after)
-            for key in keys:
-                offset, value = topic.newest_by_key[key]
-                size += len(value)
-                items.append(
-                    {
-                        "Key": key,
-                        "Value": base64.b64encode(value).decode(),
-                        "Offset": offset,
-                    }
-                )
-                if len(items) >= MAX_PAGE_RECORDS or size >= MAX_PAGE_BYTES:
-                    break
-            end = len(topic.records)
-        answer = {
-            "items": items,
-            "HasMore": len(items) < len(keys),
-            "EndOffset": end,
-        }
+            answer = newest_page(topic, query.get("After", ""))
         return json.dumps(answer).encode()
 
     def _encode_records(self, topic: Topic, query: dict[str, str]) -> bytes:
@@ -432,16 +467,41 @@
         end_s = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
         while len(topic.records) <= begin and time.monotonic() < end_s:
             time.sleep(POLL_INTERVAL_S)
+        framed = bytearray()
         with self.owner.lock:
-            records = topic.records[begin:]
+            for record in topic.records[begin:]:
+                if framed and len(framed) + len(record) > MAX_READ_BYTES:
+                    break
+                framed += struct.pack(">I", len(record)) + record
             end = len(topic.records)
-        framed = b"".join(
-            struct.pack(">I", len(each)) + each for each in records
-        )
         return struct.pack(">QQ", end, 0) + framed
 
 
-def _append_to_topic(
+def newest_page(topic: Topic, after: str) -> dict[str, Any]:
+    """Returns the answer to a read of the newest record of each key."""
+    items: list[dict[str, Any]] = []
+    size = 0
+    keys = sorted(key for key in topic.newest_by_key if key > after)
+    for key in keys:
+        offset, value = topic.newest_by_key[key]
+        size += len(value)
+        items.append(
+            {
+                "Key": key,
+                "Value": base64.b64encode(value).decode(),
+                "Offset": offset,
+            }
+        )
+        if len(items) >= MAX_PAGE_RECORDS or size >= MAX_PAGE_BYTES:
+            break
+    return {
+        "items": items,
+        "HasMore": len(items) < len(keys),
+        "EndOffset": len(topic.records),
+    }
+
+
+def append_to_topic(
     topic: Topic, query: dict[str, str], body: bytes
 ) -> tuple[int, dict[str, Any]]:
     """Appends records, checked for epoch and sequence; returns the answer."""
@@ -461,7 +521,7 @@
         elif epoch > topic.epoch:
             topic.sequence = sequence - 1
         topic.epoch = epoch
-    for record in _split_records(body):
+    for record in split_records(body):
         topic.append_record(record)
     answer = {"Offset": end, "EndOffset": len(topic.records)}
     if "epoch" in query and body:
@@ -469,7 +529,7 @@
     return 200, answer
 
 
-def _split_records(body: bytes) -> Iterator[bytes]:
+def split_records(body: bytes) -> Iterator[bytes]:
     """Yields the length-prefixed records of a request body."""
     position = 0
     while position < len(body):
@@ -486,5 +546,7 @@
     httpd = server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
     httpd.daemon_threads = True
     httpd.owner = owner  # type: ignore[attr-defined]
-    threading.Thread(target=httpd.serve_forever, daemon=True).start()
+    threading.Thread(
+        target=httpd.serve_forever, args=(POLL_INTERVAL_S,), daemon=True
+    ).start()
     return httpd
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -1,5 +1,7 @@
 """Tests of the encoding of scheduler records in the store."""
 
+import dataclasses
+import json
 import random
 
 from hypothesis import given
@@ -9,6 +11,7 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _progress
+from basiljunction.state.workload import _provision
 from basiljunction.state.workload import _records
 import workload_builders as build
 
@@ -43,6 +46,29 @@
         (keyed,) = _job_records.encode_record(record)
         assert _job_records.decode_record(keyed) == record
 
+    def test_a_job_s_defaults_are_not_stored(self) -> None:
+        """Each scheduler after this one has to read them."""
+        (keyed,) = _job_records.encode_record(
+            _records.JobRecord(build.accepted_job())
+        )
+        document = json.loads(keyed.value)["d"]
+        assert document["spec"] == {
+            "payload": "payload",
+            "steps": [
+                {
+                    "count": 1,
+                    "size": {"cpu_millicores": 1000, "memory_mb": 1000},
+                    "estimate_s": 1.0,
+                }
+            ],
+        }
+
+    def test_a_record_with_all_fields_of_an_earlier_build_is_read(self) -> None:
+        job = build.accepted_job(build.step_spec(), build.step_spec(after=(0,)))
+        value = json.dumps({"v": 2, "d": dataclasses.asdict(job)}).encode()
+        record = _job_records.KeyedRecord(f"j.{job.id}", value)
+        assert _job_records.decode_record(record) == _records.JobRecord(job)
+
     def test_a_forgotten_job_drops_both_keys(self) -> None:
         job = _records.JobRecord(build.accepted_job())
         keys = {
@@ -82,3 +108,63 @@
         record = _job_records.KeyedRecord("roster", b'{"v":3,"d":[]}')
         with pytest.raises(_errors.DecodeError, match="version 3, expected 2"):
             _job_records.decode_record(record)
+
+
+class TestProvision:
+    """A registered provision decodes to what was encoded, or not at all."""
+
+    @pytest.mark.parametrize(
+        "provision",
+        [
+            _provision.Provision(10.0, 0.1 * 3),
+            _provision.Provision(None, 0.5),
+            _provision.UNKNOWN,
+        ],
+    )
+    def test_a_provision_comes_back_as_it_was(
+        self, provision: _provision.Provision
+    ) -> None:
+        data = _job_records.encode_provision(provision)
+        assert _job_records.decode_provision(data) == provision
+
+    def test_fields_of_later_builds_are_ignored(self) -> None:
+        data = b'{"link_mbps":10,"memory_mb":[300],"later":{}}'
+        provision = _job_records.decode_provision(data)
+        assert provision == _provision.Provision(10.0, None)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"10.1.0.13:7720",
+            b"[]",
+            b"\xff",
+            b'{"link_mbps":10',
+            b'{"link_mbps":"wide"}',
+            b'{"link_mbps":0}',
+            b'{"link_mbps":-1}',
+            b'{"cpu_cores":NaN}',
+            b'{"cpu_cores":Infinity}',
+            b'{"cpu_cores":1e999}',
+        ],
+    )
+    def test_malformed_values_are_rejected(self, data: bytes) -> None:
+        with pytest.raises(_errors.DecodeError):
+            _job_records.decode_provision(data)
+
+
+class TestTerms:
+    """Builds with and without a field of the term read each other."""
+
+    def test_a_term_of_an_earlier_build_counts_no_given_up_terms(self) -> None:
+        term = _job_records.decode_term(
+            b'{"epoch":3,"instance":"a","incarnation":1,"address":"a:1",'
+            b'"beat":2,"is_resigned":false}'
+        )
+        assert (term.epoch, term.given_up_terms) == (3, 0)
+
+    def test_a_field_of_a_later_build_is_ignored(self) -> None:
+        term = _job_records.decode_term(
+            b'{"epoch":3,"instance":"a","incarnation":1,"address":"a:1",'
+            b'"new_field":1}'
+        )
+        assert (term.epoch, term.is_resigned) == (3, False)
--- a/tests/transport/jobs/test_call_router.py
+++ b/tests/transport/jobs/test_call_router.py
@@ -202,14 +202,14 @@
 
     def _answer_all(
         self, calls: _RecordingHttpClient, reply: _client_calls.ClientReply
-    ) -> list[_client_calls.CallKind]:
-        """Answers all open calls; returns their kinds."""
-        kinds = []
+    ) -> list[_client_calls.ClientCall]:
+        """Answers all open calls and returns them."""
+        answered = []
         for _ in range(len(calls.sent)):
             body = calls.sent[0][0].body or b""
-            kinds.append(_peer_calls.decode_call(body).kind)
+            answered.append(_peer_calls.decode_call(body))
             calls.answer_oldest(reply)
-        return kinds
+        return answered
 
     def _run_for(
         self,
@@ -217,21 +217,24 @@
         router: _call_router.CallRouter,
         seconds: float,
         reply: _client_calls.ClientReply,
-    ) -> list[_client_calls.CallKind]:
-        """Answers every call alike for a time; returns their kinds."""
-        kinds = self._answer_all(calls, reply)
+    ) -> list[_client_calls.ClientCall]:
+        """Answers every call alike for a time and returns them."""
+        answered = self._answer_all(calls, reply)
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self.now_s += 0.015
             router.process_pending_calls(build.clock_readings_at(self.now_s))
-            kinds += self._answer_all(calls, reply)
-        return kinds
+            answered += self._answer_all(calls, reply)
+        return answered
 
     def test_jobs_are_not_sent_again_and_again_while_it_recovers(self) -> None:
         calls, router, _ = self._start_calls(20)
-        kinds = self._run_for(calls, router, 1.5, _RECOVERING)
-        assert kinds.count(_client_calls.CallKind.SUBMIT) == 20
-        assert len(kinds) <= 20 + 1.5 / _call_router.PROBE_INTERVAL_S + 1
+        sent = self._run_for(calls, router, 1.5, _RECOVERING)
+        jobs = [each.job_id for each in sent if each.job_id]
+        assert jobs
+        assert len(jobs) == len(set(jobs))
+        probe_count = len(sent) - len(jobs)
+        assert 1 <= probe_count <= 1.5 / _call_router.PROBE_INTERVAL_S + 1
 
     def test_waiting_calls_are_sent_as_soon_as_it_has_recovered(self) -> None:
         calls, router, replies = self._start_calls(3)
