--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -82,7 +82,7 @@
         "src/basiljunction/transport/jobs/_cell_task.py",
         "if self._watch.is_stalled(now.boot_s, election.term.given_up_terms):",
         "if self._watch.is_stalled(0.0, election.term.given_up_terms):",
-        "tests/transport/jobs/test_cell_task.py",
+        "tests/transport/jobs/test_held_terms.py",
     ),
     _mutation(
         "slow-progress-taken-for-none",
