--- a/src/basiljunction/coordination/scheduling/_ordering.py
+++ b/src/basiljunction/coordination/scheduling/_ordering.py
@@ -75,6 +75,7 @@
 
     Jobs that run until cancelled come after the others of their priority: they
     would occupy the free capacity for long, and lose little by a short wait.
+    Their urgent starts are placed before all others, whatever their key.
     """
     waited_s = now_s - job.arrived_s
     patience_s = max(job.objective_s, MIN_OBJECTIVE_S)
