--- a/src/basiljunction/transport/_metric_names.py
+++ b/src/basiljunction/transport/_metric_names.py
@@ -234,19 +234,19 @@
         "cell_recovery_pages",
         MetricKind.GAUGE,
         "",
-        "Pages that the held term has read from the store to recover",
+        "Pages that the newest term held here has read to recover",
     ),
     Metric(
         "cell_recovery_records",
         MetricKind.GAUGE,
         "",
-        "Records that the held term has read from the store to recover",
+        "Records that the newest term held here has read to recover",
     ),
     Metric(
         "cell_recovery_bytes",
         MetricKind.GAUGE,
         "",
-        "Bytes that the held term has read from the store to recover",
+        "Bytes that the newest term held here has read to recover",
     ),
     Metric(
         "cell_tick_lag",
--- a/src/basiljunction/transport/jobs/_term_report.py
+++ b/src/basiljunction/transport/jobs/_term_report.py
@@ -97,7 +97,10 @@
         metrics.set("cell_term_idle", self._watch.idle_s(now_s))
         for kind, wait_s in oldest_wait_s_by_kind.items():
             metrics.set("oldest_call_wait", wait_s, kind=kind)
-        if progress is not None:
+        if (
+            progress is not None
+            and progress.stage is not _term_progress.TermStage.ANSWERING
+        ):
             metrics.set("cell_recovery_pages", progress.pages)
             metrics.set("cell_recovery_records", progress.records)
             metrics.set("cell_recovery_bytes", progress.bytes_read)
