Ask a recovering scheduler again soon after a lost question

A question whether the scheduler has recovered that got lost took 1.5 s of the 2.4 s that a call may wait, the next one could use the same silent connection, one to an earlier term held back that to the later one, and a busy answer was taken for recovery, so that all jobs were sent again.

Change: the state of the questions moves into an object of its own. A question has 0.5 s, the one after a lost one takes a new connection, each scheduler has its own, and a busy answer tells nothing.

--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -18,6 +18,7 @@
 from basiljunction.state import _time
 from basiljunction.state.workload import _client_calls
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _recovery_gate
 
 MAX_CALL_WAIT_S = 2.4
 """Longest wait for a scheduler, in seconds.
@@ -29,13 +30,6 @@
 RETRY_DELAY_S = 0.1
 """Delay before a call is tried again, in seconds."""
 
-PROBE_INTERVAL_S = 0.2
-"""Interval between two questions whether a scheduler has recovered, in seconds.
-
-All instances ask, so a shorter one would take a noticeable part of a narrow
-link.
-"""
-
 PEER_TIMEOUT_S = 1.5
 """Longest time for one attempt at a peer instance, in seconds."""
 
@@ -61,6 +55,9 @@
 
 _Outcome = _client_calls.CallOutcome
 
+_BUSY_OUTCOMES = frozenset({_Outcome.UNAVAILABLE, _Outcome.UNKNOWN})
+"""Outcomes of a query that do not tell whether the scheduler has recovered."""
+
 _log = structlog.get_logger()
 
 
@@ -173,10 +170,7 @@
         self._local = local
         self._pending: list[PendingCall] = []
         self._leader_from_peer: tuple[str, int] = ("", 0)
-        self._recovering_leader: tuple[str, int] = ("", 0)
-        self._recovering_stage = ""
-        self._is_probing = False
-        self._next_probe_boot_s = 0.0
+        self._gate = _recovery_gate.RecoveryGate()
         self._submits_in_flight: collections.Counter[str] = (
             collections.Counter()
         )
@@ -192,7 +186,7 @@
         Its epoch is not comparable once the store has moved.
         """
         self._leader_from_peer = ("", 0)
-        self._recovering_leader = ("", 0)
+        self._gate.open()
 
     def add_call(self, pending: PendingCall, now: _time.Now) -> None:
         """Adds a client call and makes the first attempt to answer it."""
@@ -274,8 +268,8 @@
         address, epoch = self._remote_leader()
         if not address:
             pending.waits_for = "leader-unknown"
-        elif (address, epoch) == self._recovering_leader:
-            pending.waits_for = self._recovering_stage
+        elif self._gate.holds_back((address, epoch)):
+            pending.waits_for = self._gate.stage
         elif self._must_hold_back(pending, address):
             pending.waits_for = "connection"
             pending.next_try_boot_s = now.boot_s
@@ -301,39 +295,38 @@
         return newest
 
     def _probe_recovering_leader(self, now: _time.Now) -> None:
-        """Asks a scheduler that has not recovered yet whether it has now.
-
-        Pending calls are held back until it has: they hold whole jobs, and
-        repeating them would take the link that its recovery needs.
-        """
-        leader = self._recovering_leader
+        """Asks a scheduler that has not recovered yet whether it has now."""
         if (
-            not leader[0]
-            or not self._pending
-            or self._is_probing
-            or now.boot_s < self._next_probe_boot_s
+            not self._pending
             or self._is_own_term_newest()
-            or self._remote_leader() != leader
+            or not self._gate.holds_back(self._remote_leader())
         ):
             return
-        self._is_probing = True
-        probe = _client_calls.ClientCall(_client_calls.CallKind.WAITING, "")
+        probe = self._gate.next_probe(now.boot_s)
+        if probe is None:
+            return
+        question = _client_calls.ClientCall(_client_calls.CallKind.WAITING, "")
         self._calls.send(
-            _build_peer_call(leader[0], probe, PEER_TIMEOUT_S),
-            lambda reply: self._handle_probe_reply(leader, reply),
+            _build_peer_call(
+                probe.leader[0],
+                question,
+                FIRST_TIMEOUT_S,
+                needs_new_connection=probe.needs_new_connection,
+            ),
+            lambda reply: self._handle_probe_reply(probe, reply),
         )
 
     def _handle_probe_reply(
-        self, leader: tuple[str, int], reply: _http_call.HttpReply
+        self, probe: _recovery_gate.Probe, reply: _http_call.HttpReply
     ) -> None:
         """Sends the pending calls on if the scheduler answers calls now."""
-        self._is_probing = False
-        self._next_probe_boot_s = self._clock().boot_s + PROBE_INTERVAL_S
-        if leader != self._recovering_leader:
+        if not self._gate.record_result(
+            probe, self._clock().boot_s, is_lost=not reply.is_success
+        ):
             return
         if not reply.is_success:
             if not reply.may_have_been_sent:
-                self._local.report_unreachable_leader(leader[1])
+                self._local.report_unreachable_leader(probe.leader[1])
             return
         try:
             answer = _peer_calls.decode_reply(reply.body)
@@ -342,11 +335,11 @@
             return
         if answer.outcome is _Outcome.NOT_LEADER:
             self._note_leader(answer)
-            return
-        self._recovering_leader = ("", 0)
-        for pending in self._pending:
-            if pending.next_try_boot_s is not None:
-                pending.next_try_boot_s = 0.0
+        elif answer.outcome not in _BUSY_OUTCOMES:
+            self._gate.open()
+            for pending in self._pending:
+                if pending.next_try_boot_s is not None:
+                    pending.next_try_boot_s = 0.0
 
     def _note_leader(self, answer: _client_calls.ClientReply) -> bool:
         """Adopts a scheduler of a later term that a peer named.
@@ -471,9 +464,7 @@
                 pending.waits_for = f"leader-term-{answer.term_stage}"
             named = (answer.leader_address, answer.leader_epoch)
             if named == leader:
-                # It holds the term but does not answer calls yet.
-                self._recovering_leader = leader
-                self._recovering_stage = pending.waits_for
+                self._gate.close(leader, pending.waits_for)
             if not self._note_leader(answer) or named == leader:
                 pending.next_try_boot_s = self._clock().boot_s + RETRY_DELAY_S
             return
--- a/tests/transport/jobs/test_call_router.py
+++ b/tests/transport/jobs/test_call_router.py
@@ -7,6 +7,7 @@
 from basiljunction.state.workload import _client_calls
 from basiljunction.transport.jobs import _call_router
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _recovery_gate
 import workload_builders as build
 
 _Outcome = _client_calls.CallOutcome
@@ -234,14 +235,14 @@
         assert jobs
         assert len(jobs) == len(set(jobs))
         probe_count = len(sent) - len(jobs)
-        assert 1 <= probe_count <= 1.5 / _call_router.PROBE_INTERVAL_S + 1
+        assert 1 <= probe_count <= 1.5 / _recovery_gate.PROBE_INTERVAL_S + 1
 
     def test_waiting_calls_are_sent_as_soon_as_it_has_recovered(self) -> None:
         calls, router, replies = self._start_calls(3)
         self._run_for(calls, router, 0.5, _RECOVERING)
         accepted = _client_calls.ClientReply(_Outcome.ACCEPTED)
         self._run_for(
-            calls, router, _call_router.PROBE_INTERVAL_S + 0.05, accepted
+            calls, router, _recovery_gate.PROBE_INTERVAL_S + 0.05, accepted
         )
         outcomes = [each.result(0).outcome for each in replies]
         assert outcomes == [_Outcome.ACCEPTED] * 3
@@ -260,6 +261,56 @@
         self._run_for(calls, router, 0.15, accepted)
         assert [each.done() for each in replies] == [True, True]
 
+    def _start_probing(
+        self,
+    ) -> tuple[_RecordingHttpClient, _call_router.CallRouter]:
+        """Returns a router whose first probe is in flight."""
+        calls, router, _ = self._start_calls(1)
+        calls.answer_oldest(_RECOVERING)
+        self._pass_time(router, _recovery_gate.PROBE_INTERVAL_S + 0.1)
+        assert len(calls.sent) == 1
+        return calls, router
+
+    def _pass_time(
+        self, router: _call_router.CallRouter, seconds: float
+    ) -> None:
+        """Processes the pending calls for a time, without any answer."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.015
+            router.process_pending_calls(build.clock_readings_at(self.now_s))
+
+    def test_a_probe_after_a_lost_one_uses_a_new_connection(self) -> None:
+        calls, router = self._start_probing()
+        assert not calls.sent[0][0].needs_new_connection
+        calls.fail_oldest(was_sent=True)
+        self._pass_time(router, _recovery_gate.PROBE_INTERVAL_S + 0.1)
+        assert calls.sent[0][0].needs_new_connection
+
+    def test_a_lost_probe_leaves_time_for_another(self) -> None:
+        calls, _ = self._start_probing()
+        longest_s = _call_router.MAX_CALL_WAIT_S / 3
+        assert calls.sent[0][0].timeout_s <= longest_s
+
+    def test_a_lost_probe_does_not_hold_back_that_of_a_later_term(self) -> None:
+        calls, router = self._start_probing()
+        self.local.leader = ("10.0.0.7:1", 4)
+        self._pass_time(router, _call_router.RETRY_DELAY_S + 0.05)
+        later = _client_calls.ClientReply(
+            _Outcome.NOT_LEADER, leader_address="10.0.0.7:1", leader_epoch=4
+        )
+        body = _peer_calls.encode_reply(later, "10.0.0.7:1", 4)
+        calls.sent.pop(1)[1](_http_call.HttpReply(200, body))
+        self._pass_time(router, _recovery_gate.PROBE_INTERVAL_S + 0.1)
+        assert calls.sent[-1][0].url == "http://10.0.0.7:1/calls"
+        assert len(calls.sent) == 2
+
+    def test_a_busy_answer_is_no_sign_of_recovery(self) -> None:
+        calls, router = self._start_probing()
+        calls.answer_oldest(_client_calls.ClientReply(_Outcome.UNAVAILABLE))
+        self._pass_time(router, _recovery_gate.PROBE_INTERVAL_S / 2)
+        assert calls.sent == []
+
     def test_nobody_is_asked_while_no_scheduler_is_known(self) -> None:
         calls, router, _ = self._start_calls(0)
         self.local.leader = ("", 0)
@@ -278,7 +329,7 @@
     def test_a_scheduler_that_ended_as_it_recovered_is_reported(self) -> None:
         calls, router, _ = self._start_calls(1)
         self._run_for(calls, router, 0.1, _RECOVERING)
-        self.now_s += _call_router.PROBE_INTERVAL_S
+        self.now_s += _recovery_gate.PROBE_INTERVAL_S
         router.process_pending_calls(build.clock_readings_at(self.now_s))
         calls.fail_oldest(was_sent=False)
         assert self.local.unreachable_epochs == [3]
