Stop scheduling before a term is resigned

Cause: a new scheduler starts no inherited task before each stored executor has answered or the last lease that its predecessor can have granted is over, 10.5 s after its term began. Half of that is for a predecessor that goes on without the store's confirmation, which one that resigns never does.

Change: a scheduler ends its session before it writes the resignation, and the record says for how long runs may go on: one lease, 5.1 s, if no runs of terms before it are left. The successor waits that long.

Result: in the rig, the four tasks of a lost executor run again 6.0 s after such a take-over, and not within 5.1 s; before, the wait was 10.5 s for each take-over. A predecessor that was killed still means the full wait: open.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -105,6 +105,8 @@
         is_resigning: Whether this instance resigns and claims no further term.
         relative_provision: Provision of this instance as a fraction of that of
             the best provided one; 0 until its own registration was read.
+        predecessor: Newest record of the term that the newest claim of this
+            instance follows; None if there was none.
     """
 
     def __init__(
@@ -126,6 +128,8 @@
         self._rng = rng
         self._provision = provision
         self.relative_provision = 0.0 if provision.is_known else 1.0
+        self.predecessor: _leadership.Term | None = None
+        self._longest_run_s = 0.0
         self._end_offset: int | None = None
         self._renewal_seen_s: float | None = None
         self._next_write_s = 0.0
@@ -172,6 +176,7 @@
         self._last_written_term = None
         self._next_write_s = 0.0
         self.update_provisions({})
+        self.predecessor = None
         self._given_up_epoch = 0
         self._answered_epoch = 0
 
@@ -208,9 +213,15 @@
             and now_s - self._renewal_seen_s < ABSTENTION_S
         )
 
-    def resign(self) -> None:
-        """Resigns the term with the next write and stops claiming terms."""
+    def resign(self, longest_run_s: float = 0.0) -> None:
+        """Resigns the term with the next write and stops claiming terms.
+
+        Args:
+            longest_run_s: Longest time for which a run may go on, now that the
+                scheduler has stopped, in seconds; 0 if that is not known.
+        """
         self.is_resigning = True
+        self._longest_run_s = longest_run_s
         self._next_write_s = 0.0
 
     def update_provisions(
@@ -323,6 +334,7 @@
             return None
         epoch = 1 if self.term is None else self.term.epoch + 1
         self.role = ElectionRole.CLAIMING
+        self.predecessor = self.term
         return self._begin_write(
             _leadership.Term(
                 epoch,
@@ -350,6 +362,7 @@
                 self.term,
                 beat=self.term.beat + 1,
                 is_resigned=self.is_resigning or is_given_up,
+                longest_run_s=self._longest_run_s,
                 given_up_terms=given_up_terms,
             ),
             now_s,
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -58,6 +58,7 @@
         now: _time.Now,
         *,
         term_begun_s: float,
+        longest_inherited_run_s: float | None = None,
     ) -> None:
         """Rebuilds jobs and executors from the records of earlier terms.
 
@@ -69,8 +70,18 @@
             now: The time.
             term_begun_s: When this term was known to have begun, on the steady
                 clock; no earlier term was confirmed after it.
+            longest_inherited_run_s: Longest time for which runs of earlier
+                terms may go on after that, in seconds; None if the scheduler
+                before may have gone on without a confirmation.
         """
         cell = self.cell
+        if longest_inherited_run_s is None:
+            longest_inherited_run_s = cell.times.max_run_after_term_s
+        inherited_until_s = (
+            term_begun_s
+            + longest_inherited_run_s
+            + _limits.LEASE_EXPIRY_MARGIN_S
+        )
         accepted_by_id: dict[str, _progress.AcceptedJob] = {}
         progress_by_id: dict[str, _progress.JobProgress] = {}
         for record in records:
@@ -80,7 +91,9 @@
                 progress_by_id[record.job_id] = record.progress
             elif isinstance(record, _records.ExecutorRosterRecord):
                 for roster_entry in record.executors:
-                    self._add_inherited_executor(roster_entry, term_begun_s)
+                    self._add_inherited_executor(
+                        roster_entry, inherited_until_s
+                    )
             elif isinstance(record, _records.LearnedHeadroomRecord):
                 cell.sharing.restore_learned(record)
         for job_id, accepted in accepted_by_id.items():
@@ -97,17 +110,13 @@
         self.set_configuration(cell.configuration)
 
     def _add_inherited_executor(
-        self, roster_entry: _executor.ListedExecutor, term_begun_s: float
+        self, roster_entry: _executor.ListedExecutor, until_s: float
     ) -> None:
-        """Adds an executor that may still run tasks of an earlier term."""
+        """Adds an executor that may run tasks of an earlier term until then."""
         state = _executors.ExecutorState(
             listing=roster_entry, is_listed=False, is_roster_stored=True
         )
-        state.inherited_until_s = (
-            term_begun_s
-            + self.cell.times.max_run_after_term_s
-            + _limits.LEASE_EXPIRY_MARGIN_S
-        )
+        state.inherited_until_s = until_s
         self.cell.executor_by_id[roster_entry.id] = state
 
     # Configuration and discovery.
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -19,6 +19,9 @@
         is_resigned: Whether the scheduler has resigned this term.
         given_up_terms: Number of terms in a row, up to this one, that ended
             without answering calls.
+        longest_run_s: Longest time for which any run may go on after this
+            record was written, in seconds; 0 if that is not known. Known if
+            the scheduler had stopped before it resigned.
     """
 
     epoch: int
@@ -28,6 +31,7 @@
     beat: int = 0
     is_resigned: bool = False
     given_up_terms: int = 0
+    longest_run_s: float = 0.0
 
     def is_held_by(self, instance: str, incarnation: int) -> bool:
         """Returns whether this run of the instance's process holds the term."""
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -187,10 +187,22 @@
         if isinstance(message, CallReceived):
             self._route_call(message, now)
         elif isinstance(message, ResignRequested):
-            self._terms.election.resign()
+            self._resign_term()
         elif isinstance(message, StoreAddressChanged):
             self._switch_store(message.address)
 
+    def _resign_term(self) -> None:
+        """Stops scheduling, then resigns the term and claims no other.
+
+        In this order the next scheduler knows that no lease is granted any
+        more, so that it need not wait for this one to notice its term's end.
+        """
+        longest_run_s = 0.0
+        if self._session is not None:
+            longest_run_s = self._session.longest_run_s
+            self._end_session("resigned")
+        self._terms.election.resign(longest_run_s)
+
     def _switch_store(self, address: str) -> None:
         """Ends the own term and restarts all feeds at a new store address."""
         store = dataclasses.replace(self._settings.store, address=address)
@@ -420,9 +432,19 @@
             clock=self._clock.now,
             configuration=configuration,
             metrics=self._metrics,
+            longest_inherited_run_s=self._longest_inherited_run_s(epoch),
         )
         _log.info("term.begun", epoch=epoch)
 
+    def _longest_inherited_run_s(self, epoch: int) -> float | None:
+        """Returns how long runs of earlier terms go on; None if not known."""
+        predecessor = self._terms.election.predecessor
+        if predecessor is None or predecessor.epoch != epoch - 1:
+            return None
+        if not predecessor.is_resigned:
+            return None
+        return predecessor.longest_run_s or None
+
     def _end_session(self, reason: str) -> None:
         """Ends the session of the current term, if any, and logs the reason."""
         if self._session is None:
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -46,6 +46,9 @@
         clock: Returns the current time.
         configuration: The newest configuration.
         metrics: Registry that receives the metrics of this term.
+        longest_inherited_run_s: Longest time for which runs of earlier terms
+            may go on after the begin of this one, in seconds; None if the
+            scheduler before may have gone on without a confirmation.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         clock: Callable[[], _time.Now],
         configuration: _configuration.Configuration,
         metrics: _metrics.Metrics,
+        longest_inherited_run_s: float | None = None,
     ) -> None:
         self._metrics = _cell_metrics.CellMetrics(metrics)
         self.epoch = epoch
@@ -98,6 +102,7 @@
         self._cancels_by_job_id: dict[str, list[_call_router.PendingCall]] = {}
         self._has_recovered = False
         self._has_executor_list = False
+        self._longest_inherited_run_s = longest_inherited_run_s
         self._started_boot_s = clock().boot_s
         self._next_summary_s = 0.0
 
@@ -143,6 +148,18 @@
             return _term_progress.TermStage.FENCING
         return _term_progress.TermStage.READING
 
+    @property
+    def longest_run_s(self) -> float:
+        """Longest time for which runs go on after this session has ended.
+
+        In seconds; 0 if that is not known, as runs of earlier terms may still
+        exist.
+        """
+        cell = self._scheduler.cell
+        if not self.answers_calls or cell.has_inherited_runs:
+            return 0.0
+        return cell.times.lease_s * _limits.MAX_CLOCK_SLOWNESS
+
     def close(self) -> None:
         """Ends the session: no further orders are sent or records stored.
 
@@ -282,7 +299,10 @@
             return
         now = self._clock()
         self._scheduler.restore_from_records(
-            records, now, term_begun_s=self._started_boot_s
+            records,
+            now,
+            term_begun_s=self._started_boot_s,
+            longest_inherited_run_s=self._longest_inherited_run_s,
         )
         self._has_recovered = True
         cell = self._scheduler.cell
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -429,11 +429,17 @@
         self.term_confirmed_s = 0.0
         self.scheduler = self._start_scheduler()
 
-    def _start_scheduler(self, recovery_s: float = 0.0) -> _scheduler.Scheduler:
+    def _start_scheduler(
+        self,
+        recovery_s: float = 0.0,
+        longest_inherited_run_s: float | None = None,
+    ) -> _scheduler.Scheduler:
         """Starts a scheduler of the next epoch, restored from the store.
 
         Args:
             recovery_s: Time that reading the store takes, in seconds.
+            longest_inherited_run_s: Longest time for which earlier runs go on,
+                as the scheduler before said, in seconds; None if it did not.
         """
         self.epoch += 1
         self.scheduler = build.scheduler(*self.queues, epoch=self.epoch)
@@ -447,6 +453,7 @@
             records,
             build.clock_readings_at(self.now_s),
             term_begun_s=begun_s,
+            longest_inherited_run_s=longest_inherited_run_s,
         )
         self.term_confirmed_s = self.now_s
         self.list_executors()
@@ -460,9 +467,13 @@
                 if executor.is_up:
                     executor.end_due_runs()
 
-    def take_over(self, recovery_s: float = 0.0) -> None:
+    def take_over(
+        self,
+        recovery_s: float = 0.0,
+        longest_inherited_run_s: float | None = None,
+    ) -> None:
         """Replaces the scheduler by one that restores from the store."""
-        self._start_scheduler(recovery_s)
+        self._start_scheduler(recovery_s, longest_inherited_run_s)
 
     def list_executors(self) -> None:
         """Passes the list of executors that are up to the scheduler."""
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -520,3 +520,31 @@
         for term in log:
             holder = holder_by_epoch.setdefault(term.epoch, term.instance)
             assert holder == term.instance
+
+
+class TestResignation:
+    """A resignation tells how long runs may still go on."""
+
+    def test_the_next_scheduler_knows_how_long_earlier_runs_go_on(self) -> None:
+        election = _make_leader()
+        election.resign(5.1)
+        resignation = election.next_term_write(1.0)
+        assert resignation is not None
+        other = _make_election("b")
+        other.apply_read(resignation.term, 2, 1.1)
+        assert other.next_term_write(1.5) is not None
+        assert other.predecessor == resignation.term
+        assert other.predecessor.longest_run_s == 5.1
+
+    def test_a_term_that_was_not_resigned_tells_nothing(self) -> None:
+        election = _make_leader()
+        renewal = election.next_term_write(1.0)
+        assert renewal is not None
+        assert renewal.term.longest_run_s == 0.0
+
+    def test_a_move_of_the_store_forgets_the_predecessor(self) -> None:
+        election = _make_election("b")
+        election.apply_read(_make_term("a", 1), 1, 0.0)
+        assert election.next_term_write(5.0) is not None
+        election.reset_after_store_move(incarnation=2)
+        assert election.predecessor is None
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -207,7 +207,7 @@
     """Runs of an earlier term end a known time after that term."""
 
     def _take_over_from_lost_executor(
-        self, recovery_s: float
+        self, recovery_s: float, longest_inherited_run_s: float | None = None
     ) -> cell_rig.CellRig:
         """Returns a rig after the loss of executor e1 and the scheduler."""
         rig = cell_rig.CellRig(
@@ -218,9 +218,19 @@
         rig.run(1)
         assert len(rig.executor_by_id["e1"].run_by_key) == 2
         rig.executor_by_id["e1"].is_up = False
-        rig.take_over(recovery_s)
+        rig.take_over(recovery_s, longest_inherited_run_s)
         return rig
 
+    def test_a_scheduler_that_stopped_before_it_resigned_shortens_it(
+        self,
+    ) -> None:
+        rig = self._take_over_from_lost_executor(0.0, 5.1)
+        start_count = len(rig.starts)
+        rig.run(5.1)
+        assert len(rig.starts) == start_count
+        rig.run(0.9)
+        assert rig.count_lasting_runs() == 4
+
     def test_a_long_recovery_counts_towards_that_time(self) -> None:
         rig = self._take_over_from_lost_executor(8.0)
         rig.run(3.5)
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -9,6 +9,10 @@
 import structlog
 from structlog import testing
 
+from basiljunction.coordination.scheduling import _limits
+from basiljunction.platform import _store
+from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _leadership
 from basiljunction.transport.jobs import _cell_task
 import instance_rig
 import platform_standin
@@ -158,6 +162,59 @@
         instance_rig.wait_until(lambda: _events(logs, "term.recovered"))
 
 
+class TestResignation:
+    """A scheduler stops before it resigns, and says how long runs go on."""
+
+    def _read_term(
+        self, platform: platform_standin.Platform
+    ) -> _leadership.Term:
+        """Returns the newest term in the store."""
+        topic = platform.topics[_store.TERM_TOPIC]
+        return _job_records.decode_term(topic.newest_by_key[_store.TERM_KEY][1])
+
+    def _resign(
+        self,
+        platform: platform_standin.Platform,
+        instance: instance_rig.Instance,
+    ) -> _leadership.Term:
+        """Has an instance resign; returns the term that it wrote."""
+        instance.task.tell(_cell_task.ResignRequested())
+        instance_rig.wait_until(lambda: self._read_term(platform).is_resigned)
+        return self._read_term(platform)
+
+    def test_the_next_scheduler_need_not_wait_for_a_lost_confirmation(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(
+            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
+        )
+        term = self._resign(platform, instances[0])
+        longest_lease_s = _limits.LeaseTimes().lease_s
+        assert longest_lease_s < term.longest_run_s < longest_lease_s * 1.05
+        assert [each["reason"] for each in _events(logs, "term.ended")] == [
+            "resigned"
+        ]
+
+    def test_a_scheduler_that_still_waits_for_earlier_runs_does_not_know(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+    ) -> None:
+        instances.append(instance_rig.Instance(platform, "front-1"))
+        instance_rig.wait_until(
+            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
+        )
+        platform.executors[0].httpd.shutdown()
+        self._resign(platform, instances[0])
+        instances.append(instance_rig.Instance(platform, "front-2"))
+        instance_rig.wait_until(instances[1].task.is_scheduling)
+        assert self._resign(platform, instances[1]).longest_run_s == 0.0
+
+
 class TestReports:
     """A term that answers no calls says what it waits for."""
 
