Log errors of reply callbacks; end a process whose task failed

Callers saw an instance that kept its connections and its readiness and answered nothing more: an exception in the callback of one reply left the loop of the cell task through _receive, which is not guarded as messages and ticks are, and nobody looked at the future of the task. Of the calls given up for silence in one round, those after the one whose callback failed got no reply until libcurl's 30 s.

HttpClient now logs such an exception with the operation's name and goes on, so that all ended calls get their reply. If the thread of the cell task ends with an error nevertheless, the process logs it at error level, stops its servers and exits with code 1, as the platform starts it anew. It neither resigns nor serves through the grace period, as only the task could.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -479,4 +479,13 @@
         "        self._first_page_end = page.end_offset\n",
         f"{_TRANSPORT_TESTS}/test_feeds.py",
     ),
+    _mutation(
+        "failed-task-looks-healthy",
+        "answers",
+        f"{_TRANSPORT}/_daemon.py",
+        "        self._has_task_failed = True\n"
+        "        self.request_shutdown()\n",
+        "",
+        f"{_TRANSPORT_TESTS}/test_daemon.py",
+    ),
 )
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -77,6 +77,7 @@
         self._shutdown_event = threading.Event()
         self._reload_event = threading.Event()
         self._wake_event = threading.Event()
+        self._has_task_failed = False
         metrics = _metrics.Metrics(settings.name)
         self._pool = futures.ThreadPoolExecutor(TASK_THREADS, "task")
         self._task = _cell_task.CellTask(
@@ -120,17 +121,17 @@
             )
 
     def run(self) -> int:
-        """Serves requests until a shutdown is requested.
+        """Serves requests until a shutdown is requested or the task fails.
 
         Returns:
-            The exit code of the process.
+            The exit code of the process; 1 if the cell task failed.
 
         Raises:
             OSError: A listen address cannot be bound.
         """
         for server in self._servers:
             server.bind()
-        self._task.start(self._pool)
+        self._task.start(self._pool).add_done_callback(self._note_task_end)
         for server in self._servers:
             server.start(self._pool)
         _log.info("instance.started", zone=self._settings.zone)
@@ -141,7 +142,20 @@
                 self._reload_event.clear()
                 self._reload_settings()
         self._shut_down()
-        return 0
+        return int(self._has_task_failed)
+
+    def _note_task_end(self, task: "futures.Future[None]") -> None:
+        """Ends the process if the cell task's thread ended with an error.
+
+        Without the task, no call is answered; the platform starts a process
+        that has ended anew.
+        """
+        error = task.exception()
+        if error is None:
+            return
+        _log.error("task.failed", task=self._task.name, exc_info=error)
+        self._has_task_failed = True
+        self.request_shutdown()
 
     def _reload_settings(self) -> None:
         """Reloads the settings file and applies a changed store address.
@@ -175,12 +189,16 @@
         return not self._shutdown_event.is_set() and self._task.is_ready
 
     def _shut_down(self) -> None:
-        """Resigns the term, serves through the grace period and stops."""
-        self._task.tell(_cell_task.ResignRequested())
+        """Resigns the term, serves through the grace period and stops.
+
+        An instance whose cell task has failed can do neither and stops at once.
+        """
         end_s = time.monotonic() + (
             self._settings.bounds.grace_s - SHUTDOWN_RESERVE_S
         )
-        while time.monotonic() < end_s:
+        if not self._has_task_failed:
+            self._task.tell(_cell_task.ResignRequested())
+        while time.monotonic() < end_s and not self._has_task_failed:
             time.sleep(GRACE_POLL_INTERVAL_S)
         _log.info("instance.leaving", quiet=self._task.is_idle)
         with futures.ThreadPoolExecutor(len(self._servers), "stop") as pool:
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -8,6 +8,7 @@
 import time
 
 import pycurl
+import structlog
 
 from basiljunction.protocol import _http_call
 from basiljunction.transport import _metrics
@@ -46,6 +47,8 @@
 )
 """libcurl errors that mean that the request was certainly not sent."""
 
+_log = structlog.get_logger()
+
 
 @dataclasses.dataclass(slots=True)
 class _CallInFlight:
@@ -268,7 +271,11 @@
         fault: str = "",
         code: int = 0,
     ) -> None:
-        """Records the metrics of a call and passes on its reply."""
+        """Records the metrics of a call and passes on its reply.
+
+        An exception of the callback is logged, so that other calls that have
+        ended get their replies and the caller's loop goes on.
+        """
         call = self._call_by_handle.pop(handle)
         self._watched_by_handle.pop(handle, None)
         took_s = time.monotonic() - call.started_s
@@ -283,14 +290,21 @@
         self._multi.remove_handle(handle)
         handle.reset()
         self._idle_handles.append(handle)
-        call.on_reply(
-            _http_call.HttpReply(
+        reply = _http_call.HttpReply(
+            status=status,
+            body=call.response_body.getvalue(),
+            error_text=fault,
+            may_have_been_sent=code not in _NOT_SENT_ERRORS,
+        )
+        try:
+            call.on_reply(reply)
+        except Exception as error:  # noqa: BLE001 - must not end the task
+            _log.exception(
+                "call.reply-error",
+                operation=call.call.operation,
                 status=status,
-                body=call.response_body.getvalue(),
-                error_text=fault,
-                may_have_been_sent=code not in _NOT_SENT_ERRORS,
+                error=repr(error),
             )
-        )
 
 
 def _configure_handle(handle: pycurl.Curl, call: _http_call.HttpCall) -> None:
--- a/tests/transport/jobs/test_cell_loop.py
+++ b/tests/transport/jobs/test_cell_loop.py
@@ -4,14 +4,19 @@
 from concurrent import futures
 import random
 import time
+from typing import Any
+from typing import TypeVar
 
 import pytest
+import structlog
+from structlog import testing
 
-from basiljunction.protocol import _instance_settings
+from basiljunction.protocol import _http_call
 from basiljunction.state import _time
 from basiljunction.transport import _clock
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _cell_task
+import instance_rig
 import platform_standin
 
 MESSAGE_S = 0.005
@@ -23,6 +28,8 @@
 READY_LIMIT_S = 2.5
 """Longest time until the task knows the cell's term, in seconds."""
 
+_TaskT = TypeVar("_TaskT", bound=_cell_task.CellTask)
+
 
 class _BusyTask(_cell_task.CellTask):
     """A cell task that takes a while for each message."""
@@ -35,6 +42,36 @@
             super().handle(message, now)
 
 
+class _FailingReplyTask(_cell_task.CellTask):
+    """A cell task that fails to handle the reply to one call."""
+
+    def send_failing_call(self, address: str) -> None:
+        """Starts a call whose reply cannot be handled."""
+        self._calls.send(
+            _http_call.HttpCall(
+                "GET", f"http://{address}/", timeout_s=1.0, operation="example"
+            ),
+            _fail_reply,
+        )
+
+
+def _fail_reply(_reply: _http_call.HttpReply) -> None:
+    """Fails as code that did not expect the reply does."""
+    raise ValueError("unexpected reply")
+
+
+def _make_task(task_type: type[_TaskT], store_address: str) -> _TaskT:
+    """Returns a cell task of a type, of which no server is started."""
+    return task_type(
+        settings=instance_rig.make_settings(
+            "front-1", front_port=0, peer_port=0, store_address=store_address
+        ),
+        clock=_clock.SystemClock(),
+        rng=random.Random(1),
+        metrics=_metrics.Metrics("front-1"),
+    )
+
+
 @pytest.fixture
 def platform() -> Iterator[platform_standin.Platform]:
     """A platform without executors, with a configuration."""
@@ -44,6 +81,16 @@
     platform.close()
 
 
+@pytest.fixture
+def logs() -> Iterator[list[Any]]:
+    """Collects the log entries, which the other tests silence."""
+    silent = structlog.get_config()["wrapper_class"]
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(20))
+    with testing.capture_logs() as entries:
+        yield entries
+    structlog.configure(wrapper_class=silent)
+
+
 class TestManyMessages:
     """Calls to the store and to executors go on while messages wait."""
 
@@ -51,25 +98,7 @@
         self, platform: platform_standin.Platform
     ) -> None:
         """Else a scheduler with many callers hears no executor and no store."""
-        task = _BusyTask(
-            settings=_instance_settings.InstanceSettings(
-                name="front-1",
-                zone="zone-a",
-                front_listen="127.0.0.1:0",
-                ready_listen="127.0.0.1:0",
-                peer_listen="127.0.0.1:0",
-                store=_instance_settings.StoreSettings(
-                    platform.address, 800, 2000, 262144, 2097152
-                ),
-                bounds=_instance_settings.DeploymentTimeLimits(
-                    10.0, 10.0, 60.0, 5.0, 0.9, 3.0
-                ),
-                heartbeat_s=1.0,
-            ),
-            clock=_clock.SystemClock(),
-            rng=random.Random(1),
-            metrics=_metrics.Metrics("front-1"),
-        )
+        task = _make_task(_BusyTask, platform.address)
         for number in range(MESSAGE_COUNT):
             task.tell(number)
         with futures.ThreadPoolExecutor(1) as pool:
@@ -81,3 +110,30 @@
             task.stop()
             loop.result()
         assert is_ready
+
+
+class TestFailingReplies:
+    """A reply that cannot be handled does not end the task."""
+
+    def test_the_task_goes_on_and_names_the_call(
+        self,
+        platform: platform_standin.Platform,
+        logs: list[Any],
+    ) -> None:
+        """Else the instance answers nothing and looks healthy."""
+        task = _make_task(_FailingReplyTask, platform.address)
+        task.send_failing_call(platform.address)
+        with futures.ThreadPoolExecutor(1) as pool:
+            loop = task.start(pool)
+            limit_s = time.monotonic() + READY_LIMIT_S
+            while not task.is_ready and time.monotonic() < limit_s:
+                time.sleep(0.02)
+            is_ready = task.is_ready
+            task.stop()
+            loop.result()
+        assert is_ready
+        (entry,) = [
+            each for each in logs if each["event"] == "call.reply-error"
+        ]
+        assert entry["operation"] == "example"
+        assert "unexpected reply" in entry["error"]
--- a/tests/transport/jobs/test_http_calls.py
+++ b/tests/transport/jobs/test_http_calls.py
@@ -176,3 +176,40 @@
         server = Server([b"x" * 100] * 10, missing_bytes=0)
         reply, _ = call_server(calls, server)
         assert reply.body == b"x" * 1000
+
+
+class TestFailingCallbacks:
+    """An error in the callback of one call affects no other call."""
+
+    def test_calls_that_are_given_up_together_all_get_their_reply(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        """Else their callers wait for the 30 s of a whole transfer."""
+        servers = [Server([], missing_bytes=0) for _ in range(3)]
+        replies: list[_http_call.HttpReply] = []
+
+        def fail_once(reply: _http_call.HttpReply) -> None:
+            replies.append(reply)
+            if len(replies) == 1:
+                raise ValueError("unexpected reply")
+
+        for server in servers:
+            calls.send(
+                _http_call.HttpCall(
+                    "GET",
+                    server.url,
+                    timeout_s=10.0,
+                    silence_limit_s=SILENCE_LIMIT_S,
+                ),
+                fail_once,
+            )
+        # Let the limit of all calls pass before the client looks at it.
+        calls.poll(0.05)
+        time.sleep(SILENCE_LIMIT_S)
+        limit_s = time.monotonic() + 2 * SILENCE_LIMIT_S
+        while len(replies) < len(servers) and time.monotonic() < limit_s:
+            with contextlib.suppress(ValueError):
+                calls.poll(0.05)
+        for server in servers:
+            server.close()
+        assert len(replies) == len(servers)
