Count a read of the term topic that does not end as blindness

A read of which bytes keep arriving may take 30 s since only silence ends it. For the term topic that hid the renewals of a living scheduler: the election took them for missing and tried a claim (which the offset made fail while the scheduler renewed), is_store_unreachable stayed False, and no peer was asked for the scheduler.

TermFeed now notes in each tick when no read has ended for TERM_EXPIRY_S while one is in flight, logs it once as a lost feed, and tells the election as after a failed read. The next complete read starts the wait for the expiry anew. Reads of other topics keep their long transfers.

The stand-in of the tests left waiting reads open for ever; it now ends them after their wait, as the store does. One claim remains possible if a read ended after the newest renewal and before the drip, less than TERM_EXPIRY_S ago; the expected offset lets it succeed only if no renewal was stored.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -488,4 +488,12 @@
         "",
         f"{_TRANSPORT_TESTS}/test_daemon.py",
     ),
+    _mutation(
+        "endless-read-taken-for-missing-renewals",
+        "one scheduler",
+        f"{_TRANSPORT}/_term_keeper.py",
+        "if not self._is_reading or unread_s < _election.TERM_EXPIRY_S:",
+        "if not self._is_reading or unread_s < 10**6:",
+        f"{_TRANSPORT_TESTS}/test_term_keeper.py",
+    ),
 )
--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -50,7 +50,8 @@
     Attributes:
         address_by_member: Addresses of all registered instances by name.
         provision_by_member: Known provisions of registered instances by name.
-        is_store_unreachable: Whether the last read of the store failed.
+        is_store_unreachable: Whether the last read of the store failed, or has
+            not ended `TERM_EXPIRY_S` after the one before.
     """
 
     def __init__(
@@ -80,11 +81,34 @@
         self._provision = provision
         self._is_registering = False
         self._next_registration_s = 0.0
+        self._last_read_s: float | None = None
 
     def current_time(self) -> _time.Now:
         """Returns the current time."""
         return self._clock()
 
+    def start_due_read(self, now: _time.Now) -> None:
+        """Starts the next read if it is due; notices one that does not end.
+
+        Bytes of such a read may keep arriving, so that it does not fail. While
+        the renewals of a term cannot be read, they are not missing.
+        """
+        super().start_due_read(now)
+        if self._last_read_s is None:
+            self._last_read_s = now.boot_s
+        unread_s = now.boot_s - self._last_read_s
+        if not self._is_reading or unread_s < _election.TERM_EXPIRY_S:
+            return
+        if not self._is_failing:
+            self._is_failing = True
+            _log.warning(
+                "feed.lost",
+                topic=_store.TERM_TOPIC,
+                status=0,
+                fault=f"no complete read for {unread_s:.2f} s",
+            )
+        self.handle_read_failure()
+
     def apply_records(
         self,
         records: Iterable[_job_records.KeyedRecord],
@@ -94,6 +118,7 @@
     ) -> None:
         """Passes the newest term to the election and updates the members."""
         now_s = self.current_time().boot_s
+        self._last_read_s = now_s
         self.is_store_unreachable = False
         newest = None
         for record in records:
@@ -127,6 +152,7 @@
         self.address_by_member.clear()
         self.provision_by_member.clear()
         self._next_registration_s = 0.0
+        self._last_read_s = None
         self.election.reset_after_store_move(incarnation)
         self.restart()
 
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -15,6 +15,7 @@
 from basiljunction.platform import _store
 from basiljunction.protocol import _http_call
 from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _provision
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _term_keeper
@@ -38,9 +39,11 @@
 
 
 class _StoreClient(_http_calls.HttpClient):
-    """Answers calls to the store from one topic; waiting reads stay open.
+    """Answers calls to the store from one topic.
 
     Attributes:
+        answers_reads: Whether reads end; otherwise they stay open as if their
+            answers arrived byte by byte.
         topic: The term topic.
         appended_keys: Keys of the records of each stored append.
         judge_write: Decides about each append by its body.
@@ -50,14 +53,16 @@
         self.topic = platform_standin.Topic()
         self.appended_keys: list[list[str]] = []
         self.judge_write: _FailsWrite = lambda _: (True, True)
+        self.answers_reads = True
+        self._now_s = 0.0
         self._open_calls: list[
-            tuple[_http_call.HttpCall, _http_calls.ReplyCallback]
+            tuple[_http_call.HttpCall, _http_calls.ReplyCallback, float]
         ] = []
 
     def send(
         self, call: _http_call.HttpCall, on_reply: _http_calls.ReplyCallback
     ) -> None:
-        self._open_calls.append((call, on_reply))
+        self._open_calls.append((call, on_reply, self._now_s))
 
     def put(self, key: str, value: bytes) -> None:
         """Stores a record as another instance would."""
@@ -65,19 +70,28 @@
         self.topic.append_record(bytes((len(name),)) + name + value)
 
     def answer_calls(self) -> None:
-        """Answers all open calls but reads that wait for a record."""
+        """Answers all open calls but reads that wait for a record.
+
+        It is called once in each tick.
+        """
+        self._now_s += TICK_S
         calls, self._open_calls = self._open_calls, []
-        for call, on_reply in calls:
+        for call, on_reply, sent_s in calls:
             url = urllib.parse.urlsplit(call.url)
             query = dict(urllib.parse.parse_qsl(url.query))
             if url.path == "/log-append":
                 on_reply(self._append(query, call.body or b""))
+            elif not self.answers_reads:
+                self._open_calls.append((call, on_reply, sent_s))
             elif url.path == "/log-newest":
                 on_reply(self._read_newest())
-            elif int(query["From"]) < len(self.topic.records):
+            elif (
+                int(query["From"]) < len(self.topic.records)
+                or self._now_s - sent_s >= int(query["WaitMs"]) / 1000
+            ):
                 on_reply(self._read(int(query["From"])))
             else:
-                self._open_calls.append((call, on_reply))
+                self._open_calls.append((call, on_reply, sent_s))
 
     def _append(
         self, query: dict[str, str], body: bytes
@@ -161,6 +175,12 @@
         return self.now_s - begin_s
 
 
+def _renew_term(store: _StoreClient, *, beat: int) -> None:
+    """Stores a renewal of the term of another instance."""
+    term = _leadership.Term(3, "b", 1, "b:1", beat=beat)
+    store.put(_store.TERM_KEY, _job_records.encode_term(term))
+
+
 def _is_registration(body: bytes) -> bool:
     """Returns whether an append registers an instance."""
     return _store.MEMBER_PREFIX.encode() in body
@@ -265,6 +285,75 @@
         assert "provision.a" in store.topic.newest_by_key
 
 
+class TestReadsThatDoNotEnd:
+    """An instance that cannot read the renewals of a term leaves it alone."""
+
+    @pytest.fixture
+    def candidate(self, store: _StoreClient) -> _Instance:
+        """An instance that has read a renewal of another one's term."""
+        _renew_term(store, beat=1)
+        candidate = _Instance(store)
+        candidate.run_for(0.5)
+        _renew_term(store, beat=2)
+        candidate.run_for(2 * TICK_S)
+        return candidate
+
+    def test_the_term_of_a_scheduler_is_not_claimed(
+        self, store: _StoreClient, candidate: _Instance
+    ) -> None:
+        """The scheduler may renew its term all the time."""
+        claims: list[bytes] = []
+
+        def note_claim(body: bytes) -> tuple[bool, bool]:
+            claims.append(body)
+            return True, True
+
+        store.answers_reads = False
+        store.judge_write = note_claim
+        for beat in range(3, 20):
+            _renew_term(store, beat=beat)
+            candidate.run_for(_election.RENEWAL_INTERVAL_S)
+        assert not claims
+
+    def test_a_peer_is_asked_for_the_scheduler(
+        self, store: _StoreClient, candidate: _Instance
+    ) -> None:
+        """Else calls go to a scheduler that may have been replaced."""
+        store.answers_reads = False
+        candidate.run_for(_election.TERM_EXPIRY_S + 2 * TICK_S)
+        assert candidate.feed.is_store_unreachable
+
+    def test_the_first_read_at_another_store_gets_its_time(
+        self, store: _StoreClient, candidate: _Instance
+    ) -> None:
+        """It is no failure that the old store did not answer."""
+        store.answers_reads = False
+        candidate.run_for(_election.TERM_EXPIRY_S - 4 * TICK_S)
+        candidate.feed.switch_store("store:2", 2)
+        candidate.run_for(1.0)
+        assert not candidate.feed.is_store_unreachable
+
+    def test_a_term_without_renewals_is_claimed_after_the_next_read(
+        self, store: _StoreClient, candidate: _Instance
+    ) -> None:
+        """Else a cell whose scheduler is gone stays without one."""
+        store.answers_reads = False
+        candidate.run_for(10.0)
+        store.answers_reads = True
+        candidate.run_until_leader(
+            _election.TERM_EXPIRY_S + FIRST_CLAIM_LIMIT_S
+        )
+
+    def test_a_store_without_new_records_is_reachable(
+        self, store: _StoreClient, candidate: _Instance
+    ) -> None:
+        """Reads that wait for a record in vain end, too."""
+        candidate.election.resign()
+        for _ in range(round(5.0 / TICK_S)):
+            candidate.run_for(TICK_S)
+            assert not candidate.feed.is_store_unreachable
+
+
 class TestRank:
     """An instance ranks itself by what the others have registered."""
 
