--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -495,4 +495,21 @@
         "",
         "tests/coordination/scheduling/test_lasting.py",
     ),
+    _mutation(
+        "failed-task-looks-healthy",
+        "answers",
+        f"{_TRANSPORT}/_daemon.py",
+        "        self._has_task_failed = True\n"
+        "        self.request_shutdown()\n",
+        "",
+        f"{_TRANSPORT_TESTS}/test_daemon.py",
+    ),
+    _mutation(
+        "endless-read-taken-for-missing-renewals",
+        "one scheduler",
+        f"{_TRANSPORT}/_term_keeper.py",
+        "if not self._is_reading or unread_s < _election.TERM_EXPIRY_S:",
+        "if not self._is_reading or unread_s < 10**6:",
+        f"{_TRANSPORT_TESTS}/test_term_keeper.py",
+    ),
 )
