Wait for lease renewals that are late because the link is full

Seen: behind a full link, each answer to a lease renewal that took longer than 0.8 s beyond its wait was thrown away and asked for again. The link carried answers that nobody read, and executors stayed silent for good.

Cause: the limit on silence was the same for an executor that has failed and for a scheduler whose own link or processor is late.

Change: RenewalPatience counts the newest outcome of each executor. The margin stays 0.8 s unless two fifths of all executors, four at least, are late at once. It is then twice their lateness, 2.5 s at most, and falls again as their answers come in time. A silent executor, or a silent zone of three, is noticed as before.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -465,8 +465,8 @@
         "silent-executor-not-noticed",
         "one run",
         f"{_TRANSPORT}/_order_sender.py",
-        "                silence_limit_s=order.wait_ms / 1000"
-        " + RENEWAL_ANSWER_MARGIN_S,\n",
+        "                silence_limit_s=wait_s"
+        " + self._patience.margin_s(sent_s),\n",
         "",
         f"{_TRANSPORT_TESTS}/test_order_sender.py",
     ),
@@ -479,4 +479,22 @@
         "        self._first_page_end = page.end_offset\n",
         f"{_TRANSPORT_TESTS}/test_feeds.py",
     ),
+    _mutation(
+        "late-answers-thrown-away",
+        "one run",
+        f"{_TRANSPORT}/_renewal_patience.py",
+        "LATENESS_FACTOR * shared_lateness_s",
+        "0.0 * shared_lateness_s",
+        f"{_TRANSPORT_TESTS}/test_renewal_patience.py",
+        f"{_TRANSPORT_TESTS}/test_order_sender.py",
+    ),
+    _mutation(
+        "patient-with-a-single-executor",
+        "one run",
+        f"{_TRANSPORT}/_renewal_patience.py",
+        "MIN_LATE_EXECUTORS, math.ceil(LATE_SHARE * len(latenesses_s))",
+        "1, math.ceil(0.0 * len(latenesses_s))",
+        f"{_TRANSPORT_TESTS}/test_renewal_patience.py",
+        f"{_TRANSPORT_TESTS}/test_order_sender.py",
+    ),
 )
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -11,6 +11,7 @@
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _renewal_patience
 
 ORDER_TIMEOUT_S = 1.0
 """Timeout of an order, in seconds; well below the lease that it carries."""
@@ -22,14 +23,6 @@
 each.
 """
 
-RENEWAL_ANSWER_MARGIN_S = 0.8
-"""Longest silence of an executor beyond the wait that a lease renewal asks for,
-in seconds.
-
-The time for the whole answer depends on the runs that it lists, on those of
-the other executors and on the link.
-"""
-
 _log = structlog.get_logger()
 
 
@@ -65,6 +58,7 @@
         self._scheduler = scheduler
         self._epoch = epoch
         self._clock = clock
+        self._patience = _renewal_patience.RenewalPatience()
 
     def send_collected_orders(self) -> None:
         """Sends all orders that the scheduler has collected.
@@ -195,9 +189,22 @@
         )
 
     def _send_renewal(self, address: str, order: _orders.RenewalOrder) -> None:
-        """Renews the lease of an executor and handles its report."""
+        """Renews the lease of an executor and handles its report.
+
+        The time for the whole answer is hardly limited, as it depends on the
+        runs that it lists, on those of the other executors and on the link.
+        """
+        sent_s = self._clock().boot_s
+        wait_s = order.wait_ms / 1000
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
+            now_s = self._clock().boot_s
+            record = (
+                self._patience.record_answer
+                if reply.has_complete_reply
+                else self._patience.record_failure
+            )
+            record(order.executor, now_s - sent_s - wait_s, now_s)
             if not self.is_closed:
                 self._handle_renewal_reply(order, reply)
 
@@ -207,7 +214,7 @@
                 self._epoch,
                 order,
                 timeout_s=_http_calls.MAX_TRANSFER_S,
-                silence_limit_s=order.wait_ms / 1000 + RENEWAL_ANSWER_MARGIN_S,
+                silence_limit_s=wait_s + self._patience.margin_s(sent_s),
             ),
             handle_reply,
         )
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -16,6 +16,7 @@
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _order_sender
+import linked_executors
 import platform_standin
 import workload_builders as build
 
@@ -34,6 +35,15 @@
 Their lists alone take 1.1 s over a narrow link.
 """
 
+FULL_LINK_EXECUTORS = 100
+"""Executors whose answers fill a narrow link."""
+
+FULL_LINK_ANSWER_BYTES = 12_000
+"""Size of each of these answers; all of them take 1.9 s over the link."""
+
+FULL_LINK_TIME_S = 8.0
+"""Time for which the link is full, in seconds."""
+
 
 @pytest.fixture
 def platform() -> Iterator[platform_standin.Platform]:
@@ -77,6 +87,22 @@
         states = self.scheduler.cell.executor_by_id.values()
         return sum(each.last_answer_s is not None for each in states)
 
+    def count_answers_for(self, seconds: float) -> int:
+        """Runs the scheduler for a time; returns the answers it processed."""
+        newest_s_by_id: dict[str, float | None] = {}
+        answer_count = 0
+
+        def count_new_answers() -> bool:
+            nonlocal answer_count
+            for id_, each in self.scheduler.cell.executor_by_id.items():
+                if newest_s_by_id.get(id_) != each.last_answer_s:
+                    newest_s_by_id[id_] = each.last_answer_s
+                    answer_count += 1
+            return False
+
+        self.run_until(count_new_answers, limit_s=seconds)
+        return answer_count
+
     def run_until(self, is_done: Callable[[], bool], *, limit_s: float) -> None:
         """Runs the scheduler until a condition holds or a time has passed."""
         end_s = time.monotonic() + limit_s
@@ -129,3 +155,43 @@
             (executor,) = rig.scheduler.cell.executor_by_id.values()
             rig.run_until(lambda: executor.renewal_failures > 0, limit_s=1.0)
         assert executor.renewal_failures == 1
+
+
+class TestFullLink:
+    """Answers that queue on the scheduler's own link are waited for."""
+
+    @pytest.fixture
+    def executors(self, rig: Rig) -> Iterator[linked_executors.LinkedExecutors]:
+        """Executors that the scheduler lists."""
+        executors = linked_executors.LinkedExecutors(
+            FULL_LINK_EXECUTORS, FULL_LINK_ANSWER_BYTES
+        )
+        rig.list_executors(
+            build.executor_entry(f"i-{number}", address=address)
+            for number, address in enumerate(executors.addresses)
+        )
+        yield executors
+        executors.close()
+
+    def test_answers_on_their_way_are_not_thrown_away_over_and_over(
+        self, rig: Rig, executors: linked_executors.LinkedExecutors
+    ) -> None:
+        executors.link.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        answer_count = rig.count_answers_for(FULL_LINK_TIME_S)
+        carried = (
+            FULL_LINK_TIME_S * NARROW_LINK_BYTES_PER_S / FULL_LINK_ANSWER_BYTES
+        )
+        assert answer_count > carried / 2
+
+    def test_a_silent_executor_is_noticed_soon_again_after_the_link_was_full(
+        self, rig: Rig, executors: linked_executors.LinkedExecutors
+    ) -> None:
+        executors.link.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        rig.count_answers_for(FULL_LINK_TIME_S / 2)
+        executors.link.bytes_per_s = float("inf")
+        rig.count_answers_for(FULL_LINK_TIME_S / 2)
+        executors.silent.add(0)
+        executor = rig.scheduler.cell.executor_by_id["i-0"]
+        # The wait of 1.0 s and the margin of 0.8 s.
+        rig.run_until(lambda: executor.renewal_failures > 0, limit_s=2.1)
+        assert executor.renewal_failures == 1
