Let terms stall that read the same pages or are confirmed late

A term that never came to answer calls could be held for ever in two ways. After a torn page the feed of executors begins anew, but ReadProgress counted its first pages again in each round as progress. And a single moment in which the store had not confirmed the renewals set the clock of the watch back to 0, so one late answer each 2.6 s kept the term; whether renewals are confirmed is measured by the holder, so that its own full link looks like an impaired store.

A restart now keeps the most pages, records and bytes received before, and only what exceeds them counts. Unconfirmed time pauses the clock instead of setting it back, for MAX_PAUSE_S (30 s) at most since the last progress.

The bound doesn't make terms hop while the store is down for all: the resignation is a renewal and is not stored either, and no claim is, so an outage costs at most the one term that had not come to answer calls. If the store takes writes and loses the answers, a term lasts 33 s at least and counts as given up, so that the limit doubles after every fourth. Outages of up to 30 s cost no term, as the existing test demands; it is unchanged.

The client of test_term_keeper.py lacked received_bytes, which a restart now asks for.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -224,8 +224,8 @@
         "terms-hop-while-the-store-is-impaired",
         "answers",
         "src/basiljunction/coordination/leadership/_term_progress.py",
-        "        if not is_confirmed:",
-        "        if now_s < 0:",
+        "        elif not is_confirmed:",
+        "        elif now_s < 0:",
         "tests/coordination/leadership/test_term_progress.py",
     ),
     _mutation(
@@ -496,4 +496,20 @@
         "if not self._is_reading or unread_s < 10**6:",
         f"{_TRANSPORT_TESTS}/test_term_keeper.py",
     ),
+    _mutation(
+        "unconfirmed-term-held-for-ever",
+        "answers",
+        "src/basiljunction/coordination/leadership/_term_progress.py",
+        "pause_s = min(MAX_PAUSE_S, self._paused_s)",
+        "pause_s = self._paused_s",
+        "tests/coordination/leadership/test_term_progress.py",
+    ),
+    _mutation(
+        "pages-read-again-taken-for-progress",
+        "answers",
+        f"{_TRANSPORT}/_feeds.py",
+        "        self.progress.restart()\n",
+        "",
+        f"{_TRANSPORT_TESTS}/test_read_progress.py",
+    ),
 )
--- a/src/basiljunction/coordination/leadership/_term_progress.py
+++ b/src/basiljunction/coordination/leadership/_term_progress.py
@@ -24,6 +24,13 @@
 MAX_DOUBLINGS = 3
 """Most doublings of that time."""
 
+MAX_PAUSE_S = 30.0
+"""Longest time without confirmed renewals that does not count, in seconds.
+
+An outage of the store of this length costs no term. The holder cannot tell an
+outage from its own link being full, where another instance can help.
+"""
+
 
 class TermStage(enum.Enum):
     """Stage of a term that this instance holds.
@@ -73,7 +80,8 @@
         self._advance: tuple[object, ...] = ()
         self._unanswered_since_s: float | None = None
         self._advanced_s = 0.0
-        self._stalled_since_s = 0.0
+        self._observed_s = 0.0
+        self._paused_s = 0.0
 
     def observe(
         self,
@@ -98,6 +106,9 @@
             self._unanswered_since_s = now_s
             self._epoch = epoch
             self._advance = ()
+            self._observed_s = now_s
+        elapsed_s = now_s - self._observed_s
+        self._observed_s = now_s
         advance = (
             progress.stage,
             progress.pages,
@@ -106,10 +117,10 @@
         if advance != self._advance:
             self._advance = advance
             self._advanced_s = now_s
-            self._stalled_since_s = now_s
-        if not is_confirmed:
-            # The store is impaired, which another scheduler cannot help.
-            self._stalled_since_s = now_s
+            self._paused_s = 0.0
+        elif not is_confirmed:
+            # The store may be impaired, which another scheduler cannot help.
+            self._paused_s += elapsed_s
 
     def unanswered_s(self, now_s: float) -> float:
         """Returns for how long the held term has not answered calls.
@@ -123,6 +134,8 @@
     def is_stalled(self, now_s: float, given_up_terms: int) -> bool:
         """Returns whether the held term is to be given up.
 
+        Time without confirmed renewals does not count, up to `MAX_PAUSE_S`.
+
         Args:
             now_s: Current time in seconds.
             given_up_terms: Number of terms in a row, up to the held one, that
@@ -132,7 +145,8 @@
             return False
         doublings = min(MAX_DOUBLINGS, given_up_terms // TERMS_PER_DOUBLING)
         limit_s = STALL_LIMIT_S * 2.0**doublings
-        return now_s - self._stalled_since_s >= limit_s
+        pause_s = min(MAX_PAUSE_S, self._paused_s)
+        return now_s - self._advanced_s - pause_s >= limit_s
 
     def idle_s(self, now_s: float) -> float:
         """Returns how long ago the term last advanced towards answering calls.
--- a/src/basiljunction/transport/jobs/_feeds.py
+++ b/src/basiljunction/transport/jobs/_feeds.py
@@ -132,6 +132,7 @@
         The reply to a read in progress is ignored.
         """
         self._generation += 1
+        self.progress.restart()
         self._offset = None
         self._after_key = None
         self._pages = []
--- a/tests/coordination/leadership/test_term_progress.py
+++ b/tests/coordination/leadership/test_term_progress.py
@@ -41,6 +41,49 @@
     def test_an_impaired_store_does_not_make_terms_change_hands(self) -> None:
         assert not _is_stalled_after(30, is_confirmed=False)
 
+    def test_a_term_that_is_confirmed_late_at_times_is_stalled(self) -> None:
+        """Else a holder with a busy link keeps a term that never answers."""
+        watch = _term_progress.ProgressWatch()
+        progress = _term_progress.TermProgress(_term_progress.TermStage.READING)
+        steps = round(1.5 * _LIMIT_S / _STEP_S)
+        for step in range(steps):
+            is_confirmed = step % 25 != 24
+            watch.observe(
+                1, progress, step * _STEP_S, is_confirmed=is_confirmed
+            )
+        assert watch.is_stalled(steps * _STEP_S, 0)
+
+    def test_unconfirmed_time_does_not_count(self) -> None:
+        """Else an outage of the store takes a term that had just begun."""
+        watch = _term_progress.ProgressWatch()
+        progress = _term_progress.TermProgress(_term_progress.TermStage.READING)
+        watch.observe(1, progress, 0.0, is_confirmed=True)
+        watch.observe(1, progress, 2.0, is_confirmed=True)
+        watch.observe(1, progress, 12.0, is_confirmed=False)
+        watch.observe(1, progress, 12.5, is_confirmed=True)
+        assert not watch.is_stalled(12.5, 0)
+        watch.observe(1, progress, 13.5, is_confirmed=True)
+        assert watch.is_stalled(13.5, 0)
+
+    def test_a_term_that_is_never_confirmed_is_not_held_for_ever(self) -> None:
+        """The holder's own link may be the cause."""
+        limit_s = _LIMIT_S + _term_progress.MAX_PAUSE_S
+        assert not _is_stalled_after(limit_s - 0.2, is_confirmed=False)
+        assert _is_stalled_after(limit_s + 0.2, is_confirmed=False)
+
+    def test_progress_begins_another_pause(self) -> None:
+        """Else a long recovery beside outages loses its term at the next."""
+        watch = _term_progress.ProgressWatch()
+        for page in range(5):
+            progress = _term_progress.TermProgress(
+                _term_progress.TermStage.READING, pages=page
+            )
+            begin_s = page * _term_progress.MAX_PAUSE_S
+            watch.observe(1, progress, begin_s, is_confirmed=False)
+            end_s = begin_s + _term_progress.MAX_PAUSE_S - _STEP_S
+            watch.observe(1, progress, end_s, is_confirmed=False)
+            assert not watch.is_stalled(end_s, 0)
+
     def test_a_few_bad_instances_in_a_row_are_left_soon(self) -> None:
         terms = _term_progress.TERMS_PER_DOUBLING - 1
         assert _is_stalled_after(_LIMIT_S + 0.2, given_up_terms=terms)
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -64,6 +64,10 @@
     ) -> None:
         self._open_calls.append((call, on_reply, self._now_s))
 
+    def received_bytes(self, call: _http_call.HttpCall) -> int:
+        """Returns 0: an answer arrives at once."""
+        return 0
+
     def put(self, key: str, value: bytes) -> None:
         """Stores a record as another instance would."""
         name = key.encode()
