Give start orders and forwarded jobs the time that their bytes take

Seen: behind a narrow link, a start order was given up after 1.0 s and a forwarded submission after 1.5 s while their bodies were still being sent. Starts stayed unsettled, and submissions were sent again from the first byte.

Cause: the limits on the whole calls did not depend on the bodies, nor on the bodies that share the link.

Change: the bytes of the starts, or of the jobs, in flight add the time that they take at SLOW_LINK_BYTES_PER_S. A start is given up after four fifths of the lease that it carries at the latest, a submission at the deadline of its caller. Orders that carry no job keep their limits, and small starts that are lost are noticed as before.

The new limit of submissions was measured in unit tests only. The start test and the three tests of forwarded jobs fail on the old code; the tests of a lost small start and of the lease pass on both.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -497,4 +497,28 @@
         f"{_TRANSPORT_TESTS}/test_renewal_patience.py",
         f"{_TRANSPORT_TESTS}/test_order_sender.py",
     ),
+    _mutation(
+        "start-cut-off-while-it-is-sent",
+        "one run",
+        f"{_TRANSPORT}/_order_sender.py",
+        "min(ORDER_TIMEOUT_S + bodies_s, ",
+        "min(ORDER_TIMEOUT_S + 0.0 * bodies_s, ",
+        f"{_TRANSPORT_TESTS}/test_order_sender.py",
+    ),
+    _mutation(
+        "start-waited-for-beyond-its-lease",
+        "one run",
+        f"{_TRANSPORT}/_order_sender.py",
+        "bodies_s, MAX_START_LEASE_SHARE * lease_s)",
+        "bodies_s, 9.0 * lease_s)",
+        f"{_TRANSPORT_TESTS}/test_order_sender.py",
+    ),
+    _mutation(
+        "forwarded-job-cut-off-while-it-is-sent",
+        "acceptance",
+        f"{_TRANSPORT}/_call_router.py",
+        "        if job_bytes:\n",
+        "        if job_bytes < 0:\n",
+        f"{_TRANSPORT_TESTS}/test_call_router.py",
+    ),
 )
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -17,6 +17,7 @@
 from basiljunction.protocol import _peer_calls
 from basiljunction.state import _time
 from basiljunction.state.workload import _client_calls
+from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
 
 MAX_CALL_WAIT_S = 2.4
@@ -37,7 +38,10 @@
 """
 
 PEER_TIMEOUT_S = 1.5
-"""Longest time for one attempt at a peer instance, in seconds."""
+"""Longest time for one attempt at a peer instance, in seconds.
+
+A submission has more time, for its job and for those sent beside it.
+"""
 
 FIRST_TIMEOUT_S = 0.5
 """Longest time for the first attempt of a cancel or query, in seconds.
@@ -180,6 +184,7 @@
         self._submits_in_flight: collections.Counter[str] = (
             collections.Counter()
         )
+        self._job_bytes_in_flight = 0
 
     @property
     def has_no_pending_calls(self) -> bool:
@@ -419,6 +424,13 @@
             or pending.call.kind is _client_calls.CallKind.SUBMIT
             else FIRST_TIMEOUT_S
         )
+        # The jobs in flight share the link. Cancels and queries carry none.
+        job_bytes = len(pending.call.encoded_job)
+        self._job_bytes_in_flight += job_bytes
+        if job_bytes:
+            longest_s += (
+                self._job_bytes_in_flight / _call_pace.SLOW_LINK_BYTES_PER_S
+            )
         timeout_s = min(longest_s, max(MIN_PEER_TIMEOUT_S, left_s))
         call = _build_peer_call(
             address,
@@ -434,6 +446,7 @@
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             self._submits_in_flight[address] -= is_submit
+            self._job_bytes_in_flight -= job_bytes
             self._handle_forward_reply(pending, (address, epoch), reply)
 
         self._calls.send(call, handle_reply)
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -1,6 +1,7 @@
 """Sends the scheduler's orders to executors and reports the answers to it."""
 
 from collections.abc import Callable
+import dataclasses
 
 import structlog
 
@@ -10,11 +11,19 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
+from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _renewal_patience
 
 ORDER_TIMEOUT_S = 1.0
-"""Timeout of an order, in seconds; well below the lease that it carries."""
+"""Timeout of an order, in seconds; well below the lease that it carries.
+
+A start order has more time, for its body and for those sent beside it.
+"""
+
+MAX_START_LEASE_SHARE = 0.8
+"""Longest timeout of a start order as a share of the lease that it carries, 0
+to 1; the lease begins before the order is sent."""
 
 APPROVAL_TIMEOUT_S = 5.0
 """Timeout of an approval request to the policy service, in seconds.
@@ -59,19 +68,33 @@
         self._epoch = epoch
         self._clock = clock
         self._patience = _renewal_patience.RenewalPatience()
+        self._start_bytes_in_flight = 0
 
     def send_collected_orders(self) -> None:
         """Sends all orders that the scheduler has collected.
 
-        An order to an executor that is no longer listed is dropped.
+        An order to an executor that is no longer listed is dropped. Starts are
+        sent last, since the time for each depends on the size of all.
         """
+        starts = []
         for order in self._scheduler.take_orders():
             if isinstance(order, _orders.ApprovalOrder):
                 self._request_approval(order)
                 continue
             executor = self._scheduler.cell.executor_by_id.get(order.executor)
-            if executor is not None:
-                self._send_executor_order(executor.listing.address, order)
+            if executor is None:
+                continue
+            address = executor.listing.address
+            if isinstance(order, _orders.StartOrder):
+                call = _executors.make_start_call(
+                    address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
+                )
+                self._start_bytes_in_flight += len(call.body or b"")
+                starts.append((order, call))
+            else:
+                self._send_executor_order(address, order)
+        for start, call in starts:
+            self._send_start(start, call)
 
     def _request_approval(self, order: _orders.ApprovalOrder) -> None:
         """Asks the policy service to approve executors for a step."""
@@ -115,22 +138,37 @@
         self._scheduler.handle_approval_failure(order, now)
 
     def _send_executor_order(
-        self, address: str, order: _orders.ExecutorOrder
+        self,
+        address: str,
+        order: _orders.RenewalOrder | _orders.StopOrder | _orders.PaceOrder,
     ) -> None:
-        """Sends an order to the executor at an address."""
+        """Sends an order other than a start to the executor at an address."""
         if isinstance(order, _orders.RenewalOrder):
             self._send_renewal(address, order)
-        elif isinstance(order, _orders.StartOrder):
-            self._send_start(address, order)
         elif isinstance(order, _orders.StopOrder):
             self._send_stop(address, order)
         else:
             self._send_pace(address, order)
 
-    def _send_start(self, address: str, order: _orders.StartOrder) -> None:
-        """Sends an order to start a run and reports the result."""
+    def _start_timeout_s(self) -> float:
+        """Returns the time for starts beside those in flight, in seconds.
+
+        A start that is given up while its body is being sent stays unsettled,
+        and its task waits. The bodies in flight share the link.
+        """
+        bodies_s = (
+            self._start_bytes_in_flight / _call_pace.SLOW_LINK_BYTES_PER_S
+        )
+        lease_s = self._scheduler.cell.times.lease_s
+        return min(ORDER_TIMEOUT_S + bodies_s, MAX_START_LEASE_SHARE * lease_s)
+
+    def _send_start(
+        self, order: _orders.StartOrder, call: _http_call.HttpCall
+    ) -> None:
+        """Sends the call of an order to start a run and reports the result."""
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
+            self._start_bytes_in_flight -= len(call.body or b"")
             result = _executors.parse_start_result(reply)
             if not reply.may_have_been_sent:
                 result = _orders.StartResult.UNHEALTHY
@@ -150,9 +188,7 @@
                 )
 
         self._calls.send(
-            _executors.make_start_call(
-                address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
-            ),
+            dataclasses.replace(call, timeout_s=self._start_timeout_s()),
             handle_reply,
         )
 
--- a/tests/transport/jobs/test_call_router.py
+++ b/tests/transport/jobs/test_call_router.py
@@ -282,3 +282,48 @@
         router.process_pending_calls(build.clock_readings_at(self.now_s))
         calls.fail_oldest(was_sent=False)
         assert self.local.unreachable_epochs == [3]
+
+
+class TestForwardedJobs:
+    """A job is not sent again while its bytes are still on their way."""
+
+    def _forward_jobs(
+        self, count: int, *, byte_count: int, deadline_s: float
+    ) -> list[float]:
+        """Forwards jobs at once; returns the time that each is given."""
+        calls = _RecordingHttpClient()
+        router = _call_router.CallRouter(
+            calls=calls,
+            local=_FollowerScheduler(),
+            clock=lambda: build.clock_readings_at(0.0),
+        )
+        for number in range(count):
+            call = _client_calls.ClientCall(
+                _client_calls.CallKind.SUBMIT,
+                "queue",
+                f"{number:016x}",
+                b"x" * byte_count,
+            )
+            router.add_call(
+                _call_router.PendingCall(
+                    call, futures.Future(), deadline_s, False
+                ),
+                build.clock_readings_at(0.0),
+            )
+        return [call.timeout_s for call, _ in calls.sent]
+
+    def test_a_large_job_is_given_the_time_that_it_takes_to_send(self) -> None:
+        (timeout_s,) = self._forward_jobs(
+            1, byte_count=250_000, deadline_s=10.0
+        )
+        assert timeout_s == _call_router.PEER_TIMEOUT_S + 1.0
+
+    def test_a_job_is_given_time_for_those_that_share_the_link(self) -> None:
+        timeouts_s = self._forward_jobs(3, byte_count=250_000, deadline_s=10.0)
+        assert timeouts_s[2] == _call_router.PEER_TIMEOUT_S + 3.0
+
+    def test_the_deadline_of_the_caller_bounds_the_time(self) -> None:
+        (timeout_s,) = self._forward_jobs(
+            1, byte_count=250_000, deadline_s=_call_router.MAX_CALL_WAIT_S
+        )
+        assert timeout_s == _call_router.MAX_CALL_WAIT_S
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -9,9 +9,11 @@
 import pydantic_core
 import pytest
 
+from basiljunction.coordination.scheduling import _orders
 from basiljunction.platform import _executors
 from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _executor
+from basiljunction.state.workload import _job_spec
 from basiljunction.transport import _clock
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _http_calls
@@ -44,6 +46,12 @@
 FULL_LINK_TIME_S = 8.0
 """Time for which the link is full, in seconds."""
 
+START_COUNT = 20
+"""Starts that are sent at once."""
+
+START_PAYLOAD_CHARS = 60_000
+"""Size of their payloads; all of them take 1.9 s over a narrow link."""
+
 
 @pytest.fixture
 def platform() -> Iterator[platform_standin.Platform]:
@@ -195,3 +203,77 @@
         # The wait of 1.0 s and the margin of 0.8 s.
         rig.run_until(lambda: executor.renewal_failures > 0, limit_s=2.1)
         assert executor.renewal_failures == 1
+
+
+class TestStarts:
+    """The bodies of start orders are given the time that they need."""
+
+    @pytest.fixture
+    def executors(self, rig: Rig) -> Iterator[linked_executors.LinkedExecutors]:
+        """Executors that the scheduler lists, behind a narrow uplink."""
+        executors = linked_executors.LinkedExecutors(START_COUNT, 200)
+        rig.list_executors(
+            build.executor_entry(f"i-{number}", address=address)
+            for number, address in enumerate(executors.addresses)
+        )
+        executors.uplink.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        yield executors
+        executors.close()
+
+    def _send_starts(
+        self, rig: Rig, monkeypatch: pytest.MonkeyPatch, payload: str
+    ) -> tuple[list[_orders.StartResult], float]:
+        """Sends a start to each executor; returns results and the time."""
+        results: list[_orders.StartResult] = []
+        monkeypatch.setattr(
+            rig.scheduler,
+            "handle_start_answer",
+            lambda _order, result, _now: results.append(result),
+        )
+        rig.scheduler.cell.orders += [
+            _orders.StartOrder(
+                executor=f"i-{number}",
+                task=_job_spec.TaskId("00000000000000a1", 0, 0, number),
+                run=number,
+                payload=payload,
+                lease_until_ms=5000,
+                checkpoint="",
+            )
+            for number in range(START_COUNT)
+        ]
+        started_s = time.monotonic()
+        rig.run_until(lambda: len(results) == START_COUNT, limit_s=8.0)
+        return results, time.monotonic() - started_s
+
+    def test_starts_with_large_payloads_get_through_a_narrow_link(
+        self,
+        rig: Rig,
+        executors: linked_executors.LinkedExecutors,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        results, _ = self._send_starts(
+            rig, monkeypatch, "x" * START_PAYLOAD_CHARS
+        )
+        assert results == [_orders.StartResult.STARTED] * START_COUNT
+
+    def test_a_start_is_given_up_before_its_lease_ends(
+        self,
+        rig: Rig,
+        executors: linked_executors.LinkedExecutors,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        executors.silent.update(range(START_COUNT))
+        results, took_s = self._send_starts(rig, monkeypatch, "x" * 200_000)
+        assert results == [_orders.StartResult.UNKNOWN] * START_COUNT
+        assert took_s < rig.scheduler.cell.times.lease_s
+
+    def test_a_lost_small_start_is_noticed_soon(
+        self,
+        rig: Rig,
+        executors: linked_executors.LinkedExecutors,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        executors.silent.update(range(START_COUNT))
+        results, took_s = self._send_starts(rig, monkeypatch, "x" * 100)
+        assert results == [_orders.StartResult.UNKNOWN] * START_COUNT
+        assert took_s < _order_sender.ORDER_TIMEOUT_S + 0.3
