Renew leases until a resignation can be stored

Seen by callers: none yet; found in the read-through. A scheduler that is stopped while the store does not answer ended its session before its resignation. Nobody can take over then, and its leases would end within 5 s, with all that runs.

Result: the new test, with the store down, fails without the condition (leases are not renewed) and passes with it.

--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -187,21 +187,24 @@
         if isinstance(message, CallReceived):
             self._route_call(message, now)
         elif isinstance(message, ResignRequested):
-            self._resign_term()
+            self._resign_term(now)
         elif isinstance(message, StoreAddressChanged):
             self._switch_store(message.address)
 
-    def _resign_term(self) -> None:
+    def _resign_term(self, now: _time.Now) -> None:
         """Stops scheduling, then resigns the term and claims no other.
 
         In this order the next scheduler knows that no lease is granted any
         more, so that it need not wait for this one to notice its term's end.
+        While the store does not answer, nobody can take over, so leases are
+        renewed until the resignation is stored.
         """
+        election = self._terms.election
         longest_run_s = 0.0
-        if self._session is not None:
+        if self._session is not None and election.is_confirmed(now.boot_s):
             longest_run_s = self._session.longest_run_s
             self._end_session("resigned")
-        self._terms.election.resign(longest_run_s)
+        election.resign(longest_run_s)
 
     def _switch_store(self, address: str) -> None:
         """Ends the own term and restarts all feeds at a new store address."""
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -9,6 +9,7 @@
 import structlog
 from structlog import testing
 
+from basiljunction.coordination.leadership import _election
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.platform import _store
 from basiljunction.protocol import _job_records
@@ -199,6 +200,28 @@
             "resigned"
         ]
 
+    def test_leases_are_renewed_until_the_store_takes_the_resignation(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.wait_until(
+            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
+        )
+        platform.is_down = True
+        time.sleep(_election.TERM_EXPIRY_S + 0.5)
+        instances[0].task.tell(_cell_task.ResignRequested())
+        lease_ms = platform.executors[0].lease_ms
+        instance_rig.wait_until(
+            lambda: platform.executors[0].lease_ms > lease_ms
+        )
+        assert not _events(logs, "term.ended")
+        platform.is_down = False
+        instance_rig.wait_until(lambda: self._read_term(platform).is_resigned)
+        assert self._read_term(platform).longest_run_s == 0.0
+
     def test_a_scheduler_that_still_waits_for_earlier_runs_does_not_know(
         self,
         platform: platform_standin.Platform,
