Answer connections that a stopping server has not accepted

Callers saw: a request cut by a graceful shutdown.

Cause: cheroot ends its accept loop, polls every 10 ms for that end, connects to itself and only then closes the listening socket. The kernel goes on completing connections meanwhile and resets them at the close, with the request already sent. A request that arrives on an open connection after the loop ended is reset likewise.

Evidence: test_connection_not_accepted_yet_is_answered and test_request_on_an_idle_connection_is_answered fail on the code before (connection closed without an answer) and pass now, 60 of 60 runs.

Change: between the end of the loop and the close, everything that has arrived is passed to the threads, and the listening socket closes right after. What remains is the time between the last select and the close.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -570,4 +570,12 @@
         "        if job_bytes < 0:\n",
         f"{_TRANSPORT_TESTS}/test_call_router.py",
     ),
+    _mutation(
+        "connections-not-accepted-yet-reset",
+        "graceful leave",
+        "src/basiljunction/transport/_http_connection.py",
+        "            if not arrived:\n",
+        "            if arrived:\n",
+        "tests/transport/test_http_server.py",
+    ),
 )
--- a/src/basiljunction/transport/_http_connection.py
+++ b/src/basiljunction/transport/_http_connection.py
@@ -14,6 +14,7 @@
 import time
 from typing import Any
 
+from cheroot import connections
 from cheroot import makefile
 from cheroot import server
 from cheroot import wsgi
@@ -173,9 +174,47 @@
         return is_kept
 
 
+class _DrainingConnections(connections.ConnectionManager):
+    """Connections of a server that answers those made before its stop.
+
+    A connection that the kernel has completed and the server has not accepted
+    is reset when the listening socket closes: its client has sent a request
+    and cannot know whether it ran.
+    """
+
+    # Cheroot's type stubs leave these out.
+    _selector: Any
+    _from_server_socket: Callable[[Any], Any]
+
+    def stop(self) -> None:
+        """Ends the loop, serves what has arrived and stops to listen."""
+        super().stop()
+        listener = self.server.socket
+        for _ in range(self.server.request_queue_size):
+            arrived = list(self._selector.select(timeout=0))
+            if not arrived:
+                break
+            for descriptor, connection in arrived:
+                self._serve_arrived(descriptor, connection)
+        self.server.socket = None
+        listener.close()
+
+    def _serve_arrived(self, descriptor: int, connection: Any) -> None:  # noqa: ANN401 - cheroot has no type for it
+        """Passes a connection with a request, or a new one, to a thread."""
+        if connection is not self.server:
+            self._selector.unregister(descriptor)
+            self.server.process_conn(connection)
+            return
+        accepted = self._from_server_socket(self.server.socket)
+        if accepted is not None:
+            self.server.process_conn(accepted)
+
+
 class DeadlineServer(wsgi.Server):
     """A WSGI server with a deadline for each phase of a request.
 
+    Its stop answers the requests on all connections made before.
+
     Args:
         args: Positional arguments of cheroot's server.
         timeouts: Duration of each phase.
@@ -183,6 +222,7 @@
     """
 
     ConnectionClass = _DeadlineConnection
+    _connections: connections.ConnectionManager
 
     def __init__(
         self,
@@ -196,6 +236,12 @@
         # the thread that sends 503 answers would end.
         self.server = self
 
+    def prepare(self) -> None:
+        """Binds the listening socket and starts the threads."""
+        super().prepare()
+        self._connections.close()
+        self._connections = _DrainingConnections(self)
+
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
     ) -> None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -30,6 +30,7 @@
 _TRICKLE_INTERVAL_S = 0.05  # between two bytes of a slow client
 _TRICKLE_BYTES = 400  # most bytes that a slow client sends
 _MAX_WAIT_S = 10.0  # timeout of each wait in these tests
+_CLOSING_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -227,3 +228,35 @@
             release.set()
             stopped.result(timeout=_MAX_WAIT_S)
             assert _read_all(client).endswith(b"whole")
+
+    def test_connection_not_accepted_yet_is_answered(self) -> None:
+        server = _http_server.HttpServer(
+            listen="127.0.0.1:0",
+            application=werkzeug.Response("whole"),
+            limits=_LIMITS,
+        )
+        address = _address.split_host_and_port(server.bind())
+        with _connect(address) as client:
+            client.sendall(_CLOSING_REQUEST)
+            server.stop()
+            assert _read_all(client).endswith(b"whole")
+
+    def test_request_on_an_idle_connection_is_answered(self) -> None:
+        with (
+            # The only thread returns the first connection before it serves
+            # the second one.
+            _running_server(
+                werkzeug.Response("whole"),
+                http_threads=1,
+                waiting_connections=8,
+            ) as (server, address),
+            _connect(address) as client,
+            _connect(address) as later_client,
+        ):
+            client.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert client.recv(1) == b"H"
+            later_client.sendall(_CLOSING_REQUEST)
+            assert _read_all(later_client).endswith(b"whole")
+            client.sendall(_CLOSING_REQUEST)
+            server.stop()
+            assert _read_all(client).count(b"whole") == 2
