Do not repeat a start that a restarted worker may have forgotten

Cause: the answer to a start was lost, the worker restarted and forgot the attempt, and its answer "unknown" was taken for "never arrived", so the same attempt was started again.

Change: an attempt whose start may have arrived and that its worker does not know is stopped, which fences a late start, and released; the task is claimed again under the next number.

--- a/src/basiljunction/coordination/_batch_attempts.py
+++ b/src/basiljunction/coordination/_batch_attempts.py
@@ -447,22 +447,15 @@
     def _handle_unknown(self, attempt: _Attempt) -> None:
         """Handles a report that the worker does not know the attempt.
 
-        The attempt is started again, or stopped: the worker refuses a start
-        that arrives after the stop.
+        The attempt is stopped, so that the worker refuses a start that arrives
+        later. It is not started again under its number: the worker may have run
+        it and forgotten it in a restart.
         """
         if attempt.phase is _Phase.STOPPING:
             self._handle_stopped(attempt)
             return
         if attempt.phase is _Phase.STARTING:
             return
-        if attempt.phase is _Phase.ASKING and not attempt.is_adopted:
-            may_not_restart = (
-                attempt.refusal or attempt.call_tries >= MAX_START_TRIES
-            )
-            if not may_not_restart and attempt.end_goal is _Goal.NONE:
-                attempt.phase = _Phase.STARTING
-                self._context.schedule_step(attempt)
-                return
         if attempt.end_goal is _Goal.NONE:
             never_ran = attempt.phase is _Phase.ASKING
             attempt.end_goal = _Goal.RELEASE if never_ran else _Goal.LOST
--- a/tests/coordination/test_batch_core.py
+++ b/tests/coordination/test_batch_core.py
@@ -59,6 +59,19 @@
         assert rig.task_phase(DAY_TASK_ID) is _Phase.COMPLETED
         assert rig.list_starts(DAY_TASK_ID) == [(1, "")]
 
+    def test_lost_start_that_a_restart_forgot_is_not_repeated(self) -> None:
+        rig = batch_rig.Rig(workers=1)
+        worker = rig.worker_by_name["worker-0"]
+        worker.lose_answers = True
+        rig.submit(builders.job("job-1"))
+        rig.run(3)
+        assert rig.list_starts(DAY_TASK_ID) == [(1, "")]
+        worker.restart()
+        worker.lose_answers = False
+        rig.run(200)
+        assert rig.task_phase(DAY_TASK_ID) is _Phase.COMPLETED
+        assert [number for number, _ in rig.list_starts(DAY_TASK_ID)] == [1, 2]
+
     def test_lost_stop_is_repeated(self) -> None:
         rig = batch_rig.Rig(workers=1)
         rig.submit(builders.job("job-1"))
