--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -179,6 +179,8 @@
         self.unstored_final_job_ids.add(job.id)
         self.unshortened_job_ids.add(job.id)
         for executor in self.executor_by_id.values():
+            if job.id not in executor.run_count_by_job:
+                continue
             for run in executor.run_by_key.values():
                 if run.task.job == job.id:
                     run.mark_stopping(now.boot_s)
@@ -281,6 +283,8 @@
             return
         self.duplicated_tasks.discard(task)
         for executor in self.executor_by_id.values():
+            if task.job not in executor.run_count_by_job:
+                continue
             for run in executor.run_by_key.values():
                 if run.task == task:
                     run.mark_stopping(now.boot_s)
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -26,6 +26,8 @@
         executor_clock_ms: Reading of its clock in that answer.
         lease_until_ms: Latest end of a lease that was sent, on its clock.
         run_by_key: Its runs, also those whose start is not confirmed.
+        run_count_by_job: Number of its runs by the id of their job; jobs
+            without a run on it are left out.
         processed_end_number: Highest number of an ended run that the scheduler
             has processed.
         stored_end_number: Highest number of an ended run whose records are
@@ -65,6 +67,7 @@
     run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
         default_factory=dict
     )
+    run_count_by_job: dict[str, int] = dataclasses.field(default_factory=dict)
     processed_end_number: int = 0
     stored_end_number: int = 0
     renewal_sent_s: float | None = None
@@ -104,7 +107,13 @@
             self._update_totals(run, -1)
 
     def _update_totals(self, run: _runs.Run, sign: int) -> None:
-        """Adds a run to the reserved totals, or subtracts it if sign is -1."""
+        """Adds a run to the totals, or subtracts it if sign is -1."""
+        job_id = run.task.job
+        run_count = self.run_count_by_job.get(job_id, 0) + sign
+        if run_count:
+            self.run_count_by_job[job_id] = run_count
+        else:
+            del self.run_count_by_job[job_id]
         resources = run.step.reserved_resources
         self.reserved_resources = (
             self.reserved_resources + resources
--- a/tests/coordination/scheduling/test_executors.py
+++ b/tests/coordination/scheduling/test_executors.py
@@ -43,6 +43,18 @@
         state.update_listing(dataclasses.replace(entry, capacity=larger))
         assert state.free_capacity == larger - run.step.reserved_resources
 
+    def test_run_counts_leave_out_jobs_without_runs(self) -> None:
+        state = _executors.ExecutorState(listing=build.executor_entry())
+        runs = [_make_run(1), _make_run(2)]
+        for run in runs:
+            state.add_run(run)
+        assert state.run_count_by_job == {"00000000000000a1": 2}
+        state.remove_run(runs[0])
+        state.remove_run(runs[0])
+        assert state.run_count_by_job == {"00000000000000a1": 1}
+        state.remove_run(runs[1])
+        assert state.run_count_by_job == {}
+
     def test_fillers_leave_the_capacity_but_use_what_is_unused(self) -> None:
         state = _executors.ExecutorState(listing=build.executor_entry())
         unused_millicores = state.unused_millicores
