Let the stand-in of the platform report progress

test_a_store_outage_refuses_new_jobs_and_keeps_what_runs was wrong, not the product: the stand-in reported 50 % for every run for ever, and the job of the test ran for ever without saying so in its steps. The scheduler took both tasks for stalled, in every run, and started one of them a third time where its two decisions came far enough apart.

Change: the stand-in reports the elapsed share of a run, 100 % from 0.3 s for a task that lasts, and the job declares its tasks as lasting. The check is as it was: exactly two starts through an outage of 3 s.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -222,11 +222,17 @@
     """A run on an executor.
 
     Attributes:
+        begin_s: Steady time at which it began.
         end_s: Steady time at which it ends; infinite for a task that lasts.
     """
 
+    begin_s: float
     end_s: float
 
+    def progress_percent(self, now_s: float) -> int:
+        """Returns the progress; a task that lasts is soon at full speed."""
+        return min(100, int(100 * (now_s - self.begin_s) / RUN_TIME_S))
+
 
 class Executor:
     """An executor, with an HTTP server for its calls.
@@ -292,18 +298,21 @@
             self.lease_ms = max(self.lease_ms, body.get("DeadlineMs", 0))
             if path == "/run-start":
                 lasts = body["Spec"] == "lasts"
-                end_s = float("inf") if lasts else time.monotonic() + RUN_TIME_S
+                begin_s = time.monotonic()
+                end_s = float("inf") if lasts else begin_s + RUN_TIME_S
                 key = (body["Task"], body["Run"])
                 if key not in self.running:
                     self.platform.starts.append(body["Task"])
-                    self.running[key] = Run(end_s)
+                    self.running[key] = Run(begin_s, end_s)
             elif path == "/run-stop":
                 self.end_run(body["Task"], body["Run"], "stopped")
             elif path == "/hold":
                 seen = body["LastSeen"]
                 self.ended = [end for end in self.ended if end[0] > seen]
+                now_s = time.monotonic()
                 answer["Running"] = [
-                    [task, run, "", 50, 0] for task, run in self.running
+                    [task, number, "", run.progress_percent(now_s), 0]
+                    for (task, number), run in self.running.items()
                 ]
                 answer["Ended"] = self.ended
             return 200, answer
--- a/tests/processes/test_platform_instances.py
+++ b/tests/processes/test_platform_instances.py
@@ -177,6 +177,18 @@
     return {"Spec": "x", "Steps": [step, step | {"After": [0]}]} | changes
 
 
+def _make_lasting_job_body() -> dict[str, Any]:
+    """Returns a job of two tasks that run until the job is cancelled."""
+    step = {
+        "Count": 2,
+        "Cpu": 500,
+        "MemMb": 100,
+        "EstDurationMs": 300,
+        "LongRunning": True,
+    }
+    return {"Spec": "lasts", "Steps": [step]}
+
+
 class TestInstances:
     """Callers are served through leader changes and store outages."""
 
@@ -280,9 +292,7 @@
         entry = instances[0]
         path = "/jobs/00000000000000a3"
         _wait_until(
-            lambda: (
-                entry.call("POST", path, _make_job_body(Spec="lasts"))[0] == 200
-            )
+            lambda: entry.call("POST", path, _make_lasting_job_body())[0] == 200
         )
         _wait_until(lambda: len(platform.starts) == 2)
         platform.is_down = True
