Sum the runs of short and vacating tasks in one loop

Cause: every placement pass built a list of all runs of the cell and went through it twice, with two calls for each run.

Change: one loop over the runs of the executors, without a list.

--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -205,12 +205,7 @@
                         * len(waiting_tasks.ready_s_by_index)
                     )
         for service, executors in executors_by_service.items():
-            runs = [r for e in executors for r in e.run_by_key.values()]
-            used = sum(
-                run.step.size.cpu_millicores
-                for run in runs
-                if _preemption.is_active_short_run(run)
-            )
+            used, vacating = _preemption.sum_short_and_vacating(executors)
             demand = self._demand_by_service.setdefault(
                 service, _preemption.ShortTaskDemand()
             )
@@ -221,12 +216,7 @@
                     e.free_capacity.cpu_millicores for e in executors
                 ),
                 reserved_millicores=max(0.0, demand.millicores - used),
-                vacating_millicores=sum(
-                    run.step.size.cpu_millicores
-                    for run in runs
-                    if run.step.runs_until_cancelled
-                    and run.phase is _runs.RunPhase.STOPPING
-                ),
+                vacating_millicores=vacating,
                 requested_millicores=waiting,
             )
 
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -60,9 +60,25 @@
     return not step.fills and not step.runs_until_cancelled
 
 
-def is_active_short_run(run: _runs.Run) -> bool:
-    """Returns whether a run is of a short task and is not being stopped."""
-    return is_short_step(run.step) and run.phase is not _runs.RunPhase.STOPPING
+def sum_short_and_vacating(
+    executors: Iterable[_executors.ExecutorState],
+) -> tuple[int, int]:
+    """Returns the CPU of short runs and of lasting runs that are stopping.
+
+    Short runs that are being stopped are left out. Both are in millicores.
+    """
+    short_millicores = 0
+    vacating_millicores = 0
+    for executor in executors:
+        for run in executor.run_by_key.values():
+            step = run.step
+            is_stopping = run.phase is _runs.RunPhase.STOPPING
+            if step.runs_until_cancelled:
+                if is_stopping:
+                    vacating_millicores += step.size.cpu_millicores
+            elif not step.fills and not is_stopping:
+                short_millicores += step.size.cpu_millicores
+    return short_millicores, vacating_millicores
 
 
 def may_start_lasting_task(
--- a/tests/coordination/scheduling/test_preemption.py
+++ b/tests/coordination/scheduling/test_preemption.py
@@ -1,6 +1,8 @@
 """Tests of capacity for short tasks on executors full of lasting tasks."""
 
+from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _preemption
+from basiljunction.coordination.scheduling import _runs
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 import cell_rig
@@ -72,3 +74,30 @@
 
         assert not may_start(0.1)
         assert may_start(_preemption.MAX_LASTING_WAIT_S)
+
+
+class TestSums:
+    """The CPU of short runs and the CPU that lasting runs are giving up."""
+
+    def test_stopping_runs_count_only_if_they_last(self) -> None:
+        executor = _executors.ExecutorState(listing=build.executor_entry())
+        steps = (
+            build.step_spec(),
+            _LASTING_STEP,
+            build.step_spec(fills=True),
+        )
+        running, stopping = _runs.RunPhase.RUNNING, _runs.RunPhase.STOPPING
+        for number, (step, phase) in enumerate(
+            (step, phase) for step in steps for phase in (running, stopping)
+        ):
+            executor.add_run(
+                _runs.Run(
+                    task=_job_spec.TaskId("00000000000000a1", 0, 0, number),
+                    number=number,
+                    executor="e1",
+                    step=step,
+                    phase=phase,
+                    phase_since_s=0.0,
+                )
+            )
+        assert _preemption.sum_short_and_vacating([executor]) == (1000, 1000)
