Compare resources without calls in the placement loop

Cause: the search for executors that can start a task called Resources.covers for every executor and step.

Change: the comparison stands in the loop.

--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -111,14 +111,20 @@
     """Returns the executors on which a task can start now, unsorted.
 
     This is the scheduler's most frequent loop, so what holds for all executors
-    is read once, and the check that rejects most of them comes first.
+    is read once, the check that rejects most of them comes first, and it is
+    `Resources.covers` without the calls.
     """
     needed = step.reserved_resources
+    cpu_millicores = needed.cpu_millicores
+    memory_mb = needed.memory_mb
+    gpus = needed.gpus
     unused_millicores = step.size.cpu_millicores if step.fills else None
     return [
         each
         for each in executors
-        if each.free_capacity.covers(needed)
+        if (free := each.free_capacity).cpu_millicores >= cpu_millicores
+        and free.memory_mb >= memory_mb
+        and free.gpus >= gpus
         and (
             unused_millicores is None
             or each.unused_millicores >= unused_millicores
