--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -24,8 +24,8 @@
         "room-not-checked",
         "capacity",
         f"{_SCHEDULING}/_placement.py",
-        "    needed = step.reserved_resources\n    unused",
-        "    needed = _job_spec.Resources()\n    unused",
+        "    needed = step.reserved_resources\n    cpu_millicores",
+        "    needed = _job_spec.Resources()\n    cpu_millicores",
         f"{_TESTS}/test_scheduler.py",
     ),
     _mutation(
