--- a/src/basiljunction/bench/_scheduler_cost.py
+++ b/src/basiljunction/bench/_scheduler_cost.py
@@ -1,11 +1,14 @@
 """Measures the processor time of the job scheduler by number of executors.
 
 The scheduler runs under a virtual clock against simulated executors that carry
-out every order at once. The load for each executor is the same at all sizes, so
-a cost for each start that grows shows work that depends on the cell's size.
+out every order at once. Orders, answers and stored batches are encoded and
+decoded as for the users' platform. Sockets, threads and the decoding of
+submissions are left out. The load for each executor is the same at all sizes,
+so a cost for each start that grows shows work that depends on the cell's size.
 """
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import random
@@ -15,6 +18,9 @@
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
+from basiljunction.platform import _executors
+from basiljunction.platform import _store
+from basiljunction.protocol import _http_call
 from basiljunction.protocol import _job_records
 from basiljunction.state import _time
 from basiljunction.state.workload import _configuration
@@ -23,7 +29,11 @@
 from basiljunction.state.workload import _progress
 
 EXECUTOR_COUNTS = (30, 60, 246, 1000)
-"""Numbers of executors of the measured cells."""
+"""Numbers of executors of the measured cells, if none are given."""
+
+COST_UNIT = "us/start"
+"""Unit of the rows of one kind of event, which add up to the whole cost:
+microseconds of processor time for each start."""
 
 STEP_S = 0.02
 """Virtual time between two passes, in seconds."""
@@ -43,6 +53,18 @@
 RUN_TIME_S = 1.2
 """Run time of a short task, in seconds."""
 
+_ADDRESS = "127.0.0.1:1"
+"""Address of each executor in encoded calls, which are not sent."""
+
+_STORE_ADDRESS = "127.0.0.1:2"
+"""Address of the store in encoded calls, which are not sent."""
+
+_ORDER_TIMEOUT_S = 1.0
+"""Timeout of encoded calls, which are not sent, in seconds."""
+
+_EPOCH = 1
+"""Epoch of the scheduler's term."""
+
 _SERVICE = "service"
 """Name of the only service."""
 
@@ -126,26 +148,27 @@
 
 @dataclasses.dataclass(slots=True)
 class _Costs:
-    """Processor time and number of events by kind.
+    """Processor time by kind of event.
 
     Attributes:
         seconds_by_kind: Processor time in seconds.
-        count_by_kind: Number of events.
     """
 
     seconds_by_kind: dict[str, float] = dataclasses.field(default_factory=dict)
-    count_by_kind: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @contextlib.contextmanager
     def measure(self, kind: str) -> Iterator[None]:
-        """Adds the processor time of the enclosed event to its kind."""
+        """Adds the processor time of the enclosed event to its kind.
+
+        Args:
+            kind: Layer and kind of event, such as ``state: pass``.
+        """
         began_s = time.thread_time()
         yield
         seconds = time.thread_time() - began_s
         self.seconds_by_kind[kind] = (
             self.seconds_by_kind.get(kind, 0.0) + seconds
         )
-        self.count_by_kind[kind] = self.count_by_kind.get(kind, 0) + 1
 
 
 class _Cell:
@@ -160,7 +183,7 @@
         self._held_renewals: list[tuple[float, _orders.RenewalOrder]] = []
         self._jobs_per_s = JOBS_PER_S * executor_count
         self._scheduler = _scheduler.Scheduler(
-            epoch=1,
+            epoch=_EPOCH,
             times=_limits.LeaseTimes(),
             configuration=_configuration.Configuration(
                 version=1,
@@ -175,7 +198,7 @@
             _executor.ListedExecutor(
                 id=f"executor-{number}",
                 service=_SERVICE,
-                address="127.0.0.1:1",
+                address=_ADDRESS,
                 zone="zone",
                 is_draining=False,
                 capacity=_CAPACITY,
@@ -201,6 +224,23 @@
         """Number of runs that were started."""
         return self._scheduler.cell.run_counter
 
+    @property
+    def waiting_task_count(self) -> int:
+        """Number of tasks that wait for an executor."""
+        return sum(
+            len(each.ready_s_by_index)
+            for job in self._scheduler.cell.job_by_id.values()
+            for each in job.waiting_tasks_by_step.values()
+        )
+
+    @property
+    def open_run_count(self) -> int:
+        """Number of runs that have not ended."""
+        return sum(
+            len(each.run_by_key)
+            for each in self._scheduler.cell.executor_by_id.values()
+        )
+
     def run_until(self, end_s: float) -> None:
         """Runs passes until a virtual time."""
         while self._now_s < end_s:
@@ -240,24 +280,36 @@
             spec=_job_spec.JobSpec(payload=_PAYLOAD, steps=steps),
             accepted_wall_s=self._now().wall_s,
         )
-        with self.costs.measure("submission"):
+        with self.costs.measure("state: submission"):
             self._scheduler.submit_job(accepted, self._now())
 
     def _run_pass(self) -> None:
         """Runs the timed work, carries out all orders and stores a batch."""
         now = self._now()
-        with self.costs.measure("pass"):
+        with self.costs.measure("state: pass"):
             self._scheduler.run_timed_work(now, confirmed_s=self._now_s)
         self._scheduler.take_notes()
         for order in self._scheduler.take_orders():
             self._carry_out(order, now)
         self._answer_renewals(now)
-        with self.costs.measure("batch"):
+        self._store_batch(now)
+
+    def _store_batch(self, now: _time.Now) -> None:
+        """Encodes the collected records and reports them as stored."""
+        with self.costs.measure("state: batch"):
             batch = self._scheduler.take_batch()
-            if batch is None:
-                return
-            for record in batch.records:
-                _job_records.encode_record(record)
+        if batch is None:
+            return
+        with self.costs.measure("journal: append"):
+            records = tuple(
+                encoded
+                for record in batch.records
+                for encoded in _job_records.encode_record(record)
+            )
+            _store.make_append_call(
+                _STORE_ADDRESS, "topic", 0, records, timeout_s=_ORDER_TIMEOUT_S
+            )
+        with self.costs.measure("state: batch"):
             self._scheduler.handle_batch_stored(batch, now)
 
     def _carry_out(self, order: _orders.Order, now: _time.Now) -> None:
@@ -266,16 +318,28 @@
             return
         executor = self._executor_by_id[order.executor]
         if isinstance(order, _orders.StartOrder):
+            with self.costs.measure("orders: start"):
+                _executors.make_start_call(
+                    _ADDRESS, _EPOCH, order, timeout_s=_ORDER_TIMEOUT_S
+                )
             executor.start(order, self._now_s)
-            with self.costs.measure("start answer"):
+            with self.costs.measure("state: start answer"):
                 self._scheduler.handle_start_answer(
                     order, _orders.StartResult.STARTED, now
                 )
         elif isinstance(order, _orders.StopOrder):
+            with self.costs.measure("orders: stop"):
+                _executors.make_stop_call(
+                    _ADDRESS, _EPOCH, order, timeout_s=_ORDER_TIMEOUT_S
+                )
             executor.stop(order)
-            with self.costs.measure("stop answer"):
+            with self.costs.measure("state: stop answer"):
                 self._scheduler.handle_stop_answer(order, True, now)
         elif isinstance(order, _orders.RenewalOrder):
+            with self.costs.measure("orders: renewal"):
+                _executors.make_renewal_call(
+                    _ADDRESS, _EPOCH, order, timeout_s=_ORDER_TIMEOUT_S
+                )
             due_s = self._now_s + order.wait_ms / 1000
             self._held_renewals.append((due_s, order))
 
@@ -288,15 +352,31 @@
             if self._now_s < due_s and not has_ends:
                 self._held_renewals.append((due_s, order))
                 continue
-            report = executor.report(self._now_s)
-            with self.costs.measure("renewal answer"):
+            reply = _http_call.HttpReply(
+                200,
+                _executors.encode_renewal_reply(executor.report(self._now_s)),
+            )
+            with self.costs.measure("decoding: renewal answer"):
+                report = _executors.parse_renewal_reply(reply)
+            with self.costs.measure("state: renewal answer"):
                 self._scheduler.handle_renewal_answer(order, report, now)
 
 
-def run(*, runs: int, seed: int) -> _report.Report:
-    """Measures processor time for each start and by kind of event."""
+def run(
+    *,
+    runs: int,
+    seed: int,
+    executor_counts: Sequence[int] = EXECUTOR_COUNTS,
+) -> _report.Report:
+    """Measures processor time for each start and by kind of event.
+
+    Args:
+        runs: Number of runs behind each figure.
+        seed: Seed of the first run's load; later runs count up from it.
+        executor_counts: Numbers of executors of the measured cells.
+    """
     values_by_row: dict[tuple[str, str, str], list[float]] = {}
-    for count in EXECUTOR_COUNTS:
+    for count in executor_counts:
         for number in range(runs):
             for metric, unit, value in _measure_cell(count, seed + number):
                 key = (f"{count} executors", metric, unit)
@@ -320,7 +400,9 @@
     starts = cell.start_count - started_before
     total_s = sum(cell.costs.seconds_by_kind.values())
     yield "starts", "1/s", starts / MEASURED_S
+    yield "waiting tasks at the end", "tasks", cell.waiting_task_count
+    yield "open runs at the end", "runs", cell.open_run_count
     yield "processor time for a start", "ms", 1000 * total_s / max(1, starts)
     yield "processor in use", "core", total_s / MEASURED_S
     for kind, seconds in sorted(cell.costs.seconds_by_kind.items()):
-        yield f"share of {kind}", "%", 100 * seconds / total_s
+        yield kind, COST_UNIT, 1e6 * seconds / max(1, starts)
--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -240,6 +240,36 @@
         raise _errors.DecodeError("list of runs", repr(error)) from error
 
 
+def encode_renewal_reply(reply: _executor.LeaseRenewalReply) -> bytes:
+    """Encodes an answer to a lease renewal, as a simulated executor does."""
+    return pydantic_core.to_json(
+        {
+            "ClockMs": reply.clock_ms,
+            "born": reply.started_wall_ms,
+            "Running": [
+                (
+                    format_task_id(run.task),
+                    run.run_number,
+                    run.checkpoint,
+                    run.progress_percent,
+                    run.reported_value,
+                )
+                for run in reply.active_runs
+            ],
+            "Ended": [
+                (
+                    end.list_position,
+                    format_task_id(end.task),
+                    end.run_number,
+                    end.kind.value,
+                    end.checkpoint,
+                )
+                for end in reply.unacknowledged_ends
+            ],
+        }
+    )
+
+
 def _parse_active_run(row: list[Any]) -> _executor.ActiveRunReport:
     """Parses one row of an executor's list of active runs."""
     return _executor.ActiveRunReport(
