--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -578,12 +578,4 @@
         "            if arrived:\n",
         "tests/transport/test_http_server.py",
     ),
-    _mutation(
-        "ranking-of-a-pass-not-updated",
-        "placement",
-        f"{_SCHEDULING}/_pass_ranking.py",
-        "        entry = (self._rank(executor), entry[1], executor)\n",
-        "",
-        f"{_TESTS}/test_pass_ranking.py",
-    ),
 )
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -9,7 +9,6 @@
 other executors have capacity.
 """
 
-import abc
 from collections.abc import Iterable
 from collections.abc import Sequence
 import heapq
@@ -43,19 +42,7 @@
     return executor.unused_millicores >= step.size.cpu_millicores
 
 
-class ExecutorRanking(abc.ABC):
-    """The executors on which tasks of one step can start now, best first."""
-
-    @abc.abstractmethod
-    def best_executor(self) -> _executors.ExecutorState | None:
-        """Returns the best executor, or None if no further task fits."""
-
-    @abc.abstractmethod
-    def update_best_executor(self) -> None:
-        """Ranks the best executor anew after a task was started on it."""
-
-
-class StepRanking(ExecutorRanking):
+class StepRanking:
     """The executors on which tasks of one step can start now, best first.
 
     Ranking them once for all waiting tasks of a step saves a search of all
@@ -79,9 +66,9 @@
         self._task = task
         self._sharing = sharing
         self._heap = [
-            (placement_cost(step, each, sharing), position, each)
+            (_placement_cost(step, each, sharing), position, each)
             for position, each in enumerate(
-                find_startable_executors(step, task, executors, sharing)
+                _startable_executors(step, task, executors, sharing)
             )
         ]
         heapq.heapify(self._heap)
@@ -93,10 +80,10 @@
     def update_best_executor(self) -> None:
         """Ranks the best executor anew after a task was started on it."""
         _, position, executor = self._heap[0]
-        if find_startable_executors(
+        if _startable_executors(
             self._step, self._task, (executor,), self._sharing
         ):
-            cost = placement_cost(self._step, executor, self._sharing)
+            cost = _placement_cost(self._step, executor, self._sharing)
             heapq.heapreplace(self._heap, (cost, position, executor))
         else:
             heapq.heappop(self._heap)
@@ -109,11 +96,13 @@
     sharing: _sharing.FillerController,
 ) -> list[_executors.ExecutorState]:
     """Returns the executors on which a task can start now, best first."""
-    fitting = find_startable_executors(step, task, executors, sharing)
-    return sorted(fitting, key=lambda each: placement_cost(step, each, sharing))
+    fitting = _startable_executors(step, task, executors, sharing)
+    return sorted(
+        fitting, key=lambda each: _placement_cost(step, each, sharing)
+    )
 
 
-def find_startable_executors(
+def _startable_executors(
     step: _job_spec.StepSpec,
     task: _job_spec.TaskId,
     executors: Iterable[_executors.ExecutorState],
@@ -188,7 +177,7 @@
         if is_eligible(step, each) and has_capacity(step, each)
     ]
     for executor in sorted(
-        fitting, key=lambda each: placement_cost(step, each, sharing)
+        fitting, key=lambda each: _placement_cost(step, each, sharing)
     ):
         if step.fills and not sharing.allows_filler(step, executor):
             continue
@@ -235,7 +224,7 @@
     return executor.count_runs_of_step(task) < step.max_per_executor
 
 
-def placement_cost(
+def _placement_cost(
     step: _job_spec.StepSpec,
     executor: _executors.ExecutorState,
     sharing: _sharing.FillerController,
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -10,7 +10,6 @@
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _ordering
 from basiljunction.coordination.scheduling import _orders
-from basiljunction.coordination.scheduling import _pass_ranking
 from basiljunction.coordination.scheduling import _placement
 from basiljunction.coordination.scheduling import _preemption
 from basiljunction.coordination.scheduling import _runs
@@ -77,9 +76,6 @@
             tuple[str, str | None], _job_spec.Resources
         ] = {}
         self._unplaceable_steps: set[tuple[str, int, int]] = set()
-        self._pass_ranking_by_kind: dict[
-            tuple[str, bool], _pass_ranking.PassRanking | None
-        ] = {}
 
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
         """Returns whether each step of a job fits some executor when empty.
@@ -118,7 +114,6 @@
         self._last_pass_s = now.boot_s
         self._unplaceable_size_by_kind.clear()
         self._unplaceable_steps.clear()
-        self._pass_ranking_by_kind.clear()
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
         for executor in cell.executor_by_id.values():
             if cell.is_usable(executor, now.boot_s):
@@ -351,7 +346,7 @@
             return budget - self._place_gang(
                 job, waiting_tasks, executors, now, urgent_only=urgent_only
             )
-        ranking: _placement.ExecutorRanking | None = None
+        ranking: _placement.StepRanking | None = None
         for task, waited_s in self._tasks_to_place(
             job, waiting_tasks, now, urgent_only=urgent_only
         ):
@@ -439,7 +434,7 @@
         task: _job_spec.TaskId,
         failed_ids: Set[str],
         executors: list[_executors.ExecutorState],
-    ) -> _placement.ExecutorRanking:
+    ) -> _placement.StepRanking:
         """Returns the ranking of the executors on which a task fits.
 
         Tasks at least as large as one that could not be placed earlier in the
@@ -459,38 +454,8 @@
             executors = []
         elif failed_ids:
             executors = _without_failed_executors(executors, failed_ids)
-        elif job.queue.approval is None:
-            pass_ranking = self._find_pass_ranking(job, step, executors)
-            if pass_ranking is not None:
-                return _pass_ranking.SharedStepRanking(step, task, pass_ranking)
         return _placement.StepRanking(step, task, executors, self._cell.sharing)
 
-    def _find_pass_ranking(
-        self,
-        job: _jobs.Job,
-        step: _job_spec.StepSpec,
-        executors: list[_executors.ExecutorState],
-    ) -> _pass_ranking.PassRanking | None:
-        """Returns the ranking of a service's executors in this pass.
-
-        Returns None if the step has an order of its own, or is the first of
-        its kind in the pass: only a second one is worth ranking all executors.
-        """
-        if not _pass_ranking.ranks_by_common_order(step):
-            return None
-        uses_gpus = step.size.gpus > 0
-        kind = (job.queue.service, uses_gpus)
-        if kind not in self._pass_ranking_by_kind:
-            self._pass_ranking_by_kind[kind] = None
-            return None
-        ranking = self._pass_ranking_by_kind[kind]
-        if ranking is None:
-            ranking = _pass_ranking.PassRanking(
-                executors, self._cell.sharing, uses_gpus=uses_gpus
-            )
-            self._pass_ranking_by_kind[kind] = ranking
-        return ranking
-
     def _remember_unplaceable(
         self, job: _jobs.Job, step: _job_spec.StepSpec
     ) -> None:
@@ -575,9 +540,6 @@
         )
         run.started_without_checkpoint = not run.checkpoint
         executor.add_run(run)
-        for ranking in self._pass_ranking_by_kind.values():
-            if ranking is not None:
-                ranking.update_executor(executor)
         waiting_tasks = job.waiting_tasks_by_step.get(
             (task.occurrence, task.step)
         )
