Test the encoding of lists of runs; name an unknown attempt for what it is

An attempt in phase ASKING that its worker does not know may have run before a restart, so "never ran" was no longer true of it: the scheduler never saw it run.

--- a/src/basiljunction/coordination/_batch_attempts.py
+++ b/src/basiljunction/coordination/_batch_attempts.py
@@ -457,8 +457,8 @@
         if attempt.phase is _Phase.STARTING:
             return
         if attempt.end_goal is _Goal.NONE:
-            never_ran = attempt.phase is _Phase.ASKING
-            attempt.end_goal = _Goal.RELEASE if never_ran else _Goal.LOST
+            was_never_seen = attempt.phase is _Phase.ASKING
+            attempt.end_goal = _Goal.RELEASE if was_never_seen else _Goal.LOST
             attempt.end_reason = (
                 attempt.refusal or "the worker does not know the attempt"
             )
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -318,6 +318,25 @@
         assert report.active_runs[0].task == _job_spec.TaskId("a1", 0, 1, 17)
         assert report.unacknowledged_ends[0].kind is _executor.RunEndKind.DONE
 
+    def test_an_encoded_list_of_runs_decodes_to_the_same(self) -> None:
+        task = _job_spec.TaskId("a1", 0, 1, 17)
+        report = _executor.LeaseRenewalReply(
+            clock_ms=5,
+            started_wall_ms=9,
+            active_runs=(
+                _executor.ActiveRunReport(task, 2, "checkpoint", 41.5, 12.5),
+            ),
+            unacknowledged_ends=(
+                _executor.EndedRunReport(
+                    58, task, 1, _executor.RunEndKind.DONE, ""
+                ),
+            ),
+        )
+        reply = _http_call.HttpReply(
+            200, _executors.encode_renewal_reply(report)
+        )
+        assert _executors.parse_renewal_reply(reply) == report
+
     @pytest.mark.parametrize(
         ("status", "body", "result"),
         [
