Spread the next claims of gangs that were released in step

Callers saw: accepted jobs with gangs never ran. Three instances of one worker each, three gangs of two tasks of which each worker holds one: every instance claimed a member of another gang, released it after 15 s and claimed it again, together with the others, for 2,400 s and more.

Cause: instances prefer gangs by a hash, so that they do not contend, and all waits are equal, so that gangs which once claim together go on doing so.

The new test fails before.

Change: a member of a gang that is released waits up to the fill timeout longer, by a hash of the gang and the attempt that is the same everywhere, so that one gang claims while the others wait.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -234,4 +234,16 @@
         ),
         ("tests/state/test_fold.py",),
     ),
+    Mutation(
+        "gangs-claim-in-step",
+        "accepted work runs",
+        (
+            Edit(
+                f"{_SRC}/coordination/_batch_records.py",
+                "return RECLAIM_WAIT_S + self._gang_spread_s(record)",
+                "return RECLAIM_WAIT_S",
+            ),
+        ),
+        ("tests/coordination/test_batch_gangs.py",),
+    ),
 )
--- a/src/basiljunction/coordination/_batch_records.py
+++ b/src/basiljunction/coordination/_batch_records.py
@@ -1,5 +1,7 @@
 """Updates the batch core's tables from records read back from the log."""
 
+import xxhash
+
 from basiljunction.coordination import _batch_attempts
 from basiljunction.coordination import _batch_context
 from basiljunction.coordination import _batch_fleet
@@ -228,9 +230,26 @@
         if isinstance(record, _records.TaskEvicted):
             return self._context.policy.evicted_reclaim_wait_s
         if isinstance(record, _records.TaskReleased):
-            return RECLAIM_WAIT_S
+            return RECLAIM_WAIT_S + self._gang_spread_s(record)
         return 0.0
 
+    def _gang_spread_s(self, record: _records.TaskReleased) -> float:
+        """Returns a wait in seconds that differs between gangs; 0 without one.
+
+        Gangs that each hold a part of what the others lack release it in step.
+        One of them has to claim again before the others do. Every instance
+        gets the same result.
+        """
+        task = self._context.state.task_by_id.get(record.task_id)
+        if task is None:
+            return 0.0
+        gang_key = _batch_model.gang_key(task.job_id, task.spec)
+        if not gang_key:
+            return 0.0
+        key = f"{gang_key}|{record.attempt}".encode()
+        hash_fraction = xxhash.xxh32_intdigest(key) / 2**32
+        return float(self._context.policy.gang_fill_timeout_s * hash_fraction)
+
     def _remove_if_stale(
         self, task_id: str, attempt: _batch_model.Attempt | None
     ) -> None:
