Share the set-up of tests of terms and cell tasks

The fixture that collects log entries stood in three test modules, the short job and the wait for its acceptance in two, and the run of a cell task until it is ready in two tests.

--- a/tests/instance_rig.py
+++ b/tests/instance_rig.py
@@ -22,6 +22,12 @@
 WAIT_TIMEOUT_S = 15.0
 """Longest wait for a condition, in seconds."""
 
+SHORT_JOB = (
+    '{"Spec":"x","Steps":[{"Count":1,"Cpu":100,"MemMb":100,'
+    '"EstDurationMs":300}]}'
+)
+"""Body of a job of one task that ends by itself."""
+
 DRAIN_S = 0.1
 """Time for requests in progress when an instance stops, in seconds."""
 
@@ -185,3 +191,13 @@
         application=application,
         limits=_http_limits.Limits(http_threads=threads, drain_s=DRAIN_S),
     )
+
+
+def submit_until_accepted(instance: Instance, path: str) -> None:
+    """Submits a short job until the instance accepts it.
+
+    Args:
+        instance: The instance.
+        path: Path of the job.
+    """
+    wait_until(lambda: instance.call("POST", path, SHORT_JOB)[0] == 200)
--- a/tests/transport/jobs/test_cancels.py
+++ b/tests/transport/jobs/test_cancels.py
@@ -16,10 +16,6 @@
 import platform_standin
 import workload_builders as build
 
-_JOB = (
-    '{"Spec":"x","Steps":[{"Count":1,"Cpu":100,"MemMb":100,'
-    '"EstDurationMs":300}]}'
-)
 _CANCELLED_ID = "00000000000000c1"
 _CANCELLED_PATH = f"/jobs/{_CANCELLED_ID}"
 _LIMIT_S = 1.0  # well below the time for which a submission waits
@@ -42,9 +38,7 @@
 ) -> Iterator[instance_rig.Instance]:
     """A scheduler behind a relay, which has cancelled one job."""
     instance = instance_rig.Instance(platform, "front-1", has_relay=True)
-    instance_rig.wait_until(
-        lambda: instance.call("POST", _CANCELLED_PATH, _JOB)[0] == 200
-    )
+    instance_rig.submit_until_accepted(instance, _CANCELLED_PATH)
     assert instance.call("DELETE", _CANCELLED_PATH)[0] == 200
     yield instance
     instance.close()
@@ -74,7 +68,12 @@
     platform.silent_append_topics.add("keyed.jobs")
     with futures.ThreadPoolExecutor(count) as pool:
         for number in range(count):
-            pool.submit(instance.call, "POST", f"/jobs/{number:016x}", _JOB)
+            pool.submit(
+                instance.call,
+                "POST",
+                f"/jobs/{number:016x}",
+                instance_rig.SHORT_JOB,
+            )
         time.sleep(_SETTLE_S)
         yield
         platform.silent_append_topics.clear()
@@ -150,7 +149,8 @@
         with futures.ThreadPoolExecutor(8) as pool:
             paths = [f"/jobs/{number:016x}" for number in range(8)]
             submits = [
-                pool.submit(entry.call, "POST", path, _JOB) for path in paths
+                pool.submit(entry.call, "POST", path, instance_rig.SHORT_JOB)
+                for path in paths
             ]
         assert [each.result()[0] for each in submits] == [200] * 8
         assert leader.relay is not None
@@ -166,4 +166,9 @@
         self, leader: instance_rig.Instance, entry: instance_rig.Instance
     ) -> None:
         self._open_and_silence_connections(leader, entry)
-        assert entry.call("POST", "/jobs/00000000000000d1", _JOB)[0] == 200
+        assert (
+            entry.call(
+                "POST", "/jobs/00000000000000d1", instance_rig.SHORT_JOB
+            )[0]
+            == 200
+        )
--- a/tests/transport/jobs/test_cell_loop.py
+++ b/tests/transport/jobs/test_cell_loop.py
@@ -8,8 +8,6 @@
 from typing import TypeVar
 
 import pytest
-import structlog
-from structlog import testing
 
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
@@ -72,6 +70,19 @@
     )
 
 
+def _becomes_ready(task: _cell_task.CellTask) -> bool:
+    """Runs a task until it is ready or the limit is over; stops it."""
+    with futures.ThreadPoolExecutor(1) as pool:
+        loop = task.start(pool)
+        limit_s = time.monotonic() + READY_LIMIT_S
+        while not task.is_ready and time.monotonic() < limit_s:
+            time.sleep(0.02)
+        is_ready = task.is_ready
+        task.stop()
+        loop.result()
+    return is_ready
+
+
 @pytest.fixture
 def platform() -> Iterator[platform_standin.Platform]:
     """A platform without executors, with a configuration."""
@@ -81,16 +92,6 @@
     platform.close()
 
 
-@pytest.fixture
-def logs() -> Iterator[list[Any]]:
-    """Collects the log entries, which the other tests silence."""
-    silent = structlog.get_config()["wrapper_class"]
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(20))
-    with testing.capture_logs() as entries:
-        yield entries
-    structlog.configure(wrapper_class=silent)
-
-
 class TestManyMessages:
     """Calls to the store and to executors go on while messages wait."""
 
@@ -101,15 +102,7 @@
         task = _make_task(_BusyTask, platform.address)
         for number in range(MESSAGE_COUNT):
             task.tell(number)
-        with futures.ThreadPoolExecutor(1) as pool:
-            loop = task.start(pool)
-            limit_s = time.monotonic() + READY_LIMIT_S
-            while not task.is_ready and time.monotonic() < limit_s:
-                time.sleep(0.02)
-            is_ready = task.is_ready
-            task.stop()
-            loop.result()
-        assert is_ready
+        assert _becomes_ready(task)
 
 
 class TestFailingReplies:
@@ -123,15 +116,7 @@
         """Else the instance answers nothing and looks healthy."""
         task = _make_task(_FailingReplyTask, platform.address)
         task.send_failing_call(platform.address)
-        with futures.ThreadPoolExecutor(1) as pool:
-            loop = task.start(pool)
-            limit_s = time.monotonic() + READY_LIMIT_S
-            while not task.is_ready and time.monotonic() < limit_s:
-                time.sleep(0.02)
-            is_ready = task.is_ready
-            task.stop()
-            loop.result()
-        assert is_ready
+        assert _becomes_ready(task)
         (entry,) = [
             each for each in logs if each["event"] == "call.reply-error"
         ]
--- a/tests/transport/jobs/test_daemon.py
+++ b/tests/transport/jobs/test_daemon.py
@@ -5,8 +5,6 @@
 from typing import Any
 
 import pytest
-import structlog
-from structlog import testing
 
 from basiljunction.demo import _ports
 from basiljunction.transport import _clock
@@ -18,16 +16,6 @@
 """Longest time until the process ends, in seconds; the servers stop in it."""
 
 
-@pytest.fixture
-def logs() -> Iterator[list[Any]]:
-    """Collects the log entries, which the other tests silence."""
-    silent = structlog.get_config()["wrapper_class"]
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(20))
-    with testing.capture_logs() as entries:
-        yield entries
-    structlog.configure(wrapper_class=silent)
-
-
 @pytest.fixture
 def daemon() -> Iterator[_daemon.Daemon]:
     """An instance on loopback, with no store."""
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -6,8 +6,6 @@
 from typing import Any
 
 import pytest
-import structlog
-from structlog import testing
 
 from basiljunction.coordination.leadership import _election
 from basiljunction.coordination.scheduling import _limits
@@ -19,10 +17,6 @@
 import platform_standin
 
 _JOB_PATH = "/jobs/00000000000000a1"
-_JOB = (
-    '{"Spec":"x","Steps":[{"Count":1,"Cpu":100,"MemMb":100,'
-    '"EstDurationMs":300}]}'
-)
 
 
 @pytest.fixture
@@ -46,16 +40,6 @@
         each.close()
 
 
-@pytest.fixture
-def logs() -> Iterator[list[Any]]:
-    """Collects the log entries, which the other tests silence."""
-    silent = structlog.get_config()["wrapper_class"]
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(20))
-    with testing.capture_logs() as entries:
-        yield entries
-    structlog.configure(wrapper_class=silent)
-
-
 def _events(logs: list[Any], name: str) -> list[Any]:
     """Returns the log entries of an event."""
     return [each for each in logs if each["event"] == name]
@@ -76,9 +60,7 @@
         instances.append(instance_rig.Instance(platform, "front-2"))
         instance_rig.wait_until(lambda: len(_events(logs, "term.begun")) > 1)
         platform.silent_topics.clear()
-        instance_rig.wait_until(
-            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
-        )
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         assert not instances[0].task.is_scheduling()
         assert instances[1].task.is_scheduling()
 
@@ -122,13 +104,14 @@
         logs: list[Any],
     ) -> None:
         instances.append(instance_rig.Instance(platform))
-        instance_rig.wait_until(
-            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
-        )
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         instance_rig.wait_until(lambda: len(platform.starts) == 1)
         platform.executors[0].highest_token = 2
         other_path = _JOB_PATH.replace("a1", "a2")
-        assert instances[0].call("POST", other_path, _JOB)[0] == 200
+        assert (
+            instances[0].call("POST", other_path, instance_rig.SHORT_JOB)[0]
+            == 200
+        )
         instance_rig.wait_until(lambda: len(platform.starts) == 2)
         assert [each["reason"] for each in _events(logs, "term.ended")] == [
             "fenced"
@@ -142,9 +125,7 @@
     ) -> None:
         platform.executors[0].highest_token = 2
         instances.append(instance_rig.Instance(platform))
-        instance_rig.wait_until(
-            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
-        )
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         instance_rig.wait_until(lambda: platform.starts)
         ended = _events(logs, "term.ended")
         assert [each["reason"] for each in ended] == ["fenced"]
@@ -190,9 +171,7 @@
         logs: list[Any],
     ) -> None:
         instances.append(instance_rig.Instance(platform))
-        instance_rig.wait_until(
-            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
-        )
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         term = self._resign(platform, instances[0])
         longest_lease_s = _limits.LeaseTimes().lease_s
         assert longest_lease_s < term.longest_run_s < longest_lease_s * 1.05
@@ -207,9 +186,7 @@
         logs: list[Any],
     ) -> None:
         instances.append(instance_rig.Instance(platform))
-        instance_rig.wait_until(
-            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
-        )
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         platform.is_down = True
         time.sleep(_election.TERM_EXPIRY_S + 0.5)
         instances[0].task.tell(_cell_task.ResignRequested())
@@ -228,9 +205,7 @@
         instances: list[instance_rig.Instance],
     ) -> None:
         instances.append(instance_rig.Instance(platform, "front-1"))
-        instance_rig.wait_until(
-            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
-        )
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         platform.executors[0].httpd.shutdown()
         self._resign(platform, instances[0])
         instances.append(instance_rig.Instance(platform, "front-2"))
@@ -293,7 +268,7 @@
         with futures.ThreadPoolExecutor(2) as pool:
             answers = pool.map(
                 lambda each: each.call(
-                    "POST", _JOB_PATH, _JOB, deadline_ms=900
+                    "POST", _JOB_PATH, instance_rig.SHORT_JOB, deadline_ms=900
                 ),
                 instances,
             )
@@ -311,9 +286,7 @@
         logs: list[Any],
     ) -> None:
         instances.append(instance_rig.Instance(platform))
-        instance_rig.wait_until(
-            lambda: instances[0].call("POST", _JOB_PATH, _JOB)[0] == 200
-        )
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         logs.clear()
         time.sleep(1.5)
         assert not _events(logs, "term.not-answering")
