Let a starving task return to workers on which it failed

Callers saw: accepted jobs never ran. A task that had failed once on each of three workers, which had restarted under it, stayed pending for ever with all three idle; with a single worker, one restart was enough.

Cause: workers on which a task failed are avoided without end, and the end after max_attempts counts different workers, of which there are too few.

Change: a unit that has waited beyond the starvation limit (60 s and more by rank) is placed on any worker. A task that fails everywhere is thus tried again after such waits, where it stood still before.

--- a/src/basiljunction/coordination/_batch_placer.py
+++ b/src/basiljunction/coordination/_batch_placer.py
@@ -278,7 +278,12 @@
             self._hold_if_starving(unit, reservations)
             return False
         tasks = [context.state.task_by_id[each] for each in unit.task_ids]
-        avoided = [task.failed_machines for task in tasks]
+        # Another worker may never come, so a starving unit may return to
+        # those on which it failed.
+        is_starving = self._is_starving(unit)
+        avoided: list[list[str]] = [
+            [] if is_starving else task.failed_machines for task in tasks
+        ]
         candidates = self._workers if held is None else [held]
         workers = None
         for placement in self._placement_policies(unit):
--- a/tests/coordination/test_batch_core.py
+++ b/tests/coordination/test_batch_core.py
@@ -106,6 +106,14 @@
         assert [number for number, _ in rig.list_starts(DAY_TASK_ID)] == [1, 2]
         assert rig.task_phase(DAY_TASK_ID) is _Phase.COMPLETED
 
+    def test_the_only_worker_may_run_a_task_that_failed_on_it(self) -> None:
+        rig = batch_rig.Rig(workers=1)
+        rig.submit(builders.job("job-1"))
+        rig.run(5)
+        rig.find_worker_running(DAY_TASK_ID).restart()
+        rig.run(400)
+        assert rig.task_phase(DAY_TASK_ID) is _Phase.COMPLETED
+
 
 class TestEviction:
     """An evicted task resumes once, from its last checkpoint."""
