Keep the stand-in of the platform quiet about clients that went away

Change: a request without a topic gets 404, and the error of a client that has gone is not printed. Other errors still are.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -13,6 +13,7 @@
 from http import server
 import json
 import struct
+import sys
 import threading
 import time
 from typing import Any
@@ -456,6 +457,9 @@
         if self.owner.is_down:
             self.send_reply(503, b"{}")
             return
+        if "Topic" not in query:
+            self.send_reply(404, b"{}")
+            return
         topic = self.owner.topics[query["Topic"]]
         if path == "/log-newest":
             while query["Topic"] in self.owner.silent_topics:
@@ -548,11 +552,20 @@
         position += length
 
 
+class _Server(server.ThreadingHTTPServer):
+    """An HTTP server whose clients may close connections at any time."""
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Prints the error of a request, unless its client has gone."""
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
+
 def _start_server(
     handler: type[server.BaseHTTPRequestHandler], owner: object
 ) -> server.ThreadingHTTPServer:
     """Starts an HTTP server on a free loopback port in a thread."""
-    httpd = server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    httpd = _Server(("127.0.0.1", 0), handler)
     httpd.daemon_threads = True
     httpd.owner = owner  # type: ignore[attr-defined]
     threading.Thread(
