Take a report for the answer to the question about an attempt

Callers saw: an accepted task stayed claimed for ever and ran nowhere.

Cause: the starts of two attempts on a worker were lost, and each attempt asked for the list of the worker's attempts. The first list reported both as unknown and moved both on; the second question then had no attempt in phase ASKING to give its result to, and the mark "call in flight" of one of them stayed, so that it never took another step.

Change: a report on an attempt that asks clears the mark; the report is the answer, whichever call brought it.

--- a/src/basiljunction/coordination/_batch_attempts.py
+++ b/src/basiljunction/coordination/_batch_attempts.py
@@ -227,6 +227,10 @@
         """Stores a worker's report on an attempt and acts on its state."""
         if attempt.phase is _Phase.RECORDING:
             return
+        if attempt.phase is _Phase.ASKING:
+            # The report answers the question, which may be in flight as part
+            # of another call. A failure of that call is not seen later.
+            attempt.is_call_in_flight = False
         _batch_ends.store_report(attempt, report)
         match report.state:
             case _State.RUNNING:
--- a/tests/coordination/test_batch_core.py
+++ b/tests/coordination/test_batch_core.py
@@ -72,6 +72,22 @@
         assert rig.task_phase(DAY_TASK_ID) is _Phase.COMPLETED
         assert [number for number, _ in rig.list_starts(DAY_TASK_ID)] == [1, 2]
 
+    def test_lost_starts_that_one_list_answers_do_not_get_stuck(self) -> None:
+        rig = batch_rig.Rig(workers=1)
+        worker = rig.worker_by_name["worker-0"]
+        worker.lose_answers = True
+        for number in range(2):
+            spec = builders.task_spec("day", run_time_s=60.0)
+            rig.submit(builders.job(f"job-{number}", spec))
+        rig.run(0.25)
+        worker.lose_answers = False
+        rig.run(1.0)
+        worker.restart()
+        rig.run(400)
+        for number in range(2):
+            phase = rig.task_phase(f"job-{number}/day")
+            assert phase is _Phase.COMPLETED
+
     def test_lost_stop_is_repeated(self) -> None:
         rig = batch_rig.Rig(workers=1)
         rig.submit(builders.job("job-1"))
