--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -236,7 +236,7 @@
     ),
     Mutation(
         "gangs-claim-in-step",
-        "accepted work runs",
+        10,
         (
             Edit(
                 f"{_SRC}/coordination/_batch_records.py",
