Size the connection pool by the file descriptors of the instance

Cause: libcurl kept at most 400 idle connections, fewer than a large cell has executors and peers, so nearly every renewal and start closed a connection that the next one needed and opened a new one.

Change: the limit is what the settings' file descriptors leave beside the servers' connections; the servers for checks keep fewer. More executors than connections are logged once with both numbers, and calls wait for a connection.

--- a/src/basiljunction/platform/_settings.py
+++ b/src/basiljunction/platform/_settings.py
@@ -92,6 +92,7 @@
         heartbeat_s=values.require_number("HeartbeatMs") / 1000,
         policy_address=values.optional_address("Advice"),
         provision=_parse_provision(values),
+        max_open_files=values.optional_count("Limits.MaxFds"),
     )
 
 
@@ -160,6 +161,19 @@
             return None
         return self.require_number(name) or None
 
+    def optional_count(self, name: str) -> int | None:
+        """Returns a limit as a whole number, or None if absent or 0.
+
+        Raises:
+            SettingsError: It is no whole number of at least 0.
+        """
+        limit = self.optional_limit(name)
+        if limit is None:
+            return None
+        if limit != int(limit):
+            raise SettingsError(name, "a whole number")
+        return int(limit)
+
     def require_address(self, name: str) -> str:
         """Returns a setting that is an ``ip:port`` address.
 
--- a/src/basiljunction/protocol/_instance_settings.py
+++ b/src/basiljunction/protocol/_instance_settings.py
@@ -64,6 +64,8 @@
         policy_address: ``ip:port`` of the policy service that approves
             executors; empty for none.
         provision: Link and processor of this instance, as far as known.
+        max_open_files: File descriptors of this process; None if the system's
+            own limit holds.
     """
 
     name: str
@@ -76,3 +78,4 @@
     heartbeat_s: float
     policy_address: str = ""
     provision: _provision.Provision = _provision.UNKNOWN
+    max_open_files: int | None = None
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -89,6 +89,7 @@
         clock: Source of the current time.
         rng: Random source for the spread of retries and the choice of peers.
         metrics: Registry that receives the metrics of this instance.
+        max_connections: Most connections to executors, peers and the store.
     """
 
     def __init__(
@@ -98,13 +99,16 @@
         clock: _clock.Clock,
         rng: random.Random,
         metrics: _metrics.Metrics,
+        max_connections: int,
     ) -> None:
         super().__init__(
             name="cell", clock=clock, tick_s=FOLLOWER_TICK_INTERVAL_S
         )
         self._settings = settings
         self._metrics = metrics
-        self._calls = _http_calls.HttpClient(metrics)
+        self._calls = _http_calls.HttpClient(
+            metrics, max_connections=max_connections
+        )
         incarnation = int(clock.now().wall_s * 1000)
         self._terms = _term_keeper.TermFeed(
             calls=self._calls,
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -18,6 +18,7 @@
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _apps
 from basiljunction.transport.jobs import _cell_task
+from basiljunction.transport.jobs import _connection_limits
 from basiljunction.transport.jobs import _metrics_app
 
 FRONT_THREADS = 32
@@ -36,6 +37,14 @@
 METRICS_THREADS = 2
 """Requests for the metrics served concurrently."""
 
+CALL_CONNECTIONS = 400
+"""Most waiting and most idle connections of clients, and of peers: more than
+the instances of a deployment, each of which keeps a few."""
+
+CHECK_CONNECTIONS = 16
+"""Most waiting and most idle connections of the servers for checks, each of
+which has one or two clients."""
+
 TASK_THREADS = 5
 """Threads of the task pool: one for the cell task and one for each server."""
 
@@ -79,25 +88,40 @@
         self._wake_event = threading.Event()
         self._has_task_failed = False
         metrics = _metrics.Metrics(settings.name)
+        server_limits = [
+            _make_limits(READY_THREADS, CHECK_CONNECTIONS),
+            _make_limits(PEER_THREADS, CALL_CONNECTIONS),
+            _make_limits(FRONT_THREADS, CALL_CONNECTIONS),
+            _make_limits(METRICS_THREADS, CHECK_CONNECTIONS),
+        ]
         self._pool = futures.ThreadPoolExecutor(TASK_THREADS, "task")
         self._task = _cell_task.CellTask(
             settings=settings,
             clock=clock,
             rng=random.Random(),
             metrics=metrics,
+            max_connections=_connection_limits.divide_descriptors(
+                settings.max_open_files,
+                server_connections=sum(
+                    each.http_threads
+                    + each.waiting_connections
+                    + each.idle_connections
+                    for each in server_limits
+                ),
+            ),
         )
         self._servers = [
             _build_server(
                 settings.ready_listen,
                 _apps.ReadyApp(self._is_ready),
-                READY_THREADS,
+                server_limits[0],
             ),
             _build_server(
                 settings.peer_listen,
                 _apps.PeerApp(
                     self._task, _apps.CallSlots(PEER_THREADS - RESERVED_THREADS)
                 ),
-                PEER_THREADS,
+                server_limits[1],
             ),
             _build_server(
                 settings.front_listen,
@@ -107,7 +131,7 @@
                     metrics,
                     _apps.CallSlots(FRONT_THREADS - RESERVED_THREADS),
                 ),
-                FRONT_THREADS,
+                server_limits[2],
             ),
         ]
         if metrics_port is not None:
@@ -116,7 +140,7 @@
                 _build_server(
                     f"{host}:{metrics_port}",
                     _metrics_app.MetricsApp(metrics),
-                    METRICS_THREADS,
+                    server_limits[3],
                 )
             )
 
@@ -208,15 +232,29 @@
         _log.info("instance.stopped")
 
 
-def _build_server(
-    listen: str, application: _http_server.Application, threads: int
-) -> _http_server.HttpServer:
-    """Returns an HTTP server that is not bound to its address yet."""
-    limits = _http_limits.Limits(
+def _make_limits(threads: int, connections: int) -> _http_limits.Limits:
+    """Returns the limits of a server.
+
+    Args:
+        threads: Requests handled at once.
+        connections: Most connections that wait for a thread, and most idle
+            ones.
+    """
+    return _http_limits.Limits(
         http_threads=threads,
+        waiting_connections=connections,
+        idle_connections=connections,
         header_bytes=MAX_HEADER_BYTES,
         drain_s=SHUTDOWN_RESERVE_S / 3,
     )
+
+
+def _build_server(
+    listen: str,
+    application: _http_server.Application,
+    limits: _http_limits.Limits,
+) -> _http_server.HttpServer:
+    """Returns an HTTP server that is not bound to its address yet."""
     return _http_server.HttpServer(
         listen=listen, application=application, limits=limits
     )
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -29,12 +29,6 @@
 MAX_CONNECTIONS_PER_HOST = 8
 """Most connections to one address: one lease renewal and overlapping orders."""
 
-MAX_IDLE_CONNECTIONS = 400
-"""Most idle connections kept open.
-
-They fit into the file descriptors of the smallest instance.
-"""
-
 ReplyCallback = Callable[[_http_call.HttpReply], None]
 """Called once with the reply to an HTTP call, or with its failure."""
 
@@ -97,9 +91,17 @@
 
     Args:
         metrics: Receives the count and the duration of the calls.
+        max_connections: Most connections open at the same time, idle ones
+            included; further calls wait for one.
+
+    Attributes:
+        max_connections: The limit.
     """
 
-    def __init__(self, metrics: _metrics.Metrics) -> None:
+    def __init__(
+        self, metrics: _metrics.Metrics, *, max_connections: int
+    ) -> None:
+        self.max_connections = max_connections
         self._metrics = metrics
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
@@ -107,7 +109,10 @@
         self._multi.setopt(
             pycurl.M_MAX_HOST_CONNECTIONS, MAX_CONNECTIONS_PER_HOST
         )
-        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
+        # Without the first, libcurl keeps four idle connections for each call
+        # in flight and closes those to executors that are not called just now.
+        self._multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
+        self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, max_connections)
         self._selector = selectors.DefaultSelector()
         self._wake_receiver, self._wake_sender = socket.socketpair()
         self._wake_receiver.setblocking(False)
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -77,6 +77,7 @@
             ),
             configuration=configuration,
         )
+        self._max_connections = calls.max_connections
         self._journal = _journal.Journal(
             calls=calls,
             settings=settings.store,
@@ -102,6 +103,7 @@
         self._cancels_by_job_id: dict[str, list[_call_router.PendingCall]] = {}
         self._has_recovered = False
         self._has_executor_list = False
+        self._has_warned_of_too_many = False
         self._longest_inherited_run_s = longest_inherited_run_s
         self._started_boot_s = clock().boot_s
         self._next_summary_s = 0.0
@@ -321,7 +323,24 @@
         if self._sender.is_closed:
             return
         self._has_executor_list = True
-        self._scheduler.set_executors(entries, self._clock())
+        listed = list(entries)
+        self._warn_of_too_many(len(listed))
+        self._scheduler.set_executors(listed, self._clock())
+
+    def _warn_of_too_many(self, executors: int) -> None:
+        """Logs once if there are more executors than connections.
+
+        Calls then wait for a free connection, so leases are renewed in turn.
+        """
+        if executors <= self._max_connections or self._has_warned_of_too_many:
+            return
+        self._has_warned_of_too_many = True
+        _log.warning(
+            "executors.exceed-connections",
+            epoch=self.epoch,
+            executors=executors,
+            connections=self._max_connections,
+        )
 
     def _handle_batch_stored(self, batch: _orders.Batch) -> None:
         """Answers the calls that waited for a batch to be stored."""
--- a/tests/instance_rig.py
+++ b/tests/instance_rig.py
@@ -106,6 +106,7 @@
             clock=_clock.SystemClock(),
             rng=random.Random(1),
             metrics=self.metrics,
+            max_connections=100,
         )
         self._servers = [
             _make_server(
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -110,6 +110,24 @@
         settings = _settings.parse_settings(_SETTINGS_TEXT + lines)
         assert settings.provision == expected
 
+    @pytest.mark.parametrize(
+        ("line", "expected"),
+        [("Limits.MaxFds=4100\n", 4100), ("Limits.MaxFds=0\n", None),
+         ("Limits.MaxFds=\n", None), ("", None)],
+    )  # fmt: skip
+    def test_the_limit_on_descriptors_is_read_if_set(
+        self, line: str, expected: int | None
+    ) -> None:
+        settings = _settings.parse_settings(_SETTINGS_TEXT + line)
+        assert settings.max_open_files == expected
+
+    def test_a_limit_on_descriptors_is_a_whole_number(self) -> None:
+        with pytest.raises(
+            _settings.SettingsError,
+            match=r"Limits\.MaxFds: expected a whole number",
+        ):
+            _settings.parse_settings(f"{_SETTINGS_TEXT}Limits.MaxFds=0.5\n")
+
     @pytest.mark.parametrize("value", ["wide", "-1", "inf", "nan"])
     def test_a_bad_limit_names_its_key(self, value: str) -> None:
         with pytest.raises(_settings.SettingsError, match=r"Limits\.LinkMbps"):
--- a/tests/transport/jobs/test_cell_loop.py
+++ b/tests/transport/jobs/test_cell_loop.py
@@ -67,6 +67,7 @@
         clock=_clock.SystemClock(),
         rng=random.Random(1),
         metrics=_metrics.Metrics("front-1"),
+        max_connections=100,
     )
 
 
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -55,6 +55,7 @@
         clock=_clock.SystemClock(),
         rng=random.Random(1),
         metrics=_metrics.Metrics("a"),
+        max_connections=100,
     )
     with futures.ThreadPoolExecutor(1) as pool:
         task.start(pool)
--- a/tests/transport/jobs/test_feeds.py
+++ b/tests/transport/jobs/test_feeds.py
@@ -56,7 +56,9 @@
         self.versions: list[int] = []
         self.executors: list[int] = []
         self._clock = _clock.SystemClock()
-        self._calls = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+        self._calls = _http_calls.HttpClient(
+            _metrics.Metrics("front-1"), max_connections=100
+        )
         self.configurations = _feeds.ConfigurationFeed(
             calls=self._calls,
             address=self.platform.address,
--- a/tests/transport/jobs/test_http_calls.py
+++ b/tests/transport/jobs/test_http_calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import selectors
 import socket
 import threading
 import time
@@ -67,7 +68,9 @@
 @pytest.fixture
 def calls() -> Iterator[_http_calls.HttpClient]:
     """The client under test."""
-    client = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+    client = _http_calls.HttpClient(
+        _metrics.Metrics("front-1"), max_connections=100
+    )
     yield client
     client.close()
 
@@ -178,6 +181,99 @@
         assert reply.body == b"x" * 1000
 
 
+class _ManyServers(threading.Thread):
+    """Servers on many ports that answer each request on kept connections.
+
+    Args:
+        count: Number of servers.
+
+    Attributes:
+        ports: Their ports.
+        accepted: Number of connections accepted so far.
+    """
+
+    def __init__(self, count: int) -> None:
+        super().__init__()
+        self.accepted = 0
+        self._is_stopped = False
+        self._selector = selectors.DefaultSelector()
+        self._sockets = [
+            socket.create_server(("127.0.0.1", 0)) for _ in range(count)
+        ]
+        self.ports = [each.getsockname()[1] for each in self._sockets]
+        for listener in self._sockets:
+            self._selector.register(listener, selectors.EVENT_READ, True)
+
+    def run(self) -> None:
+        """Serves until stopped."""
+        while not self._is_stopped:
+            for key, _ in self._selector.select(0.02):
+                assert isinstance(key.fileobj, socket.socket)
+                if key.data:
+                    connection, _ = key.fileobj.accept()
+                    self.accepted += 1
+                    self._sockets.append(connection)
+                    self._selector.register(
+                        connection, selectors.EVENT_READ, False
+                    )
+                elif key.fileobj.recv(4096):
+                    key.fileobj.sendall(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                    )
+                else:
+                    self._selector.unregister(key.fileobj)
+
+    def stop(self) -> None:
+        """Stops the thread and closes all sockets."""
+        self._is_stopped = True
+        self.join()
+        for each in self._sockets:
+            each.close()
+
+
+class TestConnections:
+    """Connections are kept up to the limit, whatever is called meanwhile."""
+
+    def _call_all(
+        self, calls: _http_calls.HttpClient, ports: list[int]
+    ) -> list[_http_call.HttpReply]:
+        """Calls all ports at once and returns the replies."""
+        replies: list[_http_call.HttpReply] = []
+        for port in ports:
+            calls.send(
+                _http_call.HttpCall(
+                    "GET", f"http://127.0.0.1:{port}/", timeout_s=20.0
+                ),
+                replies.append,
+            )
+        limit_s = time.monotonic() + 20.0
+        while len(replies) < len(ports) and time.monotonic() < limit_s:
+            calls.poll(0.05)
+        return replies
+
+    @pytest.mark.parametrize(
+        ("limit", "expected_connections"), [(450, 450), (30, None)]
+    )
+    def test_a_second_round_of_calls_uses_the_connections_of_the_first(
+        self, limit: int, expected_connections: int | None
+    ) -> None:
+        """A pool smaller than the fleet connects anew for every renewal."""
+        servers = _ManyServers(450)
+        servers.start()
+        calls = _http_calls.HttpClient(
+            _metrics.Metrics("front-1"), max_connections=limit
+        )
+        try:
+            for _ in range(2):
+                replies = self._call_all(calls, servers.ports)
+                assert [each.status for each in replies] == [200] * 450
+        finally:
+            calls.close()
+            servers.stop()
+        if expected_connections is not None:
+            assert servers.accepted == expected_connections
+
+
 class TestFailingCallbacks:
     """An error in the callback of one call affects no other call."""
 
--- a/tests/transport/jobs/test_journal.py
+++ b/tests/transport/jobs/test_journal.py
@@ -53,7 +53,9 @@
     """Returns the records that a new journal recovers within a time limit."""
     recovered: list[_records.Record] = []
     clock = _clock.SystemClock()
-    calls = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+    calls = _http_calls.HttpClient(
+        _metrics.Metrics("front-1"), max_connections=100
+    )
     journal = _journal.Journal(
         calls=calls,
         settings=_instance_settings.StoreSettings(
--- a/tests/transport/jobs/test_journal_appends.py
+++ b/tests/transport/jobs/test_journal_appends.py
@@ -56,7 +56,9 @@
 ) -> None:
     """Appends a batch of jobs, which must be stored in time and once."""
     clock = _clock.SystemClock()
-    calls = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+    calls = _http_calls.HttpClient(
+        _metrics.Metrics("front-1"), max_connections=100
+    )
     stored: list[_orders.Batch] = []
     journal = _journal.Journal(
         calls=calls,
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -76,7 +76,9 @@
     def __init__(self) -> None:
         self.scheduler = build.scheduler(epoch=2)
         self._clock = _clock.SystemClock()
-        self._calls = _http_calls.HttpClient(_metrics.Metrics("front-1"))
+        self._calls = _http_calls.HttpClient(
+            _metrics.Metrics("front-1"), max_connections=100
+        )
         self._sender = _order_sender.OrderSender(
             calls=self._calls,
             scheduler=self.scheduler,
