Record metrics with prometheus_client in place of OpenTelemetry

Cause: OpenTelemetry's SDK took some 30 us for each value, for hashing its labels anew.

Change: instruments of prometheus_client, whose series are looked up once.

--- a/src/basiljunction/transport/_metrics.py
+++ b/src/basiljunction/transport/_metrics.py
@@ -1,14 +1,8 @@
-"""Metrics that are recorded by OpenTelemetry and exported to Prometheus."""
+"""Metrics in the Prometheus text format."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
-from typing import Any
-
-from opentelemetry import metrics as otel_metrics
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk_metrics
-from opentelemetry.sdk import resources
-from opentelemetry.sdk.metrics import view as sdk_view
+import threading
+
 import prometheus_client
 import structlog
 
@@ -17,7 +11,7 @@
 _log = structlog.get_logger()
 
 _METRIC_NAME_PREFIX = "basiljunction"
-"""Prefix of exported metric names; also the name of the meter."""
+"""Prefix of exported metric names."""
 
 _BUCKET_BOUNDARIES_S = (
     0.001,
@@ -58,35 +52,51 @@
 MAX_SERIES = 20_000
 """Label combinations of a metric; further ones share an overflow series."""
 
+_OVERFLOW_LABEL_VALUE = "overflow"
+"""Value of every label of the series that further combinations share."""
+
+_UNIT_NAME_BY_UNIT = {"s": "seconds"}
+"""Unit in exported names, by unit in the table of metrics."""
+
+_Recorder = Callable[[float], None]
+"""Records one value of one series."""
+
+_SeriesKey = tuple[str, _metric_names.MetricKind, tuple[tuple[str, str], ...]]
+"""Name and kind of a metric, and the labels of one series of it."""
+
+_Instrument = (
+    prometheus_client.Counter
+    | prometheus_client.Gauge
+    | prometheus_client.Histogram
+)
+
 
 class Metrics:
     """Records the metrics of one process; thread-safe.
 
+    The recorder of each series is looked up once and kept, since a scheduler
+    records some thousands of values a second.
+
     A value with an undefined name, kind or label is dropped and logged: a
     fault in a metric must not stop the work that it measures.
 
     Args:
-        instance: Name of the instance, exported as a resource attribute.
+        instance: Name of the instance, exported as a label of `target_info`.
     """
 
     def __init__(self, instance: str = "") -> None:
+        # The exported series are part of the interface; `_created` is not.
+        prometheus_client.disable_created_metrics()  # type: ignore[no-untyped-call]
         self._registry = prometheus_client.CollectorRegistry()
-        reader = prometheus.PrometheusMetricReader(
-            prefix=_METRIC_NAME_PREFIX,
-            scope_info_enabled=False,
-            registry=self._registry,
-            cardinality_limits=_cardinality_limits(),
+        target = prometheus_client.Info(
+            "target", "Target metadata", registry=self._registry
         )
-        self._provider = sdk_metrics.MeterProvider(
-            metric_readers=[reader],
-            resource=resources.Resource({"service.instance.id": instance}),
-            views=[_make_histogram_view(row) for row in _histograms()],
-        )
-        meter = self._provider.get_meter(_METRIC_NAME_PREFIX)
-        self._record_by_name = {
-            row.name: _make_recorder(meter, row)
-            for row in _metric_names.METRICS
-        }
+        target.info({"service_instance_id": instance})
+        # Made with their first value: a gauge without one must not show 0.
+        self._instrument_by_name: dict[str, _Instrument] = {}
+        self._recorder_by_series: dict[_SeriesKey, _Recorder] = {}
+        self._series_count_by_name: dict[str, int] = {}
+        self._lock = threading.Lock()
         self._unknown_names: set[str] = set()
 
     def count(self, name: str, value: float = 1, **labels: str) -> None:
@@ -106,8 +116,9 @@
         return prometheus_client.generate_latest(self._registry)
 
     def close(self) -> None:
-        """Shuts down the metrics provider."""
-        self._provider.shutdown()
+        """Drops all values."""
+        for instrument in self._instrument_by_name.values():
+            instrument.clear()
 
     def _record(
         self,
@@ -117,6 +128,21 @@
         labels: dict[str, str],
     ) -> None:
         """Records a value if its name, kind and labels are defined."""
+        key = (name, kind, tuple(labels.items()))
+        recorder = self._recorder_by_series.get(key)
+        if recorder is None:
+            recorder = self._find_recorder(key, labels)
+        if recorder is not None:
+            recorder(value)
+
+    def _find_recorder(
+        self, key: _SeriesKey, labels: dict[str, str]
+    ) -> _Recorder | None:
+        """Returns the recorder of a series and keeps it, or None if undefined.
+
+        Series beyond the limit share one and are looked up each time.
+        """
+        name, kind, _ = key
         row = _metric_names.METRIC_BY_NAME.get(name)
         if (
             row is None
@@ -124,8 +150,20 @@
             or labels.keys() - set(row.labels)
         ):
             self._log_unknown_metric(name, kind, labels)
-            return
-        self._record_by_name[name](value, labels)
+            return None
+        with self._lock:
+            instrument = self._instrument_by_name.get(name)
+            if instrument is None:
+                instrument = _make_instrument(row, self._registry)
+                self._instrument_by_name[name] = instrument
+            known_series = self._series_count_by_name.get(name, 0)
+            if known_series >= MAX_SERIES:
+                overflow = dict.fromkeys(row.labels, _OVERFLOW_LABEL_VALUE)
+                return _make_recorder(row, instrument, overflow)
+            self._series_count_by_name[name] = known_series + 1
+            recorder = _make_recorder(row, instrument, labels)
+            self._recorder_by_series[key] = recorder
+        return recorder
 
     def _log_unknown_metric(
         self, name: str, kind: _metric_names.MetricKind, labels: dict[str, str]
@@ -139,48 +177,54 @@
         )
 
 
-def _cardinality_limits() -> dict[Any, int]:
-    """Returns the limit of label combinations by instrument type."""
-    kinds: Iterable[Any] = (
-        sdk_metrics.Counter,
-        sdk_metrics.Histogram,
-    )
-    return dict.fromkeys(kinds, MAX_SERIES)
-
-
-def _histograms() -> list[_metric_names.Metric]:
-    """Returns the definitions of all histograms."""
-    return [
-        row
-        for row in _metric_names.METRICS
-        if row.kind is _metric_names.MetricKind.HISTOGRAM
-    ]
-
-
-def _make_histogram_view(metric: _metric_names.Metric) -> sdk_view.View:
-    """Returns the view that sets a histogram's bucket boundaries."""
-    boundaries = (
-        _BUCKET_BOUNDARIES_S if metric.unit == "s" else _COUNT_BUCKET_BOUNDARIES
-    )
-    return sdk_view.View(
-        instrument_name=metric.name,
-        aggregation=sdk_view.ExplicitBucketHistogramAggregation(boundaries),
-    )
-
-
-def _make_recorder(
-    meter: otel_metrics.Meter, metric: _metric_names.Metric
-) -> Callable[[float, dict[str, str]], None]:
-    """Creates a metric's instrument and returns its recording function."""
+def _make_instrument(
+    metric: _metric_names.Metric, registry: prometheus_client.CollectorRegistry
+) -> _Instrument:
+    """Creates the instrument of a metric and registers it."""
+    name = f"{_METRIC_NAME_PREFIX}_{metric.name}"
+    unit = _UNIT_NAME_BY_UNIT.get(metric.unit, metric.unit)
+    labels = metric.labels
     match metric.kind:
         case _metric_names.MetricKind.COUNTER:
-            return meter.create_counter(
-                metric.name, metric.unit, metric.help
-            ).add
-        case _metric_names.MetricKind.HISTOGRAM:
-            histogram = meter.create_histogram(
-                metric.name, metric.unit, metric.help
+            return prometheus_client.Counter(
+                name, metric.help, labels, unit=unit, registry=registry
             )
-            return histogram.record
         case _metric_names.MetricKind.GAUGE:
-            return meter.create_gauge(metric.name, metric.unit, metric.help).set
+            return prometheus_client.Gauge(
+                name, metric.help, labels, unit=unit, registry=registry
+            )
+        case _metric_names.MetricKind.HISTOGRAM:
+            return prometheus_client.Histogram(
+                name,
+                metric.help,
+                labels,
+                unit=unit,
+                registry=registry,
+                buckets=(
+                    _BUCKET_BOUNDARIES_S
+                    if metric.unit == "s"
+                    else _COUNT_BUCKET_BOUNDARIES
+                ),
+            )
+
+
+def _make_recorder(
+    metric: _metric_names.Metric,
+    instrument: _Instrument,
+    labels: dict[str, str],
+) -> _Recorder:
+    """Returns the function that records a value of one series.
+
+    A label that is not given is exported as an empty value, which Prometheus
+    takes for a label that is not there.
+    """
+    series = (
+        instrument.labels(*(labels.get(each, "") for each in metric.labels))
+        if metric.labels
+        else instrument
+    )
+    if isinstance(series, prometheus_client.Counter):
+        return series.inc
+    if isinstance(series, prometheus_client.Gauge):
+        return series.set
+    return series.observe
--- a/tests/transport/test_metrics.py
+++ b/tests/transport/test_metrics.py
@@ -4,6 +4,9 @@
 from collections.abc import Iterator
 import dataclasses
 import pathlib
+import time
+
+import pytest
 
 import basiljunction
 from basiljunction.transport import _metric_names
@@ -81,6 +84,50 @@
         assert b"no_such_metric" not in exposition
         assert b"basiljunction_ready" not in exposition
 
+    def test_a_missing_label_is_an_empty_value(self) -> None:
+        metrics = _metrics.Metrics()
+        metrics.count("calls", kind="submit")
+        lines = metrics.render_prometheus_text().decode().splitlines()
+        assert (
+            'basiljunction_calls_total{kind="submit",outcome=""} 1.0' in lines
+        )
+
+    def test_further_series_beyond_the_limit_share_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_metrics, "MAX_SERIES", 2)
+        metrics = _metrics.Metrics()
+        for kind in ("a", "b", "c", "d", "a"):
+            metrics.count("calls", kind=kind, outcome="accepted")
+        lines = metrics.render_prometheus_text().decode().splitlines()
+        value_by_kind = {
+            line.split('kind="')[1].split('"')[0]: float(line.split()[-1])
+            for line in lines
+            if line.startswith("basiljunction_calls_total")
+        }
+        assert value_by_kind == {"a": 2, "b": 1, "overflow": 2}
+
+    def test_only_values_that_were_recorded_are_exported(self) -> None:
+        metrics = _metrics.Metrics("dunedin-1")
+        metrics.observe("cell_pass_duration", 0.01)
+        text = metrics.render_prometheus_text().decode()
+        assert 'target_info{service_instance_id="dunedin-1"} 1.0' in text
+        assert "basiljunction_cell_pass_duration_seconds_count 1.0" in text
+        assert "_created" not in text
+        assert text.count("# TYPE") == 2
+
+    def test_a_scheduler_can_record_thousands_of_values_a_second(
+        self,
+    ) -> None:
+        """At 30 us each they took as long as the decisions that they count."""
+        metrics = _metrics.Metrics()
+        started_s = time.process_time()
+        for _ in range(20_000):
+            metrics.observe(
+                "outgoing_call_duration", 0.02, operation="executor.renew"
+            )
+        assert time.process_time() - started_s < 20_000 * 15e-6
+
 
 class TestTable:
     """Every metric recorded in the code is declared with kind and labels."""
