Derive what serving tasks leave to fillers once for each change

Cause: for each step of fillers that waits, a placement pass looked at all runs of every executor with room. With hundreds of executors and tens of images one pass took longer than the time between two, and the process was full.

Change: the headroom that the serving tasks of an executor leave is kept until its runs change or it reports; verdicts on fillers are kept with it. Decisions are the same (a test compares them with ones derived anew). bench scheduler-cost has serving tasks and fillers, which it lacked.

--- a/src/basiljunction/bench/_scheduler_cost.py
+++ b/src/basiljunction/bench/_scheduler_cost.py
@@ -5,6 +5,8 @@
 decoded as for the users' platform. Sockets, threads and the decoding of
 submissions are left out. The load for each executor is the same at all sizes,
 so a cost for each start that grows shows work that depends on the cell's size.
+Lasting tasks serve and have a tail latency target; two of three short jobs are
+fillers, which use the processor time that the serving tasks leave.
 """
 
 from collections.abc import Iterator
@@ -50,6 +52,19 @@
 LASTING_JOBS = 0.12
 """Jobs of lasting tasks for each executor."""
 
+SERVING_IMAGES = 16
+"""Images of the lasting tasks."""
+
+FILLER_IMAGES = 30
+"""Images of the fillers."""
+
+TAIL_TARGET_MS = 50
+"""Tail latency target of the lasting tasks, in milliseconds."""
+
+TAIL_RANGE_MS = (10, 45)
+"""Range of the reported tail latencies, in milliseconds; all keep the target,
+as fillers that are stopped and start again would not add to the work done."""
+
 RUN_TIME_S = 1.2
 """Run time of a short task, in seconds."""
 
@@ -95,9 +110,14 @@
 
 
 class _SimulatedExecutor:
-    """An executor that carries out each order and never fails."""
+    """An executor that carries out each order and never fails.
 
-    def __init__(self) -> None:
+    Args:
+        rng: Draws the tail latencies of its lasting tasks.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._end_s_by_run: dict[tuple[_job_spec.TaskId, int], float] = {}
         self._ends: list[_executor.EndedRunReport] = []
         self._end_count = 0
@@ -128,7 +148,15 @@
             clock_ms=int(now_s * 1000),
             started_wall_ms=1,
             active_runs=tuple(
-                _executor.ActiveRunReport(task, number, "", 100.0, 0.0)
+                _executor.ActiveRunReport(
+                    task,
+                    number,
+                    "",
+                    100.0,
+                    float(self._rng.randint(*TAIL_RANGE_MS))
+                    if task.job.startswith("lasting")
+                    else 0.0,
+                )
                 for task, number in self._end_s_by_run
             ),
             unacknowledged_ends=tuple(self._ends),
@@ -207,7 +235,7 @@
             for number in range(executor_count)
         ]
         self._executor_by_id = {
-            each.id: _SimulatedExecutor() for each in entries
+            each.id: _SimulatedExecutor(self._rng) for each in entries
         }
         self._scheduler.set_executors(entries, self._now())
         for number in range(int(LASTING_JOBS * executor_count)):
@@ -216,6 +244,8 @@
                 size=_LASTING_TASK,
                 estimate_s=0.3,
                 runs_until_cancelled=True,
+                image=f"serving-{number % SERVING_IMAGES}",
+                tail_target_ms=TAIL_TARGET_MS,
             )
             self._submit(f"lasting-{number}", (step,))
 
@@ -259,12 +289,16 @@
         """Submits a job of two steps whose width is drawn."""
         self._job_count += 1
         width = max(1, round(self._rng.gauss(16, 6)))
+        fills = self._job_count % 3 != 0
+        image = self._job_count % FILLER_IMAGES
         steps = tuple(
             _job_spec.StepSpec(
                 count=width,
                 size=_SHORT_TASK,
                 estimate_s=RUN_TIME_S,
                 after=after,
+                fills=fills,
+                image=f"filler-{image}" if fills else "",
             )
             for after in ((), (0,))
         )
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -181,6 +181,7 @@
         for executor in self.executor_by_id.values():
             if job.id not in executor.run_count_by_job:
                 continue
+            executor.revision += 1
             for run in executor.run_by_key.values():
                 if run.task.job == job.id:
                     run.mark_stopping(now.boot_s)
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -55,6 +55,8 @@
         serving_millicores: CPU reserved by its serving tasks.
         serving_count: Number of runs of serving tasks.
         filler_count: Number of runs of fillers.
+        revision: Number of changes of its runs and of reports about them;
+            figures derived from them hold while it stays the same.
     """
 
     listing: _executor.ListedExecutor
@@ -87,6 +89,7 @@
     serving_millicores: int = 0
     serving_count: int = 0
     filler_count: int = 0
+    revision: int = 0
 
     def __post_init__(self) -> None:
         self._update_free_capacity()
@@ -94,6 +97,7 @@
     def update_listing(self, listing: _executor.ListedExecutor) -> None:
         """Replaces the listing by a newer one of the same executor."""
         self.listing = listing
+        self.revision += 1
         self._update_free_capacity()
 
     def add_run(self, run: _runs.Run) -> None:
@@ -108,6 +112,7 @@
 
     def _update_totals(self, run: _runs.Run, sign: int) -> None:
         """Adds a run to the totals, or subtracts it if sign is -1."""
+        self.revision += 1
         job_id = run.task.job
         run_count = self.run_count_by_job.get(job_id, 0) + sign
         if run_count:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -149,6 +149,7 @@
                 state.update_listing(entry)
             elif state.has_certainly_no_runs(now.boot_s):
                 del cell.executor_by_id[executor_id]
+                cell.sharing.forget_executor(executor_id)
                 cell.roster_changed = True
         for executor_id, entry in entry_by_id.items():
             if executor_id not in cell.executor_by_id:
@@ -315,10 +316,11 @@
 
         An answered order updates the recorded pace of the run.
         """
-        _, run = self.cell.find_executor_and_run(
+        executor, run = self.cell.find_executor_and_run(
             order.executor, order.task, order.run
         )
-        if run is not None:
+        if executor is not None and run is not None:
+            executor.revision += 1
             run.is_pace_order_in_flight = False
             if is_answered:
                 run.pace_percent = order.percent
--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -13,6 +13,7 @@
 """
 
 from collections.abc import Mapping
+import dataclasses
 
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _headroom_model
@@ -77,6 +78,35 @@
 learned per tenth of an executor's CPU."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ServingOutlook:
+    """What the serving tasks of an executor leave to further fillers.
+
+    It holds while the executor's revision stays the same. In a cell of hundreds
+    of executors, deriving it anew for each step that waits would take longer
+    than the time between two placement passes.
+
+    Attributes:
+        revision: Revision of the executor that it was derived from.
+        is_over_target: Whether a serving task is or was lately over its target.
+        headroom_left_by_run: Model of each serving task's image, and its
+            expected headroom beside the present fillers.
+        models: Models of the images that serve.
+        verdict_by_filler: Whether a filler is allowed and the largest headroom
+            loss, by its image and its CPU in millicores.
+    """
+
+    revision: int
+    is_over_target: bool
+    headroom_left_by_run: tuple[
+        tuple[_headroom_model.HeadroomModel, float], ...
+    ]
+    models: tuple[_headroom_model.HeadroomModel, ...]
+    verdict_by_filler: dict[tuple[str, int], tuple[bool, float]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
 class FillerController:
     """Controls the fillers that run beside serving tasks.
 
@@ -87,6 +117,7 @@
 
     def __init__(self) -> None:
         self._model_by_image: dict[str, _headroom_model.HeadroomModel] = {}
+        self._outlook_by_executor: dict[str, _ServingOutlook] = {}
 
     def model_for_image(self, image: str) -> _headroom_model.HeadroomModel:
         """Returns the headroom model of a serving image; new if unknown."""
@@ -114,6 +145,7 @@
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
         """Updates models and measured headrooms from an executor's report."""
+        executor.revision += 1
         exposure = _recent_exposure(executor, now.boot_s)
         for run in executor.run_by_key.values():
             if not _has_usable_latency(run, now.boot_s):
@@ -162,12 +194,8 @@
         """
         if not executor.serving_count:
             return True
-        if any(_is_over_target(run) for run in executor.run_by_key.values()):
-            return False
-        exposure = _planned_exposure(executor)
-        added = _in_tenths_of_executor(step.size.cpu_millicores, executor)
-        exposure[step.image] = exposure.get(step.image, 0.0) + added
-        return self._leaves_headroom(executor, exposure)
+        is_allowed, _ = self._judge_filler(step, executor)
+        return is_allowed
 
     def fits_beside_fillers(
         self,
@@ -191,24 +219,58 @@
 
         It is the largest loss over the images that serve on the executor.
         """
-        added = {
-            step.image: _in_tenths_of_executor(
-                step.size.cpu_millicores, executor
-            )
-        }
-        images = {
-            run.step.image
-            for run in executor.run_by_key.values()
-            if run.step.is_serving
-        }
-        return max(
-            (
-                self.model_for_image(each).expected_headroom_drop(added)
-                for each in images
+        if not executor.serving_count:
+            return 0.0
+        _, drop = self._judge_filler(step, executor)
+        return drop
+
+    def _judge_filler(
+        self, step: _job_spec.StepSpec, executor: _executors.ExecutorState
+    ) -> tuple[bool, float]:
+        """Returns whether a filler is allowed, and the largest headroom loss.
+
+        Both hold until the executor's runs change or it reports anew.
+        """
+        outlook = self._outlook_by_executor.get(executor.listing.id)
+        if outlook is None or outlook.revision != executor.revision:
+            outlook = self._derive_outlook(executor)
+            self._outlook_by_executor[executor.listing.id] = outlook
+        key = (step.image, step.size.cpu_millicores)
+        verdict = outlook.verdict_by_filler.get(key)
+        if verdict is None:
+            tenths = _in_tenths_of_executor(step.size.cpu_millicores, executor)
+            verdict = _assess_filler(outlook, step.image, tenths)
+            outlook.verdict_by_filler[key] = verdict
+        return verdict
+
+    def _derive_outlook(
+        self, executor: _executors.ExecutorState
+    ) -> _ServingOutlook:
+        """Returns what an executor's serving tasks leave to further fillers."""
+        serving = [
+            run for run in executor.run_by_key.values() if run.step.is_serving
+        ]
+        exposure = _planned_exposure(executor)
+        return _ServingOutlook(
+            revision=executor.revision,
+            is_over_target=any(_is_over_target(run) for run in serving),
+            headroom_left_by_run=tuple(
+                (
+                    self.model_for_image(run.step.image),
+                    self._expected_headroom(run, exposure),
+                )
+                for run in serving
+            ),
+            models=tuple(
+                self.model_for_image(image)
+                for image in {run.step.image for run in serving}
             ),
-            default=0,
         )
 
+    def forget_executor(self, executor_id: str) -> None:
+        """Drops what was derived about an executor that is gone."""
+        self._outlook_by_executor.pop(executor_id, None)
+
     def _leaves_headroom(
         self, executor: _executors.ExecutorState, exposure: Mapping[str, float]
     ) -> bool:
@@ -265,6 +327,7 @@
         if not degraded:
             return self._restore_pace(executor, fillers, now)
         executor.fillers_adjusted_s = now.boot_s
+        executor.revision += 1
         return [
             order
             for run in degraded
@@ -332,6 +395,27 @@
         return []
 
 
+def _assess_filler(
+    outlook: _ServingOutlook, image: str, tenths: float
+) -> tuple[bool, float]:
+    """Returns whether a filler is allowed, and the largest headroom loss.
+
+    Args:
+        outlook: What the serving tasks of the executor leave to it.
+        image: Image of the filler.
+        tenths: CPU that the filler requests, in tenths of the executor.
+    """
+    drop = max(
+        each.headroom_loss_per_tenth(image) * tenths for each in outlook.models
+    )
+    is_allowed = not outlook.is_over_target and all(
+        left - model.headroom_loss_per_tenth(image) * tenths
+        >= MIN_PLACEMENT_HEADROOM
+        for model, left in outlook.headroom_left_by_run
+    )
+    return is_allowed, drop
+
+
 def _make_pace_order(
     executor: _executors.ExecutorState, run: _runs.Run, percent: int
 ) -> _orders.PaceOrder:
--- a/tests/coordination/scheduling/test_sharing.py
+++ b/tests/coordination/scheduling/test_sharing.py
@@ -3,6 +3,8 @@
 import math
 import random
 
+import pytest
+
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _headroom_model
 from basiljunction.coordination.scheduling import _runs
@@ -279,3 +281,77 @@
             )
         tail_ms = TAIL_TARGET_MS / serving.headroom
         assert 20 < tail_ms < 30
+
+
+class TestOutlook:
+    """Verdicts on fillers are kept until an executor changes or reports."""
+
+    def test_nothing_is_derived_again_while_nothing_changes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A pass over hundreds of executors asks for each image that waits."""
+        sharing = _sharing.FillerController()
+        executor = _make_executor()
+        for index in range(4):
+            _add_run(executor, _SERVING_STEP, index)
+        steps = [_make_filler_step(f"filler-{each}") for each in range(30)]
+        looked_up = []
+        original = _headroom_model.HeadroomModel.headroom_loss_per_tenth
+
+        def count(model: _headroom_model.HeadroomModel, filler: str) -> float:
+            looked_up.append(filler)
+            return original(model, filler)
+
+        monkeypatch.setattr(
+            _headroom_model.HeadroomModel, "headroom_loss_per_tenth", count
+        )
+        first = [sharing.allows_filler(each, executor) for each in steps]
+        looked_up.clear()
+        for _ in range(60):
+            again = [sharing.allows_filler(each, executor) for each in steps]
+            for step in steps:
+                sharing.expected_headroom_drop(step, executor)
+            assert again == first
+        assert not looked_up
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_a_kept_verdict_equals_one_derived_anew(self, seed: int) -> None:
+        rng = random.Random(seed)
+        sharing = _sharing.FillerController()
+        executor = _make_executor()
+        steps = [_make_filler_step(f"filler-{each}") for each in range(3)]
+        now_s = 0.0
+        for index in range(60):
+            now_s += 0.1
+            runs = list(executor.run_by_key.values())
+            match rng.choice(("serve", "fill", "remove", "report", "report")):
+                case "serve":
+                    _add_run(executor, _SERVING_STEP, index, since_s=now_s - 5)
+                case "fill":
+                    _add_run(executor, rng.choice(steps), index, since_s=now_s)
+                case "remove" if runs:
+                    executor.remove_run(rng.choice(runs))
+                case _:
+                    for run in runs:
+                        run.reported_value = rng.uniform(5.0, 60.0)
+                    sharing.learn_from_report(
+                        executor, build.clock_readings_at(now_s)
+                    )
+                    sharing.adjust_fillers(
+                        executor, build.clock_readings_at(now_s)
+                    )
+            kept = [
+                (
+                    sharing.allows_filler(each, executor),
+                    sharing.expected_headroom_drop(each, executor),
+                )
+                for each in steps
+            ]
+            sharing.forget_executor(executor.listing.id)
+            assert kept == [
+                (
+                    sharing.allows_filler(each, executor),
+                    sharing.expected_headroom_drop(each, executor),
+                )
+                for each in steps
+            ]
--- a/tests/instance_rig.py
+++ b/tests/instance_rig.py
@@ -72,6 +72,7 @@
         platform: The platform that it uses.
         name: Name of the instance.
         has_relay: Whether other instances reach it through a relay.
+        max_connections: Most connections to executors, peers and the store.
 
     Attributes:
         name: Name of the instance.
@@ -88,6 +89,7 @@
         name: str = "front-1",
         *,
         has_relay: bool = False,
+        max_connections: int = 100,
     ) -> None:
         self.name = name
         self.metrics = _metrics.Metrics(name)
@@ -106,7 +108,7 @@
             clock=_clock.SystemClock(),
             rng=random.Random(1),
             metrics=self.metrics,
-            max_connections=100,
+            max_connections=max_connections,
         )
         self._servers = [
             _make_server(
