Learn the effect of fillers from at most 50 reports a second and image

Cause: an update of the headroom losses takes time in proportion to the square of the filler images (30 on the large site: some 0.2 ms on this machine under load), and the reports about one serving image grow with the cell, to thousands of updates a second.

Change: a model learns at most once in 20 ms; a cell of 30 executors stays below that. Each executor's own measured headroom is still updated with each report.

--- a/src/basiljunction/coordination/scheduling/_headroom_model.py
+++ b/src/basiljunction/coordination/scheduling/_headroom_model.py
@@ -39,6 +39,12 @@
 """Upper bound of the headroom lost per tenth of an executor's CPU; at this
 value a pair never shares an executor, so larger values make no difference."""
 
+MIN_UPDATE_INTERVAL_S = 0.02
+"""Least time between two reports from which the headroom losses of one serving
+image are learned, in seconds. An update takes time in proportion to the square
+of the filler images, and in a large cell hundreds of reports about one image
+arrive in a second; a cell of 30 executors stays below the limit."""
+
 BASE_LEARNING_RATE = 0.05
 """Fraction of the error of the usual headroom without fillers that one report
 corrects."""
@@ -62,6 +68,7 @@
         self._loss_by_filler: dict[str, float] = {}
         self._index_by_filler: dict[str, int] = {}
         self._covariance: list[list[float]] = []
+        self._next_update_s = float("-inf")
 
     def export_learned(self) -> _records.LearnedHeadroom:
         """Returns the learned values to store for the next scheduler."""
@@ -113,25 +120,36 @@
         )
 
     def learn_headroom_drop(
-        self, exposure: Mapping[str, float], drop: float
+        self, exposure: Mapping[str, float], drop: float, now_s: float
     ) -> None:
         """Updates the headroom losses by a step of recursive least squares.
 
+        Does nothing less than `MIN_UPDATE_INTERVAL_S` after the last update.
+
         Args:
             exposure: CPU that the fillers beside the task requested, in tenths
                 of the executor, by filler image.
             drop: Measured headroom that the fillers took together.
+            now_s: Time of the report, in seconds.
         """
+        if now_s < self._next_update_s:
+            return
+        self._next_update_s = now_s + MIN_UPDATE_INTERVAL_S
         for filler in exposure:
             self._add_filler(filler)
         inputs = [
             (self._index_by_filler[filler], tenths)
             for filler, tenths in exposure.items()
         ]
-        gains = [
-            sum(row[index] * tenths for index, tenths in inputs)
-            for row in self._covariance
-        ]
+        gains = [0.0] * len(self._covariance)
+        # The covariance is symmetric, so its rows serve as its columns.
+        for index, tenths in inputs:
+            gains = [
+                gain + value * tenths
+                for gain, value in zip(
+                    gains, self._covariance[index], strict=True
+                )
+            ]
         scale = NOISE_VARIANCE + sum(
             gains[index] * tenths for index, tenths in inputs
         )
@@ -159,7 +177,9 @@
         for index, row in enumerate(self._covariance):
             factor = gains[index] / scale
             if factor:
-                for other, gain in enumerate(gains):
-                    row[other] -= factor * gain
+                row[:] = [
+                    value - factor * gain
+                    for value, gain in zip(row, gains, strict=True)
+                ]
             if row[index] < PRIOR_VARIANCE:
                 row[index] += DRIFT_VARIANCE
--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -153,7 +153,7 @@
             headroom = _measure_headroom(run, now.boot_s)
             if headroom is None:
                 continue
-            self._update_model(run, exposure, headroom)
+            self._update_model(run, exposure, headroom, now.boot_s)
             run.headroom = headroom
             if headroom >= 1.0:
                 run.over_target_since_s = None
@@ -161,7 +161,11 @@
                 run.over_target_since_s = now.boot_s
 
     def _update_model(
-        self, run: _runs.Run, exposure: Mapping[str, float], headroom: float
+        self,
+        run: _runs.Run,
+        exposure: Mapping[str, float],
+        headroom: float,
+        now_s: float,
     ) -> None:
         """Updates the model of a run's image from one measured headroom.
 
@@ -173,7 +177,9 @@
         drop = model.expected_headroom_drop(exposure)
         is_saturated = headroom < OVERLOAD_HEADROOM
         if exposure and not (is_saturated and drop > headroom_alone):
-            model.learn_headroom_drop(exposure, headroom_alone - headroom)
+            model.learn_headroom_drop(
+                exposure, headroom_alone - headroom, now_s
+            )
         if is_saturated:
             return
         measured_alone = headroom + model.expected_headroom_drop(exposure)
--- a/tests/coordination/scheduling/test_sharing.py
+++ b/tests/coordination/scheduling/test_sharing.py
@@ -95,13 +95,13 @@
     def test_it_tells_a_harmful_filler_from_one_beside_it(self) -> None:
         model = _headroom_model.HeadroomModel(2.5)
         rng = random.Random(1)
-        for _ in range(200):
+        for number in range(200):
             exposure = {
                 "harmful": rng.choice((0.0, 1.0)),
                 "harmless": rng.choice((0.0, 1.0, 2.0)),
             }
             drop = 1.5 * exposure["harmful"] + rng.gauss(0.0, 0.3)
-            model.learn_headroom_drop(exposure, drop)
+            model.learn_headroom_drop(exposure, drop, float(number))
         assert math.isclose(
             model.headroom_loss_per_tenth("harmful"), 1.5, abs_tol=0.25
         )
@@ -109,12 +109,24 @@
 
     def test_a_pair_that_was_never_seen_keeps_the_prior(self) -> None:
         model = _headroom_model.HeadroomModel(2.5)
-        model.learn_headroom_drop({"seen": 1.0}, 0.0)
+        model.learn_headroom_drop({"seen": 1.0}, 0.0, 0.0)
         assert (
             model.headroom_loss_per_tenth("unseen")
             == _headroom_model.PRIOR_HEADROOM_LOSS
         )
 
+    def test_reports_at_the_same_moment_are_learned_from_once(self) -> None:
+        """Hundreds of executors report about one image in a second."""
+        once = _headroom_model.HeadroomModel(2.5)
+        often = _headroom_model.HeadroomModel(2.5)
+        once.learn_headroom_drop({"filler": 1.0}, 2.0, 7.0)
+        for _ in range(100):
+            often.learn_headroom_drop({"filler": 1.0}, 2.0, 7.0)
+        assert often.export_learned() == once.export_learned()
+        interval_s = _headroom_model.MIN_UPDATE_INTERVAL_S
+        often.learn_headroom_drop({"filler": 1.0}, 2.0, 7.0 + interval_s)
+        assert often.export_learned() != once.export_learned()
+
 
 class TestSharing:
     """Harmless fillers are placed beside serving tasks, harmful ones not."""
