Keep the scheduler's sums up to date instead of adding them up each pass

Cause: each pass and tick looked at every run of every executor, for the CPU of short and vacating runs and for runs to stop, and computed the work left of every job that waits. The HTTP client asked the selector for each event whether it knows a socket, which takes longer than the registration.

Change: an executor keeps the runs that are being stopped and both sums; a job keeps its remaining work until a task is done; the client keeps its own set of sockets. Decisions are the same.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -181,10 +181,9 @@
         for executor in self.executor_by_id.values():
             if job.id not in executor.run_count_by_job:
                 continue
-            executor.revision += 1
             for run in executor.run_by_key.values():
                 if run.task.job == job.id:
-                    run.mark_stopping(now.boot_s)
+                    executor.stop_run(run, now.boot_s)
 
     def mark_progress_dirty(self, job: _jobs.Job) -> None:
         """Marks a job's progress to be stored with the next batch."""
@@ -288,7 +287,7 @@
                 continue
             for run in executor.run_by_key.values():
                 if run.task == task:
-                    run.mark_stopping(now.boot_s)
+                    executor.stop_run(run, now.boot_s)
 
     def take_batch(self) -> _orders.Batch | None:
         """Returns and clears everything to store, or None if there is nothing.
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -26,6 +26,7 @@
         executor_clock_ms: Reading of its clock in that answer.
         lease_until_ms: Latest end of a lease that was sent, on its clock.
         run_by_key: Its runs, also those whose start is not confirmed.
+        stopping_run_by_key: Its runs that are to be stopped.
         run_count_by_job: Number of its runs by the id of their job; jobs
             without a run on it are left out.
         processed_end_number: Highest number of an ended run that the scheduler
@@ -55,6 +56,10 @@
         serving_millicores: CPU reserved by its serving tasks.
         serving_count: Number of runs of serving tasks.
         filler_count: Number of runs of fillers.
+        short_millicores: CPU reserved by short runs, which end by themselves;
+            those that are being stopped are left out.
+        vacating_millicores: CPU reserved by lasting runs that are being
+            stopped.
         revision: Number of changes of its runs and of reports about them;
             figures derived from them hold while it stays the same.
     """
@@ -69,6 +74,9 @@
     run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
         default_factory=dict
     )
+    stopping_run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
+        default_factory=dict
+    )
     run_count_by_job: dict[str, int] = dataclasses.field(default_factory=dict)
     processed_end_number: int = 0
     stored_end_number: int = 0
@@ -89,6 +97,8 @@
     serving_millicores: int = 0
     serving_count: int = 0
     filler_count: int = 0
+    short_millicores: int = 0
+    vacating_millicores: int = 0
     revision: int = 0
 
     def __post_init__(self) -> None:
@@ -103,12 +113,33 @@
     def add_run(self, run: _runs.Run) -> None:
         """Adds a run and reserves its resources."""
         self.run_by_key[run.task, run.number] = run
+        if run.phase is _runs.RunPhase.STOPPING:
+            self.stopping_run_by_key[run.task, run.number] = run
         self._update_totals(run, 1)
 
     def remove_run(self, run: _runs.Run) -> None:
         """Removes a run, if it is present, and releases its resources."""
-        if self.run_by_key.pop((run.task, run.number), None) is not None:
+        key = (run.task, run.number)
+        if self.run_by_key.pop(key, None) is not None:
             self._update_totals(run, -1)
+            self.stopping_run_by_key.pop(key, None)
+
+    def stop_run(self, run: _runs.Run, now_s: float) -> None:
+        """Marks a run as stopping, with a stop order due at once.
+
+        Its resources stay reserved until it has certainly ended.
+        """
+        if run.phase is _runs.RunPhase.STOPPING:
+            return
+        key = (run.task, run.number)
+        is_present = key in self.run_by_key
+        if is_present:
+            self._update_turnover(run, -1)
+        run.mark_stopping(now_s)
+        if is_present:
+            self.stopping_run_by_key[key] = run
+            self._update_turnover(run, 1)
+            self.revision += 1
 
     def _update_totals(self, run: _runs.Run, sign: int) -> None:
         """Adds a run to the totals, or subtracts it if sign is -1."""
@@ -128,11 +159,22 @@
         if run.step.fills:
             self.filler_millicores += sign * run.step.size.cpu_millicores
             self.filler_count += sign
+        self._update_turnover(run, sign)
         if run.step.is_serving:
             self.serving_count += sign
             self.serving_millicores += sign * run.step.size.cpu_millicores
         self._update_free_capacity()
 
+    def _update_turnover(self, run: _runs.Run, sign: int) -> None:
+        """Adds a run to the short or the vacating CPU, or subtracts it."""
+        millicores = sign * run.step.size.cpu_millicores
+        is_stopping = run.phase is _runs.RunPhase.STOPPING
+        if run.step.runs_until_cancelled:
+            if is_stopping:
+                self.vacating_millicores += millicores
+        elif not run.step.fills and not is_stopping:
+            self.short_millicores += millicores
+
     def _update_free_capacity(self) -> None:
         """Derives the free capacity, which placement reads far more often."""
         self.free_capacity = self.listing.capacity - self.reserved_resources
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -25,6 +25,21 @@
     ready_s_by_index: dict[int, float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemainingWork:
+    """Estimated work of a job's tasks that are not done.
+
+    Attributes:
+        done_count: Number of done tasks at which it was computed.
+        critical_path_s: Time left on the critical path, in seconds.
+        core_seconds: Processor time of the tasks, in core-seconds.
+    """
+
+    done_count: int
+    critical_path_s: float
+    core_seconds: float
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """An accepted job with its progress and its waiting and running tasks.
@@ -47,6 +62,8 @@
             as far as this scheduler knows.
         urgent_from_s_by_place: Time from which the start of a task that runs
             until cancelled goes before short tasks.
+        remaining_work: Estimated work of the tasks that are not done, as last
+            computed; None before.
         rate_by_place: Executor and newest measured speed of each task, in
             percent of the task's work per second.
     """
@@ -74,6 +91,7 @@
     urgent_from_s_by_place: dict[_progress.TaskPosition, float] = (
         dataclasses.field(default_factory=dict)
     )
+    remaining_work: RemainingWork | None = None
     rate_by_place: dict[_progress.TaskPosition, tuple[str, float]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -109,6 +127,9 @@
             now_s: The time on the steady clock.
             wall_s: The time since the Unix epoch.
         """
+        step_count = len(self.spec.steps) * self.spec.occurrence_count
+        if len(self.opened_steps) >= step_count:
+            return
         for occurrence in range(self.spec.occurrence_count):
             if self.spec.due_wall_s(occurrence) > wall_s:
                 break
--- a/src/basiljunction/coordination/scheduling/_ordering.py
+++ b/src/basiljunction/coordination/scheduling/_ordering.py
@@ -32,6 +32,25 @@
     HOPELESS = 2
 
 
+def remaining_work(job: _jobs.Job) -> _jobs.RemainingWork:
+    """Returns the work of the tasks that are not done.
+
+    It is computed anew once further tasks are done: each pass ranks all jobs
+    that wait.
+    """
+    done_count = len(job.progress.completed_positions)
+    known = job.remaining_work
+    if known is not None and known.done_count == done_count:
+        return known
+    work = _jobs.RemainingWork(
+        done_count=done_count,
+        critical_path_s=remaining_critical_path_s(job),
+        core_seconds=remaining_core_seconds(job),
+    )
+    job.remaining_work = work
+    return work
+
+
 def remaining_critical_path_s(job: _jobs.Job) -> float:
     """Returns the estimated time left on the critical path, in seconds.
 
@@ -52,7 +71,7 @@
     """Returns whether the job can meet its objective, by its own estimates."""
     if job.spec.has_lasting_step:
         return ObjectiveStatus.IN_TIME
-    end_s = now_s - job.arrived_s + remaining_critical_path_s(job)
+    end_s = now_s - job.arrived_s + remaining_work(job).critical_path_s
     if end_s <= job.objective_s:
         return ObjectiveStatus.IN_TIME
     if end_s <= job.objective_s * LATE_FACTOR:
@@ -83,5 +102,5 @@
         job.queue.priority,
         job.spec.has_lasting_step,
         objective_status(job, now_s),
-        remaining_core_seconds(job) / (1.0 + waited_s / patience_s),
+        remaining_work(job).core_seconds / (1.0 + waited_s / patience_s),
     )
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -277,7 +277,7 @@
                 waited_s=round(waited_s, 3),
             )
             run.is_preempted = True
-            run.mark_stopping(now.boot_s)
+            self._cell.executor_by_id[run.executor].stop_run(run, now.boot_s)
 
     def _place_job(
         self,
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -70,14 +70,8 @@
     short_millicores = 0
     vacating_millicores = 0
     for executor in executors:
-        for run in executor.run_by_key.values():
-            step = run.step
-            is_stopping = run.phase is _runs.RunPhase.STOPPING
-            if step.runs_until_cancelled:
-                if is_stopping:
-                    vacating_millicores += step.size.cpu_millicores
-            elif not step.fills and not is_stopping:
-                short_millicores += step.size.cpu_millicores
+        short_millicores += executor.short_millicores
+        vacating_millicores += executor.vacating_millicores
     return short_millicores, vacating_millicores
 
 
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -87,9 +87,7 @@
         """Queues the stop orders that are due on an executor."""
         if self._cell.is_fenced:
             return
-        for run in executor.run_by_key.values():
-            if run.phase is not _runs.RunPhase.STOPPING:
-                continue
+        for run in executor.stopping_run_by_key.values():
             if (
                 run.stop_answered_s is not None
                 or now.boot_s < run.next_stop_order_s
@@ -241,7 +239,7 @@
                 executor=executor.listing.id,
                 percent=run.progress_percent,
             )
-            run.mark_stopping(now.boot_s)
+            executor.stop_run(run, now.boot_s)
 
     def _relieve_serving_tasks(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -293,7 +291,7 @@
                 executor=executor.listing.id,
                 percent=run.progress_percent,
             )
-            run.mark_stopping(now.boot_s)
+            executor.stop_run(run, now.boot_s)
 
     def _end_incarnation(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -320,7 +318,7 @@
         executor.next_renewal_s = now.boot_s
         for run in list(executor.run_by_key.values()):
             if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
-                run.mark_stopping(now.boot_s)
+                executor.stop_run(run, now.boot_s)
             else:
                 self._cell.release_run(executor, run, now)
 
@@ -381,7 +379,7 @@
         if known and is_free and cell.is_task_unfinished(report.task):
             cell.set_current_run(cell.job_by_id[report.task.job], run)
         else:
-            run.mark_stopping(now.boot_s)
+            executor.stop_run(run, now.boot_s)
         return run
 
     def _settle_unlisted_runs(
@@ -415,7 +413,7 @@
                     run=run.number,
                     executor=executor.listing.id,
                 )
-                run.mark_stopping(now.boot_s)
+                executor.stop_run(run, now.boot_s)
             elif (
                 run.phase is _runs.RunPhase.STOPPING
                 and run.stop_answered_s is not None
--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -373,7 +373,7 @@
             if run.phase is not _runs.RunPhase.RUNNING:
                 continue
             if run.step.checkpoints:
-                run.mark_stopping(now.boot_s)
+                executor.stop_run(run, now.boot_s)
             elif run.pace_percent > percent and not run.is_pace_order_in_flight:
                 orders.append(_make_pace_order(executor, run, percent))
         return orders
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -118,6 +118,8 @@
         self._wake_receiver.setblocking(False)
         self._wake_sender.setblocking(False)
         self._selector.register(self._wake_receiver, selectors.EVENT_READ)
+        # The selector's own look-up takes several times as long.
+        self._watched_fds: set[int] = set()
         self._call_by_handle: dict[pycurl.Curl, _CallInFlight] = {}
         # Calls with a limit on silence, and the earliest time at which one of
         # them can exceed it.
@@ -220,7 +222,8 @@
     ) -> None:
         """Registers or removes a socket as libcurl asks (socket callback)."""
         if poll_event == pycurl.POLL_REMOVE:
-            if fd in self._selector.get_map():
+            if fd in self._watched_fds:
+                self._watched_fds.discard(fd)
                 self._selector.unregister(fd)
             return
         mask = 0
@@ -228,9 +231,10 @@
             mask |= selectors.EVENT_READ
         if poll_event in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
             mask |= selectors.EVENT_WRITE
-        if fd in self._selector.get_map():
+        if fd in self._watched_fds:
             self._selector.modify(fd, mask)
         else:
+            self._watched_fds.add(fd)
             self._selector.register(fd, mask)
 
     def _set_timer(self, timer_ms: int) -> None:
--- a/tests/coordination/scheduling/test_executors.py
+++ b/tests/coordination/scheduling/test_executors.py
@@ -1,6 +1,9 @@
 """Tests of the state that the scheduler keeps of each executor."""
 
 import dataclasses
+import random
+
+import pytest
 
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _runs
@@ -63,3 +66,61 @@
             state.listing.capacity.cpu_millicores
         )
         assert state.unused_millicores == unused_millicores - 1000
+
+
+class TestTurnover:
+    """Short and vacating CPU follow every run, so no pass adds them up."""
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_the_sums_equal_those_over_all_runs(self, seed: int) -> None:
+        rng = random.Random(seed)
+        state = _executors.ExecutorState(listing=build.executor_entry())
+        stopping = _runs.RunPhase.STOPPING
+        for number in range(80):
+            runs = list(state.run_by_key.values())
+            match rng.choice(("add", "stop", "stop", "remove")):
+                case "add":
+                    run = _make_run(
+                        number,
+                        runs_until_cancelled=rng.random() < 0.5,
+                        fills=rng.random() < 0.3,
+                    )
+                    if rng.random() < 0.2:
+                        run.phase = stopping
+                    state.add_run(run)
+                case "stop" if runs:
+                    state.stop_run(rng.choice(runs), float(number))
+                case "remove" if runs:
+                    run = rng.choice(runs)
+                    state.remove_run(run)
+                    state.stop_run(run, float(number))
+            runs = list(state.run_by_key.values())
+            assert state.short_millicores == sum(
+                run.step.size.cpu_millicores
+                for run in runs
+                if not run.step.runs_until_cancelled
+                and not run.step.fills
+                and run.phase is not stopping
+            )
+            assert state.vacating_millicores == sum(
+                run.step.size.cpu_millicores
+                for run in runs
+                if run.step.runs_until_cancelled and run.phase is stopping
+            )
+            assert list(state.stopping_run_by_key.values()) == [
+                run
+                for key, run in state.stopping_run_by_key.items()
+                if state.run_by_key.get(key) is run
+            ]
+            assert {id(run) for run in runs if run.phase is stopping} == {
+                id(run) for run in state.stopping_run_by_key.values()
+            }
+
+    def test_a_run_stops_once(self) -> None:
+        state = _executors.ExecutorState(listing=build.executor_entry())
+        run = _make_run(1)
+        state.add_run(run)
+        state.stop_run(run, 1.0)
+        run.next_stop_order_s = float("inf")  # its order is in flight
+        state.stop_run(run, 2.0)
+        assert run.next_stop_order_s == float("inf")
--- a/tests/coordination/scheduling/test_ordering.py
+++ b/tests/coordination/scheduling/test_ordering.py
@@ -73,3 +73,23 @@
         assert capacity.covers(_job_spec.Resources(2, 2, 2))
         for other in ((3, 0, 0), (0, 3, 0), (0, 0, 3)):
             assert not capacity.covers(_job_spec.Resources(*other))
+
+
+class TestRemainingWork:
+    """The work left is computed anew once further tasks are done."""
+
+    def test_it_shrinks_with_each_task_that_is_done(self) -> None:
+        job = _make_job(4)
+        core_seconds = []
+        for index in range(4):
+            core_seconds.append(_ordering.remaining_work(job).core_seconds)
+            assert _ordering.remaining_work(job).critical_path_s == 2.0
+            job.mark_task_done((0, 0, index))
+        assert core_seconds == [
+            core_seconds[0] * left / 4 for left in (4, 3, 2, 1)
+        ]
+        assert _ordering.remaining_work(job).critical_path_s == 0.0
+
+    def test_it_is_kept_while_nothing_is_done(self) -> None:
+        job = _make_job(4)
+        assert _ordering.remaining_work(job) is _ordering.remaining_work(job)
--- a/tests/coordination/scheduling/test_placement.py
+++ b/tests/coordination/scheduling/test_placement.py
@@ -197,7 +197,7 @@
             "rack-1-0"
         ].run_by_key.values()
         rig.executor_by_id["rack-1-0"].is_answering = False
-        run.mark_stopping(rig.now_s)
+        rig.scheduler.cell.executor_by_id[run.executor].stop_run(run, rig.now_s)
         rig.run(1)
         assert len(rig.starts) == 1
 
