Judge a filler once for each image that serves, not for each serving task

Change: the outlook of an executor keeps the least headroom of each serving image. Verdicts and losses are the same.

--- a/src/basiljunction/coordination/scheduling/_headroom_model.py
+++ b/src/basiljunction/coordination/scheduling/_headroom_model.py
@@ -99,7 +99,9 @@
             filler: Image of the filler.
         """
         loss = self._loss_by_filler.get(filler, PRIOR_HEADROOM_LOSS)
-        return min(MAX_HEADROOM_LOSS, max(0.0, loss))
+        if loss <= 0.0:
+            return 0.0
+        return loss if loss < MAX_HEADROOM_LOSS else MAX_HEADROOM_LOSS
 
     def expected_headroom_drop(self, exposure: Mapping[str, float]) -> float:
         """Returns the headroom that fillers take together.
--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -89,19 +89,15 @@
     Attributes:
         revision: Revision of the executor that it was derived from.
         is_over_target: Whether a serving task is or was lately over its target.
-        headroom_left_by_run: Model of each serving task's image, and its
-            expected headroom beside the present fillers.
-        models: Models of the images that serve.
+        headroom_left_by_model: Least expected headroom beside the present
+            fillers of the serving tasks of one image, by the image's model.
         verdict_by_filler: Whether a filler is allowed and the largest headroom
             loss, by its image and its CPU in millicores.
     """
 
     revision: int
     is_over_target: bool
-    headroom_left_by_run: tuple[
-        tuple[_headroom_model.HeadroomModel, float], ...
-    ]
-    models: tuple[_headroom_model.HeadroomModel, ...]
+    headroom_left_by_model: dict[_headroom_model.HeadroomModel, float]
     verdict_by_filler: dict[tuple[str, int], tuple[bool, float]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -257,20 +253,17 @@
             run for run in executor.run_by_key.values() if run.step.is_serving
         ]
         exposure = _planned_exposure(executor)
+        headroom_left_by_model: dict[_headroom_model.HeadroomModel, float] = {}
+        for run in serving:
+            model = self.model_for_image(run.step.image)
+            left = self._expected_headroom(run, exposure)
+            headroom_left_by_model[model] = min(
+                left, headroom_left_by_model.get(model, left)
+            )
         return _ServingOutlook(
             revision=executor.revision,
             is_over_target=any(_is_over_target(run) for run in serving),
-            headroom_left_by_run=tuple(
-                (
-                    self.model_for_image(run.step.image),
-                    self._expected_headroom(run, exposure),
-                )
-                for run in serving
-            ),
-            models=tuple(
-                self.model_for_image(image)
-                for image in {run.step.image for run in serving}
-            ),
+            headroom_left_by_model=headroom_left_by_model,
         )
 
     def forget_executor(self, executor_id: str) -> None:
@@ -411,14 +404,12 @@
         image: Image of the filler.
         tenths: CPU that the filler requests, in tenths of the executor.
     """
-    drop = max(
-        each.headroom_loss_per_tenth(image) * tenths for each in outlook.models
-    )
-    is_allowed = not outlook.is_over_target and all(
-        left - model.headroom_loss_per_tenth(image) * tenths
-        >= MIN_PLACEMENT_HEADROOM
-        for model, left in outlook.headroom_left_by_run
-    )
+    drop = 0.0
+    is_allowed = not outlook.is_over_target
+    for model, left in outlook.headroom_left_by_model.items():
+        taken = model.headroom_loss_per_tenth(image) * tenths
+        drop = max(drop, taken)
+        is_allowed = is_allowed and left - taken >= MIN_PLACEMENT_HEADROOM
     return is_allowed, drop
 
 
