--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -1,6 +1,5 @@
 """Stored progress of jobs, which must survive the loss of every process."""
 
-import copy
 import dataclasses
 import enum
 
@@ -65,7 +64,18 @@
             return JobProgress(
                 state=self.state, finished_wall_s=self.finished_wall_s
             )
-        return copy.deepcopy(self)
+        # Of each task that ends, so not by `copy.deepcopy`, which also copies
+        # the positions one by one.
+        return JobProgress(
+            state=self.state,
+            completed_positions=set(self.completed_positions),
+            failed_runs_by_position={
+                position: set(runs)
+                for position, runs in self.failed_runs_by_position.items()
+            },
+            checkpoint_by_position=dict(self.checkpoint_by_position),
+            finished_wall_s=self.finished_wall_s,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
