Derive the servers' connections from the file descriptors, too

Cause: the connections that a server keeps were a constant of 400, which hid the size of a deployment.

Change: half of the descriptors are for outgoing connections, the other half is shared by waiting and idle connections of clients and of peers.

Also corrects a reason: that a cell of 30 executors stays below the rate at which the effect of fillers is learned was not measured; by the number of its serving tasks it may exceed it.

--- a/src/basiljunction/coordination/scheduling/_headroom_model.py
+++ b/src/basiljunction/coordination/scheduling/_headroom_model.py
@@ -43,7 +43,7 @@
 """Least time between two reports from which the headroom losses of one serving
 image are learned, in seconds. An update takes time in proportion to the square
 of the filler images, and in a large cell hundreds of reports about one image
-arrive in a second; a cell of 30 executors stays below the limit."""
+arrive in a second."""
 
 BASE_LEARNING_RATE = 0.05
 """Fraction of the error of the usual headroom without fillers that one report
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -37,10 +37,6 @@
 METRICS_THREADS = 2
 """Requests for the metrics served concurrently."""
 
-CALL_CONNECTIONS = 400
-"""Most waiting and most idle connections of clients, and of peers: more than
-the instances of a deployment, each of which keeps a few."""
-
 CHECK_CONNECTIONS = 16
 """Most waiting and most idle connections of the servers for checks, each of
 which has one or two clients."""
@@ -88,40 +84,29 @@
         self._wake_event = threading.Event()
         self._has_task_failed = False
         metrics = _metrics.Metrics(settings.name)
-        server_limits = [
-            _make_limits(READY_THREADS, CHECK_CONNECTIONS),
-            _make_limits(PEER_THREADS, CALL_CONNECTIONS),
-            _make_limits(FRONT_THREADS, CALL_CONNECTIONS),
-            _make_limits(METRICS_THREADS, CHECK_CONNECTIONS),
-        ]
+        connections = _connection_limits.divide_descriptors(
+            settings.max_open_files
+        )
         self._pool = futures.ThreadPoolExecutor(TASK_THREADS, "task")
         self._task = _cell_task.CellTask(
             settings=settings,
             clock=clock,
             rng=random.Random(),
             metrics=metrics,
-            max_connections=_connection_limits.divide_descriptors(
-                settings.max_open_files,
-                server_connections=sum(
-                    each.http_threads
-                    + each.waiting_connections
-                    + each.idle_connections
-                    for each in server_limits
-                ),
-            ),
+            max_connections=connections.outgoing,
         )
         self._servers = [
             _build_server(
                 settings.ready_listen,
                 _apps.ReadyApp(self._is_ready),
-                server_limits[0],
+                _make_limits(READY_THREADS, CHECK_CONNECTIONS),
             ),
             _build_server(
                 settings.peer_listen,
                 _apps.PeerApp(
                     self._task, _apps.CallSlots(PEER_THREADS - RESERVED_THREADS)
                 ),
-                server_limits[1],
+                _make_limits(PEER_THREADS, connections.server),
             ),
             _build_server(
                 settings.front_listen,
@@ -131,7 +116,7 @@
                     metrics,
                     _apps.CallSlots(FRONT_THREADS - RESERVED_THREADS),
                 ),
-                server_limits[2],
+                _make_limits(FRONT_THREADS, connections.server),
             ),
         ]
         if metrics_port is not None:
@@ -140,7 +125,7 @@
                 _build_server(
                     f"{host}:{metrics_port}",
                     _metrics_app.MetricsApp(metrics),
-                    server_limits[3],
+                    _make_limits(METRICS_THREADS, CHECK_CONNECTIONS),
                 )
             )
 
--- a/tests/transport/jobs/test_connection_limits.py
+++ b/tests/transport/jobs/test_connection_limits.py
@@ -4,45 +4,54 @@
 
 import pytest
 
+from basiljunction.protocol import _http_limits
 from basiljunction.transport.jobs import _connection_limits
+from basiljunction.transport.jobs import _daemon
 
 
 class TestDivideDescriptors:
-    """Outgoing connections get what the servers leave, and at least a half."""
+    """Outgoing connections and those of the servers get half each."""
 
-    def test_the_servers_come_first_if_there_is_enough(self) -> None:
-        assert (
-            _connection_limits.divide_descriptors(
-                8_192, server_connections=2_000
-            )
-            == 8_192 - 200 - 32 - 2_000
+    @pytest.mark.parametrize("max_open_files", [1_024, 4_100, 8_192, 65_536])
+    def test_all_connections_together_fit(self, max_open_files: int) -> None:
+        limits = _connection_limits.divide_descriptors(max_open_files)
+        threads = (
+            _daemon.FRONT_THREADS
+            + _daemon.PEER_THREADS
+            + _daemon.READY_THREADS
+            + _daemon.METRICS_THREADS
         )
-
-    def test_half_is_left_if_the_servers_could_use_all(self) -> None:
+        checks = 4 * _daemon.CHECK_CONNECTIONS
         assert (
-            _connection_limits.divide_descriptors(
-                1_232, server_connections=2_000
-            )
-            == 500
+            limits.outgoing
+            + _connection_limits.SHARES_OF_SERVERS * limits.server
+            + threads
+            + checks
+            <= max_open_files - _connection_limits.FILE_DESCRIPTORS_FOR_FILES
         )
 
-    @pytest.mark.parametrize("max_open_files", [1, 100, 232])
+    def test_an_instance_reaches_two_thousand_executors(self) -> None:
+        limits = _connection_limits.divide_descriptors(4_400)
+        assert limits.outgoing == 2_000
+
+    @pytest.mark.parametrize("max_open_files", [1, 100, 400])
     def test_there_is_always_one(self, max_open_files: int) -> None:
-        assert (
-            _connection_limits.divide_descriptors(
-                max_open_files, server_connections=2_000
-            )
-            == 1
+        limits = _connection_limits.divide_descriptors(max_open_files)
+        assert limits == _connection_limits.ConnectionLimits(1, 1)
+
+    def test_the_servers_take_any_share(self) -> None:
+        limits = _connection_limits.divide_descriptors(1 << 20)
+        _http_limits.Limits(
+            waiting_connections=limits.server,
+            idle_connections=limits.server,
         )
 
     def test_without_a_setting_the_limit_of_the_system_holds(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(resource, "getrlimit", lambda _: (5_000, 9_000))
-        assert (
-            _connection_limits.divide_descriptors(None, server_connections=0)
-            == 5_000 - 200 - 32
-        )
+        monkeypatch.setattr(resource, "getrlimit", lambda _: (4_400, 9_000))
+        limits = _connection_limits.divide_descriptors(None)
+        assert limits.outgoing == 2_000
 
     def test_no_limit_counts_as_the_usual_one(
         self, monkeypatch: pytest.MonkeyPatch
