Log for which executors the tasks of earlier jobs wait

Callers saw lasting tasks that did not run for 10 s after a change of scheduler.

A line a second names the number of such executors, how many of them are not listed any more, the last one and the time left; one line an executor tells that the wait has expired. The summary and the metric of executors count them. The wait has a module of its own now; its logic is unchanged. tests/coordination/scheduling and the metric tests pass.

--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -42,12 +42,6 @@
                 now.boot_s >= executor.next_renewal_s
             ):
                 self._send_renewal(executor, now)
-        if cell.has_inherited_runs:
-            cell.has_inherited_runs = any(
-                each.inherited_until_s is not None
-                for each in cell.executor_by_id.values()
-            )
-            cell.needs_placing |= not cell.has_inherited_runs
 
     def _send_renewal(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -103,13 +97,7 @@
     def _release_expired_runs(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
-        """Releases all runs of an executor whose lease has certainly expired.
-
-        It also ends the wait for runs of an earlier term once that is over.
-        """
-        inherited_s = executor.inherited_until_s
-        if inherited_s is not None and now.boot_s > inherited_s:
-            executor.inherited_until_s = None
+        """Releases all runs of an executor whose lease certainly expired."""
         if (
             executor.last_answer_s is None
             or now.boot_s <= executor.lease_expired_s()
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -10,6 +10,7 @@
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _inherited_runs
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
@@ -49,6 +50,7 @@
         )
         self._placer = _placer.Placer(self.cell)
         self._renewals = _renewals.LeaseRenewals(self.cell)
+        self._inherited_waits = _inherited_runs.InheritedRunWaits(self.cell)
 
     # Recovery.
 
@@ -417,6 +419,7 @@
         )
         cell.measure_tick_gap(now.boot_s)
         self._renewals.tick(now)
+        self._inherited_waits.tick(now)
         self._shorten_finished_jobs(now)
         self._forget_finished_jobs(now)
         if now.boot_s >= cell.next_learned_record_s:
--- a/src/basiljunction/coordination/scheduling/_summary.py
+++ b/src/basiljunction/coordination/scheduling/_summary.py
@@ -15,6 +15,8 @@
         runs: Number of runs on listed executors.
         executors: Number of listed executors.
         usable: Number of executors on which tasks may be placed now.
+        awaited: Number of executors, listed or not, that may have runs of an
+            earlier term and hold up the tasks of inherited jobs.
         serving: Number of executors that run serving tasks.
         serving_runs: Number of runs of serving tasks.
         filler_runs: Number of runs of fillers.
@@ -30,6 +32,7 @@
     runs: int
     executors: int
     usable: int
+    awaited: int
     serving: int
     serving_runs: int
     filler_runs: int
@@ -56,6 +59,10 @@
         runs=len(runs),
         executors=len(listed),
         usable=sum(cell.is_usable(e, now_s) for e in listed),
+        awaited=sum(
+            e.inherited_until_s is not None
+            for e in cell.executor_by_id.values()
+        ),
         serving=sum(e.serving_count > 0 for e in listed),
         serving_runs=sum(run.step.is_serving for run in runs),
         filler_runs=sum(run.step.fills for run in runs),
