--- a/tests/instance_rig.py
+++ b/tests/instance_rig.py
@@ -28,6 +28,12 @@
 )
 """Body of a job of one task that ends by itself."""
 
+LASTING_JOB = (
+    '{"Spec":"lasts","Steps":[{"Count":1,"Cpu":100,"MemMb":100,'
+    '"EstDurationMs":300,"LongRunning":true}]}'
+)
+"""Body of a job of one task that runs until it is cancelled."""
+
 DRAIN_S = 0.1
 """Time for requests in progress when an instance stops, in seconds."""
 
@@ -196,11 +202,14 @@
     )
 
 
-def submit_until_accepted(instance: Instance, path: str) -> None:
-    """Submits a short job until the instance accepts it.
+def submit_until_accepted(
+    instance: Instance, path: str, body: str = SHORT_JOB
+) -> None:
+    """Submits a job until the instance accepts it.
 
     Args:
         instance: The instance.
         path: Path of the job.
+        body: The job as JSON.
     """
-    wait_until(lambda: instance.call("POST", path, SHORT_JOB)[0] == 200)
+    wait_until(lambda: instance.call("POST", path, body)[0] == 200)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -146,6 +146,11 @@
         )
         self._heartbeat_thread.start()
 
+    def add_executor(self) -> "Executor":
+        """Starts another executor, which registers with the next heartbeat."""
+        self.executors.append(Executor(self, len(self.executors)))
+        return self.executors[-1]
+
     @property
     def address(self) -> str:
         """The address of the store."""
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -18,6 +18,13 @@
 
 _JOB_PATH = "/jobs/00000000000000a1"
 
+_TERM_S = 1.5
+"""Duration of each term of a series, in seconds."""
+
+_MAX_LASTING_GAP_S = 9.0
+"""Time after the end of a lasting task's run by which it has to run again if
+there is capacity, in seconds: 6 s, and 3 s without a run after that."""
+
 
 @pytest.fixture
 def platform() -> Iterator[platform_standin.Platform]:
@@ -213,6 +220,43 @@
         assert self._resign(platform, instances[1]).longest_run_s == 0.0
 
 
+def _resign_leader(instances: list[instance_rig.Instance]) -> None:
+    """Has the scheduling instance resign; waits until another schedules."""
+    leader = next(each for each in instances if each.task.is_scheduling())
+    others = [each for each in instances if each is not leader]
+    leader.task.tell(_cell_task.ResignRequested())
+    instance_rig.wait_until(
+        lambda: any(each.task.is_scheduling() for each in others)
+    )
+
+
+class TestTakeOversInSeries:
+    """An executor that is lost is waited for once, not once in each term."""
+
+    def test_each_term_does_not_begin_the_wait_for_a_lost_executor_anew(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+    ) -> None:
+        platform.add_executor()
+        instances += [
+            instance_rig.Instance(platform, f"front-{number}")
+            for number in range(4)
+        ]
+        instance_rig.submit_until_accepted(
+            instances[0], _JOB_PATH, instance_rig.LASTING_JOB
+        )
+        instance_rig.wait_until(lambda: platform.starts)
+        lost = next(each for each in platform.executors if each.running)
+        lost.httpd.shutdown()
+        lost_s = time.monotonic()
+        for _ in range(3):
+            _resign_leader(instances)
+            time.sleep(_TERM_S)
+        instance_rig.wait_until(lambda: len(platform.starts) > 1)
+        assert time.monotonic() - lost_s < _MAX_LASTING_GAP_S
+
+
 class TestReports:
     """A term that answers no calls says what it waits for."""
 
