Wait once for a lost executor, however many schedulers follow

Cause: a wait that begins anew with each change of scheduler. A successor knew of an executor only that it is in the roster, and waited for the longest time in which an earlier scheduler may have extended its lease, counted from its own begin: 5.4 s after a resignation, 10.5 s after a scheduler that itself still waited, or was lost. Nobody had extended that lease meanwhile.

Change: the store keeps, for each executor that does not answer, by when its runs have ended, in relation to a renewal of a term. Every instance knows when it read that renewal, so no clocks are compared. A bound counts for the next scheduler only if the last one wrote it, and no lease of such an executor is extended before the store has a record without it. A scheduler that resigns while it waits tells the rest of the wait. After a scheduler that was lost, the time counts from its last renewal, not from the next term's begin. A renewal that was sent twice confirms from its first sending.

--- a/src/basiljunction/bench/_scheduler_cost.py
+++ b/src/basiljunction/bench/_scheduler_cost.py
@@ -321,7 +321,9 @@
         """Runs the timed work, carries out all orders and stores a batch."""
         now = self._now()
         with self.costs.measure("state: pass"):
-            self._scheduler.run_timed_work(now, confirmed_s=self._now_s)
+            self._scheduler.run_timed_work(
+                now, confirmed_s=self._now_s, confirmed_beat=0
+            )
         self._scheduler.take_notes()
         for order in self._scheduler.take_orders():
             self._carry_out(order, now)
--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -20,6 +20,7 @@
 import random
 
 from basiljunction.coordination.leadership import _ranking
+from basiljunction.coordination.leadership import _term_history
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _provision
 
@@ -102,6 +103,8 @@
         term: Newest known term; None if none is known.
         last_confirmed_s: Sending time of the newest write of this instance that
             the store confirmed; -inf if there is none.
+        last_confirmed_beat: Number of the renewal that made this write.
+        history: When the records of recent terms were read.
         is_resigning: Whether this instance resigns and claims no further term.
         relative_provision: Provision of this instance as a fraction of that of
             the best provided one; 0 until its own registration was read.
@@ -121,6 +124,8 @@
         self.role = ElectionRole.FOLLOWER
         self.term: _leadership.Term | None = None
         self.last_confirmed_s = float("-inf")
+        self.last_confirmed_beat = 0
+        self.history = _term_history.TermHistory()
         self.is_resigning = False
         self._instance = instance
         self._incarnation = incarnation
@@ -136,6 +141,7 @@
         self._write_in_flight: TermWrite | None = None
         self._last_written_term: _leadership.Term | None = None
         self._write_sent_s = 0.0
+        self._first_sent_s = 0.0
         self._given_up_epoch = 0
         self._answered_epoch = 0
 
@@ -169,6 +175,8 @@
         self.role = ElectionRole.FOLLOWER
         self.term = None
         self.last_confirmed_s = float("-inf")
+        self.last_confirmed_beat = 0
+        self.history.clear()
         self._incarnation = incarnation
         self._end_offset = None
         self._renewal_seen_s = None
@@ -264,6 +272,7 @@
         if term is None:
             return
         self._renewal_seen_s = now_s
+        self.history.record(term.epoch, term.beat, now_s)
         self._adopt_term(term, now_s)
 
     def _adopt_term(self, term: _leadership.Term, now_s: float) -> None:
@@ -276,9 +285,7 @@
             # A write without an answer is confirmed by reading it back.
             self.role = ElectionRole.LEADER
             if term == self._last_written_term:
-                self.last_confirmed_s = max(
-                    self.last_confirmed_s, self._write_sent_s
-                )
+                self._confirm(term, self._first_sent_s)
         else:
             self.role = ElectionRole.FOLLOWER
             self._next_write_s = now_s + self._rng.uniform(
@@ -372,10 +379,19 @@
         """Records a write of the term as in flight and returns it."""
         assert self._end_offset is not None  # noqa: S101 - checked by callers
         self._write_in_flight = TermWrite(term, self._end_offset)
+        if term != self._last_written_term:
+            self._first_sent_s = now_s
         self._last_written_term = term
         self._write_sent_s = now_s
         return self._write_in_flight
 
+    def _confirm(self, term: _leadership.Term, sent_s: float) -> None:
+        """Records that a write of the own term, sent then, was stored."""
+        if sent_s < self.last_confirmed_s:
+            return
+        self.last_confirmed_s = sent_s
+        self.last_confirmed_beat = term.beat
+
     def _may_claim(self, now_s: float) -> bool:
         """Returns whether this instance may claim the next term."""
         open_since_s = self._term_open_since_s()
@@ -412,7 +428,8 @@
             return
         self.term = claim.term
         self._renewal_seen_s = now_s
-        self.last_confirmed_s = max(self.last_confirmed_s, self._write_sent_s)
+        self.history.record(claim.term.epoch, claim.term.beat, now_s)
+        self._confirm(claim.term, self._write_sent_s)
         self._next_write_s = self._write_sent_s + RENEWAL_INTERVAL_S
         self.role = (
             ElectionRole.FOLLOWER
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -39,10 +39,15 @@
         notes: Decisions to log.
         replies: Answers to callers that wait for the next batch.
         roster_changed: Whether the list of executors has to be stored.
+        silent_executors_changed: Whether the bounds of the runs on silent
+            executors have to be stored.
         needs_placing: Whether a change since the last placement pass may let
             tasks start.
         is_term_confirmed: Whether the store confirmed this term recently
             enough to grant leases and start tasks.
+        confirmed_s: Sending time of the newest record of this term that the
+            store confirmed.
+        confirmed_beat: Number of the renewal that wrote this record.
         is_fenced: Whether an executor has seen a later term.
         has_inherited_runs: Whether runs of an earlier term may still exist on
             executors that have not listed them.
@@ -76,8 +81,11 @@
     notes: list[_notes.Note] = dataclasses.field(default_factory=list)
     replies: list[_orders.Reply] = dataclasses.field(default_factory=list)
     roster_changed: bool = True
+    silent_executors_changed: bool = True
     needs_placing: bool = True
     is_term_confirmed: bool = True
+    confirmed_s: float = 0.0
+    confirmed_beat: int = 0
     is_fenced: bool = False
     has_inherited_runs: bool = False
     next_shorten_finished_s: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -6,6 +6,7 @@
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _run_bound
 
 RunKey = tuple[_job_spec.TaskId, int]
 """Key of a run: its task and its run number."""
@@ -45,6 +46,10 @@
             one, or the last one that lasted.
         inherited_until_s: Time until which unreported runs of an earlier
             scheduler may exist on it; None once all its runs are known.
+        silent_bound: Bound of its runs in the newest record of silent
+            executors; None if that leaves it out.
+        is_lease_frozen: Whether its lease is not extended, as the store may
+            hold a bound of its runs.
         fillers_adjusted_s: Time at which fillers were last stopped or slowed
             down on it.
         reserved_resources: Resources reserved by its runs.
@@ -87,6 +92,8 @@
     is_suspect: bool = False
     consecutive_failures: int = 0
     inherited_until_s: float | None = None
+    silent_bound: _run_bound.RunBound | None = None
+    is_lease_frozen: bool = False
     fillers_adjusted_s: float = 0.0
     reserved_resources: _job_spec.Resources = dataclasses.field(
         default_factory=_job_spec.Resources
@@ -187,7 +194,7 @@
         """Returns whether the executor accepts new tasks now.
 
         It has to be listed, not draining, stored in the roster, in contact and
-        not avoided.
+        not avoided, and its lease may be extended.
 
         Args:
             now_s: Current time in seconds.
@@ -197,6 +204,8 @@
             return False
         if not self.is_roster_stored or self.last_answer_s is None:
             return False
+        if self.is_lease_frozen:
+            return False
         if now_s < self.avoid_until_s:
             return False
         silent_s = now_s - self.last_answer_s
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -56,7 +56,8 @@
         is_retry = executor.renewal_failures > 0
         unstored = executor.processed_end_number > executor.stored_end_number
         until_ms = None
-        if cell.is_term_confirmed and not is_first and not is_retry:
+        may_extend = not (is_first or is_retry or executor.is_lease_frozen)
+        if cell.is_term_confirmed and may_extend:
             until_ms = executor.extend_lease(now.boot_s, cell.times.lease_s)
         # A run that never began has no end that would cut the wait short.
         is_short = (
@@ -162,12 +163,16 @@
         answer proves gone, reacts to slow or stalled tasks and to serving
         tasks over their latency target, and schedules the next renewal.
         """
-        executor = self._cell.executor_by_id.get(order.executor)
+        cell = self._cell
+        executor = cell.executor_by_id.get(order.executor)
         if executor is None:
             return
         sent_s = executor.renewal_sent_s or now.boot_s
         executor.renewal_sent_s = None
         executor.renewal_failures = 0
+        if executor.silent_bound is not None:
+            executor.silent_bound = None
+            cell.silent_executors_changed = True
         if (
             executor.started_wall_ms
             and report.started_wall_ms != executor.started_wall_ms
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 import itertools
 
+from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _inherited_runs
@@ -18,6 +19,7 @@
 from basiljunction.coordination.scheduling import _placer
 from basiljunction.coordination.scheduling import _renewals
 from basiljunction.coordination.scheduling import _runs
+from basiljunction.coordination.scheduling import _silent_executors
 from basiljunction.state import _time
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
@@ -51,6 +53,7 @@
         self._placer = _placer.Placer(self.cell)
         self._renewals = _renewals.LeaseRenewals(self.cell)
         self._inherited_waits = _inherited_runs.InheritedRunWaits(self.cell)
+        self._silent_executors = _silent_executors.SilentExecutors(self.cell)
 
     # Recovery.
 
@@ -59,7 +62,8 @@
         records: Iterable[_records.Record],
         now: _time.Now,
         *,
-        term_begun_s: float,
+        earlier_terms_ended_s: float,
+        history: _term_history.TermHistory,
         longest_inherited_run_s: float | None = None,
     ) -> None:
         """Rebuilds jobs and executors from the records of earlier terms.
@@ -70,8 +74,9 @@
         Args:
             records: The stored records.
             now: The time.
-            term_begun_s: When this term was known to have begun, on the steady
-                clock; no earlier term was confirmed after it.
+            earlier_terms_ended_s: Time after which no earlier term was
+                confirmed, on the steady clock.
+            history: When this instance read the records of recent terms.
             longest_inherited_run_s: Longest time for which runs of earlier
                 terms may go on after that, in seconds; None if the scheduler
                 before may have gone on without a confirmation.
@@ -80,10 +85,21 @@
         if longest_inherited_run_s is None:
             longest_inherited_run_s = cell.times.max_run_after_term_s
         inherited_until_s = (
-            term_begun_s
+            earlier_terms_ended_s
             + longest_inherited_run_s
             + _limits.LEASE_EXPIRY_MARGIN_S
         )
+        stored = tuple(records)
+        self._restore_jobs(stored, now)
+        self._restore_executors(stored, inherited_until_s, history)
+        cell.has_inherited_runs = bool(cell.executor_by_id)
+        self.set_configuration(cell.configuration)
+
+    def _restore_jobs(
+        self, records: Iterable[_records.Record], now: _time.Now
+    ) -> None:
+        """Rebuilds the jobs from their records and those of their progress."""
+        cell = self.cell
         accepted_by_id: dict[str, _progress.AcceptedJob] = {}
         progress_by_id: dict[str, _progress.JobProgress] = {}
         for record in records:
@@ -91,13 +107,6 @@
                 accepted_by_id[record.job.id] = record.job
             elif isinstance(record, _records.ProgressRecord):
                 progress_by_id[record.job_id] = record.progress
-            elif isinstance(record, _records.ExecutorRosterRecord):
-                for roster_entry in record.executors:
-                    self._add_inherited_executor(
-                        roster_entry, inherited_until_s
-                    )
-            elif isinstance(record, _records.LearnedHeadroomRecord):
-                cell.sharing.restore_learned(record)
         for job_id, accepted in accepted_by_id.items():
             progress = progress_by_id.get(job_id, _progress.JobProgress())
             if progress.state.is_final and accepted.spec.steps:
@@ -108,8 +117,27 @@
                 now_s=now.boot_s,
                 wall_s=now.wall_s,
             )
-        cell.has_inherited_runs = bool(cell.executor_by_id)
-        self.set_configuration(cell.configuration)
+
+    def _restore_executors(
+        self,
+        records: Iterable[_records.Record],
+        inherited_until_s: float,
+        history: _term_history.TermHistory,
+    ) -> None:
+        """Rebuilds what earlier terms knew of executors from the records."""
+        silent: _records.SilentExecutorsRecord | None = None
+        for record in records:
+            if isinstance(record, _records.ExecutorRosterRecord):
+                for roster_entry in record.executors:
+                    self._add_inherited_executor(
+                        roster_entry, inherited_until_s
+                    )
+            elif isinstance(record, _records.LearnedHeadroomRecord):
+                self.cell.sharing.restore_learned(record)
+            elif isinstance(record, _records.SilentExecutorsRecord):
+                silent = record
+        if silent is not None:
+            self._silent_executors.restore(silent, history)
 
     def _add_inherited_executor(
         self, roster_entry: _executor.ListedExecutor, until_s: float
@@ -121,6 +149,21 @@
         state.inherited_until_s = until_s
         self.cell.executor_by_id[roster_entry.id] = state
 
+    def longest_run_s(self, now: _time.Now) -> float:
+        """Returns how long runs go on if this scheduler stops now, in seconds.
+
+        That is the length of a lease, or longer where runs of earlier terms
+        may exist.
+        """
+        cell = self.cell
+        inherited_s = (
+            each.inherited_until_s - now.boot_s
+            for each in cell.executor_by_id.values()
+            if each.inherited_until_s is not None
+        )
+        lease_s = cell.times.lease_s * _limits.MAX_CLOCK_SLOWNESS
+        return max(lease_s, *inherited_s, 0.0)
+
     # Configuration and discovery.
 
     def set_configuration(
@@ -405,15 +448,20 @@
 
     # Time and output.
 
-    def run_timed_work(self, now: _time.Now, *, confirmed_s: float) -> None:
+    def run_timed_work(
+        self, now: _time.Now, *, confirmed_s: float, confirmed_beat: int
+    ) -> None:
         """Runs the timed work: renewals, stops, clean-up and placement.
 
         Args:
             now: The time.
-            confirmed_s: When the store last confirmed this scheduler's term,
-                on the steady clock.
+            confirmed_s: Sending time of the newest record of this scheduler's
+                term that the store confirmed, on the steady clock.
+            confirmed_beat: Number of the renewal that wrote it.
         """
         cell = self.cell
+        cell.confirmed_s = confirmed_s
+        cell.confirmed_beat = confirmed_beat
         cell.is_term_confirmed = (
             now.boot_s - confirmed_s < cell.times.max_unconfirmed_s
         )
@@ -481,7 +529,11 @@
         return notes
 
     def take_batch(self) -> _orders.Batch | None:
-        """Returns and clears the records to store next, or None."""
+        """Returns and clears the records to store next, or None.
+
+        Call it only when the batch can be stored at once.
+        """
+        self._silent_executors.update()
         return self.cell.take_batch()
 
     def handle_batch_stored(self, batch: _orders.Batch, now: _time.Now) -> None:
@@ -520,6 +572,8 @@
                 state = cell.executor_by_id.get(entry.id)
                 if state is not None:
                     state.is_roster_stored = True
+        elif isinstance(record, _records.SilentExecutorsRecord):
+            self._silent_executors.handle_stored(record)
 
 
 _AVOIDANCE_S_BY_START_RESULT = {
--- /dev/null
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -0,0 +1,138 @@
+"""Tells later schedulers until when runs on silent executors go on.
+
+An executor that is lost holds up a scheduler until its lease has expired. The
+store keeps that time, so that a series of schedulers waits for it once.
+"""
+
+from basiljunction.coordination.leadership import _term_history
+from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _limits
+from basiljunction.state.workload import _records
+from basiljunction.state.workload import _run_bound
+
+CHECK_INTERVAL_S = 0.25
+"""Interval between two checks which executors are silent, in seconds."""
+
+FIRST_CHECK_DELAY_S = 0.5
+"""Time from the start of a scheduler to its first check, in seconds; executors
+that are in order answer within it."""
+
+MIN_RENEWAL_FAILURES = 2
+"""Consecutive renewals without an answer that make an executor silent; a single
+one may be lost."""
+
+
+class SilentExecutors:
+    """Keeps the stored bounds of runs on silent executors up to date.
+
+    The lease of an executor is not extended while the store may hold such a
+    bound of it.
+
+    Args:
+        cell: The scheduler's state.
+    """
+
+    def __init__(self, cell: _cell_state.CellState) -> None:
+        self._cell = cell
+        self._next_check_s: float | None = None
+
+    def restore(
+        self,
+        record: _records.SilentExecutorsRecord,
+        history: _term_history.TermHistory,
+    ) -> None:
+        """Shortens the waits for executors that were silent before this term.
+
+        A record of another scheduler than the last one says nothing, because
+        a scheduler after it may have extended the leases.
+
+        Args:
+            record: The newest record in the store.
+            history: Tells when the records that the bounds relate to were
+                written.
+        """
+        if record.epoch != self._cell.epoch - 1:
+            return
+        for executor_id, bound in record.bound_by_executor.items():
+            executor = self._cell.executor_by_id.get(executor_id)
+            written_s = history.written_by_s(bound.epoch, bound.beat)
+            if executor is None or written_s is None:
+                continue
+            if executor.inherited_until_s is None:
+                continue
+            executor.silent_bound = bound
+            executor.inherited_until_s = min(
+                executor.inherited_until_s, written_s + bound.after_s
+            )
+
+    def update(self) -> None:
+        """Adds a record to store if other executors are silent than before."""
+        cell = self._cell
+        now_s = cell.last_tick_s
+        if self._next_check_s is None:
+            self._next_check_s = now_s + FIRST_CHECK_DELAY_S
+        if now_s < self._next_check_s or not cell.is_term_confirmed:
+            return
+        self._next_check_s = now_s + CHECK_INTERVAL_S
+        for executor in cell.executor_by_id.values():
+            if executor.silent_bound is None and _is_silent(executor, now_s):
+                executor.silent_bound = self._bound_runs(executor)
+                cell.silent_executors_changed = True
+        if cell.silent_executors_changed:
+            cell.silent_executors_changed = False
+            self._add_record()
+
+    def _bound_runs(
+        self, executor: _executors.ExecutorState
+    ) -> _run_bound.RunBound:
+        """Returns the bound of the runs on an executor in this term."""
+        cell = self._cell
+        until_s = max(
+            executor.inherited_until_s or 0.0, executor.lease_expired_s()
+        )
+        return _run_bound.RunBound(
+            cell.epoch,
+            cell.confirmed_beat,
+            max(0.0, until_s - cell.confirmed_s),
+        )
+
+    def _add_record(self) -> None:
+        """Adds a record of all silent executors and freezes their leases."""
+        cell = self._cell
+        bound_by_executor = {}
+        for executor_id, executor in cell.executor_by_id.items():
+            if executor.silent_bound is not None:
+                bound_by_executor[executor_id] = executor.silent_bound
+                executor.is_lease_frozen = True
+        cell.records.append(
+            _records.SilentExecutorsRecord(cell.epoch, bound_by_executor)
+        )
+        if bound_by_executor:
+            cell.note(
+                "executors.silent",
+                executors=len(bound_by_executor),
+                first=next(iter(bound_by_executor)),
+            )
+
+    def handle_stored(self, record: _records.SilentExecutorsRecord) -> None:
+        """Allows leases of executors again that the stored record leaves out.
+
+        Args:
+            record: The record, which is now the newest in the store.
+        """
+        for executor_id, executor in self._cell.executor_by_id.items():
+            if (
+                executor.silent_bound is None
+                and executor_id not in record.bound_by_executor
+            ):
+                executor.is_lease_frozen = False
+
+
+def _is_silent(executor: _executors.ExecutorState, now_s: float) -> bool:
+    """Returns whether an executor may have runs and does not answer."""
+    if executor.last_answer_s is None:
+        return executor.inherited_until_s is not None
+    if executor.renewal_failures < MIN_RENEWAL_FAILURES:
+        return False
+    return now_s - executor.last_answer_s >= _limits.CONTACT_TIMEOUT_S
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -28,6 +28,8 @@
 """Prefix of the keys of job progress, before the job's id."""
 _ROSTER_KEY = "roster"
 """Key of the list of known executors."""
+_SILENT_KEY = "silent"
+"""Key of the bounds of runs on executors that do not answer."""
 _LEARNED_KEY = "learned"
 """Key of the learned headroom of each serving image.
 
@@ -40,6 +42,8 @@
 """Converts the list of known executors to and from JSON."""
 _learned_adapter = pydantic.TypeAdapter(dict[str, _records.LearnedHeadroom])
 """Converts the learned headroom by serving image to and from JSON."""
+_silent_adapter = pydantic.TypeAdapter(_records.SilentExecutorsRecord)
+"""Converts the bounds of runs on silent executors to and from JSON."""
 _term_adapter = pydantic.TypeAdapter(_leadership.Term)
 """Converts leadership terms to and from JSON."""
 _provision_adapter = pydantic.TypeAdapter(_provision.Provision)
@@ -63,8 +67,9 @@
     """Encodes a record for the store.
 
     Returns:
-        One item for a job, progress, roster or learned record; for a removed
-        job, two items that delete its job and its progress.
+        One item for a record of a job, of progress, of executors or of learned
+        headroom; for a removed job, two items that delete its job and its
+        progress.
     """
     if isinstance(record, _records.JobRecord):
         value = _wrap_with_version(
@@ -86,6 +91,11 @@
             _learned_adapter.dump_python(record.headroom_by_image, mode="json")
         )
         return (KeyedRecord(_LEARNED_KEY, value),)
+    if isinstance(record, _records.SilentExecutorsRecord):
+        value = _wrap_with_version(
+            _silent_adapter.dump_python(record, mode="json")
+        )
+        return (KeyedRecord(_SILENT_KEY, value),)
     return (
         KeyedRecord(_JOB_KEY + record.job_id, b""),
         KeyedRecord(_PROGRESS_KEY + record.job_id, b""),
@@ -118,6 +128,8 @@
             return _records.LearnedHeadroomRecord(
                 _learned_adapter.validate_python(document)
             )
+        if record.key == _SILENT_KEY:
+            return _silent_adapter.validate_python(document)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         what = f"record {record.key}"
         raise _errors.DecodeError(what, str(error)) from error
--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -7,6 +7,7 @@
 
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _progress
+from basiljunction.state.workload import _run_bound
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +75,22 @@
     headroom_by_image: dict[str, LearnedHeadroom]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentExecutorsRecord:
+    """Record of the executors that do not answer the scheduler.
+
+    The scheduler extends the lease of none of them before it has stored a
+    record without it.
+
+    Attributes:
+        epoch: Epoch of the scheduler that wrote it.
+        bound_by_executor: Bound of the runs on each silent executor, by id.
+    """
+
+    epoch: int
+    bound_by_executor: dict[str, _run_bound.RunBound]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobDeletionRecord:
     """Record that deletes the job record and the progress record of a job.
@@ -90,6 +107,7 @@
     | ProgressRecord
     | ExecutorRosterRecord
     | LearnedHeadroomRecord
+    | SilentExecutorsRecord
     | JobDeletionRecord
 )
 """Any record that the job scheduler writes to the store."""
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -18,6 +18,7 @@
 from basiljunction.state import _time
 from basiljunction.state.workload import _client_calls
 from basiljunction.state.workload import _configuration
+from basiljunction.state.workload import _leadership
 from basiljunction.transport import _clock
 from basiljunction.transport import _metrics
 from basiljunction.transport import _task
@@ -249,8 +250,12 @@
         self._apply_newest_term()
         self._ask_peer_for_leader(now)
         if self._session is not None:
-            confirmed_s = self._terms.election.last_confirmed_s
-            self._session.run_timed_work(now, confirmed_s=confirmed_s)
+            election = self._terms.election
+            self._session.run_timed_work(
+                now,
+                confirmed_s=election.last_confirmed_s,
+                confirmed_beat=election.last_confirmed_beat,
+            )
             if self._session.is_superseded:
                 self._end_session("fenced")
         self._watch_term(now)
@@ -439,16 +444,41 @@
             clock=self._clock.now,
             configuration=configuration,
             metrics=self._metrics,
+            history=self._terms.election.history,
+            earlier_terms_ended_s=self._earlier_terms_ended_s(epoch),
             longest_inherited_run_s=self._longest_inherited_run_s(epoch),
         )
         _log.info("term.begun", epoch=epoch)
 
-    def _longest_inherited_run_s(self, epoch: int) -> float | None:
-        """Returns how long runs of earlier terms go on; None if not known."""
+    def _predecessor(self, epoch: int) -> _leadership.Term | None:
+        """Returns the last record of the term before; None if not known.
+
+        The claim of a term succeeds only if no later record exists.
+        """
         predecessor = self._terms.election.predecessor
         if predecessor is None or predecessor.epoch != epoch - 1:
             return None
-        if not predecessor.is_resigned:
+        return predecessor
+
+    def _earlier_terms_ended_s(self, epoch: int) -> float | None:
+        """Returns by when the term before had written its last record.
+
+        In seconds on the steady clock; None if that is not known.
+        """
+        predecessor = self._predecessor(epoch)
+        if predecessor is None:
+            return None
+        return self._terms.election.history.written_by_s(
+            predecessor.epoch, predecessor.beat
+        )
+
+    def _longest_inherited_run_s(self, epoch: int) -> float | None:
+        """Returns how long runs go on after the last record of earlier terms.
+
+        In seconds; None if that is not known.
+        """
+        predecessor = self._predecessor(epoch)
+        if predecessor is None or not predecessor.is_resigned:
             return None
         return predecessor.longest_run_s or None
 
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.leadership import _term_progress
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
@@ -46,9 +47,12 @@
         clock: Returns the current time.
         configuration: The newest configuration.
         metrics: Registry that receives the metrics of this term.
+        history: When this instance read the records of recent terms.
+        earlier_terms_ended_s: Time after which no earlier term was confirmed,
+            in seconds on the steady clock; None if it is not known.
         longest_inherited_run_s: Longest time for which runs of earlier terms
-            may go on after the begin of this one, in seconds; None if the
-            scheduler before may have gone on without a confirmation.
+            may go on after that, in seconds; None if the scheduler before may
+            have gone on without a confirmation.
     """
 
     def __init__(
@@ -60,6 +64,8 @@
         clock: Callable[[], _time.Now],
         configuration: _configuration.Configuration,
         metrics: _metrics.Metrics,
+        history: _term_history.TermHistory,
+        earlier_terms_ended_s: float | None = None,
         longest_inherited_run_s: float | None = None,
     ) -> None:
         self._metrics = _cell_metrics.CellMetrics(metrics)
@@ -105,7 +111,13 @@
         self._has_executor_list = False
         self._has_warned_of_too_many = False
         self._longest_inherited_run_s = longest_inherited_run_s
+        self._history = history
         self._started_boot_s = clock().boot_s
+        self._earlier_terms_ended_s = (
+            self._started_boot_s
+            if earlier_terms_ended_s is None
+            else earlier_terms_ended_s
+        )
         self._next_summary_s = 0.0
 
     @property
@@ -154,13 +166,11 @@
     def longest_run_s(self) -> float:
         """Longest time for which runs go on after this session has ended.
 
-        In seconds; 0 if that is not known, as runs of earlier terms may still
-        exist.
+        In seconds; 0 if that is not known, before it has recovered.
         """
-        cell = self._scheduler.cell
-        if not self.answers_calls or cell.has_inherited_runs:
+        if not self.answers_calls:
             return 0.0
-        return cell.times.lease_s * _limits.MAX_CLOCK_SLOWNESS
+        return self._scheduler.longest_run_s(self._clock())
 
     def close(self) -> None:
         """Ends the session: no further orders are sent or records stored.
@@ -183,13 +193,16 @@
         """Applies a newer configuration to the scheduler."""
         self._scheduler.set_configuration(configuration)
 
-    def run_timed_work(self, now: _time.Now, *, confirmed_s: float) -> None:
+    def run_timed_work(
+        self, now: _time.Now, *, confirmed_s: float, confirmed_beat: int
+    ) -> None:
         """Recovers the term, then runs a scheduling pass and stores results.
 
         Args:
             now: The current time.
-            confirmed_s: Boot time at which the store last confirmed the term,
-                in seconds.
+            confirmed_s: Boot time at which the newest record of the term that
+                the store confirmed was sent, in seconds.
+            confirmed_beat: Number of the renewal that wrote it.
         """
         if self.is_superseded:
             return
@@ -199,7 +212,9 @@
         self._executors.start_due_read(now)
         if not self._has_executor_list:
             return
-        self._scheduler.run_timed_work(now, confirmed_s=confirmed_s)
+        self._scheduler.run_timed_work(
+            now, confirmed_s=confirmed_s, confirmed_beat=confirmed_beat
+        )
         self._sender.send_collected_orders()
         self._metrics.observe_pass_duration(self._clock().boot_s - now.boot_s)
         for note in self._scheduler.take_notes():
@@ -303,7 +318,8 @@
         self._scheduler.restore_from_records(
             records,
             now,
-            term_begun_s=self._started_boot_s,
+            earlier_terms_ended_s=self._earlier_terms_ended_s,
+            history=self._history,
             longest_inherited_run_s=self._longest_inherited_run_s,
         )
         self._has_recovered = True
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -449,6 +449,20 @@
         assert election.is_leader
         assert election.last_confirmed_s == 1.0
 
+    def test_a_repeated_renewal_confirms_from_when_it_was_first_sent(
+        self,
+    ) -> None:
+        """The first one may be the one that a successor has read."""
+        election = _make_leader()
+        claim = election.next_term_write(1.0)
+        assert claim is not None
+        election.record_write_failure(2.0)
+        assert election.next_term_write(3.0) == claim
+        election.record_write_conflict(3.1)
+        election.apply_read(claim.term, 2, 3.2)
+        assert election.last_confirmed_s == 1.0
+        assert election.last_confirmed_beat == claim.term.beat
+
     def test_a_later_term_ends_the_own_one(self) -> None:
         election = _make_leader()
         election.apply_read(_make_term("b", 2), 2, 3.0)
--- /dev/null
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -0,0 +1,209 @@
+"""Tests that a series of schedulers waits for a silent executor once."""
+
+import pytest
+
+from basiljunction.coordination.leadership import _term_history
+from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _silent_executors
+from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _records
+from basiljunction.state.workload import _run_bound
+import cell_rig
+import workload_builders as build
+
+_MAX_GAP_S = 9.0
+"""Time after the end of a lasting task's run by which it has to run again if
+there is capacity, in seconds: 6 s, and 3 s without a run after that."""
+
+_NOTICE_S = 2.0
+"""Time in which a silence is noticed and stored, in seconds."""
+
+
+def _make_rig_with_lasting_tasks() -> cell_rig.CellRig:
+    """Returns a rig of three executors, with lasting tasks on each."""
+    rig = cell_rig.CellRig(
+        *(build.executor_entry(f"e{number}") for number in range(3))
+    )
+    rig.run(1)
+    rig.submit(
+        build.accepted_job(
+            build.step_spec(count=6, runs_until_cancelled=True),
+            in_queue=build.queue("watch"),
+        )
+    )
+    rig.run(1)
+    assert rig.count_lasting_runs() == 6
+    return rig
+
+
+def _lose_executor(rig: cell_rig.CellRig) -> None:
+    """Ends executor e0 and its runs for good."""
+    rig.executor_by_id["e0"].is_up = False
+    rig.executor_by_id["e0"].run_by_key.clear()
+    rig.list_executors()
+
+
+def _read_record(rig: cell_rig.CellRig) -> _records.SilentExecutorsRecord:
+    """Returns the stored record of silent executors."""
+    record = _job_records.decode_record(
+        _job_records.KeyedRecord("silent", rig.store["silent"])
+    )
+    assert isinstance(record, _records.SilentExecutorsRecord)
+    return record
+
+
+class TestTakeOversInSeries:
+    """No term begins the wait for a lost executor anew."""
+
+    def test_resignations_do_not_add_up(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        _lose_executor(rig)
+        lost_s = rig.now_s
+        while rig.count_lasting_runs() < 6:
+            rig.resign()
+            for _ in range(round(1.5 / cell_rig.STEP_S)):
+                rig.step()
+                assert (
+                    rig.count_lasting_runs() == 6
+                    or rig.now_s - lost_s < _MAX_GAP_S
+                )
+
+    def test_lost_schedulers_do_not_add_up(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        _lose_executor(rig)
+        lost_s = rig.now_s
+        rig.run(_NOTICE_S)
+        while rig.count_lasting_runs() < 6:
+            rig.take_over(recovery_s=0.5)
+            rig.run(1.5)
+            assert rig.now_s - lost_s < _MAX_GAP_S
+
+    def test_a_scheduler_that_wrote_nothing_does_not_shorten_the_next_wait(
+        self,
+    ) -> None:
+        """It may have extended a lease before it was lost."""
+        rig = _make_rig_with_lasting_tasks()
+        rig.executor_by_id["e0"].is_answering = False
+        rig.run(_NOTICE_S)
+        rig.take_over()
+        rig.executor_by_id["e0"].is_answering = True
+        rig.run(0.2)
+        rig.executor_by_id["e0"].is_answering = False
+        rig.take_over()
+        rig.run(12)
+        assert rig.count_lasting_runs() == 6
+
+
+class TestLeases:
+    """The lease of an executor whose bound may be stored stays as it is."""
+
+    def test_it_is_extended_once_the_store_has_no_bound_of_it(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        executor = rig.executor_by_id["e0"]
+        executor.is_answering = False
+        rig.run(_NOTICE_S)
+        assert list(_read_record(rig).bound_by_executor) == ["e0"]
+        lease_ms = executor.lease_ms
+        rig.store_is_up = False
+        executor.is_answering = True
+        rig.run(1)
+        assert executor.lease_ms == lease_ms
+        assert not rig.scheduler.cell.is_usable(
+            rig.scheduler.cell.executor_by_id["e0"], rig.now_s
+        )
+        rig.store_is_up = True
+        rig.run(1)
+        assert executor.lease_ms > lease_ms
+        assert _read_record(rig).bound_by_executor == {}
+        assert rig.scheduler.cell.is_usable(
+            rig.scheduler.cell.executor_by_id["e0"], rig.now_s
+        )
+
+    def test_a_bound_covers_the_whole_lease(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        executor = rig.executor_by_id["e0"]
+        executor.is_answering = False
+        rig.run(_NOTICE_S)
+        record = _read_record(rig)
+        assert record.epoch == rig.epoch
+        bound = record.bound_by_executor["e0"]
+        written_s = rig.history.written_by_s(bound.epoch, bound.beat)
+        assert written_s is not None
+        lease_until_s = executor.born_s + executor.lease_ms / 1000
+        assert written_s + bound.after_s >= lease_until_s
+        assert bound.after_s < 2 * _limits.LeaseTimes().lease_s
+
+
+class TestRestore:
+    """Only the record of the scheduler before shortens a wait."""
+
+    @pytest.mark.parametrize(("written_in", "waits_s"), [(2, 4.0), (1, 10.5)])
+    def test_a_record_of_an_earlier_scheduler_is_ignored(
+        self, written_in: int, waits_s: float
+    ) -> None:
+        history = _term_history.TermHistory()
+        history.record(1, 7, 100.0)
+        scheduler = build.scheduler(epoch=3)
+        scheduler.restore_from_records(
+            [
+                _records.ExecutorRosterRecord((build.executor_entry("e0"),)),
+                _records.SilentExecutorsRecord(
+                    written_in, {"e0": _run_bound.RunBound(1, 7, 4.0)}
+                ),
+            ],
+            build.clock_readings_at(101.0),
+            earlier_terms_ended_s=100.0,
+            history=history,
+        )
+        until_s = scheduler.cell.executor_by_id["e0"].inherited_until_s
+        assert until_s == pytest.approx(100.0 + waits_s)
+
+
+@pytest.mark.parametrize("seed", range(12))
+class TestFaults:
+    """Cuts, outages and changes of scheduler in series double no run."""
+
+    def test_no_task_runs_twice_and_all_run_in_the_end(self, seed: int) -> None:
+        rig = cell_rig.CellRig(
+            *(build.executor_entry(f"e{number}") for number in range(4)),
+            seed=seed,
+        )
+        rig.run(1)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=6, runs_until_cancelled=True),
+                in_queue=build.queue("watch"),
+            )
+        )
+        rng = rig.rng
+        for number in range(40):
+            rig.submit(
+                build.accepted_job(
+                    build.step_spec(count=3), job_id=f"a{number:015x}"
+                )
+            )
+            for executor in rig.executor_by_id.values():
+                if rng.random() < 0.15:
+                    executor.is_answering = not executor.is_answering
+            rig.store_is_up = rng.random() > 0.15
+            rig.run(rng.choice([0.1, 0.3, 1.0, 2.0]))
+            if rig.store_is_up and rng.random() < 0.4:
+                if rng.random() < 0.5:
+                    rig.resign()
+                else:
+                    rig.take_over(rng.choice([0.0, 0.5, 2.0]))
+        for executor in rig.executor_by_id.values():
+            executor.is_answering = True
+        rig.store_is_up = True
+        rig.run(_silent_executors.FIRST_CHECK_DELAY_S + 15)
+        assert rig.count_lasting_runs() == 6
+        lasting = {
+            task
+            for executor in rig.executor_by_id.values()
+            for task, _ in executor.run_by_key
+        }
+        assert lasting == {
+            _job_spec.TaskId("00000000000000a1", 0, 0, index)
+            for index in range(6)
+        }
