Drop executors that drain and run nothing from the roster

Cause: an executor stays in the stored roster until its entry is gone and its lease has expired. So each successor waited for all that had left within the last seconds, though the scheduler before it had seen that nothing ran on them.

Change: one that drains, has answered that nothing runs on it and whose ends are stored is left out of the roster. It gets no tasks while it drains; if it serves again, it gets none before the roster has it again.

Three of the four tests failed before, the fourth guards what still runs.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -312,7 +312,11 @@
         self.dirty_job_ids.clear()
         if self.roster_changed:
             self.roster_changed = False
-            entries = (each.listing for each in self.executor_by_id.values())
+            entries = (
+                each.listing
+                for each in self.executor_by_id.values()
+                if not each.is_vacated
+            )
             records.append(_records.ExecutorRosterRecord(tuple(entries)))
         acknowledgement_by_executor = {
             executor_id: _orders.Acknowledgement(
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -20,6 +20,8 @@
         listing: The executor as the platform lists it.
         is_listed: Whether the platform's newest list contains it.
         is_roster_stored: Whether the stored roster record contains it.
+        is_vacated: Whether it drains, runs nothing and is left out of the
+            roster, so that a successor does not wait for it.
         started_wall_ms: Start time of the incarnation that answered last, in
             milliseconds since the Unix epoch; 0 before the first answer.
         last_answer_s: Time of its last answer to a lease renewal; None before
@@ -72,6 +74,7 @@
     listing: _executor.ListedExecutor
     is_listed: bool = True
     is_roster_stored: bool = False
+    is_vacated: bool = False
     started_wall_ms: int = 0
     last_answer_s: float | None = None
     executor_clock_ms: int = 0
@@ -266,6 +269,17 @@
         )
         return min(known, default=0.0)
 
+    def is_empty_for_good(self) -> bool:
+        """Returns whether it drains and has answered that nothing runs on it.
+
+        It gets no more tasks, and the ends of all its runs are stored.
+        """
+        if not self.listing.is_draining or self.last_answer_s is None:
+            return False
+        if self.run_by_key or self.inherited_until_s is not None:
+            return False
+        return self.processed_end_number == self.stored_end_number
+
     def has_certainly_no_runs(self, now_s: float) -> bool:
         """Returns whether the executor certainly has no runs."""
         if self.run_by_key or self.inherited_until_s is not None:
--- a/src/basiljunction/coordination/scheduling/_inherited_runs.py
+++ b/src/basiljunction/coordination/scheduling/_inherited_runs.py
@@ -23,8 +23,12 @@
         self._next_note_s: float | None = None
 
     def tick(self, now: _time.Now) -> None:
-        """Ends the waits that are over, and logs the others at intervals."""
+        """Ends the waits that are over, and logs the others at intervals.
+
+        Executors that a successor need not wait for leave the roster.
+        """
         cell = self._cell
+        self._update_roster()
         if not cell.has_inherited_runs:
             return
         awaited = [
@@ -41,6 +45,17 @@
         else:
             cell.needs_placing = True
 
+    def _update_roster(self) -> None:
+        """Leaves executors out of the roster while they are empty for good."""
+        for executor in self._cell.executor_by_id.values():
+            is_vacated = executor.is_empty_for_good()
+            if is_vacated == executor.is_vacated:
+                continue
+            executor.is_vacated = is_vacated
+            self._cell.roster_changed = True
+            if not is_vacated:
+                executor.is_roster_stored = False
+
     def _end_if_over(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> bool:
--- a/tests/coordination/scheduling/test_inherited_runs.py
+++ b/tests/coordination/scheduling/test_inherited_runs.py
@@ -1,8 +1,12 @@
 """Tests of the wait for runs of earlier terms."""
 
+import dataclasses
+
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _summary
+from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _records
 import cell_rig
 import workload_builders as build
 
@@ -56,3 +60,80 @@
         rig.run(2)
         assert notes == []
         assert not rig.scheduler.cell.has_inherited_runs
+
+
+def _set_draining(
+    rig: cell_rig.CellRig, executor_id: str, *, is_draining: bool
+) -> None:
+    """Changes whether an executor drains, and lists it."""
+    executor = rig.executor_by_id[executor_id]
+    executor.entry = dataclasses.replace(
+        executor.entry, is_draining=is_draining
+    )
+    rig.list_executors()
+
+
+def _read_roster_ids(rig: cell_rig.CellRig) -> set[str]:
+    """Returns the ids of the executors in the stored roster."""
+    record = _job_records.decode_record(
+        _job_records.KeyedRecord("roster", rig.store["roster"])
+    )
+    assert isinstance(record, _records.ExecutorRosterRecord)
+    return {each.id for each in record.executors}
+
+
+class TestVacatedExecutors:
+    """No successor waits for an executor that left without any runs."""
+
+    def _make_rig(self) -> cell_rig.CellRig:
+        """Returns a rig of two executors with a job of many tasks."""
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.run(1)
+        rig.submit(build.accepted_job(build.step_spec(count=40)))
+        return rig
+
+    def test_tasks_do_not_wait_for_it_after_a_take_over(self) -> None:
+        rig = self._make_rig()
+        rig.run(0.2)
+        _set_draining(rig, "e1", is_draining=True)
+        rig.run(1)
+        assert _read_roster_ids(rig) == {"e2"}
+        rig.executor_by_id["e1"].is_up = False
+        rig.list_executors()
+        rig.take_over()
+        start_count = len(rig.starts)
+        rig.run(1)
+        assert len(rig.starts) > start_count
+
+    def test_one_that_still_runs_a_task_stays_in_the_roster(self) -> None:
+        rig = self._make_rig()
+        rig.run_time_s = 5.0
+        rig.run(0.2)
+        _set_draining(rig, "e1", is_draining=True)
+        rig.run(1)
+        assert _read_roster_ids(rig) == {"e1", "e2"}
+
+    def test_one_whose_ends_are_not_stored_stays_in_the_roster(self) -> None:
+        rig = self._make_rig()
+        rig.run(0.2)
+        _set_draining(rig, "e1", is_draining=True)
+        rig.store_is_up = False
+        rig.run(1)
+        assert not rig.scheduler.cell.executor_by_id["e1"].is_vacated
+
+    def test_it_returns_to_the_roster_before_it_gets_tasks_again(self) -> None:
+        rig = self._make_rig()
+        rig.run(0.2)
+        _set_draining(rig, "e1", is_draining=True)
+        rig.run(1)
+        rig.store_is_up = False
+        _set_draining(rig, "e1", is_draining=False)
+        rig.starts.clear()
+        rig.run(0.5)
+        assert "e1" not in {executor for _, executor, _ in rig.starts}
+        rig.store_is_up = True
+        rig.run(1)
+        assert _read_roster_ids(rig) == {"e1", "e2"}
+        assert "e1" in {executor for _, executor, _ in rig.starts}
