Wait only for executors on which a task may run

Cause: one gate for all. While any executor might have runs of an earlier term, no task of any inherited job started.

Change: a lasting task's executor is stored before its start is sent (one record of the job with the next batch, some 40 bytes a task; starts of lasting tasks wait for it). A successor that knows these records to be those of the last scheduler holds such a task back only while that one executor may run it. A task whose inherited run was adopted has no other run, so it is not held back either. Jobs stored by an earlier version wait for all executors, as before.

The new tests failed before, but those that guard what still has to wait.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -172,6 +172,22 @@
         "",
         f"{_TESTS}/test_silent_executors.py",
     ),
+    _mutation(
+        "lasting-start-sent-before-its-executor-is-stored",
+        "one run",
+        f"{_SCHEDULING}/_cell_state.py",
+        "            self.held_starts.append(order)\n",
+        "            self.orders.append(order)\n",
+        f"{_TESTS}/test_silent_executors.py",
+    ),
+    _mutation(
+        "executors-of-an-unknown-scheduler-trusted",
+        "one run",
+        f"{_SCHEDULING}/_cell_state.py",
+        "            or executor_by_position is None\n        ):",
+        "        ):",
+        f"{_TESTS}/test_silent_executors.py",
+    ),
     _mutation(
         "sockets-starve-beside-messages",
         "the scheduler hears its executors",
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -31,6 +31,7 @@
         job_by_id: All known jobs.
         executor_by_id: All known executors.
         orders: Orders to send.
+        held_starts: Start orders to send once the next batch is stored.
         records: Records to store.
         dirty_job_ids: Jobs whose progress has to be stored.
         unstored_final_job_ids: Jobs whose final state is not stored yet.
@@ -51,6 +52,8 @@
         is_fenced: Whether an executor has seen a later term.
         has_inherited_runs: Whether runs of an earlier term may still exist on
             executors that have not listed them.
+        knows_inherited_executors: Whether the stored executors of tasks that
+            run until cancelled are those of their last runs.
         next_shorten_finished_s: When records of finished jobs are next
             shortened.
         next_forget_finished_s: When finished jobs are next cleaned up.
@@ -74,6 +77,9 @@
         default_factory=dict
     )
     orders: list[_orders.Order] = dataclasses.field(default_factory=list)
+    held_starts: list[_orders.StartOrder] = dataclasses.field(
+        default_factory=list
+    )
     records: list[_records.Record] = dataclasses.field(default_factory=list)
     dirty_job_ids: set[str] = dataclasses.field(default_factory=set)
     unstored_final_job_ids: set[str] = dataclasses.field(default_factory=set)
@@ -88,6 +94,7 @@
     confirmed_beat: int = 0
     is_fenced: bool = False
     has_inherited_runs: bool = False
+    knows_inherited_executors: bool = False
     next_shorten_finished_s: float = 0.0
     next_forget_finished_s: float = 0.0
     next_learned_record_s: float = 0.0
@@ -197,6 +204,55 @@
         """Marks a job's progress to be stored with the next batch."""
         self.dirty_job_ids.add(job.id)
 
+    def may_run_unlisted(
+        self, job: _jobs.Job, place: _progress.TaskPosition
+    ) -> bool:
+        """Returns whether a task may run on an executor that has not told so.
+
+        A run of an earlier term is then on an executor that did not list its
+        runs in this one. Where the executor of the last run is known, only
+        that one counts.
+        """
+        if not (job.is_inherited and self.has_inherited_runs):
+            return False
+        step = job.spec.steps[place[1]]
+        if step.speculative:
+            return True
+        if place in job.adopted_places:
+            return False
+        executor_by_position = job.progress.executor_by_position
+        if (
+            not step.runs_until_cancelled
+            or not self.knows_inherited_executors
+            or executor_by_position is None
+        ):
+            return True
+        executor = self.executor_by_id.get(executor_by_position.get(place, ""))
+        return executor is not None and executor.inherited_until_s is not None
+
+    def note_executor_of_lasting_task(
+        self, job: _jobs.Job, run: _runs.Run
+    ) -> None:
+        """Records the executor of a run that lasts until cancelled."""
+        executor_by_position = job.progress.executor_by_position
+        if executor_by_position is None or not run.step.runs_until_cancelled:
+            return
+        place = place_in_job(run.task)
+        if executor_by_position.get(place) != run.executor:
+            executor_by_position[place] = run.executor
+            self.mark_progress_dirty(job)
+
+    def order_start(self, job: _jobs.Job, order: _orders.StartOrder) -> None:
+        """Queues a start order, after the batch if its executor is stored."""
+        step = job.spec.steps[order.task.step]
+        if (
+            step.runs_until_cancelled
+            and job.progress.executor_by_position is not None
+        ):
+            self.held_starts.append(order)
+        else:
+            self.orders.append(order)
+
     def set_current_run(self, job: _jobs.Job, run: _runs.Run) -> None:
         """Makes a run the current run of its task, whose end counts.
 
@@ -327,10 +383,12 @@
         }
         replies = tuple(self.replies)
         self.replies = []
-        if not (records or acknowledgement_by_executor or replies):
+        starts = tuple(self.held_starts)
+        self.held_starts = []
+        if not (records or acknowledgement_by_executor or replies or starts):
             return None
         return _orders.Batch(
-            tuple(records), acknowledgement_by_executor, replies
+            tuple(records), acknowledgement_by_executor, replies, starts
         )
 
 
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -56,6 +56,8 @@
         waiting_tasks_by_step: Waiting tasks by occurrence and step.
         opened_steps: Occurrences and steps whose tasks have been queued.
         running_places: Places of the tasks that have a current run.
+        adopted_places: Places of the tasks of which this scheduler adopted the
+            run of an earlier term, so that there is no other.
         has_started_tasks: Whether any task has started.
         done_count_by_step: Successful tasks by occurrence and step.
         failed_executor_ids_by_place: Executors on which each task has failed,
@@ -81,6 +83,9 @@
     running_places: set[_progress.TaskPosition] = dataclasses.field(
         default_factory=set
     )
+    adopted_places: set[_progress.TaskPosition] = dataclasses.field(
+        default_factory=set
+    )
     has_started_tasks: bool = False
     done_count_by_step: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
@@ -111,6 +116,11 @@
         """Whether the job is stored and not final, so that tasks may start."""
         return self.is_stored and not self.progress.state.is_final
 
+    @property
+    def has_known_executors(self) -> bool:
+        """Whether the executor of a task's inherited run may be known."""
+        return bool(self.adopted_places) or self.spec.has_lasting_step
+
     @property
     def objective_s(self) -> float:
         """Time from submission within which the job earns its full credit."""
--- a/src/basiljunction/coordination/scheduling/_orders.py
+++ b/src/basiljunction/coordination/scheduling/_orders.py
@@ -221,8 +221,10 @@
         acknowledge_by_executor: Highest run end that the records cover, by id
             of the executor.
         replies: Answers to send once the records are stored.
+        starts: Start orders to send once the records are stored.
     """
 
     records: tuple[_records.Record, ...]
     acknowledge_by_executor: dict[str, Acknowledgement]
     replies: tuple[Reply, ...]
+    starts: tuple[StartOrder, ...] = ()
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -169,13 +169,16 @@
     def _ranked_waiting_jobs(self, now: _time.Now) -> list[_jobs.Job]:
         """Returns the jobs with waiting tasks, the first to place first.
 
-        Inherited jobs are left out while runs of an earlier term may exist.
+        Inherited jobs are left out while runs of an earlier term may exist,
+        unless tasks of them are known not to run.
         """
         cell = self._cell
         jobs = []
         for job in cell.job_by_id.values():
             if not job.is_active or (
-                job.is_inherited and cell.has_inherited_runs
+                job.is_inherited
+                and cell.has_inherited_runs
+                and not job.has_known_executors
             ):
                 continue
             job.open_ready_steps(now.boot_s, now.wall_s)
@@ -392,6 +395,8 @@
             is_urgent = job.is_start_urgent((*key, index), now.boot_s)
             if waited_s < 0 or (urgent_only and not is_urgent):
                 continue
+            if self._cell.may_run_unlisted(job, (*key, index)):
+                continue
             if not is_urgent and not self._may_start_beside_short_tasks(
                 job, step, waited_s
             ):
@@ -497,6 +502,11 @@
         if max(waiting_tasks.ready_s_by_index.values()) > now.boot_s:
             return 0
         key = (waiting_tasks.occurrence, waiting_tasks.step)
+        if any(
+            self._cell.may_run_unlisted(job, (*key, index))
+            for index in waiting_tasks.ready_s_by_index
+        ):
+            return 0
         if urgent_only and not any(
             job.is_start_urgent((*key, index), now.boot_s)
             for index in waiting_tasks.ready_s_by_index
@@ -555,10 +565,12 @@
             standing=_ordering.objective_status(job, now.boot_s).name.lower(),
         )
         cell.set_current_run(job, run)
+        cell.note_executor_of_lasting_task(job, run)
         if not step.fills:
             capacity = self._capacity_by_service[job.queue.service]
             capacity.free_millicores -= step.size.cpu_millicores
-        cell.orders.append(
+        cell.order_start(
+            job,
             _orders.StartOrder(
                 executor=executor.listing.id,
                 task=task,
@@ -571,7 +583,7 @@
                 approval=cell.approvals.approval_token(
                     (job.id, task.occurrence, task.step), executor, now.boot_s
                 ),
-            )
+            ),
         )
 
     def _checkpoint_to_resume(
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -370,7 +370,10 @@
             free=is_free,
         )
         if known and is_free and cell.is_task_unfinished(report.task):
-            cell.set_current_run(cell.job_by_id[report.task.job], run)
+            job = cell.job_by_id[report.task.job]
+            cell.set_current_run(job, run)
+            job.adopted_places.add(_cell_state.place_in_job(report.task))
+            cell.note_executor_of_lasting_task(job, run)
         else:
             executor.stop_run(run, now.boot_s)
         return run
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -226,12 +226,18 @@
             return None
         if not self._placer.could_ever_fit(accepted):
             return _orders.SubmitResult.NEVER_FITS
-        cell.job_by_id[accepted.id] = _jobs.Job(
+        job = cell.job_by_id[accepted.id] = _jobs.Job(
             accepted=accepted,
             queue=accepted.queue,
-            progress=_progress.JobProgress(),
+            progress=_progress.JobProgress(
+                executor_by_position=(
+                    {} if accepted.spec.has_lasting_step else None
+                )
+            ),
             arrived_s=now.boot_s,
         )
+        if accepted.spec.has_lasting_step:
+            cell.mark_progress_dirty(job)
         cell.note(
             "job.queued",
             job=accepted.id,
@@ -545,6 +551,12 @@
         cell = self.cell
         for record in batch.records:
             self._mark_record_stored(record)
+        for order in batch.starts:
+            _, run = cell.find_executor_and_run(
+                order.executor, order.task, order.run
+            )
+            if run is not None and run.phase is _runs.RunPhase.ORDERED:
+                cell.orders.append(order)
         for executor_id, covered in batch.acknowledge_by_executor.items():
             state = cell.executor_by_id.get(executor_id)
             if (
--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -54,6 +54,7 @@
         """
         if record.epoch != self._cell.epoch - 1:
             return
+        self._cell.knows_inherited_executors = True
         for executor_id, bound in record.bound_by_executor.items():
             executor = self._cell.executor_by_id.get(executor_id)
             written_s = history.written_by_s(bound.epoch, bound.beat)
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -214,7 +214,7 @@
 
 def _progress_to_document(progress: _progress.JobProgress) -> dict[str, Any]:
     """Converts the progress of a job to a dict for JSON."""
-    return {
+    document: dict[str, Any] = {
         "state": progress.state.value,
         "finished": progress.finished_wall_s,
         "done": sorted(progress.completed_positions),
@@ -227,6 +227,12 @@
             for place, text in progress.checkpoint_by_position.items()
         ],
     }
+    if progress.executor_by_position is not None:
+        document["executors"] = [
+            (*place, executor)
+            for place, executor in progress.executor_by_position.items()
+        ]
+    return document
 
 
 def _progress_from_document(document: dict[str, Any]) -> _progress.JobProgress:
@@ -243,6 +249,14 @@
             _parse_position(row[:3]): str(row[3])
             for row in document["checkpoints"]
         },
+        executor_by_position=(
+            {
+                _parse_position(row[:3]): str(row[3])
+                for row in document["executors"]
+            }
+            if "executors" in document
+            else None
+        ),
     )
 
 
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -40,6 +40,10 @@
             ended before completion.
         finished_wall_s: Time at which the state became final, in seconds since
             the Unix epoch.
+        executor_by_position: Executor of the last run of each task that runs
+            until cancelled, stored before the run may start; None if an
+            earlier version of the program may have started some, or if the
+            job has no such task.
     """
 
     state: JobState = JobState.PENDING
@@ -53,6 +57,7 @@
         default_factory=dict
     )
     finished_wall_s: float = 0.0
+    executor_by_position: dict[TaskPosition, str] | None = None
 
     def copy_to_store(self) -> "JobProgress":
         """Returns a copy of what a successor needs to know.
@@ -75,6 +80,11 @@
             },
             checkpoint_by_position=dict(self.checkpoint_by_position),
             finished_wall_s=self.finished_wall_s,
+            executor_by_position=(
+                None
+                if self.executor_by_position is None
+                else dict(self.executor_by_position)
+            ),
         )
 
 
--- a/tests/coordination/scheduling/test_silent_executors.py
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -207,3 +207,96 @@
             _job_spec.TaskId("00000000000000a1", 0, 0, index)
             for index in range(6)
         }
+
+
+class TestTasksOfOtherExecutors:
+    """A lost executor holds up only the tasks that may run on it."""
+
+    def _lose_executor_after_its_tasks_were_stopped(
+        self, rig: cell_rig.CellRig
+    ) -> set[_job_spec.TaskId]:
+        """Ends lasting tasks on e1 and loses e0; returns those of e1."""
+        ended = {task for task, _ in rig.executor_by_id["e1"].run_by_key}
+        rig.executor_by_id["e1"].fail_lasting_runs()
+        _lose_executor(rig)
+        return ended
+
+    def _running_tasks(self, rig: cell_rig.CellRig) -> set[_job_spec.TaskId]:
+        """Returns the tasks that run on executors that are up."""
+        return {
+            task
+            for executor in rig.executor_by_id.values()
+            if executor.is_up
+            for task, _ in executor.run_by_key
+        }
+
+    def test_lasting_tasks_run_again_at_once_after_a_take_over(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        ended = self._lose_executor_after_its_tasks_were_stopped(rig)
+        rig.take_over()
+        rig.run(1)
+        assert ended <= self._running_tasks(rig)
+        rig.run(2 * _limits.LeaseTimes().max_run_after_term_s)
+        assert rig.count_lasting_runs() == 6
+
+    def test_a_task_of_the_lost_executor_still_waits(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        lost = {task for task, _ in rig.executor_by_id["e0"].run_by_key}
+        _lose_executor(rig)
+        rig.take_over()
+        rig.run(_limits.LeaseTimes().lease_s)
+        assert not lost & self._running_tasks(rig)
+
+    def test_jobs_of_an_earlier_version_wait_for_all(self) -> None:
+        """It did not store on which executor a task ran last."""
+        rig = _make_rig_with_lasting_tasks()
+        del rig.store["p.00000000000000a1"]
+        ended = self._lose_executor_after_its_tasks_were_stopped(rig)
+        rig.take_over()
+        rig.run(_limits.LeaseTimes().lease_s)
+        assert not ended & self._running_tasks(rig)
+
+    def test_short_tasks_that_were_adopted_run_again(self) -> None:
+        rig = cell_rig.CellRig(
+            *(build.executor_entry(f"e{number}") for number in range(3))
+        )
+        rig.run(1)
+        rig.run_time_s = 4.0
+        rig.submit(build.accepted_job(build.step_spec(count=6)))
+        rig.run(1)
+        _lose_executor(rig)
+        rig.take_over()
+        rig.run(0.5)
+        adopted = {task for task, _ in rig.executor_by_id["e1"].run_by_key}
+        assert adopted
+        rig.executor_by_id["e1"].restart()
+        rig.run(2)
+        assert adopted <= {order.task for _, _, order in rig.starts[6:]}
+
+
+class TestStoredExecutors:
+    """A lasting task starts once the store knows its executor."""
+
+    def test_no_start_is_sent_before(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        rig.run(1)
+        start_count = len(rig.starts)
+        rig.executor_by_id["e1"].fail_lasting_runs()
+        rig.store_is_up = False
+        rig.run(1)
+        assert len(rig.starts) == start_count
+        rig.store_is_up = True
+        rig.run(1)
+        assert rig.count_lasting_runs() == 6
+
+    def test_a_job_that_was_cancelled_meanwhile_starts_nothing(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        start_count = len(rig.starts)
+        rig.executor_by_id["e1"].fail_lasting_runs()
+        rig.store_is_up = False
+        rig.run(0.5)
+        rig.cancel("00000000000000a1")
+        rig.store_is_up = True
+        rig.run(1)
+        assert len(rig.starts) == start_count
+        assert rig.count_lasting_runs() == 0
