--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -213,12 +213,12 @@
         f"{_TESTS}/test_lasting.py",
     ),
     _mutation(
-        "inherited-jobs-not-held",
+        "inherited-tasks-not-held",
         "one run",
-        f"{_SCHEDULING}/_placer.py",
-        "job.is_inherited and cell.has_inherited_runs",
-        "False",
-        f"{_TESTS}/test_scheduler.py",
+        f"{_SCHEDULING}/_cell_state.py",
+        "if not (job.is_inherited and self.has_inherited_runs):",
+        "if job.is_inherited:",
+        f"{_TESTS}/test_silent_executors.py",
     ),
     _mutation(
         "leases-without-confirmed-term",
