Move lasting tasks off executors that drain before these exit

Executors had said 9 s before that they would exit; the scheduler placed nothing new there, but left what ran. When an executor exits, its runs end and nobody lists the ends, so their tasks waited for the lease to expire, and longer across changes of scheduler.

A new module, called after the renewals and before placement, stops lasting runs on a draining executor in contact as far as other executors have room for them now. Tasks that wait, and those being stopped, take that room first. The restart is urgent, as after any other loss of a run. A run stays where it is while no executor has room, while inherited tasks may not start, and if it is a member of a gang.

The executors' entry tells the least time that is left (RemainingMs). It is parsed into ListedExecutor and not stored with the roster, because it only holds when it is reported. Short runs and fillers with checkpoints are stopped when this time only just suffices for a stop and a renewal; others end by themselves. Lasting runs are moved after that time too: it is a minimum, and executors may go on for many seconds more.

Each stop is logged as task.evacuated. The rig has executors that drain for a given time and stops that take time, and checks that nothing starts on an executor that drains.

--- a/src/basiljunction/coordination/scheduling/_approvals.py
+++ b/src/basiljunction/coordination/scheduling/_approvals.py
@@ -88,6 +88,19 @@
             each for each in executors if self.approval_token(key, each, now_s)
         ]
 
+    def is_refused(
+        self, key: StepKey, executor: _executors.ExecutorState
+    ) -> bool:
+        """Returns whether the policy did not approve an executor for a step."""
+        step_approvals = self._approvals_by_step.get(key)
+        if step_approvals is None:
+            return False
+        executor_id = executor.listing.id
+        return (
+            executor_id in step_approvals.decided_executors
+            and executor_id not in step_approvals.approval_by_executor
+        )
+
     def approval_token(
         self, key: StepKey, executor: _executors.ExecutorState, now_s: float
     ) -> str:
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -117,8 +117,22 @@
 
         Its silence is excused as far as the scheduler itself is late.
         """
-        own_delay_s = self.tick_gap_s * _limits.TICKS_PER_RENEWAL
-        return executor.accepts_new_tasks(now_s, own_delay_s=own_delay_s)
+        return executor.accepts_new_tasks(
+            now_s, own_delay_s=self._own_delay_s()
+        )
+
+    def is_in_contact(
+        self, executor: _executors.ExecutorState, now_s: float
+    ) -> bool:
+        """Returns whether an executor has answered a renewal lately.
+
+        Its silence is excused as far as the scheduler itself is late.
+        """
+        return executor.is_in_contact(now_s, own_delay_s=self._own_delay_s())
+
+    def _own_delay_s(self) -> float:
+        """Returns the silence that the scheduler may cause, in seconds."""
+        return self.tick_gap_s * _limits.TICKS_PER_RENEWAL
 
     def measure_tick_gap(self, now_s: float) -> None:
         """Measures the longest gap between two ticks of the last seconds."""
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -45,6 +45,8 @@
             one, or the last one that lasted.
         inherited_until_s: Time until which unreported runs of an earlier
             scheduler may exist on it; None once all its runs are known.
+        drain_ends_s: Earliest time at which it exits, as it reported while
+            draining; None if it does not drain or did not tell.
         fillers_adjusted_s: Time at which fillers were last stopped or slowed
             down on it.
         reserved_resources: Resources reserved by its runs.
@@ -87,6 +89,7 @@
     is_suspect: bool = False
     consecutive_failures: int = 0
     inherited_until_s: float | None = None
+    drain_ends_s: float | None = None
     fillers_adjusted_s: float = 0.0
     reserved_resources: _job_spec.Resources = dataclasses.field(
         default_factory=_job_spec.Resources
@@ -104,8 +107,21 @@
     def __post_init__(self) -> None:
         self._update_free_capacity()
 
-    def update_listing(self, listing: _executor.ListedExecutor) -> None:
-        """Replaces the listing by a newer one of the same executor."""
+    def update_listing(
+        self, listing: _executor.ListedExecutor, now_s: float
+    ) -> None:
+        """Replaces the listing by a newer one of the same executor.
+
+        A listing that is read again tells nothing new of how long the executor
+        goes on.
+        """
+        if listing.drain_left_s is None:
+            self.drain_ends_s = None
+        elif (
+            self.drain_ends_s is None
+            or listing.drain_left_s != self.listing.drain_left_s
+        ):
+            self.drain_ends_s = now_s + listing.drain_left_s
         self.listing = listing
         self.revision += 1
         self._update_free_capacity()
@@ -199,6 +215,17 @@
             return False
         if now_s < self.avoid_until_s:
             return False
+        return self.is_in_contact(now_s, own_delay_s=own_delay_s)
+
+    def is_in_contact(self, now_s: float, *, own_delay_s: float) -> bool:
+        """Returns whether the executor has answered a renewal lately.
+
+        Args:
+            now_s: Current time in seconds.
+            own_delay_s: Part of its silence that the scheduler may have caused.
+        """
+        if self.last_answer_s is None:
+            return False
         silent_s = now_s - self.last_answer_s
         return silent_s < _limits.CONTACT_TIMEOUT_S + own_delay_s
 
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -80,12 +80,14 @@
             scheduler has to wait.
         finished_job_retention_s: Time for which the state of a finished job is
             kept.
+        stop_timeout_s: Longest time that an executor needs to stop a run.
     """
 
     lease_s: float = 5.0
     longest_lease_s: float = 10.0
     max_unconfirmed_s: float = 5.0
     finished_job_retention_s: float = 120.0
+    stop_timeout_s: float = 0.9
 
     @property
     def max_run_after_term_s(self) -> float:
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -68,7 +68,7 @@
         self._heap = [
             (_placement_cost(step, each, sharing), position, each)
             for position, each in enumerate(
-                _startable_executors(step, task, executors, sharing)
+                startable_executors(step, task, executors, sharing)
             )
         ]
         heapq.heapify(self._heap)
@@ -80,7 +80,7 @@
     def update_best_executor(self) -> None:
         """Ranks the best executor anew after a task was started on it."""
         _, position, executor = self._heap[0]
-        if _startable_executors(
+        if startable_executors(
             self._step, self._task, (executor,), self._sharing
         ):
             cost = _placement_cost(self._step, executor, self._sharing)
@@ -96,13 +96,13 @@
     sharing: _sharing.FillerController,
 ) -> list[_executors.ExecutorState]:
     """Returns the executors on which a task can start now, best first."""
-    fitting = _startable_executors(step, task, executors, sharing)
+    fitting = startable_executors(step, task, executors, sharing)
     return sorted(
         fitting, key=lambda each: _placement_cost(step, each, sharing)
     )
 
 
-def _startable_executors(
+def startable_executors(
     step: _job_spec.StepSpec,
     task: _job_spec.TaskId,
     executors: Iterable[_executors.ExecutorState],
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -9,6 +9,7 @@
 import itertools
 
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _evacuation
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
@@ -49,6 +50,7 @@
         )
         self._placer = _placer.Placer(self.cell)
         self._renewals = _renewals.LeaseRenewals(self.cell)
+        self._evacuation = _evacuation.Evacuation(self.cell)
 
     # Recovery.
 
@@ -146,16 +148,18 @@
             entry = entry_by_id.get(executor_id)
             state.is_listed = entry is not None
             if entry is not None:
-                state.update_listing(entry)
+                state.update_listing(entry, now.boot_s)
             elif state.has_certainly_no_runs(now.boot_s):
                 del cell.executor_by_id[executor_id]
                 cell.sharing.forget_executor(executor_id)
                 cell.roster_changed = True
         for executor_id, entry in entry_by_id.items():
             if executor_id not in cell.executor_by_id:
-                cell.executor_by_id[executor_id] = _executors.ExecutorState(
+                state = _executors.ExecutorState(
                     listing=entry, next_renewal_s=now.boot_s
                 )
+                state.update_listing(entry, now.boot_s)
+                cell.executor_by_id[executor_id] = state
                 cell.roster_changed = True
         cell.needs_placing = True
 
@@ -404,7 +408,7 @@
     # Time and output.
 
     def run_timed_work(self, now: _time.Now, *, confirmed_s: float) -> None:
-        """Runs the timed work: renewals, stops, clean-up and placement.
+        """Runs the timed work: renewals, stops, moves, clean-up and placement.
 
         Args:
             now: The time.
@@ -417,6 +421,7 @@
         )
         cell.measure_tick_gap(now.boot_s)
         self._renewals.tick(now)
+        self._evacuation.tick(now)
         self._shorten_finished_jobs(now)
         self._forget_finished_jobs(now)
         if now.boot_s >= cell.next_learned_record_s:
--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -320,6 +320,8 @@
         Labels: Its kind and its rack.
         born: Start of this incarnation, in milliseconds since the Unix
             epoch; 0 if unknown.
+        RemainingMs: Least time until it exits, in milliseconds, while it
+            drains.
     """
 
     model_config = pydantic.ConfigDict(strict=True)
@@ -331,6 +333,9 @@
     Capacity: _Capacity
     Labels: list[str] = []
     born: int = pydantic.Field(default=0, ge=0)
+    RemainingMs: float | None = pydantic.Field(
+        default=None, allow_inf_nan=False
+    )
 
 
 def parse_listed_executor(
@@ -345,17 +350,22 @@
         report = _Entry.model_validate_json(record.value)
     except ValueError as error:
         raise _errors.DecodeError("executor entry", str(error)) from error
+    is_draining = report.State == "draining"
+    drain_left_s = None
+    if is_draining and report.RemainingMs is not None:
+        drain_left_s = max(0.0, report.RemainingMs / 1000)
     return _executor.ListedExecutor(
         id=record.key,
         service=report.Service,
         address=report.Address,
         zone=report.Zone,
-        is_draining=report.State == "draining",
+        is_draining=is_draining,
         capacity=_job_spec.Resources(
             report.Capacity.Cpu, report.Capacity.MemMb, report.Capacity.Gpu
         ),
         labels=tuple(report.Labels),
         born_ms=report.born,
+        drain_left_s=drain_left_s,
     )
 
 
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -38,6 +38,8 @@
 """Converts accepted jobs to and from JSON."""
 _roster_adapter = pydantic.TypeAdapter(tuple[_executor.ListedExecutor, ...])
 """Converts the list of known executors to and from JSON."""
+_UNSTORED_ROSTER_FIELDS = {"drain_left_s"}
+"""Fields of a listed executor that only hold when they are reported."""
 _learned_adapter = pydantic.TypeAdapter(dict[str, _records.LearnedHeadroom])
 """Converts the learned headroom by serving image to and from JSON."""
 _term_adapter = pydantic.TypeAdapter(_leadership.Term)
@@ -78,7 +80,11 @@
         return (KeyedRecord(_PROGRESS_KEY + record.job_id, value),)
     if isinstance(record, _records.ExecutorRosterRecord):
         value = _wrap_with_version(
-            _roster_adapter.dump_python(record.executors, mode="json")
+            _roster_adapter.dump_python(
+                record.executors,
+                mode="json",
+                exclude={"__all__": _UNSTORED_ROSTER_FIELDS},
+            )
         )
         return (KeyedRecord(_ROSTER_KEY, value),)
     if isinstance(record, _records.LearnedHeadroomRecord):
--- a/src/basiljunction/state/workload/_executor.py
+++ b/src/basiljunction/state/workload/_executor.py
@@ -24,6 +24,8 @@
         labels: Its hardware kind and its rack.
         born_ms: Start time of its current incarnation, in milliseconds since
             the Unix epoch; 0 if it is not known yet.
+        drain_left_s: Least time for which it goes on from when it reported
+            this, in seconds; None if it does not drain or did not tell.
     """
 
     id: str
@@ -34,6 +36,7 @@
     capacity: _job_spec.Resources
     labels: tuple[str, ...]
     born_ms: int = 0
+    drain_left_s: float | None = None
 
 
 class RunEndKind(enum.Enum):
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -74,6 +74,7 @@
                 ),
                 longest_lease_s=settings.bounds.longest_lease_s,
                 finished_job_retention_s=settings.bounds.finished_job_visible_s,
+                stop_timeout_s=settings.bounds.stop_timeout_s,
             ),
             configuration=configuration,
         )
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -30,6 +30,9 @@
 RUN_TIME_S = 0.5
 """Default run time of a task, in seconds."""
 
+HEARTBEAT_S = 0.5
+"""Virtual time between two reports of a draining executor, in seconds."""
+
 RunKey = tuple[_job_spec.TaskId, int]
 """Task and run number."""
 
@@ -43,12 +46,15 @@
         end_s: Virtual time at which the run ends by itself.
         kind: How the run ends at that time.
         run_time_s: Run time on this executor, in seconds.
+        stopped_s: Virtual time at which the run has stopped; None if it is not
+            to be stopped.
     """
 
     step: _job_spec.StepSpec
     end_s: float
     kind: _executor.RunEndKind
     run_time_s: float = RUN_TIME_S
+    stopped_s: float | None = None
 
 
 class SimulatedExecutor:
@@ -72,6 +78,11 @@
         ends: Ends of runs that are still reported.
         end_count: Number of ends so far, which numbers the reports.
         fails_next_renewal: Whether the next renewal gets no answer.
+        stop_time_s: Time that it takes to stop a run, in seconds.
+        exits_s: Virtual time at which it exits after its drain; None if it
+            does not drain.
+        unannounced_s: Time for which it drains for longer than it says, in
+            seconds.
     """
 
     def __init__(self, entry: _executor.ListedExecutor, rig: "CellRig") -> None:
@@ -94,6 +105,9 @@
         self.end_count = 0
         self.acknowledged = 0
         self.fails_next_renewal = False
+        self.stop_time_s = 0.0
+        self.exits_s: float | None = None
+        self.unannounced_s = 0.0
 
     @property
     def clock_ms(self) -> int:
@@ -114,6 +128,30 @@
         # A renewal that waits on the previous incarnation fails with it.
         self.fails_next_renewal = True
 
+    def drain(self, seconds: float) -> None:
+        """Announces an exit after `seconds`, at the earliest."""
+        self.exits_s = self.rig.now_s + seconds + self.unannounced_s
+        self.report_drain()
+
+    def report_drain(self) -> None:
+        """Updates the executor's entry while it drains."""
+        if self.exits_s is None:
+            return
+        announced_s = self.exits_s - self.unannounced_s
+        left_s = max(0.0, announced_s - self.rig.now_s)
+        self.entry = dataclasses.replace(
+            self.entry, is_draining=True, drain_left_s=round(left_s, 3)
+        )
+
+    def exit_if_drained(self) -> bool:
+        """Ends all runs unlisted once the drain is over; returns whether."""
+        if self.exits_s is None or self.rig.now_s < self.exits_s:
+            return False
+        self.exits_s = None
+        self.is_up = False
+        self.run_by_key.clear()
+        return True
+
     def start(
         self, token: int, order: _orders.StartOrder
     ) -> _orders.StartResult:
@@ -165,7 +203,11 @@
         self.highest_closed_run_by_task[order.task] = max(
             order.run, self.highest_closed_run_by_task.get(order.task, 0)
         )
-        self._end_run((order.task, order.run), _executor.RunEndKind.STOPPED)
+        key = (order.task, order.run)
+        if not self.stop_time_s:
+            self._end_run(key, _executor.RunEndKind.STOPPED)
+        elif key in self.run_by_key and self.run_by_key[key].stopped_s is None:
+            self.run_by_key[key].stopped_s = self.rig.now_s + self.stop_time_s
 
     def renew_lease(
         self, token: int, order: _orders.RenewalOrder
@@ -221,6 +263,8 @@
         for key, run in list(self.run_by_key.items()):
             if self.clock_ms >= self.lease_ms:
                 self._end_run(key, _executor.RunEndKind.LAPSED)
+            elif run.stopped_s is not None and self.rig.now_s >= run.stopped_s:
+                self._end_run(key, _executor.RunEndKind.STOPPED)
             elif self.rig.now_s >= run.end_s and not self.is_hanging:
                 self._end_run(key, run.kind)
 
@@ -375,6 +419,7 @@
             at which it is due.
         epoch: Fencing token of the current scheduler.
         term_confirmed_s: Time at which the term was last confirmed.
+        next_drain_report_s: Time at which draining executors report next.
     """
 
     def __init__(
@@ -427,6 +472,7 @@
         }
         self.epoch = 0
         self.term_confirmed_s = 0.0
+        self.next_drain_report_s = 0.0
         self.scheduler = self._start_scheduler()
 
     def _start_scheduler(
@@ -466,6 +512,7 @@
             for executor in self.executor_by_id.values():
                 if executor.is_up:
                     executor.end_due_runs()
+                executor.exit_if_drained()
 
     def take_over(
         self,
@@ -482,6 +529,30 @@
             build.clock_readings_at(self.now_s),
         )
 
+    def add_executor(self, entry: _executor.ListedExecutor) -> None:
+        """Adds an executor, which the platform lists from now on."""
+        self.executor_by_id[entry.id] = SimulatedExecutor(entry, self)
+        self.list_executors()
+
+    def drain_executor(self, executor_id: str, seconds: float) -> None:
+        """Lets an executor announce its exit after a drain."""
+        self.executor_by_id[executor_id].drain(seconds)
+        self.list_executors()
+
+    def _update_drains(self) -> None:
+        """Lets drained executors exit and draining ones report."""
+        executors = self.executor_by_id.values()
+        has_exited = [each.exit_if_drained() for each in executors]
+        is_report_due = self.now_s >= self.next_drain_report_s and any(
+            each.exits_s is not None for each in executors
+        )
+        if is_report_due:
+            self.next_drain_report_s = self.now_s + HEARTBEAT_S
+            for each in executors:
+                each.report_drain()
+        if is_report_due or any(has_exited):
+            self.list_executors()
+
     def submit(self, accepted: _progress.AcceptedJob) -> None:
         """Submits a job to the scheduler."""
         self.spec_by_job[accepted.id] = accepted.spec
@@ -522,6 +593,7 @@
         for executor in self.executor_by_id.values():
             if executor.is_up:
                 executor.end_due_runs()
+        self._update_drains()
         self._execute_delayed_orders()
         if self.store_is_up:
             self.term_confirmed_s = self.now_s
@@ -754,10 +826,13 @@
     ) -> None:
         """Asserts that a start breaks no rule of its job.
 
-        The rules cover order of steps, storage, cancelling, capacity, double
-        runs and the number of attempts.
+        The rules cover order of steps, storage, cancelling, capacity, draining,
+        double runs and the number of attempts.
         """
         task = order.task
+        assert (
+            not executor.entry.is_draining or self.is_executing_delayed_order
+        ), f"{task}: starts on a draining executor"
         self.starts.append((self.now_s, executor.entry.id, order))
         spec = self.spec_by_job[task.job]
         unfinished_steps = [
--- a/tests/coordination/scheduling/test_executors.py
+++ b/tests/coordination/scheduling/test_executors.py
@@ -43,7 +43,9 @@
         run = _make_run(1)
         state.add_run(run)
         larger = _job_spec.Resources(64_000, 250_000, 2)
-        state.update_listing(dataclasses.replace(entry, capacity=larger))
+        state.update_listing(
+            dataclasses.replace(entry, capacity=larger), now_s=1.0
+        )
         assert state.free_capacity == larger - run.step.reserved_resources
 
     def test_run_counts_leave_out_jobs_without_runs(self) -> None:
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -319,6 +319,9 @@
             b'"Capacity":{"Cpu":1,"MemMb":1}}',
             b'{"Service":"s","Address":"1.1.1.1:1","Zone":"z","State":"odd",'
             b'"Capacity":{"Cpu":1,"MemMb":1}}',
+            b'{"Service":"s","Address":"1.1.1.1:1","Zone":"z",'
+            b'"State":"draining","Capacity":{"Cpu":1,"MemMb":1},'
+            b'"RemainingMs":"soon"}',
         ],
     )
     def test_an_unreadable_entry_is_an_error(self, value: bytes) -> None:
@@ -327,6 +330,29 @@
                 _job_records.KeyedRecord("i-1", value)
             )
 
+    @pytest.mark.parametrize(
+        ("fields", "left_s"),
+        [
+            (b'"State":"draining","RemainingMs":1500', 1.5),
+            (b'"State":"draining","RemainingMs":12.5', 0.0125),
+            (b'"State":"draining","RemainingMs":-20', 0.0),
+            (b'"State":"draining","RemainingMs":null', None),
+            (b'"State":"draining"', None),
+            (b'"State":"ready","RemainingMs":1500', None),
+        ],
+    )
+    def test_the_time_left_of_a_drain_is_decoded(
+        self, fields: bytes, left_s: float | None
+    ) -> None:
+        entry = _executors.parse_listed_executor(
+            _job_records.KeyedRecord(
+                "i-1",
+                b'{"Service":"s","Address":"1.1.1.1:1","Zone":"z",'
+                b'"Capacity":{"Cpu":1,"MemMb":1},' + fields + b"}",
+            )
+        )
+        assert entry.drain_left_s == left_s
+
     def test_lists_of_runs_are_decoded(self) -> None:
         body = (
             b'{"ClockMs":5,"born":9,"Running":[["a1.0.1.17",2,"c",41,12.5]],'
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -46,6 +46,19 @@
         (keyed,) = _job_records.encode_record(record)
         assert _job_records.decode_record(keyed) == record
 
+    def test_the_time_left_of_a_drain_is_not_stored(self) -> None:
+        """It only holds when the executor reports it."""
+        entry = build.executor_entry(is_draining=True, drain_left_s=2.0)
+        (keyed,) = _job_records.encode_record(
+            _records.ExecutorRosterRecord((entry,))
+        )
+        assert b"drain_left_s" not in keyed.value
+        assert _job_records.decode_record(keyed) == (
+            _records.ExecutorRosterRecord(
+                (dataclasses.replace(entry, drain_left_s=None),)
+            )
+        )
+
     def test_a_job_s_defaults_are_not_stored(self) -> None:
         """Each scheduler after this one has to read them."""
         (keyed,) = _job_records.encode_record(
