Soak real instances on a stand-in of the platform from a seed

The soak runs real processes on loopback through restarts, kills, pauses, executors that leave, crash and come back, and a store that is down or slow, drawn from a seed. The checks know neither the plan nor the instances: they take what clients and executors see, and the users' bounds. "make soak" runs 50 seeds; every tenth runs 30 instances.

The processes of tests/processes/test_platform_instances.py move to a module of their own, and can now start anew. The stand-in's executors reject calls that are meant for another executor, as the platform's do.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SEED ?= 20261203
 
-.PHONY: setup test processes format lint types demo openapi faults binary mutations capacity fault-seeds
+.PHONY: setup test processes format lint types demo openapi faults binary mutations capacity fault-seeds soak
 
 setup: $(STAMP)
 
@@ -59,3 +59,8 @@
 
 fault-seeds: setup
 	$(BIN)/python scripts/fault_seeds.py
+
+SOAK_SEEDS ?= 50
+
+soak: setup
+	$(BIN)/python scripts/platform_soak.py --seeds $(SOAK_SEEDS)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -138,7 +138,9 @@
         self.silent_append_topics: set[str] = set()
         self.before_read: Callable[[str], None] = lambda _path: None
         self.starts: list[str] = []
-        self.executors = [Executor(self, n) for n in range(executors)]
+        self.executors: list[Executor] = [
+            Executor(self, n) for n in range(executors)
+        ]
         self.store = _start_server(_StoreHandler, self)
         self.stop_event = threading.Event()
         self._heartbeat_thread = threading.Thread(
@@ -158,6 +160,12 @@
         with self.lock:
             self.topics[topic].append_record(record)
 
+    def remove(self, topic: str, key: str) -> None:
+        """Deletes a key, as the platform does with that of a gone executor."""
+        name = key.encode()
+        with self.lock:
+            self.topics[topic].append_record(bytes((len(name),)) + name)
+
     def wait_for_link(self, transfer_s: float) -> None:
         """Waits until a piece of an answer has passed over the link.
 
@@ -202,12 +210,13 @@
             0 if sequence == 0 else HEARTBEAT_INTERVAL_S
         ):
             sequence += 1
-            for executor in self.executors:
-                self.put(
-                    "keyed.servers",
-                    executor.id,
-                    executor.describe() | {"Sequence": sequence},
-                )
+            with self.lock:
+                for executor in self.executors:
+                    self.put(
+                        "keyed.servers",
+                        executor.id,
+                        executor.describe() | {"Sequence": sequence},
+                    )
 
     def close(self) -> None:
         """Stops the heartbeats and all HTTP servers."""
@@ -240,6 +249,7 @@
 
     Attributes:
         born_s: Steady time at which its own clock is zero.
+        born_ms: Start of its life, in milliseconds since the Unix epoch.
         highest_token: Highest fencing token received.
         lease_ms: End of the lease on its own clock.
         running: Runs by task and run number.
@@ -251,6 +261,7 @@
         self.id = f"i-{number}"
         self.platform = platform
         self.born_s = time.monotonic()
+        self.born_ms = 1
         self.highest_token = 0
         self.lease_ms = 0
         self.running: dict[tuple[str, int], Run] = {}
@@ -271,7 +282,7 @@
             "State": "ready",
             "Capacity": {"Cpu": 4000, "MemMb": 8000, "Gpu": 0},
             "Labels": ["a", "r1"],
-            "born": 1,
+            "born": self.born_ms,
         }
 
     def end_due_runs(self) -> None:
@@ -295,7 +306,10 @@
             if body.get("FencingToken", 0) < self.highest_token:
                 return 409, {"ClockMs": self.clock_ms(), "Reason": "fence"}
             self.highest_token = body["FencingToken"]
-            answer: dict[str, Any] = {"ClockMs": self.clock_ms(), "born": 1}
+            answer: dict[str, Any] = {
+                "ClockMs": self.clock_ms(),
+                "born": self.born_ms,
+            }
             self.lease_ms = max(self.lease_ms, body.get("DeadlineMs", 0))
             if path == "/run-start":
                 lasts = body["Spec"] == "lasts"
@@ -381,6 +395,9 @@
 
     def do_POST(self) -> None:
         body = json.loads(self.read_body())
+        if self.headers.get("Expect-Instance", self.owner.id) != self.owner.id:
+            self.send_reply(421, b"{}")
+            return
         wait_until_s = time.monotonic() + body.get("WaitMs", 0) / 1000
         while True:
             status, answer = self.owner.answer(self.path, body)
--- a/tests/processes/test_platform_instances.py
+++ b/tests/processes/test_platform_instances.py
@@ -1,146 +1,19 @@
 """Tests of real instance processes that use a stand-in of the platform."""
 
 from collections.abc import Iterator
-import http.client
-import json
-import os
 import pathlib
 import signal
-import subprocess
-import sys
 import time
 from typing import Any
 
 import pytest
 
-from basiljunction.demo import _ports
+import instance_process
 import platform_standin
 
 pytestmark = pytest.mark.processes
 
 _WAIT_TIMEOUT_S = 20.0
-_GRACE_S = 4.0
-
-_SETTINGS_TEMPLATE = """\
-NodeName={name}
-Zone=zone-a
-Ip=127.0.0.1
-InternalPorts={peer},{peer}
-ListenAddrs.Front=127.0.0.1:{front}
-ListenAddrs.Ready=127.0.0.1:{ready}
-platform.Address={store}
-platform.WritesPerS=800
-platform.ReadsPerS=2000
-platform.RecordBytes=262144
-platform.RequestBytes=2097152
-Bounds.GraceS={grace}
-Bounds.MaxHoldMs=10000
-Bounds.status_s=120
-Bounds.GangTimeoutMs=3000
-Bounds.StopTimeoutMs=900
-Bounds.HarmMs=4000
-HeartbeatMs=500
-"""
-
-
-class _Instance:
-    """One instance that runs as a separate process."""
-
-    def __init__(
-        self,
-        folder: pathlib.Path,
-        platform: platform_standin.Platform,
-        number: int,
-    ) -> None:
-        self.name = f"front-{number}"
-        ports = _ports.reserve_free_ports(4)
-        (
-            self.peer_port,
-            self.front_port,
-            self.readiness_port,
-            self.metrics_port,
-        ) = ports
-        self.settings_path = folder / f"{self.name}.conf"
-        self.write_settings(platform)
-        self.log_file = (folder / f"{self.name}.log").open("wb")
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "basiljunction", "platform"],
-            env=os.environ
-            | {
-                "BASILJUNCTION_CONFIG": str(self.settings_path),
-                "BASILJUNCTION_METRICS_PORT": str(self.metrics_port),
-            },
-            stdout=self.log_file,
-            stderr=self.log_file,
-        )
-
-    def write_settings(self, platform: platform_standin.Platform) -> None:
-        """Writes the settings file, which names the store of `platform`."""
-        self.settings_path.write_text(
-            _SETTINGS_TEMPLATE.format(
-                name=self.name,
-                peer=self.peer_port,
-                front=self.front_port,
-                ready=self.readiness_port,
-                store=platform.address,
-                grace=_GRACE_S,
-            )
-        )
-
-    def call(
-        self, method: str, path: str, body: dict[str, Any] | None = None
-    ) -> tuple[int, dict[str, Any]]:
-        """Makes a caller's request; returns status 0 if there is no answer."""
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.front_port, timeout=5
-        )
-        try:
-            text = None if body is None else json.dumps(body)
-            connection.request(
-                method, path, text, headers={"Host": "jobs.example"}
-            )
-            response = connection.getresponse()
-            return response.status, json.loads(response.read() or b"{}")
-        except OSError:
-            return 0, {}
-        finally:
-            connection.close()
-
-    def is_ready(self) -> bool:
-        """Returns whether the readiness endpoint answers 200."""
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.readiness_port, timeout=2
-        )
-        try:
-            connection.request("GET", "/readiness")
-            return connection.getresponse().status == 200
-        except OSError:
-            return False
-        finally:
-            connection.close()
-
-    def read_metrics(self) -> str:
-        """Returns the text that the metrics endpoint serves."""
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.metrics_port, timeout=5
-        )
-        try:
-            connection.request("GET", "/metrics")
-            return connection.getresponse().read().decode()
-        finally:
-            connection.close()
-
-    def is_leader(self) -> bool:
-        """Returns whether it logged the begin of a term but not the end."""
-        text = pathlib.Path(self.log_file.name).read_text(encoding="utf-8")
-        return text.count("term.begun") > text.count("term.ended")
-
-    def kill(self) -> None:
-        """Kills the process if it still runs."""
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-        self.log_file.close()
 
 
 @pytest.fixture
@@ -155,9 +28,12 @@
 @pytest.fixture
 def instances(
     tmp_path: pathlib.Path, platform: platform_standin.Platform
-) -> Iterator[list[_Instance]]:
+) -> Iterator[list[instance_process.InstanceProcess]]:
     """Starts three instances and kills them after the test."""
-    started = [_Instance(tmp_path, platform, n) for n in range(3)]
+    started = [
+        instance_process.InstanceProcess(tmp_path, platform, n)
+        for n in range(3)
+    ]
     yield started
     for each in started:
         each.kill()
@@ -193,7 +69,9 @@
     """Callers are served through leader changes and store outages."""
 
     def test_a_job_survives_its_scheduler(
-        self, instances: list[_Instance], platform: platform_standin.Platform
+        self,
+        instances: list[instance_process.InstanceProcess],
+        platform: platform_standin.Platform,
     ) -> None:
         _wait_until(lambda: all(each.is_ready() for each in instances))
         _wait_until(lambda: any(each.is_leader() for each in instances))
@@ -219,7 +97,9 @@
         assert others[0].call("GET", "/jobs/") == (200, {"Waiting": 0})
 
     def test_sigterm_hands_over_and_ends_with_0(
-        self, instances: list[_Instance], platform: platform_standin.Platform
+        self,
+        instances: list[instance_process.InstanceProcess],
+        platform: platform_standin.Platform,
     ) -> None:
         _wait_until(lambda: any(each.is_leader() for each in instances))
         leader = next(each for each in instances if each.is_leader())
@@ -234,12 +114,14 @@
         leader.process.send_signal(signal.SIGTERM)
         _wait_until(lambda: any(each.is_leader() for each in others))
         assert leader.call("GET", path)[0] == 200
-        assert leader.process.wait(timeout=_GRACE_S) == 0
+        assert leader.process.wait(timeout=instance_process.GRACE_S) == 0
         assert others[0].call("DELETE", path)[0] == 200
         _wait_until(lambda: not any(e.running for e in platform.executors))
 
     def test_calls_are_answered_clearly(
-        self, instances: list[_Instance], platform: platform_standin.Platform
+        self,
+        instances: list[instance_process.InstanceProcess],
+        platform: platform_standin.Platform,
     ) -> None:
         _wait_until(lambda: any(each.is_leader() for each in instances))
         entry = instances[0]
@@ -263,7 +145,9 @@
         assert entry.call("GET", "/jobs/")[0] == 404
 
     def test_sighup_moves_instances_to_another_store(
-        self, instances: list[_Instance], platform: platform_standin.Platform
+        self,
+        instances: list[instance_process.InstanceProcess],
+        platform: platform_standin.Platform,
     ) -> None:
         _wait_until(lambda: any(each.is_leader() for each in instances))
         _wait_until(lambda: instances[0].call("GET", "/jobs/")[0] == 200)
@@ -286,7 +170,9 @@
             moved.close()
 
     def test_a_store_outage_refuses_new_jobs_and_keeps_what_runs(
-        self, instances: list[_Instance], platform: platform_standin.Platform
+        self,
+        instances: list[instance_process.InstanceProcess],
+        platform: platform_standin.Platform,
     ) -> None:
         _wait_until(lambda: any(each.is_leader() for each in instances))
         entry = instances[0]
--- /dev/null
+++ b/tests/processes/test_platform_soak.py
@@ -0,0 +1,22 @@
+"""A short soak of real instances on a stand-in of the platform."""
+
+import pathlib
+
+import pytest
+
+from soak import run as soak_run
+
+pytestmark = pytest.mark.processes
+
+_SEED = 4
+"""Seed with restarts in turn and executors that leave at short notice."""
+
+_DURATION_S = 8.0
+"""Time in which disruptions begin, in seconds."""
+
+
+def test_restarts_in_turn_while_executors_leave(tmp_path: pathlib.Path) -> None:
+    result = soak_run.run_seed(_SEED, tmp_path, duration_s=_DURATION_S)
+    assert result.violations == ()
+    assert result.jobs > 0
+    assert result.terms > 1
