--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -169,6 +169,11 @@
         with self._lock:
             self._report(f"LOST: {what}", now_s)
 
+    def note_fault(self, what: str, now_s: float) -> None:
+        """Notes that instances did not do by themselves what they have to."""
+        with self._lock:
+            self._report(f"FAULT: {what}", now_s)
+
     def list_accepted_jobs(self, *, lasts: bool) -> list[str]:
         """Returns the ids of accepted jobs."""
         with self._lock:
