Bound how long the stop of an HTTP server takes

Cause: the stop of cheroot's thread pool waits without bound for a thread whose request goes on, for one that writes to a client that does not read, and for one that takes one silent connection of the queue after another, each until the header times out. The thread that sends 503 answers has ended by then, so that a connection that found no place was left open unanswered.

The pool is now stopped by threads of our own making, BoundedThreadPool: until the reading end, requests are read; after it, only what has arrived; at the end that the caller of stop names, connections are closed. A connection without a place is answered 503 during the stop too.

--- a/src/basiljunction/transport/_http_connection.py
+++ b/src/basiljunction/transport/_http_connection.py
@@ -8,8 +8,11 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 import logging
+import math
+import queue
 import socket
 import time
 from typing import Any
@@ -20,8 +23,17 @@
 from cheroot import wsgi
 import structlog
 
+from basiljunction.transport import _http_threads
+
 _log = structlog.get_logger()
 
+ARRIVED_READ_S = 0.05
+"""Time to read a request that has arrived when the server no longer waits for
+requests, in seconds.
+
+The system hands over buffered bytes in far less.
+"""
+
 _TIMED_OUT = "timed out"
 """Error text by which cheroot recognizes a timeout."""
 
@@ -51,9 +63,15 @@
     def __init__(self, timeout_s: float) -> None:
         self.restart(timeout_s)
 
-    def restart(self, timeout_s: float) -> None:
-        """Starts a new phase that may last the given seconds."""
-        self._at_s = time.monotonic() + timeout_s
+    def restart(self, timeout_s: float, end_s: float = math.inf) -> None:
+        """Starts a new phase.
+
+        Args:
+            timeout_s: Longest duration of the phase, in seconds.
+            end_s: Time of the monotonic clock at which it ends at the latest,
+                in seconds.
+        """
+        self._at_s = min(time.monotonic() + timeout_s, end_s)
 
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline.
@@ -126,7 +144,9 @@
                 "400 Bad Request", "ambiguous length of the body"
             )
             return
-        self.conn.deadline.restart(self.server.timeouts.body_s)
+        self.conn.deadline.restart(
+            self.server.timeouts.body_s, self.server.reading_end_s()
+        )
         super().respond()
 
     def send_headers(self) -> None:
@@ -139,12 +159,16 @@
             for name, value in self.outheaders
         ):
             self.close_connection = True
-        self.conn.deadline.restart(self.server.timeouts.write_s)
+        self.conn.deadline.restart(
+            self.server.timeouts.write_s, self.server.stop_end_s
+        )
         super().send_headers()
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """Sends an answer that cheroot generates, such as 408, and closes."""
-        self.conn.deadline.restart(self.server.timeouts.write_s)
+        self.conn.deadline.restart(
+            self.server.timeouts.write_s, self.server.stop_end_s
+        )
         self.close_connection = True
         super().simple_response(status, msg)
 
@@ -169,7 +193,9 @@
 
     def communicate(self) -> bool:
         """Handles the next request; returns whether to keep the connection."""
-        self.deadline.restart(self.server.timeouts.header_s)
+        self.deadline.restart(
+            self.server.timeouts.header_s, self.server.reading_end_s()
+        )
         is_kept: bool = super().communicate()  # type: ignore[no-untyped-call]  # cheroot has no type for it
         return is_kept
 
@@ -219,9 +245,15 @@
         args: Positional arguments of cheroot's server.
         timeouts: Duration of each phase.
         kwargs: Keyword arguments of cheroot's server.
+
+    Attributes:
+        timeouts: Duration of each phase.
+        stop_end_s: Time of the monotonic clock at which a stop closes the
+            connections that are still open, in seconds.
     """
 
     ConnectionClass = _DeadlineConnection
+    requests: _http_threads.BoundedThreadPool
     _connections: connections.ConnectionManager
 
     def __init__(
@@ -232,10 +264,48 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self.timeouts = timeouts
+        self.stop_end_s = math.inf
+        self.requests = _http_threads.BoundedThreadPool(
+            self,
+            min=kwargs["numthreads"],
+            max=kwargs["max"],
+            accepted_queue_size=kwargs["accepted_queue_size"],
+            accepted_queue_timeout=kwargs["accepted_queue_timeout"],
+        )
         # Cheroot reads this attribute when it fails to send a 503; without it,
         # the thread that sends 503 answers would end.
         self.server = self
 
+    def reading_end_s(self) -> float:
+        """Returns when a request has to be read, on the monotonic clock.
+
+        It is infinite until the server stops. What has arrived is read even
+        after that.
+        """
+        return max(
+            self.requests.reading_end_s, time.monotonic() + ARRIVED_READ_S
+        )
+
+    def process_conn(self, conn: Any) -> None:  # noqa: ANN401 - cheroot has no type for it
+        """Passes a connection to a thread; answers 503 if too many wait.
+
+        During a stop, the thread that sends 503 answers has ended.
+        """
+        if self.ready:
+            super().process_conn(conn)
+            return
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            refusal = _DeadlineRequest(self, conn)
+            with contextlib.suppress(OSError):
+                refusal.simple_response("503 Service Unavailable")
+                # A close would reset the connection, as its request is unread,
+                # and the client might not see the answer.
+                conn.socket.shutdown(socket.SHUT_WR)
+            conn.linger = True
+            conn.close()
+
     def prepare(self) -> None:
         """Binds the listening socket and starts the threads."""
         super().prepare()
--- a/src/basiljunction/transport/_http_server.py
+++ b/src/basiljunction/transport/_http_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from concurrent import futures
+import math
 from typing import Any
 
 from basiljunction.protocol import _address
@@ -76,6 +77,12 @@
         """Accepts connections on a thread of the pool until stopped."""
         return pool.submit(self._server.serve)
 
-    def stop(self) -> None:
-        """Stops accepting connections and lets requests in progress finish."""
+    def stop(self, end_s: float = math.inf) -> None:
+        """Stops accepting connections and lets requests in progress finish.
+
+        Args:
+            end_s: Time of the monotonic clock at which connections that are
+                still open are closed, in seconds; none if infinite.
+        """
+        self._server.stop_end_s = end_s
         self._server.stop()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket
 import threading
+import time
 from typing import Any
 
 import pytest
@@ -30,6 +31,7 @@
 _TRICKLE_INTERVAL_S = 0.05  # between two bytes of a slow client
 _TRICKLE_BYTES = 400  # most bytes that a slow client sends
 _MAX_WAIT_S = 10.0  # timeout of each wait in these tests
+_STOP_LIMIT_S = 2.0  # far less than the timeouts that a stop must not wait for
 _CLOSING_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -260,3 +262,94 @@
             client.sendall(_CLOSING_REQUEST)
             server.stop()
             assert _read_all(client).count(b"whole") == 2
+
+    def test_an_answer_that_takes_longer_than_reading_is_delivered(
+        self,
+    ) -> None:
+        entered = threading.Event()
+
+        def answer_late(
+            environ: dict[str, Any], start_response: Callable[..., Any]
+        ) -> Iterable[bytes]:
+            entered.set()
+            time.sleep(0.5)
+            return werkzeug.Response("whole")(environ, start_response)
+
+        with (
+            _running_server(answer_late, drain_s=0.1) as (server, address),
+            _connect(address) as client,
+        ):
+            client.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert entered.wait(_MAX_WAIT_S)
+            server.stop(time.monotonic() + _MAX_WAIT_S)
+            assert _read_all(client).endswith(b"whole")
+
+    def test_a_client_that_does_not_read_does_not_hold_up_the_stop(
+        self,
+    ) -> None:
+        response = werkzeug.Response(b"x" * (64 << 20))
+        with (
+            _running_server(response, write_timeout_s=30, drain_s=0.1) as (
+                server,
+                address,
+            ),
+            _connect(address) as client,
+        ):
+            client.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert client.recv(1) == b"H"
+            started_s = time.monotonic()
+            server.stop(started_s + 0.5)
+            assert time.monotonic() - started_s < _STOP_LIMIT_S
+
+    def test_silent_connections_do_not_hold_up_the_stop(self) -> None:
+        with (
+            _running_server(
+                werkzeug.Response("whole"),
+                header_timeout_s=30,
+                waiting_connections=16,
+                drain_s=0.1,
+            ) as (server, address),
+            contextlib.ExitStack() as stack,
+        ):
+            for _ in range(12):
+                stack.enter_context(_connect(address))
+            client = stack.enter_context(_connect(address))
+            client.sendall(_CLOSING_REQUEST)
+            time.sleep(0.2)
+            started_s = time.monotonic()
+            server.stop(started_s + _MAX_WAIT_S)
+            assert time.monotonic() - started_s < _STOP_LIMIT_S
+            assert _read_all(client).endswith(b"whole")
+
+    def test_connections_that_find_no_place_at_the_stop_are_refused(
+        self,
+    ) -> None:
+        release = threading.Event()
+
+        def wait(
+            environ: dict[str, Any], start_response: Callable[..., Any]
+        ) -> Iterable[bytes]:
+            release.wait(_MAX_WAIT_S)
+            return werkzeug.Response("whole")(environ, start_response)
+
+        server = _http_server.HttpServer(
+            listen="127.0.0.1:0", application=wait, limits=_LIMITS
+        )
+        address = _address.split_host_and_port(server.bind())
+        places = _LIMITS.http_threads + _LIMITS.waiting_connections
+        with contextlib.ExitStack() as stack:
+            clients = [
+                stack.enter_context(_connect(address))
+                for _ in range(places + 2)
+            ]
+            for client in clients:
+                client.sendall(_CLOSING_REQUEST)
+            pool = stack.enter_context(futures.ThreadPoolExecutor(1))
+            stopped = pool.submit(server.stop)
+            refused = clients[-1].recv(65_536)
+            release.set()
+            stopped.result(timeout=_MAX_WAIT_S)
+            assert b"503" in refused.split(b"\r\n")[0]
+            answers = [_read_all(each) for each in clients[:-1]]
+        assert all(answers)
+        assert b"whole" in answers[0]
