Answer every request of a leaving instance before SIGKILL

Cause: a call waits up to 2.4 s for a scheduler, whenever it arrives, and the servers stop 1.5 s before SIGKILL. The wait of a request for the cell task was bounded only by its own timeout plus 0.5 s, the wait for the task's end not at all.

All ends are now set once, at SIGTERM, counted back from SIGKILL: the router answers every call by 0.6 s before it (503 if it certainly had no effect, else 504; a forwarded one with the scheduler's address) and refuses later ones untried; a request that the task left open is answered 504 0.2 s later; the servers close what is open 0.2 s before SIGKILL; the wait for the task ends at SIGKILL. Until then, calls are forwarded and answered as before.

At the stop the log tells how many calls are open by what they wait for, and the five oldest; instance.leaving and instance.stopped tell the time left, and instance.stop-overdue what the stop still waited for.

--- a/src/basiljunction/transport/jobs/_apps.py
+++ b/src/basiljunction/transport/jobs/_apps.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from concurrent import futures
+import contextlib
 import math
 import threading
 import time
@@ -21,6 +22,7 @@
 from basiljunction.state.workload import _progress
 from basiljunction.transport import _metrics
 from basiljunction.transport import _task
+from basiljunction.transport.jobs import _answer_limit
 from basiljunction.transport.jobs import _call_router
 from basiljunction.transport.jobs import _cell_task
 
@@ -40,6 +42,10 @@
 The cell task answers an expired call itself; this leaves it time to do so.
 """
 
+LIMIT_CHECK_INTERVAL_S = 0.1
+"""Interval at which a request that waits for the cell task checks whether the
+instance leaves, in seconds."""
+
 _Outcome = _client_calls.CallOutcome
 _Reply = _client_calls.ClientReply
 
@@ -82,6 +88,7 @@
     call: _client_calls.ClientCall,
     *,
     slots: CallSlots,
+    limit: _answer_limit.AnswerLimit,
     timeout_s: float,
     is_forwarded: bool,
 ) -> _client_calls.ClientReply:
@@ -91,19 +98,27 @@
         task: The task that answers the call.
         call: The client call.
         slots: Limit of the server that received the call.
+        limit: Time by which the instance answers every call.
         timeout_s: Time in which the task has to answer, in seconds.
         is_forwarded: Whether a peer instance forwarded the call.
 
     Returns:
-        The reply; unavailable if too many calls wait or the task's mailbox is
-        full, and unknown if the task does not answer in time.
+        The reply; unavailable if too many calls wait, the task's mailbox is
+        full or no time is left, and unknown if the task does not answer in
+        time.
     """
+    if limit.left_s() <= 0:
+        return _Reply(_Outcome.UNAVAILABLE)
     if not slots.acquire(call.kind):
         _log.warning("call.refused", error="too many calls wait")
         return _Reply(_Outcome.UNAVAILABLE)
     try:
         return _wait_for_cell_task(
-            task, call, timeout_s=timeout_s, is_forwarded=is_forwarded
+            task,
+            call,
+            limit=limit,
+            timeout_s=timeout_s,
+            is_forwarded=is_forwarded,
         )
     finally:
         slots.release(call.kind)
@@ -113,6 +128,7 @@
     task: _cell_task.CellTask,
     call: _client_calls.ClientCall,
     *,
+    limit: _answer_limit.AnswerLimit,
     timeout_s: float,
     is_forwarded: bool,
 ) -> _client_calls.ClientReply:
@@ -125,11 +141,17 @@
     except _task.MailboxFullError as error:
         _log.warning("call.refused", error=str(error))
         return _Reply(_Outcome.UNAVAILABLE)
-    try:
-        return reply_future.result(timeout=timeout_s + TASK_ANSWER_MARGIN_S)
-    except futures.TimeoutError:
-        _log.warning("call.unanswered", kind=call.kind.value, job=call.job_id)
-        return _Reply(_Outcome.UNKNOWN)
+    end_s = time.monotonic() + timeout_s + TASK_ANSWER_MARGIN_S
+    while (left_s := min(end_s - time.monotonic(), limit.left_s())) > 0:
+        with contextlib.suppress(futures.TimeoutError):
+            return reply_future.result(min(left_s, LIMIT_CHECK_INTERVAL_S))
+    _log.warning(
+        "call.unanswered",
+        kind=call.kind.value,
+        job=call.job_id,
+        leaving=limit.left_s() <= 0,
+    )
+    return _Reply(_Outcome.UNKNOWN)
 
 
 class ReadyApp:
@@ -156,9 +178,17 @@
     Args:
         task: The cell task that answers the calls.
         slots: Limit of the calls that wait.
+        limit: Time by which the instance answers every call; None for an
+            instance that does not leave.
     """
 
-    def __init__(self, task: _cell_task.CellTask, slots: CallSlots) -> None:
+    def __init__(
+        self,
+        task: _cell_task.CellTask,
+        slots: CallSlots,
+        limit: _answer_limit.AnswerLimit | None = None,
+    ) -> None:
+        self._limit = limit or _answer_limit.AnswerLimit()
         self._task = task
         self._slots = slots
 
@@ -177,6 +207,7 @@
             self._task,
             call,
             slots=self._slots,
+            limit=self._limit,
             timeout_s=_call_router.PEER_TIMEOUT_S,
             is_forwarded=True,
         )
@@ -196,6 +227,8 @@
             case every response closes its connection.
         metrics: Receives the count and duration of the calls.
         slots: Limit of the calls that wait.
+        limit: Time by which the instance answers every call; None for an
+            instance that does not leave.
     """
 
     def __init__(
@@ -204,7 +237,9 @@
         is_leaving: Callable[[], bool],
         metrics: _metrics.Metrics,
         slots: CallSlots,
+        limit: _answer_limit.AnswerLimit | None = None,
     ) -> None:
+        self._limit = limit or _answer_limit.AnswerLimit()
         self._slots = slots
         self._metrics = metrics
         self._task = task
@@ -281,6 +316,7 @@
             self._task,
             call,
             slots=self._slots,
+            limit=self._limit,
             timeout_s=_caller_timeout_s(request, queue),
             is_forwarded=False,
         )
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import dataclasses
+import math
 
 import structlog
 
@@ -57,6 +58,9 @@
 A submission holds its connection until the job is stored.
 """
 
+MAX_LOGGED_CALLS = 5
+"""Most open calls that the log describes one by one when an instance stops."""
+
 _Outcome = _client_calls.CallOutcome
 
 _BUSY_OUTCOMES = frozenset({_Outcome.UNAVAILABLE, _Outcome.UNKNOWN})
@@ -179,6 +183,7 @@
             collections.Counter()
         )
         self._job_bytes_in_flight = 0
+        self._last_answer_boot_s = math.inf
 
     @property
     def has_no_pending_calls(self) -> bool:
@@ -194,11 +199,68 @@
         self._gate.open()
 
     def add_call(self, pending: PendingCall, now: _time.Now) -> None:
-        """Adds a client call and makes the first attempt to answer it."""
+        """Adds a client call and makes the first attempt to answer it.
+
+        A call that arrives after the last time to answer is refused untried.
+        """
         pending.added_boot_s = now.boot_s
+        if now.boot_s >= self._last_answer_boot_s:
+            self._refuse_late_call(pending)
+            return
+        pending.deadline_boot_s = min(
+            pending.deadline_boot_s, self._last_answer_boot_s
+        )
         self._pending.append(pending)
         self._try_call(pending, now)
 
+    def answer_all_by(self, boot_s: float) -> None:
+        """Ends the wait of every call, open or to come, at a boot time.
+
+        Args:
+            boot_s: The boot time, in seconds.
+        """
+        self._last_answer_boot_s = boot_s
+        for pending in self._pending:
+            pending.deadline_boot_s = min(pending.deadline_boot_s, boot_s)
+
+    def _refuse_late_call(self, pending: PendingCall) -> None:
+        """Refuses a call for which no time is left.
+
+        A peer that forwarded it tries the scheduler that is named.
+        """
+        if (
+            pending.is_forwarded
+            or pending.call.kind is _client_calls.CallKind.LEADER
+        ):
+            pending.set_reply(self._leader_reply())
+            return
+        pending.set_reply(_client_calls.ClientReply(_Outcome.UNAVAILABLE))
+
+    def log_open_calls(self, now: _time.Now) -> None:
+        """Logs what the open calls wait for: a total and the oldest calls."""
+        open_calls = [
+            each for each in self._pending if not each.reply_future.done()
+        ]
+        _log.info(
+            "calls.open",
+            count=len(open_calls),
+            count_by_wait=dict(
+                collections.Counter(each.waits_for for each in open_calls)
+            ),
+        )
+        open_calls.sort(key=lambda each: each.added_boot_s)
+        for pending in open_calls[:MAX_LOGGED_CALLS]:
+            _log.info(
+                "call.open",
+                kind=pending.call.kind.value,
+                job=pending.call.job_id,
+                waits_for=pending.waits_for,
+                waited_s=round(now.boot_s - pending.added_boot_s, 3),
+                left_s=round(pending.deadline_boot_s - now.boot_s, 3),
+                in_flight=pending.is_in_flight,
+                forwarded=pending.is_forwarded,
+            )
+
     def oldest_wait_s_by_kind(self, now: _time.Now) -> dict[str, float]:
         """Returns the age of the oldest waiting call of each kind.
 
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -7,6 +7,7 @@
 from concurrent import futures
 import contextlib
 import dataclasses
+import math
 import queue
 import random
 
@@ -64,7 +65,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResignRequested:
-    """Message to the cell task: resign the term and claim no other."""
+    """Message to the cell task: resign the term and claim no other.
+
+    Attributes:
+        answer_by_boot_s: Boot time by which every call has to be answered, in
+            seconds.
+    """
+
+    answer_by_boot_s: float = math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopBegun:
+    """Message to the cell task: the servers stop; log the open calls."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,11 +200,14 @@
             self._session.handle_call(pending)
 
     def handle(self, message: object, now: _time.Now) -> None:
-        """Handles a received call, a resign request or a new store address."""
+        """Handles a received call or a request of the instance's process."""
         if isinstance(message, CallReceived):
             self._route_call(message, now)
         elif isinstance(message, ResignRequested):
+            self._router.answer_all_by(message.answer_by_boot_s)
             self._resign_term(now)
+        elif isinstance(message, StopBegun):
+            self._router.log_open_calls(now)
         elif isinstance(message, StoreAddressChanged):
             self._switch_store(message.address)
 
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -16,6 +16,7 @@
 from basiljunction.transport import _clock
 from basiljunction.transport import _http_server
 from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _answer_limit
 from basiljunction.transport.jobs import _apps
 from basiljunction.transport.jobs import _cell_task
 from basiljunction.transport.jobs import _connection_limits
@@ -48,6 +49,18 @@
 """Part of the grace period before SIGKILL that is reserved for stopping the
 servers, in seconds."""
 
+ANSWER_RESERVE_S = 0.6
+"""Part of the grace period that is left when the last call is answered, in
+seconds: for sending the answers and for the process to end."""
+
+LATE_ANSWER_S = 0.2
+"""Time in which a request without an answer of the cell task is answered, after
+the time by which the task has to answer, in seconds."""
+
+CLOSE_RESERVE_S = 0.2
+"""Part of the grace period that is left when the last connection is closed, in
+seconds."""
+
 GRACE_POLL_INTERVAL_S = 0.05
 """Interval at which a leaving instance checks the end of its grace period, in
 seconds."""
@@ -78,6 +91,9 @@
         metrics_port: int | None = None,
     ) -> None:
         self._settings = settings
+        self._clock = clock
+        self._answer_limit = _answer_limit.AnswerLimit()
+        self._task_end: futures.Future[None] | None = None
         self._settings_path = settings_path
         self._shutdown_event = threading.Event()
         self._reload_event = threading.Event()
@@ -104,7 +120,9 @@
             _build_server(
                 settings.peer_listen,
                 _apps.PeerApp(
-                    self._task, _apps.CallSlots(PEER_THREADS - RESERVED_THREADS)
+                    self._task,
+                    _apps.CallSlots(PEER_THREADS - RESERVED_THREADS),
+                    self._answer_limit,
                 ),
                 _make_limits(PEER_THREADS, connections.server),
             ),
@@ -115,6 +133,7 @@
                     self._shutdown_event.is_set,
                     metrics,
                     _apps.CallSlots(FRONT_THREADS - RESERVED_THREADS),
+                    self._answer_limit,
                 ),
                 _make_limits(FRONT_THREADS, connections.server),
             ),
@@ -140,7 +159,8 @@
         """
         for server in self._servers:
             server.bind()
-        self._task.start(self._pool).add_done_callback(self._note_task_end)
+        self._task_end = self._task.start(self._pool)
+        self._task_end.add_done_callback(self._note_task_end)
         for server in self._servers:
             server.start(self._pool)
         _log.info("instance.started", zone=self._settings.zone)
@@ -200,21 +220,53 @@
     def _shut_down(self) -> None:
         """Resigns the term, serves through the grace period and stops.
 
-        An instance whose cell task has failed can do neither and stops at once.
+        Every wait ends inside the grace period. An instance whose cell task has
+        failed can neither resign nor serve and stops at once.
         """
-        end_s = time.monotonic() + (
-            self._settings.bounds.grace_s - SHUTDOWN_RESERVE_S
-        )
+        kill_s = time.monotonic() + self._settings.bounds.grace_s
         if not self._has_task_failed:
-            self._task.tell(_cell_task.ResignRequested())
-        while time.monotonic() < end_s and not self._has_task_failed:
+            self._resign(kill_s)
+        while (
+            time.monotonic() < kill_s - SHUTDOWN_RESERVE_S
+            and not self._has_task_failed
+        ):
             time.sleep(GRACE_POLL_INTERVAL_S)
-        _log.info("instance.leaving", quiet=self._task.is_idle)
+        if self._has_task_failed:
+            self._answer_limit.set_end(time.monotonic())
+        _log.info(
+            "instance.leaving",
+            quiet=self._task.is_idle,
+            left_s=round(kill_s - time.monotonic(), 3),
+        )
+        self._task.tell(_cell_task.StopBegun())
+        close_s = kill_s - CLOSE_RESERVE_S
         with futures.ThreadPoolExecutor(len(self._servers), "stop") as pool:
-            list(pool.map(_http_server.HttpServer.stop, self._servers))
+            list(pool.map(lambda each: each.stop(close_s), self._servers))
         self._task.stop()
-        self._pool.shutdown(wait=True)
-        _log.info("instance.stopped")
+        _, running = futures.wait(
+            [self._task_end] if self._task_end else [],
+            max(0.0, kill_s - time.monotonic()),
+        )
+        self._pool.shutdown(wait=False)
+        if running:
+            _log.error("instance.stop-overdue", waits_for=self._task.name)
+            return
+        _log.info(
+            "instance.stopped", left_s=round(kill_s - time.monotonic(), 3)
+        )
+
+    def _resign(self, kill_s: float) -> None:
+        """Has the cell task resign and answer all calls before SIGKILL.
+
+        Args:
+            kill_s: Time of SIGKILL on the monotonic clock, in seconds.
+        """
+        answer_by_s = kill_s - ANSWER_RESERVE_S
+        self._answer_limit.set_end(answer_by_s + LATE_ANSWER_S)
+        left_s = answer_by_s - time.monotonic()
+        self._task.tell(
+            _cell_task.ResignRequested(self._clock.now().boot_s + left_s)
+        )
 
 
 def _make_limits(threads: int, connections: int) -> _http_limits.Limits:
--- a/tests/processes/test_platform_instances.py
+++ b/tests/processes/test_platform_instances.py
@@ -1,6 +1,7 @@
 """Tests of real instance processes that use a stand-in of the platform."""
 
 from collections.abc import Iterator
+from concurrent import futures
 import http.client
 import json
 import os
@@ -20,6 +21,7 @@
 
 _WAIT_TIMEOUT_S = 20.0
 _GRACE_S = 4.0
+_LATE_S = 1.6  # before SIGKILL; just before an instance stops to listen
 
 _SETTINGS_TEMPLATE = """\
 NodeName={name}
@@ -238,6 +240,25 @@
         assert others[0].call("DELETE", path)[0] == 200
         _wait_until(lambda: not any(e.running for e in platform.executors))
 
+    def test_requests_are_refused_in_time_when_all_instances_leave(
+        self, instances: list[_Instance]
+    ) -> None:
+        """None may claim the term, so that the requests wait in vain."""
+        _wait_until(lambda: all(each.is_ready() for each in instances))
+        for each in instances:
+            each.process.send_signal(signal.SIGTERM)
+        killed_s = time.monotonic() + _GRACE_S
+        time.sleep(_GRACE_S - _LATE_S)
+        path = "/jobs/00000000000000a9"
+        with futures.ThreadPoolExecutor(len(instances)) as pool:
+            answers = pool.map(
+                lambda each: each.call("POST", path, _make_job_body()),
+                instances,
+            )
+            assert [status for status, _ in answers] == [503] * len(instances)
+        for each in instances:
+            assert each.process.wait(killed_s - time.monotonic()) == 0
+
     def test_calls_are_answered_clearly(
         self, instances: list[_Instance], platform: platform_standin.Platform
     ) -> None:
--- a/tests/transport/jobs/test_call_router.py
+++ b/tests/transport/jobs/test_call_router.py
@@ -1,6 +1,7 @@
 """Tests of routing callers' calls to the scheduling instance."""
 
 from concurrent import futures
+from typing import Any
 
 from basiljunction.protocol import _http_call
 from basiljunction.protocol import _peer_calls
@@ -378,3 +379,106 @@
             1, byte_count=250_000, deadline_s=_call_router.MAX_CALL_WAIT_S
         )
         assert timeout_s == _call_router.MAX_CALL_WAIT_S
+
+
+class TestLeavingInstance:
+    """A call is answered truthfully before the end of the grace period."""
+
+    def _start_router(self) -> None:
+        """Starts a router; sets its client, its scheduler and the time."""
+        self.calls = _RecordingHttpClient()
+        self.now_s = 0.0
+        self.local = _FollowerScheduler()
+        self.router = _call_router.CallRouter(
+            calls=self.calls,
+            local=self.local,
+            clock=lambda: build.clock_readings_at(self.now_s),
+        )
+
+    def _add_call(
+        self,
+        kind: _client_calls.CallKind = _client_calls.CallKind.SUBMIT,
+        *,
+        is_forwarded: bool = False,
+    ) -> _Reply:
+        """Adds a call that may wait as long as any."""
+        reply: _Reply = futures.Future()
+        self.router.add_call(
+            _call_router.PendingCall(
+                _client_calls.ClientCall(kind, "queue", "00000000000000a1"),
+                reply,
+                self.now_s + _call_router.MAX_CALL_WAIT_S,
+                is_forwarded,
+            ),
+            build.clock_readings_at(self.now_s),
+        )
+        return reply
+
+    def _advance_time(self, seconds: float) -> None:
+        """Advances the clock and processes the pending calls."""
+        self.now_s += seconds
+        self.router.process_pending_calls(build.clock_readings_at(self.now_s))
+
+    def test_a_call_that_waits_for_a_scheduler_is_refused_in_time(
+        self,
+    ) -> None:
+        self._start_router()
+        self.local.leader = ("", 0)
+        earlier = self._add_call()
+        self.router.answer_all_by(0.9)
+        later = self._add_call()
+        self._advance_time(0.8)
+        assert not earlier.done()
+        assert not later.done()
+        self._advance_time(0.1)
+        assert earlier.result(0).outcome is _Outcome.UNAVAILABLE
+        assert later.result(0).outcome is _Outcome.UNAVAILABLE
+
+    def test_a_try_in_flight_at_the_last_answer_is_unknown(self) -> None:
+        self._start_router()
+        reply = self._add_call()
+        self.router.answer_all_by(0.9)
+        self._advance_time(0.9)
+        assert reply.result(0).outcome is _Outcome.UNKNOWN
+
+    def test_calls_are_forwarded_until_the_last_answer(self) -> None:
+        self._start_router()
+        self.router.answer_all_by(0.9)
+        reply = self._add_call()
+        (call, _) = self.calls.sent[0]
+        assert call.timeout_s <= 0.9
+        self.calls.answer_oldest(_client_calls.ClientReply(_Outcome.ACCEPTED))
+        assert reply.result(0).outcome is _Outcome.ACCEPTED
+
+    def test_a_call_after_the_last_answer_is_refused_untried(self) -> None:
+        self._start_router()
+        self.router.answer_all_by(0.9)
+        self._advance_time(0.9)
+        reply = self._add_call()
+        assert reply.result(0).outcome is _Outcome.UNAVAILABLE
+        assert self.calls.sent == []
+        assert self.router.has_no_pending_calls
+
+    def test_a_peer_that_forwards_a_late_call_is_told_the_scheduler(
+        self,
+    ) -> None:
+        self._start_router()
+        self.router.answer_all_by(0.0)
+        answer = self._add_call(is_forwarded=True).result(0)
+        assert answer.outcome is _Outcome.NOT_LEADER
+        assert (answer.leader_address, answer.leader_epoch) == ("10.0.0.2:1", 3)
+
+    def test_the_log_tells_what_open_calls_wait_for(
+        self, logs: list[Any]
+    ) -> None:
+        self._start_router()
+        self.local.leader = ("", 0)
+        for _ in range(_call_router.MAX_LOGGED_CALLS + 3):
+            self._add_call()
+        self.router.log_open_calls(build.clock_readings_at(0.5))
+        total, *calls = logs
+        assert total["count"] == _call_router.MAX_LOGGED_CALLS + 3
+        assert total["count_by_wait"] == {"leader-unknown": total["count"]}
+        assert len(calls) == _call_router.MAX_LOGGED_CALLS
+        assert calls[0]["waits_for"] == "leader-unknown"
+        assert calls[0]["waited_s"] == 0.5
