Have a peer try on when a leaving instance has no time left

A forwarded call that arrived after the last time to answer was told "unavailable", which its own instance passed on to the caller as a 503, though it had time left and a successor to try. It now names no scheduler, and the forwarding instance tries again.

The test of the peer interface fails without the change; the one of the client interface guards the refusal.

--- a/src/basiljunction/transport/jobs/_apps.py
+++ b/src/basiljunction/transport/jobs/_apps.py
@@ -104,11 +104,14 @@
 
     Returns:
         The reply; unavailable if too many calls wait, the task's mailbox is
-        full or no time is left, and unknown if the task does not answer in
-        time.
+        full or no time is left (not the leader, if a peer forwarded the call),
+        and unknown if the task does not answer in time.
     """
     if limit.left_s() <= 0:
-        return _Reply(_Outcome.UNAVAILABLE)
+        # A peer that is told so tries another scheduler and refuses nobody.
+        return _Reply(
+            _Outcome.NOT_LEADER if is_forwarded else _Outcome.UNAVAILABLE
+        )
     if not slots.acquire(call.kind):
         _log.warning("call.refused", error="too many calls wait")
         return _Reply(_Outcome.UNAVAILABLE)
--- a/tests/transport/jobs/test_apps.py
+++ b/tests/transport/jobs/test_apps.py
@@ -3,14 +3,17 @@
 from concurrent import futures
 import json
 import threading
+import time
 from typing import Any
 
 import pytest
 from werkzeug import test
 
+from basiljunction.protocol import _peer_calls
 from basiljunction.state.workload import _client_calls
 from basiljunction.state.workload import _configuration
 from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _answer_limit
 from basiljunction.transport.jobs import _apps
 from basiljunction.transport.jobs import _cell_task
 import workload_builders as build
@@ -154,3 +157,45 @@
         )
         assert response.status_code == 200
         assert response.headers["Connection"] == "close"
+
+
+class TestNoTimeLeft:
+    """A request after the last time to answer is refused untried."""
+
+    def _make_passed_limit(self) -> _answer_limit.AnswerLimit:
+        """Returns a limit that has passed."""
+        limit = _answer_limit.AnswerLimit()
+        limit.set_end(time.monotonic())
+        return limit
+
+    def test_a_client_may_come_back(self) -> None:
+        task = _AcceptingTask(build.configuration())
+        app = _apps.FrontApp(
+            task,
+            lambda: True,
+            _metrics.Metrics(),
+            _apps.CallSlots(1),
+            self._make_passed_limit(),
+        )
+        response = test.Client(app).post(
+            f"/episode/{_JOB_ID}",
+            data=_job_body(),
+            headers={"Host": "jobs.example"},
+        )
+        assert response.status_code == 503
+        assert int(response.headers["Retry-After"]) >= 1
+        assert response.headers["Connection"] == "close"
+        assert task.received_calls == []
+
+    def test_a_peer_tries_another_scheduler(self) -> None:
+        task = _AcceptingTask(build.configuration())
+        app = _apps.PeerApp(task, _apps.CallSlots(1), self._make_passed_limit())
+        call = _client_calls.ClientCall(
+            _client_calls.CallKind.SUBMIT, "queue", _JOB_ID
+        )
+        response = test.Client(app).post(
+            "/calls", data=_peer_calls.encode_call(call)
+        )
+        answer = _peer_calls.decode_reply(response.data)
+        assert answer.outcome is _client_calls.CallOutcome.NOT_LEADER
+        assert task.received_calls == []
