Bound the runs of an ended life by the longest lease, not by its uptime

Found in review (no caller saw it): an executor answers 421 at its address once, as its life has ended, and is silent from then on. Its clock was taken as zero while the end of its lease stayed on the old clock, so that its runs counted for as long as it had been up: after 60 s the stored bound was 65 s. A lease that a new life accepts is at most the longest lease from its start, so the end is cut there.

--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -307,6 +307,8 @@
         executor.processed_end_number = 0
         executor.stored_end_number = 0
         executor.executor_clock_ms = 0
+        longest_ms = int(self._cell.times.longest_lease_s * 1000)
+        executor.lease_until_ms = min(executor.lease_until_ms, longest_ms)
         executor.inherited_until_s = None
         executor.next_renewal_s = now.boot_s
         for run in list(executor.run_by_key.values()):
