Keep the bounds of silent executors true for ones that return and for short terms

- An executor that was gone from the list was forgotten together with the mark that its lease is frozen, while the store kept its bound.
Once listed again, its new runs could be started a second time after a change of scheduler (TWICE).
It now leaves the roster and the record first, and is forgotten when the store has both.
The first batch now repeats what the scheduler before knew, and a resignation before the recovery tells the rest of the earlier wait.
- After a scheduler of an earlier version, which stores no executors of lasting tasks, the second scheduler of this version trusted outdated ones.
The record now says whether they are known, which they are again once nobody is waited for.
- A start that waited for the store was sent though its executor had begun to drain meanwhile.
It is released unsent, and the task starts elsewhere.

The random test now takes executors off the list, too.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -367,10 +367,16 @@
                 if run.task == task:
                     executor.stop_run(run, now.boot_s)
 
-    def take_batch(self) -> _orders.Batch | None:
+    def take_batch(
+        self, silent: _records.SilentExecutorsRecord | None = None
+    ) -> _orders.Batch | None:
         """Returns and clears everything to store, or None if there is nothing.
 
         The batch includes replies and acknowledgements that depend on it.
+
+        Args:
+            silent: Record of silent executors to store after all others, on
+                which it relies; None for none.
         """
         records = self.records
         self.records = []
@@ -388,6 +394,8 @@
                 if not each.is_vacated
             )
             records.append(_records.ExecutorRosterRecord(tuple(entries)))
+        if silent is not None:
+            records.append(silent)
         acknowledgement_by_executor = {
             executor_id: _orders.Acknowledgement(
                 state.started_wall_ms, state.processed_end_number
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -20,8 +20,8 @@
         listing: The executor as the platform lists it.
         is_listed: Whether the platform's newest list contains it.
         is_roster_stored: Whether the stored roster record contains it.
-        is_vacated: Whether it drains, runs nothing and is left out of the
-            roster, so that a successor does not wait for it.
+        is_vacated: Whether it certainly runs nothing, gets no tasks and is left
+            out of the roster, so that a successor does not wait for it.
         started_wall_ms: Start time of the incarnation that answered last, in
             milliseconds since the Unix epoch; 0 before the first answer.
         last_answer_s: Time of its last answer to a lease renewal; None before
@@ -296,17 +296,30 @@
         )
         return min(known, default=0.0)
 
-    def is_empty_for_good(self) -> bool:
-        """Returns whether it drains and has answered that nothing runs on it.
+    def is_empty_for_good(self, now_s: float) -> bool:
+        """Returns whether it runs nothing and gets no more tasks.
 
-        It gets no more tasks, and the ends of all its runs are stored.
+        It is no longer listed and its lease has expired, or it drains, has
+        answered that nothing runs on it and the ends of its runs are stored.
         """
+        if not self.is_listed:
+            return self.has_certainly_no_runs(now_s)
         if not self.listing.is_draining or self.last_answer_s is None:
             return False
         if self.run_by_key or self.inherited_until_s is not None:
             return False
         return self.processed_end_number == self.stored_end_number
 
+    def may_be_forgotten(self, now_s: float) -> bool:
+        """Returns whether nothing about it has to be known any longer.
+
+        While the store may hold a bound of its runs, its lease must not be
+        extended if it returns.
+        """
+        if self.silent_bound is not None or self.is_lease_frozen:
+            return False
+        return self.has_certainly_no_runs(now_s)
+
     def has_certainly_no_runs(self, now_s: float) -> bool:
         """Returns whether the executor certainly has no runs."""
         if self.run_by_key or self.inherited_until_s is not None:
--- a/src/basiljunction/coordination/scheduling/_inherited_runs.py
+++ b/src/basiljunction/coordination/scheduling/_inherited_runs.py
@@ -28,7 +28,7 @@
         Executors that a successor need not wait for leave the roster.
         """
         cell = self._cell
-        self._update_roster()
+        self._update_roster(now)
         if not cell.has_inherited_runs:
             return
         awaited = [
@@ -45,14 +45,21 @@
         else:
             cell.needs_placing = True
 
-    def _update_roster(self) -> None:
-        """Leaves executors out of the roster while they are empty for good."""
-        for executor in self._cell.executor_by_id.values():
-            is_vacated = executor.is_empty_for_good()
+    def _update_roster(self, now: _time.Now) -> None:
+        """Leaves executors out of the roster while they are empty for good.
+
+        No bound of their runs is stored from then on either.
+        """
+        cell = self._cell
+        for executor in cell.executor_by_id.values():
+            is_vacated = executor.is_empty_for_good(now.boot_s)
             if is_vacated == executor.is_vacated:
                 continue
             executor.is_vacated = is_vacated
-            self._cell.roster_changed = True
+            cell.roster_changed = True
+            if executor.silent_bound is not None:
+                executor.silent_bound = None
+                cell.silent_executors_changed = True
             if not is_vacated:
                 executor.is_roster_stored = False
 
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -194,7 +194,7 @@
             state.is_listed = entry is not None
             if entry is not None:
                 state.update_listing(entry, now.boot_s)
-            elif state.has_certainly_no_runs(now.boot_s):
+            elif state.may_be_forgotten(now.boot_s):
                 del cell.executor_by_id[executor_id]
                 cell.sharing.forget_executor(executor_id)
                 cell.roster_changed = True
@@ -544,8 +544,7 @@
 
         Call it only when the batch can be stored at once.
         """
-        self._silent_executors.update()
-        return self.cell.take_batch()
+        return self.cell.take_batch(self._silent_executors.next_record())
 
     def handle_batch_stored(self, batch: _orders.Batch, now: _time.Now) -> None:
         """Applies the confirmation that a batch is stored.
@@ -557,11 +556,7 @@
         for record in batch.records:
             self._mark_record_stored(record)
         for order in batch.starts:
-            _, run = cell.find_executor_and_run(
-                order.executor, order.task, order.run
-            )
-            if run is not None and run.phase is _runs.RunPhase.ORDERED:
-                cell.orders.append(order)
+            self._send_held_start(order, now)
         for executor_id, covered in batch.acknowledge_by_executor.items():
             state = cell.executor_by_id.get(executor_id)
             if (
@@ -574,6 +569,24 @@
                 state.next_renewal_s = now.boot_s
         cell.needs_placing = True
 
+    def _send_held_start(
+        self, order: _orders.StartOrder, now: _time.Now
+    ) -> None:
+        """Sends a start that waited for its batch, if it is still in order."""
+        cell = self.cell
+        executor, run = cell.find_executor_and_run(
+            order.executor, order.task, order.run
+        )
+        if executor is None or run is None:
+            return
+        if run.phase is not _runs.RunPhase.ORDERED:
+            return
+        if cell.is_usable(executor, now.boot_s):
+            cell.orders.append(order)
+        else:
+            # It was not sent, so the task can start elsewhere at once.
+            cell.release_run(executor, run, now)
+
     def _mark_record_stored(self, record: _records.Record) -> None:
         """Updates the job or the executors that a stored record covers."""
         cell = self.cell
--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -36,6 +36,7 @@
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
         self._next_check_s: float | None = None
+        self._newest: _records.SilentExecutorsRecord | None = None
 
     def restore(
         self,
@@ -54,7 +55,7 @@
         """
         if record.epoch != self._cell.epoch - 1:
             return
-        self._cell.knows_inherited_executors = True
+        self._cell.knows_inherited_executors = record.has_stored_executors
         for executor_id, bound in record.bound_by_executor.items():
             executor = self._cell.executor_by_id.get(executor_id)
             written_s = history.written_by_s(bound.epoch, bound.beat)
@@ -67,22 +68,36 @@
                 executor.inherited_until_s, written_s + bound.after_s
             )
 
-    def update(self) -> None:
-        """Adds a record to store if other executors are silent than before."""
+    def next_record(self) -> _records.SilentExecutorsRecord | None:
+        """Returns the record to store with the next batch, or None.
+
+        The first one repeats what the scheduler before knew, as this one may
+        be lost before it knows more.
+        """
         cell = self._cell
         now_s = cell.last_tick_s
-        if self._next_check_s is None:
+        if self._newest is None:
             self._next_check_s = now_s + FIRST_CHECK_DELAY_S
-        if now_s < self._next_check_s or not cell.is_term_confirmed:
-            return
+            return self._make_record()
+        if now_s < (self._next_check_s or 0.0) or not cell.is_term_confirmed:
+            return None
         self._next_check_s = now_s + CHECK_INTERVAL_S
         for executor in cell.executor_by_id.values():
             if executor.silent_bound is None and _is_silent(executor, now_s):
                 executor.silent_bound = self._bound_runs(executor)
                 cell.silent_executors_changed = True
-        if cell.silent_executors_changed:
-            cell.silent_executors_changed = False
-            self._add_record()
+        if (
+            not cell.silent_executors_changed
+            and self._newest.has_stored_executors
+            == self._has_stored_executors()
+        ):
+            return None
+        return self._make_record()
+
+    def _has_stored_executors(self) -> bool:
+        """Returns whether the store knows the executors of lasting tasks."""
+        cell = self._cell
+        return cell.knows_inherited_executors or not cell.has_inherited_runs
 
     def _bound_runs(
         self, executor: _executors.ExecutorState
@@ -98,16 +113,17 @@
             max(0.0, until_s - cell.confirmed_s),
         )
 
-    def _add_record(self) -> None:
-        """Adds a record of all silent executors and freezes their leases."""
+    def _make_record(self) -> _records.SilentExecutorsRecord:
+        """Returns a record of all silent executors and freezes their leases."""
         cell = self._cell
+        cell.silent_executors_changed = False
         bound_by_executor = {}
         for executor_id, executor in cell.executor_by_id.items():
             if executor.silent_bound is not None:
                 bound_by_executor[executor_id] = executor.silent_bound
                 executor.is_lease_frozen = True
-        cell.records.append(
-            _records.SilentExecutorsRecord(cell.epoch, bound_by_executor)
+        self._newest = _records.SilentExecutorsRecord(
+            cell.epoch, bound_by_executor, self._has_stored_executors()
         )
         if bound_by_executor:
             cell.note(
@@ -115,6 +131,7 @@
                 executors=len(bound_by_executor),
                 first=next(iter(bound_by_executor)),
             )
+        return self._newest
 
     def handle_stored(self, record: _records.SilentExecutorsRecord) -> None:
         """Allows leases of executors again that the stored record leaves out.
@@ -132,6 +149,8 @@
 
 def _is_silent(executor: _executors.ExecutorState, now_s: float) -> bool:
     """Returns whether an executor may have runs and does not answer."""
+    if executor.is_vacated:
+        return False
     if executor.last_answer_s is None:
         return executor.inherited_until_s is not None
     if executor.renewal_failures < MIN_RENEWAL_FAILURES:
--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -85,10 +85,14 @@
     Attributes:
         epoch: Epoch of the scheduler that wrote it.
         bound_by_executor: Bound of the runs on each silent executor, by id.
+        has_stored_executors: Whether the stored executor of each task that
+            runs until cancelled is that of its last run; not so after an
+            earlier version of the program, which does not store them.
     """
 
     epoch: int
     bound_by_executor: dict[str, _run_bound.RunBound]
+    has_stored_executors: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -167,11 +167,18 @@
     def longest_run_s(self) -> float:
         """Longest time for which runs go on after this session has ended.
 
-        In seconds; 0 if that is not known, before it has recovered.
+        In seconds. Before it has recovered, only runs of earlier terms exist.
         """
-        if not self.answers_calls:
-            return 0.0
-        return self._scheduler.longest_run_s(self._clock())
+        now = self._clock()
+        if self.answers_calls:
+            return self._scheduler.longest_run_s(now)
+        longest_s = self._longest_inherited_run_s
+        if longest_s is None:
+            longest_s = self._scheduler.cell.times.max_run_after_term_s
+        return max(
+            self._earlier_terms_ended_s + longest_s - now.boot_s,
+            _limits.LEASE_EXPIRY_MARGIN_S,
+        )
 
     def close(self) -> None:
         """Ends the session: no further orders are sent or records stored.
--- a/tests/coordination/scheduling/test_silent_executors.py
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -1,9 +1,12 @@
 """Tests that a series of schedulers waits for a silent executor once."""
 
+import dataclasses
+
 import pytest
 
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _silent_executors
 from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _job_spec
@@ -186,6 +189,10 @@
             for executor in rig.executor_by_id.values():
                 if rng.random() < 0.15:
                     executor.is_answering = not executor.is_answering
+            if rng.random() < 0.3:
+                _list_without(rig, rng.choice(sorted(rig.executor_by_id)))
+            elif rng.random() < 0.3:
+                rig.list_executors()
             rig.store_is_up = rng.random() > 0.15
             rig.run(rng.choice([0.1, 0.3, 1.0, 2.0]))
             if rig.store_is_up and rng.random() < 0.4:
@@ -195,6 +202,7 @@
                     rig.take_over(rng.choice([0.0, 0.5, 2.0]))
         for executor in rig.executor_by_id.values():
             executor.is_answering = True
+        rig.list_executors()
         rig.store_is_up = True
         rig.run(_silent_executors.FIRST_CHECK_DELAY_S + 15)
         assert rig.count_lasting_runs() == 6
@@ -300,3 +308,167 @@
         rig.run(1)
         assert len(rig.starts) == start_count
         assert rig.count_lasting_runs() == 0
+
+
+def _list_without(rig: cell_rig.CellRig, executor_id: str) -> None:
+    """Lists all executors but one."""
+    rig.scheduler.set_executors(
+        [
+            each.entry
+            for each in rig.executor_by_id.values()
+            if each.entry.id != executor_id
+        ],
+        build.clock_readings_at(rig.now_s),
+    )
+
+
+class TestReturningExecutors:
+    """An executor that was gone from the list has no bound once it is back."""
+
+    @pytest.mark.parametrize("silent_s", [0.1, 1.0])
+    @pytest.mark.parametrize("resigns", [True, False])
+    def test_its_new_runs_are_not_started_twice(
+        self, resigns: bool, silent_s: float
+    ) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        executor = rig.executor_by_id["e0"]
+        executor.is_answering = False
+        rig.run(_NOTICE_S)
+        for _ in range(9):
+            _list_without(rig, "e0")
+            rig.run(1)
+        assert "e0" not in rig.scheduler.cell.executor_by_id
+        executor.is_answering = True
+        rig.list_executors()
+        rig.run(1)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=2, runs_until_cancelled=True),
+                job_id="b" * 16,
+                in_queue=build.queue("watch"),
+            )
+        )
+        rig.run(2)
+        assert executor.run_by_key
+        assert "e0" not in _read_record(rig).bound_by_executor
+        executor.is_answering = False
+        if resigns:
+            rig.resign()
+        else:
+            rig.take_over()
+        rig.run(silent_s)
+        executor.is_answering = True
+        rig.run(12)
+        assert rig.count_lasting_runs() == 8
+
+
+class TestShortTerms:
+    """Terms that end before any executor is found silent keep the bounds."""
+
+    @pytest.mark.parametrize("term_s", [0.1, 0.4, 0.8])
+    @pytest.mark.parametrize("count", [1, 3, 8])
+    def test_lost_schedulers_do_not_add_up(
+        self, count: int, term_s: float
+    ) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        _lose_executor(rig)
+        lost_s = rig.now_s
+        rig.run(_NOTICE_S)
+        for _ in range(count):
+            rig.take_over()
+            rig.run(term_s)
+        while rig.count_lasting_runs() < 6:
+            rig.step()
+            assert rig.now_s - lost_s < _MAX_GAP_S
+
+
+class TestEarlierVersions:
+    """A scheduler of an earlier version stores no executors of tasks."""
+
+    def test_stored_executors_from_before_it_are_not_trusted(self) -> None:
+        rig = cell_rig.CellRig(
+            *(build.executor_entry(f"e{number}") for number in range(3))
+        )
+        rig.run(1)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=1, runs_until_cancelled=True),
+                in_queue=build.queue("watch"),
+            )
+        )
+        rig.run(2)
+        (first,) = (e for e in rig.executor_by_id.values() if e.run_by_key)
+        stored = dict(rig.store)
+        # The records of this term are taken back, as the earlier version would
+        # not have written them.
+        rig.take_over()
+        rig.run(1)
+        first.is_up = False
+        first.run_by_key.clear()
+        rig.list_executors()
+        rig.run(9)
+        (second,) = (
+            e for e in rig.executor_by_id.values() if e.is_up and e.run_by_key
+        )
+        for key in ("p.00000000000000a1", "silent"):
+            rig.store[key] = stored[key]
+        first.restart()
+        first.is_up = True
+        second.is_answering = False
+        rig.take_over()
+        rig.run(1)
+        rig.take_over()
+        rig.run(12)
+        assert rig.count_lasting_runs() == 1
+
+
+class TestHeldStarts:
+    """A start that waited for the store is sent only if it is in order."""
+
+    def test_none_is_sent_to_an_executor_that_drains_meanwhile(self) -> None:
+        rig = cell_rig.CellRig(
+            *(build.executor_entry(f"e{number}") for number in range(2))
+        )
+        rig.run(1)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=4, runs_until_cancelled=True),
+                in_queue=build.queue("watch"),
+            )
+        )
+        # The job is stored; the batch with its starts is under way.
+        rig.run(cell_rig.STEP_S)
+        rig.store_is_up = False
+        rig.run(0.2)
+        now = build.clock_readings_at(rig.now_s)
+        batch = rig.scheduler.take_batch()
+        assert batch is not None
+        assert {each.executor for each in batch.starts} == {"e0", "e1"}
+        draining = rig.executor_by_id["e0"]
+        draining.entry = dataclasses.replace(draining.entry, is_draining=True)
+        rig.list_executors()
+        rig.scheduler.handle_batch_stored(batch, now)
+        started_on = {
+            each.executor
+            for each in rig.scheduler.take_orders()
+            if isinstance(each, _orders.StartOrder)
+        }
+        assert started_on == {"e1"}
+
+
+class TestEndedLives:
+    """An executor whose id is refused at its address runs nothing for long."""
+
+    def test_its_bound_does_not_depend_on_how_long_it_was_up(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        rig.run(60)
+        _lose_executor(rig)
+        rig.scheduler.handle_renewal_failure(
+            _orders.RenewalOrder("e0", None, 0, 0),
+            build.clock_readings_at(rig.now_s),
+            is_other_incarnation=True,
+        )
+        rig.run(_NOTICE_S)
+        bound = _read_record(rig).bound_by_executor["e0"]
+        longest_s = _limits.LeaseTimes().longest_lease_s
+        assert bound.after_s < longest_s * 1.02 + 1.0
