--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -183,9 +183,9 @@
     _mutation(
         "executors-of-an-unknown-scheduler-trusted",
         "one run",
-        f"{_SCHEDULING}/_cell_state.py",
-        "            or executor_by_position is None\n        ):",
-        "        ):",
+        f"{_SCHEDULING}/_inherited_runs.py",
+        "        or executor_by_position is None\n    ):",
+        "    ):",
         f"{_TESTS}/test_silent_executors.py",
     ),
     _mutation(
@@ -215,8 +215,8 @@
     _mutation(
         "inherited-tasks-not-held",
         "one run",
-        f"{_SCHEDULING}/_cell_state.py",
-        "if not (job.is_inherited and self.has_inherited_runs):",
+        f"{_SCHEDULING}/_inherited_runs.py",
+        "if not (job.is_inherited and cell.has_inherited_runs):",
         "if job.is_inherited:",
         f"{_TESTS}/test_silent_executors.py",
     ),
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -218,32 +218,6 @@
         """Marks a job's progress to be stored with the next batch."""
         self.dirty_job_ids.add(job.id)
 
-    def may_run_unlisted(
-        self, job: _jobs.Job, place: _progress.TaskPosition
-    ) -> bool:
-        """Returns whether a task may run on an executor that has not told so.
-
-        A run of an earlier term is then on an executor that did not list its
-        runs in this one. Where the executor of the last run is known, only
-        that one counts.
-        """
-        if not (job.is_inherited and self.has_inherited_runs):
-            return False
-        step = job.spec.steps[place[1]]
-        if step.speculative:
-            return True
-        if place in job.adopted_places:
-            return False
-        executor_by_position = job.progress.executor_by_position
-        if (
-            not step.runs_until_cancelled
-            or not self.knows_inherited_executors
-            or executor_by_position is None
-        ):
-            return True
-        executor = self.executor_by_id.get(executor_by_position.get(place, ""))
-        return executor is not None and executor.inherited_until_s is not None
-
     def note_executor_of_lasting_task(
         self, job: _jobs.Job, run: _runs.Run
     ) -> None:
--- a/src/basiljunction/coordination/scheduling/_evacuation.py
+++ b/src/basiljunction/coordination/scheduling/_evacuation.py
@@ -9,6 +9,7 @@
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _inherited_runs
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _placement
 from basiljunction.coordination.scheduling import _runs
@@ -115,8 +116,8 @@
         job = cell.find_job(run.task)
         if job is None or not cell.is_task_unfinished(run.task):
             return False
-        return not cell.may_run_unlisted(
-            job, _cell_state.place_in_job(run.task)
+        return not _inherited_runs.may_run_unlisted(
+            cell, job, _cell_state.place_in_job(run.task)
         )
 
     def _lasting_tasks_without_run(
--- a/src/basiljunction/coordination/scheduling/_inherited_runs.py
+++ b/src/basiljunction/coordination/scheduling/_inherited_runs.py
@@ -2,7 +2,9 @@
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _jobs
 from basiljunction.state import _time
+from basiljunction.state.workload import _progress
 
 NOTE_INTERVAL_S = 1.0
 """Interval between log entries about executors that are waited for, in
@@ -12,7 +14,8 @@
 class InheritedRunWaits:
     """Ends the wait for an executor once earlier runs on it have ended.
 
-    Tasks of inherited jobs start only when no executor is waited for.
+    Tasks of inherited jobs start only when no executor is waited for on which
+    they may run.
 
     Args:
         cell: The scheduler's state.
@@ -98,6 +101,35 @@
         )
 
 
+def may_run_unlisted(
+    cell: _cell_state.CellState,
+    job: _jobs.Job,
+    place: _progress.TaskPosition,
+) -> bool:
+    """Returns whether a task may run on an executor that has not told so.
+
+    A run of an earlier term is then on an executor that did not list its runs
+    in this one. Where the executor of the last run is known, only that one
+    counts.
+    """
+    if not (job.is_inherited and cell.has_inherited_runs):
+        return False
+    step = job.spec.steps[place[1]]
+    if step.speculative:
+        return True
+    if place in job.adopted_places:
+        return False
+    executor_by_position = job.progress.executor_by_position
+    if (
+        not step.runs_until_cancelled
+        or not cell.knows_inherited_executors
+        or executor_by_position is None
+    ):
+        return True
+    executor = cell.executor_by_id.get(executor_by_position.get(place, ""))
+    return executor is not None and executor.inherited_until_s is not None
+
+
 def _awaited_until_s(executor: _executors.ExecutorState) -> float:
     """Returns when the wait for an executor ends; it is waited for."""
     return executor.inherited_until_s or 0.0
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -7,6 +7,7 @@
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _inherited_runs
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _ordering
 from basiljunction.coordination.scheduling import _orders
@@ -395,7 +396,7 @@
             is_urgent = job.is_start_urgent((*key, index), now.boot_s)
             if waited_s < 0 or (urgent_only and not is_urgent):
                 continue
-            if self._cell.may_run_unlisted(job, (*key, index)):
+            if _inherited_runs.may_run_unlisted(self._cell, job, (*key, index)):
                 continue
             if not is_urgent and not self._may_start_beside_short_tasks(
                 job, step, waited_s
@@ -503,7 +504,7 @@
             return 0
         key = (waiting_tasks.occurrence, waiting_tasks.step)
         if any(
-            self._cell.may_run_unlisted(job, (*key, index))
+            _inherited_runs.may_run_unlisted(self._cell, job, (*key, index))
             for index in waiting_tasks.ready_s_by_index
         ):
             return 0
--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -35,7 +35,7 @@
 
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
-        self._next_check_s: float | None = None
+        self._next_check_s = 0.0
         self._newest: _records.SilentExecutorsRecord | None = None
 
     def restore(
@@ -79,7 +79,7 @@
         if self._newest is None:
             self._next_check_s = now_s + FIRST_CHECK_DELAY_S
             return self._make_record()
-        if now_s < (self._next_check_s or 0.0) or not cell.is_term_confirmed:
+        if now_s < self._next_check_s or not cell.is_term_confirmed:
             return None
         self._next_check_s = now_s + CHECK_INTERVAL_S
         for executor in cell.executor_by_id.values():
