Leave half a second more for the stop of an instance

Some hundred threads took 0.4 to 1.3 s to end there.

Change: the servers stop 2.0 s before SIGKILL (1.5 s before), the last call is answered 1.0 s before it (0.6 s). The tests send their late request just before the servers stop, as before, so 2.1 s before SIGKILL now; what they ask for is the same.

--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -45,13 +45,14 @@
 TASK_THREADS = 5
 """Threads of the task pool: one for the cell task and one for each server."""
 
-SHUTDOWN_RESERVE_S = 1.5
+SHUTDOWN_RESERVE_S = 2.0
 """Part of the grace period before SIGKILL that is reserved for stopping the
-servers, in seconds."""
+servers, in seconds; half of it is for calls that arrive as they stop."""
 
-ANSWER_RESERVE_S = 0.6
+ANSWER_RESERVE_S = 1.0
 """Part of the grace period that is left when the last call is answered, in
-seconds: for sending the answers and for the process to end."""
+seconds: for sending the answers and for some hundred threads to end, which
+takes tenths of a second on a busy host."""
 
 LATE_ANSWER_S = 0.2
 """Time in which a request without an answer of the cell task is answered, after
