--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -148,7 +148,7 @@
         executor.renewal_failures += 1
         executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
         if is_other_incarnation:
-            self._end_incarnation(executor, now)
+            self._end_incarnation(executor, now, cause="refused")
             executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
 
     def handle_answer(
@@ -177,7 +177,7 @@
             executor.started_wall_ms
             and report.started_wall_ms != executor.started_wall_ms
         ):
-            self._end_incarnation(executor, now)
+            self._end_incarnation(executor, now, cause="answered")
         executor.started_wall_ms = report.started_wall_ms
         if executor.last_answer_s is None and report.active_runs:
             # An earlier term may have granted a lease of full length.
@@ -287,7 +287,7 @@
             executor.stop_run(run, now.boot_s)
 
     def _end_incarnation(
-        self, executor: _executors.ExecutorState, now: _time.Now
+        self, executor: _executors.ExecutorState, now: _time.Now, *, cause: str
     ) -> None:
         """Resets an executor whose process has restarted.
 
@@ -296,10 +296,16 @@
         ends on the old clock, so the latest lease end stays. A start order
         without an answer may still reach the new incarnation, whose clock is
         unrelated to the order's deadline, so a stop order bars that run.
+
+        Args:
+            executor: The executor.
+            now: The time.
+            cause: How the restart became known, for the log.
         """
         self._cell.note(
             "executor.other-life",
             executor=executor.listing.id,
+            cause=cause,
             runs=len(executor.run_by_key),
         )
         executor.is_suspect = False
@@ -312,6 +318,14 @@
         executor.inherited_until_s = None
         executor.next_renewal_s = now.boot_s
         for run in list(executor.run_by_key.values()):
+            self._cell.note(
+                "task.life-ended",
+                task=str(run.task),
+                run=run.number,
+                executor=executor.listing.id,
+                phase=run.phase.value,
+                phase_s=round(now.boot_s - run.phase_since_s, 3),
+            )
             if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
                 executor.stop_run(run, now.boot_s)
             else:
