Add a failing test: a run that a restarted executor has begun is taken for a lost one

An executor restarts under its id; a start is answered by the new incarnation before the scheduler knows of it, and the answer that shows the restart was written before that. The scheduler releases the run, so its task starts again beside it and its room counts as free.

--- /dev/null
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -0,0 +1,106 @@
+"""Tests that a restart of an executor under its id doubles no run."""
+
+from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _scheduler
+from basiljunction.state.workload import _executor
+from basiljunction.state.workload import _job_spec
+import workload_builders as build
+
+_JOB_ID = "00000000000000a1"
+
+
+def _run_timed_work(
+    scheduler: _scheduler.Scheduler, now_s: float
+) -> list[_orders.Order]:
+    """Runs the scheduler's timed work, stores its batch, returns its orders."""
+    now = build.clock_readings_at(now_s)
+    scheduler.run_timed_work(now, confirmed_s=now_s, confirmed_beat=1)
+    batch = scheduler.take_batch()
+    if batch is not None:
+        scheduler.handle_batch_stored(batch, now)
+    return scheduler.take_orders()
+
+
+def _find_starts(
+    orders: list[_orders.Order],
+) -> list[_orders.StartOrder]:
+    """Returns the start orders among some orders."""
+    return [each for each in orders if isinstance(each, _orders.StartOrder)]
+
+
+def _answer_renewals(
+    scheduler: _scheduler.Scheduler,
+    orders: list[_orders.Order],
+    now_s: float,
+    *,
+    born_ms: int,
+    runs: tuple[_executor.ActiveRunReport, ...] = (),
+) -> None:
+    """Answers the renewals among some orders; all list the same runs."""
+    for order in orders:
+        if isinstance(order, _orders.RenewalOrder):
+            scheduler.handle_renewal_answer(
+                order,
+                _executor.LeaseRenewalReply(
+                    clock_ms=int(now_s * 1000),
+                    started_wall_ms=born_ms,
+                    active_runs=runs,
+                    unacknowledged_ends=(),
+                ),
+                build.clock_readings_at(now_s),
+            )
+
+
+class TestStartAnsweredBeforeTheRestartIsKnown:
+    """A run that a new incarnation started is not taken for one of the old.
+
+    The answer that shows the restart was written before the run began.
+    """
+
+    def _start_scheduler(self) -> _scheduler.Scheduler:
+        """Returns a scheduler with one executor that has answered it."""
+        scheduler = build.scheduler()
+        scheduler.set_executors(
+            [build.executor_entry("e1")], build.clock_readings_at(0.0)
+        )
+        for now_s in (0.1, 0.2):
+            orders = _run_timed_work(scheduler, now_s)
+            _answer_renewals(scheduler, orders, now_s, born_ms=1)
+        return scheduler
+
+    def _order_start_beside_a_renewal(
+        self, scheduler: _scheduler.Scheduler
+    ) -> tuple[list[_orders.Order], _orders.StartOrder]:
+        """Returns the orders of ticks that renew a lease and start a task."""
+        scheduler.submit_job(
+            build.accepted_job(), build.clock_readings_at(0.25)
+        )
+        orders = _run_timed_work(scheduler, 0.25)
+        orders += _run_timed_work(scheduler, 0.3)
+        (start,) = _find_starts(orders)
+        return orders, start
+
+    def test_its_task_is_not_started_again(self) -> None:
+        scheduler = self._start_scheduler()
+        orders, start = self._order_start_beside_a_renewal(scheduler)
+        scheduler.handle_start_answer(
+            start, _orders.StartResult.STARTED, build.clock_readings_at(0.31)
+        )
+        _answer_renewals(scheduler, orders, 0.32, born_ms=2)
+        for now_s in (0.4, 0.5, 0.6):
+            orders = _run_timed_work(scheduler, now_s)
+            assert _find_starts(orders) == []
+            _answer_renewals(
+                scheduler,
+                orders,
+                now_s,
+                born_ms=2,
+                runs=(
+                    _executor.ActiveRunReport(
+                        _job_spec.TaskId(_JOB_ID, 0, 0, 0), start.run, "", 1, 0
+                    ),
+                ),
+            )
+        state = scheduler.visible_state(_JOB_ID)
+        assert state is not None
+        assert state.value == "running"
