Don't let libcurl send a request a second time unless it may be repeated

Cause: when a reused connection is lost before a byte of the answer, libcurl sends the request again on a new one. The executor had read the first copy of a start and ran it. The copy was refused by a cut, so the client reported the start as never sent; or it was answered 503 or 409, which says nothing of the first. The scheduler released the run, freed its room and started the task elsewhere. Class: an answer to one sending taken for the answer to all of them.

Change: libcurl asks before each sending. A second one is refused unless the call is marked as repeatable: reads of the store, renewals of leases and calls to peers that change nothing. A call that was sent once is never reported as unsent.

--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -169,6 +169,7 @@
         body,
         timeout_s,
         silence_limit_s=silence_limit_s,
+        is_repeatable=True,
     )
 
 
@@ -377,6 +378,7 @@
     timeout_s: float,
     *,
     silence_limit_s: float | None = None,
+    is_repeatable: bool = False,
 ) -> _http_call.HttpCall:
     """Builds a POST that only the named executor at the address may accept."""
     return _http_call.HttpCall(
@@ -387,4 +389,5 @@
         timeout_s,
         silence_limit_s,
         operation=_OPERATION_BY_PATH[path],
+        is_repeatable=is_repeatable,
     )
--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -198,6 +198,7 @@
         timeout_s=timeout_s,
         silence_limit_s=silence_limit_s,
         operation="store.read",
+        is_repeatable=True,
     )
 
 
@@ -260,6 +261,7 @@
         timeout_s=timeout_s,
         silence_limit_s=silence_limit_s,
         operation="store.read-newest",
+        is_repeatable=True,
     )
 
 
--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -21,6 +21,8 @@
             size is not known, which take the longer the narrower a link is.
         operation: Name of the operation in metrics.
         needs_new_connection: Whether no open connection may be used.
+        is_repeatable: Whether the client may send the call a second time by
+            itself, though the server may have received the first one.
     """
 
     method: str
@@ -31,6 +33,7 @@
     silence_limit_s: float | None = None
     operation: str = "other"
     needs_new_connection: bool = False
+    is_repeatable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -571,4 +571,5 @@
         timeout_s,
         operation="peer.call",
         needs_new_connection=needs_new_connection,
+        is_repeatable=not call.kind.changes_state,
     )
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -39,7 +39,8 @@
         pycurl.E_UNSUPPORTED_PROTOCOL,
     }
 )
-"""libcurl errors that mean that the request was certainly not sent."""
+"""libcurl errors that mean that the last sending of the request failed before
+its first byte."""
 
 _log = structlog.get_logger()
 
@@ -57,6 +58,9 @@
             which the call started, in seconds; kept only with a limit.
         silence_limit_s: Longest time without a byte of the response, in
             seconds; None for no limit.
+        may_have_been_received: Whether the request was sent on a connection.
+        was_second_sending_refused: Whether libcurl wanted to send the request
+            a second time and was not allowed to.
     """
 
     on_reply: ReplyCallback
@@ -65,6 +69,21 @@
     started_s: float
     last_byte_s: float
     silence_limit_s: float | None = None
+    may_have_been_received: bool = False
+    was_second_sending_refused: bool = False
+
+    def check_before_sending(self, *_addresses: object) -> int:
+        """Refuses to send the request a second time unless it is repeatable.
+
+        libcurl calls this each time just before it sends the request. It does
+        so again, on a new connection, if a reused one is lost before a byte of
+        the response; the server may have received the first request.
+        """
+        if self.may_have_been_received and not self.call.is_repeatable:
+            self.was_second_sending_refused = True
+            return int(pycurl.PREREQFUNC_ABORT)
+        self.may_have_been_received = True
+        return int(pycurl.PREREQFUNC_OK)
 
     def receive_header(self, _line: bytes) -> None:
         """Notes that a line of the header has arrived."""
@@ -139,6 +158,7 @@
             on_reply, body, call, now_s, now_s, call.silence_limit_s
         )
         _configure_handle(handle, call)
+        handle.setopt(pycurl.PREREQFUNCTION, in_flight.check_before_sending)
         self._call_by_handle[handle] = in_flight
         if call.silence_limit_s is None:
             handle.setopt(pycurl.WRITEFUNCTION, body.write)
@@ -299,11 +319,15 @@
         self._multi.remove_handle(handle)
         handle.reset()
         self._idle_handles.append(handle)
+        if call.was_second_sending_refused:
+            fault = "connection lost before a byte of the response"
         reply = _http_call.HttpReply(
             status=status,
             body=call.response_body.getvalue(),
             error_text=fault,
-            may_have_been_sent=code not in _NOT_SENT_ERRORS,
+            may_have_been_sent=(
+                call.may_have_been_received or code not in _NOT_SENT_ERRORS
+            ),
         )
         try:
             call.on_reply(reply)
--- a/tests/transport/jobs/test_http_calls.py
+++ b/tests/transport/jobs/test_http_calls.py
@@ -347,16 +347,21 @@
                 with connection:
                     self._answer(connection, self._later_status)
 
-    def _receive(self, connection: socket.socket) -> None:
-        """Receives a request whose body ends with a full stop."""
+    def _receive(self, connection: socket.socket) -> bool:
+        """Receives a request whose body ends with a full stop, if one comes."""
         received = b""
         while not received.endswith(b"."):
-            received += connection.recv(4096)
+            part = connection.recv(4096)
+            if not part:
+                return False
+            received += part
         self.received_bodies.append(received.partition(b"\r\n\r\n")[2])
+        return True
 
     def _answer(self, connection: socket.socket, status: int) -> None:
-        """Receives a request and answers it."""
-        self._receive(connection)
+        """Receives a request and answers it, if one comes."""
+        if not self._receive(connection):
+            return
         head = f"HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n\r\n"
         connection.sendall(head.encode() + b"{}")
 
