Keep a run that a restarted executor may have begun until it is listed or barred

An executor that restarts under its id within a second still gets starts. One that the new incarnation had accepted counted as lost with the old one, if the renewal that showed the restart was answered before it began: the task started again beside it, and its room counted as free. Class: a report applied to what is younger than the report.

Only runs that the old incarnation has listed are released at once now. Any other goes on, or is barred by a stop order, as the next listing shows; a stop that the old incarnation answered is sent again. Listings are asked for without a wait until then.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -276,11 +276,11 @@
             + _limits.LEASE_EXPIRY_MARGIN_S
         )
 
-    def has_unconfirmed_runs(self) -> bool:
-        """Returns whether a start without an answer is still to be settled."""
+    def has_unlisted_runs(self) -> bool:
+        """Returns whether it is still open if a run exists."""
         unsettled = (_runs.RunPhase.UNSETTLED, _runs.RunPhase.STOPPING)
         return any(
-            not run.was_confirmed and run.phase in unsettled
+            not run.was_listed and run.phase in unsettled
             for run in self.run_by_key.values()
         )
 
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -61,7 +61,7 @@
             until_ms = executor.extend_lease(now.boot_s, cell.times.lease_s)
         # A run that never began has no end that would cut the wait short.
         is_short = (
-            is_first or is_retry or unstored or executor.has_unconfirmed_runs()
+            is_first or is_retry or unstored or executor.has_unlisted_runs()
         )
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
@@ -148,7 +148,7 @@
         executor.renewal_failures += 1
         executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
         if is_other_incarnation:
-            self._end_incarnation(executor, now, cause="refused")
+            self._end_incarnation(executor, now, has_answered=False)
             executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
 
     def handle_answer(
@@ -177,7 +177,7 @@
             executor.started_wall_ms
             and report.started_wall_ms != executor.started_wall_ms
         ):
-            self._end_incarnation(executor, now, cause="answered")
+            self._end_incarnation(executor, now, has_answered=True)
         executor.started_wall_ms = report.started_wall_ms
         if executor.last_answer_s is None and report.active_runs:
             # An earlier term may have granted a lease of full length.
@@ -287,7 +287,11 @@
             executor.stop_run(run, now.boot_s)
 
     def _end_incarnation(
-        self, executor: _executors.ExecutorState, now: _time.Now, *, cause: str
+        self,
+        executor: _executors.ExecutorState,
+        now: _time.Now,
+        *,
+        has_answered: bool,
     ) -> None:
         """Resets an executor whose process has restarted.
 
@@ -300,12 +304,13 @@
         Args:
             executor: The executor.
             now: The time.
-            cause: How the restart became known, for the log.
+            has_answered: Whether the new incarnation accepts orders to the
+                executor; otherwise it has refused one.
         """
         self._cell.note(
             "executor.other-life",
             executor=executor.listing.id,
-            cause=cause,
+            cause="answered" if has_answered else "refused",
             runs=len(executor.run_by_key),
         )
         executor.is_suspect = False
@@ -328,8 +333,11 @@
             )
             if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
                 executor.stop_run(run, now.boot_s)
-            else:
+            elif run.was_listed or not has_answered:
                 self._cell.release_run(executor, run, now)
+            else:
+                # The new incarnation may have begun it already.
+                run.expect_next_listing(now.boot_s)
 
     def _update_listed_run(
         self,
@@ -349,6 +357,7 @@
         if report.checkpoint:
             run.checkpoint = report.checkpoint
         run.was_confirmed = True
+        run.was_listed = True
         if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
             run.mark_running(now.boot_s)
 
@@ -374,6 +383,7 @@
             phase=_runs.RunPhase.RUNNING,
             phase_since_s=now.boot_s,
             was_confirmed=True,
+            was_listed=True,
         )
         executor.add_run(run)
         is_free = report.task not in cell.current_run_by_task
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -38,6 +38,8 @@
         phase_since_s: When the phase began.
         checkpoint: Newest checkpoint, from which a later run can resume.
         was_confirmed: Whether the executor has confirmed or listed it.
+        was_listed: Whether the executor has listed it. A confirmed run that it
+            has not may be one of its next incarnation.
         is_preempted: Whether it was stopped in favor of a short task.
         is_superseded: Whether its task was requeued to run a second time
             beside it.
@@ -71,6 +73,7 @@
     phase_since_s: float
     checkpoint: str = ""
     was_confirmed: bool = False
+    was_listed: bool = False
     is_preempted: bool = False
     is_superseded: bool = False
     started_without_checkpoint: bool = False
@@ -96,6 +99,23 @@
         self.phase_since_s = now_s
         self.was_confirmed = True
 
+    def mark_unsettled(self, now_s: float) -> None:
+        """Marks the run as one that may exist or not."""
+        self.phase = RunPhase.UNSETTLED
+        self.phase_since_s = now_s
+
+    def expect_next_listing(self, now_s: float) -> None:
+        """Leaves it to a later listing whether the run exists.
+
+        Only one that the executor makes from now on counts; if the run is
+        being stopped, only one after another stop order.
+        """
+        if self.phase is RunPhase.STOPPING:
+            self.next_stop_order_s = now_s
+            self.stop_answered_s = None
+        else:
+            self.mark_unsettled(now_s)
+
     def mark_stopping(self, now_s: float) -> None:
         """Marks the run as stopping, with a stop order due at once."""
         if self.phase is RunPhase.STOPPING:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -348,8 +348,7 @@
         if result is _orders.StartResult.STARTED:
             run.mark_running(now.boot_s)
         else:
-            run.phase = _runs.RunPhase.UNSETTLED
-            run.phase_since_s = now.boot_s
+            run.mark_unsettled(now.boot_s)
 
     def handle_stop_answer(
         self, order: _orders.StopOrder, is_answered: bool, now: _time.Now
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -104,3 +104,57 @@
         state = scheduler.visible_state(_JOB_ID)
         assert state is not None
         assert state.value == "running"
+
+    def test_its_room_stays_booked(self) -> None:
+        scheduler = self._start_scheduler()
+        orders, start = self._order_start_beside_a_renewal(scheduler)
+        scheduler.handle_start_answer(
+            start, _orders.StartResult.STARTED, build.clock_readings_at(0.31)
+        )
+        _answer_renewals(scheduler, orders, 0.32, born_ms=2)
+        executor = scheduler.cell.executor_by_id["e1"]
+        assert executor.reserved_resources == build.step_spec().size
+
+    def test_its_task_starts_again_if_the_new_incarnation_does_not_list_it(
+        self,
+    ) -> None:
+        scheduler = self._start_scheduler()
+        orders, start = self._order_start_beside_a_renewal(scheduler)
+        scheduler.handle_start_answer(
+            start, _orders.StartResult.STARTED, build.clock_readings_at(0.31)
+        )
+        _answer_renewals(scheduler, orders, 0.32, born_ms=2)
+        starts = []
+        for number in range(20):
+            now_s = 0.4 + number / 10
+            orders = _run_timed_work(scheduler, now_s)
+            _answer_renewals(scheduler, orders, now_s, born_ms=2)
+            for order in orders:
+                if isinstance(order, _orders.StopOrder):
+                    scheduler.handle_stop_answer(
+                        order, True, build.clock_readings_at(now_s)
+                    )
+            starts += _find_starts(orders)
+        assert len(starts) == 1
+        assert starts[0].run > start.run
+
+    def test_a_run_that_is_being_stopped_is_stopped_there_too(self) -> None:
+        scheduler = self._start_scheduler()
+        orders, start = self._order_start_beside_a_renewal(scheduler)
+        now = build.clock_readings_at(0.31)
+        scheduler.handle_start_answer(start, _orders.StartResult.STARTED, now)
+        scheduler.cancel_job(_JOB_ID, now)
+        stops = [
+            each
+            for each in _run_timed_work(scheduler, 0.32)
+            if isinstance(each, _orders.StopOrder)
+        ]
+        for stop in stops:
+            scheduler.handle_stop_answer(
+                stop, True, build.clock_readings_at(0.33)
+            )
+        _answer_renewals(scheduler, orders, 0.34, born_ms=2)
+        assert any(
+            isinstance(each, _orders.StopOrder)
+            for each in _run_timed_work(scheduler, 0.4)
+        )
