Count a good end of an earlier run beside the task's current one

Cause: a scheduler that knows nothing of a run counted its good end only if the task had no current run. After a change of scheduler a copy of the task may have been adopted first. The end was acknowledged all the same, so the executor forgot it, and when the copy was stopped or lapsed the task started anew. Class: an acknowledgement of what was not recorded.

Change: a good end always counts, and the other runs of the task, or of its gang, are stopped. Both cases of the test failed before; the mutation is noticed.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -52,6 +52,14 @@
         "            elif True:\n",
         f"{_TESTS}/test_restarted_executors.py",
     ),
+    _mutation(
+        "good-end-of-earlier-run-dropped",
+        "one run",
+        f"{_SCHEDULING}/_renewals.py",
+        "if is_current or end.kind is _executor.RunEndKind.DONE:",
+        "if is_current:",
+        f"{_TESTS}/test_renewals.py",
+    ),
     _mutation(
         "copies-of-every-step",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -4,6 +4,8 @@
 report of how a run ended; ends are numbered per incarnation of the executor.
 """
 
+import dataclasses
+
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
@@ -459,7 +461,8 @@
         """Applies the end of a run and releases the run.
 
         The end counts for its task if the run is current or superseded, or if
-        the run is unknown and the task has no current run.
+        the run is unknown and the task has no current run. A good end always
+        counts, as the executor forgets it once it is acknowledged.
         """
         cell = self._cell
         run = executor.run_by_key.get((end.task, end.run_number))
@@ -479,7 +482,7 @@
                 # It never succeeds, but having lasted shows as much.
                 executor.reset_failures()
         if job is not None and cell.find_step(end.task):
-            if is_current:
+            if is_current or end.kind is _executor.RunEndKind.DONE:
                 self._record_end(executor, job, end, now)
             elif run is None and self._was_started_by_predecessor(end):
                 # An earlier term could not store this end and started the
@@ -519,13 +522,28 @@
         if end.kind is _executor.RunEndKind.DONE:
             executor.reset_failures()
             self._record_success(job, end.task, step, now)
-            if step.speculative:
-                cell.stop_duplicate_runs(end.task, now)
+            self._stop_other_runs(end, step, now)
             return
         if end.checkpoint:
             job.progress.checkpoint_by_position[place] = end.checkpoint
         self._record_failure(executor, job, end, now)
 
+    def _stop_other_runs(
+        self,
+        end: _executor.EndedRunReport,
+        step: _job_spec.StepSpec,
+        now: _time.Now,
+    ) -> None:
+        """Starts stopping all other runs of a task, or gang, that is done."""
+        cell = self._cell
+        indexes = range(step.count) if step.gang else (end.task.index,)
+        for index in indexes:
+            task = dataclasses.replace(end.task, index=index)
+            current = cell.current_run_by_task.get(task)
+            if current is not None and current.number != end.run_number:
+                cell.duplicated_tasks.add(task)
+            cell.stop_duplicate_runs(task, now)
+
     def _was_started_by_predecessor(
         self, end: _executor.EndedRunReport
     ) -> bool:
