--- a/tests/transport/jobs/test_http_calls.py
+++ b/tests/transport/jobs/test_http_calls.py
@@ -4,7 +4,6 @@
 import contextlib
 import selectors
 import socket
-import struct
 import threading
 import time
 
@@ -13,6 +12,7 @@
 from basiljunction.protocol import _http_call
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _http_calls
+import resetting_server
 
 SILENCE_LIMIT_S = 0.3
 """Limit on silence of the calls in these tests, in seconds."""
@@ -312,67 +312,6 @@
         assert len(replies) == len(servers)
 
 
-class _ResettingServer:
-    """Answers the first request of a connection and resets it at the second.
-
-    It has read the whole second request by then, so that it may act on it.
-
-    Args:
-        later_status: Status of the answers on later connections; None if
-            these are refused.
-    """
-
-    def __init__(self, later_status: int | None) -> None:
-        self.received_bodies: list[bytes] = []
-        self._later_status = later_status
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}/"
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def _serve(self) -> None:
-        """Serves the first connection, then the later ones."""
-        connection, _ = self._listener.accept()
-        self._answer(connection, 200)
-        self._receive(connection)
-        if self._later_status is None:
-            self._listener.close()
-        linger = struct.pack("ii", 1, 0)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.close()
-        # The test closes the listener once its call has ended.
-        with contextlib.suppress(OSError):
-            while self._later_status is not None:
-                connection, _ = self._listener.accept()
-                with connection:
-                    self._answer(connection, self._later_status)
-
-    def _receive(self, connection: socket.socket) -> bool:
-        """Receives a request whose body ends with a full stop, if one comes."""
-        received = b""
-        while not received.endswith(b"."):
-            part = connection.recv(4096)
-            if not part:
-                return False
-            received += part
-        self.received_bodies.append(received.partition(b"\r\n\r\n")[2])
-        return True
-
-    def _answer(self, connection: socket.socket, status: int) -> None:
-        """Receives a request and answers it, if one comes."""
-        if not self._receive(connection):
-            return
-        head = f"HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n\r\n"
-        connection.sendall(head.encode() + b"{}")
-
-    def close(self) -> None:
-        """Accepts no further connections."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._thread.join()
-
-
 class TestRepeatedRequests:
     """A request that was read is not sent again behind the caller's back.
 
@@ -383,9 +322,9 @@
     def test_a_request_that_may_have_been_read_is_not_reported_as_unsent(
         self, calls: _http_calls.HttpClient, later_status: int | None
     ) -> None:
-        server = _ResettingServer(later_status)
+        server = resetting_server.ResettingServer(later_status)
         replies: list[_http_call.HttpReply] = []
-        for body in (b"first.", b"second."):
+        for body in (b"first", b"second"):
             calls.send(
                 _http_call.HttpCall(
                     "POST", server.url, body=body, timeout_s=2.0
@@ -397,6 +336,6 @@
             while len(replies) < expected and time.monotonic() < deadline_s:
                 calls.poll(0.05)
         server.close()
-        assert server.received_bodies == [b"first.", b"second."]
+        assert server.received_bodies == [b"first", b"second"]
         assert [each.status for each in replies] == [200, 0]
         assert replies[-1].may_have_been_sent
