Don't send a call to a worker a second time unless it may be repeated

What callers would see: a task started on a second worker while its first attempt runs.

Cause: each thread's handle is reused. When its connection is lost before a byte of the answer, libcurl sends the request again on a new one. A worker that had read a start was reported as never called if the new connection was refused, and as refusing the start if it answered the copy with 409. Class: an answer to one sending taken for the answer to all of them.

Evidence: the new tests on real sockets failed before, four of them with the start (new connection refused, answered 200, 409 and 503) and one with a renewal (refused).

Change: a guard is asked before each sending. It refuses the second one unless the request is a renewal or a list. A call that was sent once is lost, not unsent. A renewal is still repeated on a new connection, which a sixth test holds (it passed before).

--- a/src/basiljunction/transport/_worker_calls.py
+++ b/src/basiljunction/transport/_worker_calls.py
@@ -15,6 +15,7 @@
 from basiljunction.coordination import _batch_events
 from basiljunction.state import _outcomes
 from basiljunction.transport import _clock
+from basiljunction.transport import _send_guard
 
 CONNECT_TIMEOUT_S = 1.0
 """Longest time to connect to a worker, in seconds."""
@@ -33,7 +34,11 @@
         pycurl.E_UNSUPPORTED_PROTOCOL,
     )
 )
-"""Errors of libcurl after which the request was certainly not sent."""
+"""libcurl errors that mean that the last sending of the request failed before
+its first byte."""
+
+_REPEATABLE_REQUESTS = (_batch_events.RenewLeases, _batch_events.ListTasks)
+"""Requests whose newest answer is complete, however often they were sent."""
 
 _STEP_BY_REQUEST: dict[type, _outcomes.Step] = {
     _batch_events.StartTask: _outcomes.Step.START,
@@ -198,11 +203,15 @@
         answer = io.BytesIO()
         curl = self._thread_handle()
         self._configure_handle(curl, call, answer)
+        guard = _send_guard.SendGuard(
+            is_repeatable=isinstance(call.request, _REPEATABLE_REQUESTS)
+        )
+        guard.watch(curl)
         begun_boot_s = self._clock.now().boot_s
         try:
             curl.perform()
         except pycurl.error as error:
-            return self._event_of_error(call, *error.args)
+            return self._event_of_error(call, guard, *error.args)
         sent_boot_s = begun_boot_s + curl.getinfo(pycurl.PRETRANSFER_TIME)
         if sent_boot_s > call.not_after_boot_s:
             return _call_lost_event(
@@ -271,10 +280,16 @@
         return progress
 
     def _event_of_error(
-        self, call: _batch_events.CallWorker, code: int, detail: str
+        self,
+        call: _batch_events.CallWorker,
+        guard: _send_guard.SendGuard,
+        code: int,
+        detail: str,
     ) -> WorkerEvent:
         """Returns the result of a call that libcurl ended with an error."""
-        if code in _NOT_SENT_ERRORS:
+        if guard.was_second_refused:
+            detail = "connection lost before a byte of the response"
+        if not guard.may_have_sent and code in _NOT_SENT_ERRORS:
             reason = _outcomes.Reason.CONNECT_FAILED
             return _not_called_event(call, reason, detail)
         if code == pycurl.E_OPERATION_TIMEDOUT:
--- a/tests/transport/test_worker_calls.py
+++ b/tests/transport/test_worker_calls.py
@@ -13,6 +13,7 @@
 from basiljunction.state import _outcomes
 from basiljunction.transport import _worker_calls
 import fakes
+import resetting_server
 
 _State = _batch_events.WorkerTaskState
 
@@ -141,3 +142,56 @@
         result = _call_worker("http://127.0.0.1:9/w", _START)
         assert isinstance(result, _batch_events.WorkerNotCalled)
         assert result.outcome.reason is _outcomes.Reason.CONNECT_FAILED
+
+
+class TestRepeatedRequests:
+    """An answer to a request's second sending says nothing of the first."""
+
+    def _call_twice(
+        self,
+        server: resetting_server.ResettingServer,
+        first: _batch_events.WorkerRequest,
+        second: _batch_events.WorkerRequest,
+    ) -> object:
+        """Makes two calls on one connection; returns the second's result."""
+        with futures.ThreadPoolExecutor(1) as pool:
+            calls = _worker_calls.WorkerClient(
+                pool=pool, clock=fakes.FakeClock(), recipient=_ResultDiscarder()
+            )
+            for request in (first, second):
+                result = calls.call(
+                    _batch_events.CallWorker(
+                        "w", server.url, request, float("inf")
+                    )
+                )
+        server.close()
+        return result
+
+    @pytest.mark.parametrize("later_status", [None, 200, 409, 503])
+    def test_a_start_that_may_have_been_read_is_not_sent_again(
+        self, later_status: int | None
+    ) -> None:
+        server = resetting_server.ResettingServer(later_status)
+        result = self._call_twice(server, _START, _START)
+        assert len(server.received_bodies) == 2
+        assert isinstance(result, _batch_events.WorkerCallLost)
+        assert result.outcome.reason is _outcomes.Reason.CONNECTION_LOST
+
+    def test_a_renewal_that_may_have_been_read_is_not_reported_as_unsent(
+        self,
+    ) -> None:
+        server = resetting_server.ResettingServer(None)
+        result = self._call_twice(
+            server, _START, _batch_events.RenewLeases((_TASK_REF,), 30.0)
+        )
+        assert isinstance(result, _batch_events.WorkerCallLost)
+
+    def test_a_renewal_is_sent_again_on_a_new_connection(self) -> None:
+        server = resetting_server.ResettingServer(
+            200, later_body=b'{"tasks": []}'
+        )
+        result = self._call_twice(
+            server, _START, _batch_events.RenewLeases((_TASK_REF,), 30.0)
+        )
+        assert len(server.received_bodies) == 3
+        assert isinstance(result, _batch_events.WorkerAnswered)
