Don't report a call as refused that an instance before may have carried out

What callers would see: the command line says that a job, a cancel or a publication was refused ("not-run"), though it took effect.

Cause: the client of the API opens a connection for each call, so libcurl sends nothing twice. But the client itself sends a repeatable call to the next instance when one is lost, and took the refusal of the next for the whole answer. Class: an answer to one sending taken for the answer to all of them.

Evidence: the new test failed before in all three cases (409, 429 and 503 by the second instance, after the first had read the request and reset the connection).

Change: after a lost sending, a refusal of a call that changes something is noted as a fault, and the call ends as unanswered unless a further instance answers otherwise. A success, an unknown outcome and a conflict that names the version in force still count, and so does the answer to a question; tests hold these and passed before.

--- a/src/basiljunction/transport/_http_client.py
+++ b/src/basiljunction/transport/_http_client.py
@@ -146,7 +146,8 @@
 
         The next instance is tried if a request was certainly not sent, if it
         may be repeated, or if the instance refused it because it is leaving
-        or not ready.
+        or not ready. Its refusal does not settle a request that may have taken
+        effect at an instance before it.
 
         Raises:
             UnreachableError: The request was certainly not sent.
@@ -166,6 +167,9 @@
                 if not call.is_repeatable:
                     break
                 continue
+            if may_have_run and _refuses_change(call, last):
+                fault_by_base_url[base_url] = _describe_refusal(last)
+                continue
             if not _asks_to_try_another(last):
                 return last
         if last is not None and not may_have_run:
@@ -228,3 +232,24 @@
         and problem.outcome == "not-run"
         and problem.reason in _TRY_ANOTHER_REASONS
     )
+
+
+def _refuses_change(call: ApiRequest, answer: ApiAnswer) -> bool:
+    """Returns whether an answer says only that this sending had no effect.
+
+    A conflict names the version in force, which takes account of all sendings.
+    """
+    problem = answer.problem_details
+    return (
+        call.method != "GET"
+        and problem is not None
+        and problem.outcome == "not-run"
+        and problem.current_version is None
+    )
+
+
+def _describe_refusal(answer: ApiAnswer) -> str:
+    """Returns the status and the explanation of a refusal."""
+    problem = answer.problem_details
+    detail = problem.detail if problem is not None else ""
+    return f"HTTP status {answer.status} after an unanswered request: {detail}"
--- a/tests/resetting_server.py
+++ b/tests/resetting_server.py
@@ -21,6 +21,8 @@
         headers: Lines of the header of each answer, besides its length.
         first_body: Body of the answer to the first request.
         later_body: Body of the answers on later connections.
+        answers_first: Whether it answers the first request; else it resets the
+            connection at that one.
 
     Attributes:
         url: URL to call, with a final slash.
@@ -34,12 +36,14 @@
         headers: tuple[str, ...] = (),
         first_body: bytes = b"{}",
         later_body: bytes = b"{}",
+        answers_first: bool = True,
     ) -> None:
         self.received_bodies: list[bytes] = []
         self._later_status = later_status
         self._headers = headers
         self._first_body = first_body
         self._later_body = later_body
+        self._answers_first = answers_first
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}/"
         self._thread = threading.Thread(target=self._serve, daemon=True)
@@ -50,7 +54,8 @@
         # The test closes the listener once its calls have ended.
         with contextlib.suppress(OSError):
             connection, _ = self._listener.accept()
-            self._answer(connection, 200, self._first_body)
+            if self._answers_first:
+                self._answer(connection, 200, self._first_body)
             self._receive(connection)
             if self._later_status is None:
                 self._listener.close()
