Count a call of the benchmark's load once, though its connection is lost

What one would see: a call that an executor has carried out is made up to four times and measured as one.

Handles are reused in the benchmark of the overhead; a copy sent by libcurl after a lost connection, or its refused connection, stood for the call.

Change: the guard of the calls to workers is asked here too.

--- a/src/basiljunction/bench/_load.py
+++ b/src/basiljunction/bench/_load.py
@@ -19,6 +19,7 @@
 from basiljunction.demo import _cluster
 from basiljunction.demo import _deployments
 from basiljunction.demo import _operators
+from basiljunction.transport import _send_guard
 
 THREAD_COUNT = 48
 """Number of threads, which is the maximum number of calls in flight."""
@@ -159,10 +160,13 @@
         handle.setopt(pycurl.WRITEFUNCTION, io.BytesIO().write)
         if self._uses_fresh_connections:
             handle.setopt(pycurl.FRESH_CONNECT, 1)
+        guard = _send_guard.SendGuard(is_repeatable=False)
+        guard.watch(handle)
         try:
             handle.perform()
         except pycurl.error as error:
-            return 0, error.args[0] != pycurl.E_COULDNT_CONNECT
+            was_refused = error.args[0] == pycurl.E_COULDNT_CONNECT
+            return 0, guard.may_have_sent or not was_refused
         return int(handle.getinfo(pycurl.RESPONSE_CODE)), True
 
 
