Test that a start lost after sending stays unsettled until it is listed or barred

Real sockets, with a proxy before each executor that reads a start, resets its connection and refuses the next ones for 0.4 s. If the executor has begun the run, the run stays unsettled until the executor lists it, and no second one starts. If the start never arrived, the executor is told to stop that run before the task is started again.

--- /dev/null
+++ b/tests/cutting_proxy.py
@@ -0,0 +1,181 @@
+"""A proxy on loopback that resets connections after passing on requests."""
+
+import contextlib
+import re
+import socket
+import struct
+import threading
+from typing import BinaryIO
+
+_CHUNK_BYTES = 65_536
+"""Most bytes that are passed on at once."""
+
+_LINGER_NONE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a connection resets it."""
+
+
+class CuttingProxy:
+    """Passes HTTP calls on to a port on loopback until it is cut.
+
+    While it is cut, it resets each open connection once it has read a request
+    on it, and refuses new connections.
+
+    Args:
+        target_port: Port that receives the calls.
+
+    Attributes:
+        port: Port on which the proxy listens.
+        loses_requests: Whether the requests that it reads while it is cut do
+            not reach the target; else only the answers are lost.
+        lost_paths: Paths of the requests whose connection it has reset.
+    """
+
+    def __init__(self, target_port: int) -> None:
+        self.loses_requests = False
+        self.lost_paths: list[str] = []
+        self._target_port = target_port
+        self._lock = threading.Lock()
+        # Keeps the port from others while nothing listens on it.
+        self._reservation = _make_reusable_socket()
+        self._reservation.bind(("127.0.0.1", 0))
+        self.port: int = self._reservation.getsockname()[1]
+        self._listener: socket.socket | None = None
+        self._cut_path = ""
+        self._cut_duration_s = 0.0
+        self.mend()
+
+    def cut(self) -> None:
+        """Refuses new connections and resets the others once they are used."""
+        with self._lock:
+            listener, self._listener = self._listener, None
+        if listener is not None:
+            # Wakes the thread that accepts connections.
+            with contextlib.suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+    def cut_at_next(self, path: str, duration_s: float) -> None:
+        """Cuts it for a time from the next request with a path on.
+
+        Args:
+            path: The path.
+            duration_s: How long the cut lasts, in seconds.
+        """
+        with self._lock:
+            self._cut_path, self._cut_duration_s = path, duration_s
+
+    def mend(self) -> None:
+        """Ends the cut; does nothing once it is closed."""
+        with self._lock:
+            if self._listener is not None or self._reservation.fileno() < 0:
+                return
+            self._listener = _make_reusable_socket()
+            self._listener.bind(("127.0.0.1", self.port))
+            self._listener.listen(128)
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def close(self) -> None:
+        """Refuses new connections for good; open ones end with the target."""
+        self.cut()
+        with self._lock:
+            self._reservation.close()
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether it is cut."""
+        return self._listener is None
+
+    def _accept(self, listener: socket.socket) -> None:
+        """Serves each new connection until the listener is closed."""
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = listener.accept()
+                near.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(
+                    target=self._serve, args=(near,), daemon=True
+                ).start()
+
+    def _serve(self, near: socket.socket) -> None:
+        """Passes on the requests of a connection, and the answers to them."""
+        try:
+            far = socket.create_connection(("127.0.0.1", self._target_port))
+        except OSError:
+            near.close()
+            return
+        far.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = _Link(near, far)
+        threading.Thread(target=link.pass_answers_on, daemon=True).start()
+        with contextlib.suppress(OSError), near.makefile("rb") as requests:
+            while request := _read_request(requests):
+                path = request.split(b" ", 2)[1].decode()
+                self._begin_planned_cut(path)
+                link.is_lost = self.is_cut
+                if not (link.is_lost and self.loses_requests):
+                    far.sendall(request)
+                if link.is_lost:
+                    self.lost_paths.append(path)
+                    near.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE
+                    )
+                    break
+        near.close()
+        with contextlib.suppress(OSError):
+            far.shutdown(socket.SHUT_WR)
+
+    def _begin_planned_cut(self, path: str) -> None:
+        """Cuts the proxy if a cut is planned to begin with this request."""
+        with self._lock:
+            if path != self._cut_path:
+                return
+            self._cut_path = ""
+        self.cut()
+        timer = threading.Timer(self._cut_duration_s, self.mend)
+        timer.daemon = True
+        timer.start()
+
+
+class _Link:
+    """The two connections that carry the calls of one client.
+
+    Args:
+        near: Connection to the client.
+        far: Connection to the target.
+
+    Attributes:
+        is_lost: Whether the client gets no further answer.
+    """
+
+    def __init__(self, near: socket.socket, far: socket.socket) -> None:
+        self.is_lost = False
+        self._near = near
+        self._far = far
+
+    def pass_answers_on(self) -> None:
+        """Passes answers on until the target closes the connection."""
+        with self._far, contextlib.suppress(OSError):
+            while data := self._far.recv(_CHUNK_BYTES):
+                if not self.is_lost:
+                    self._near.sendall(data)
+            if not self.is_lost:
+                self._near.shutdown(socket.SHUT_RDWR)
+
+
+def _make_reusable_socket() -> socket.socket:
+    """Returns a socket whose port others of its kind may use, too."""
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return made
+
+
+def _read_request(requests: BinaryIO) -> bytes:
+    """Returns the next request with its whole body; empty if there is none."""
+    head = b""
+    while not head.endswith(b"\r\n\r\n"):
+        line = requests.readline()
+        if not line:
+            return b""
+        head += line
+    length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+    return head + requests.read(int(length[1]) if length else 0)
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -5,19 +5,23 @@
 from collections.abc import Iterator
 import socket
 import time
+from typing import Any
 
 import pydantic_core
 import pytest
 
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _runs
 from basiljunction.platform import _executors
 from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _progress
 from basiljunction.transport import _clock
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _order_sender
+import cutting_proxy
 import linked_executors
 import platform_standin
 import workload_builders as build
@@ -49,6 +53,9 @@
 START_COUNT = 20
 """Starts that are sent at once."""
 
+CUT_S = 0.4
+"""Time for which an executor refuses connections, in seconds."""
+
 START_PAYLOAD_CHARS = 60_000
 """Size of their payloads; all of them take 1.9 s over a narrow link."""
 
@@ -92,6 +99,18 @@
         """Gives the scheduler the platform's list of executors."""
         self.scheduler.set_executors(executors, self._clock.now())
 
+    def submit(self, job: _progress.AcceptedJob) -> None:
+        """Submits a job, which is stored as the scheduler runs on."""
+        self.scheduler.submit_job(job, self._clock.now())
+
+    def list_runs(self) -> list[_runs.Run]:
+        """Returns the runs of all executors."""
+        return [
+            run
+            for executor in self.scheduler.cell.executor_by_id.values()
+            for run in executor.run_by_key.values()
+        ]
+
     def count_answering(self) -> int:
         """Returns how many executors have answered."""
         states = self.scheduler.cell.executor_by_id.values()
@@ -121,6 +140,9 @@
             self.scheduler.run_timed_work(
                 now, confirmed_s=now.boot_s, confirmed_beat=0
             )
+            batch = self.scheduler.take_batch()
+            if batch is not None:
+                self.scheduler.handle_batch_stored(batch, now)
             self._sender.send_collected_orders()
             self._calls.poll(0.01)
 
@@ -281,3 +303,102 @@
         results, took_s = self._send_starts(rig, monkeypatch, "x" * 100)
         assert results == [_orders.StartResult.UNKNOWN] * START_COUNT
         assert took_s < _order_sender.ORDER_TIMEOUT_S + 0.3
+
+
+class TestCutExecutors:
+    """A start whose connection was lost after sending may have been begun."""
+
+    @pytest.fixture
+    def cut_platform(self) -> Iterator[platform_standin.Platform]:
+        """A platform of two executors."""
+        platform = platform_standin.Platform(executors=2)
+        yield platform
+        platform.close()
+
+    @pytest.fixture
+    def proxies(
+        self, rig: Rig, cut_platform: platform_standin.Platform
+    ) -> Iterator[list[cutting_proxy.CuttingProxy]]:
+        """Proxies to the executors, in their order; the rig lists them."""
+        proxies = [
+            cutting_proxy.CuttingProxy(each.httpd.server_address[1])
+            for each in cut_platform.executors
+        ]
+        rig.list_executors(
+            build.executor_entry(each.id, address=f"127.0.0.1:{proxy.port}")
+            for each, proxy in zip(cut_platform.executors, proxies, strict=True)
+        )
+        rig.run_until(lambda: rig.count_answering() == 2, limit_s=2.0)
+        yield proxies
+        for proxy in proxies:
+            proxy.close()
+
+    def _lose_start(
+        self, rig: Rig, proxies: list[cutting_proxy.CuttingProxy]
+    ) -> cutting_proxy.CuttingProxy:
+        """Submits a job whose start is lost; returns the proxy that lost it."""
+        for proxy in proxies:
+            proxy.cut_at_next("/run-start", CUT_S)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(runs_until_cancelled=True), payload="lasts"
+            )
+        )
+        rig.run_until(
+            lambda: any(each.lost_paths for each in proxies), limit_s=2.0
+        )
+        return next(each for each in proxies if each.lost_paths)
+
+    def test_a_start_lost_after_sending_is_unsettled_until_it_is_listed(
+        self,
+        rig: Rig,
+        cut_platform: platform_standin.Platform,
+        proxies: list[cutting_proxy.CuttingProxy],
+    ) -> None:
+        cut = self._lose_start(rig, proxies)
+        phases: list[_runs.RunPhase] = []
+
+        def note_phase() -> bool:
+            (run,) = rig.list_runs()
+            if run.phase not in phases:
+                phases.append(run.phase)
+            return run.phase is _runs.RunPhase.RUNNING
+
+        rig.run_until(note_phase, limit_s=CUT_S + 2.0)
+        assert phases[-2:] == [
+            _runs.RunPhase.UNSETTLED,
+            _runs.RunPhase.RUNNING,
+        ]
+        assert not cut.is_cut
+        assert len(cut_platform.starts) == 1
+
+    def test_a_start_that_was_not_begun_is_barred_before_another(
+        self,
+        rig: Rig,
+        cut_platform: platform_standin.Platform,
+        proxies: list[cutting_proxy.CuttingProxy],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        calls: list[tuple[str, str, int]] = []
+
+        def record(
+            executor: platform_standin.Executor, path: str, body: dict[str, Any]
+        ) -> tuple[int, Any]:
+            if path != "/hold":
+                calls.append((executor.id, path, body["Run"]))
+            return answer(executor, path, body)
+
+        answer = platform_standin.Executor.answer
+        monkeypatch.setattr(platform_standin.Executor, "answer", record)
+        for proxy in proxies:
+            proxy.loses_requests = True
+        cut = self._lose_start(rig, proxies)
+        (lost,) = rig.list_runs()
+        for proxy in proxies:
+            proxy.cut_at_next("", 0.0)
+            proxy.loses_requests = False
+        rig.run_until(lambda: bool(cut_platform.starts), limit_s=CUT_S + 2.0)
+        assert calls[0] == (lost.executor, "/run-stop", lost.number)
+        assert [path for _, path, _ in calls[1:]] == ["/run-start"]
+        assert calls[1][2] > lost.number
+        assert not cut.is_cut
