--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -452,6 +452,22 @@
         f"{_TRANSPORT_TESTS}/test_http_calls.py",
         f"{_TRANSPORT_TESTS}/test_journal.py",
     ),
+    _mutation(
+        "second-sending-not-refused",
+        "one run",
+        f"{_TRANSPORT}/_http_calls.py",
+        "if self.may_have_been_received and not self.call.is_repeatable:",
+        "if False:",
+        f"{_TRANSPORT_TESTS}/test_http_calls.py",
+    ),
+    _mutation(
+        "sent-once-not-remembered",
+        "one run",
+        f"{_TRANSPORT}/_http_calls.py",
+        "call.may_have_been_received or code not in _NOT_SENT_ERRORS",
+        "code not in _NOT_SENT_ERRORS",
+        f"{_TRANSPORT_TESTS}/test_http_calls.py",
+    ),
     _mutation(
         "arriving-bytes-not-counted",
         "recovery",
