Test that starts keep to a capacity that shrinks and grows

The test rig can resize an executor; its check of each start counts the new capacity from the time of the listing on, but for orders that were sent before and carried out late.

The tests pass on the present code: an executor over its capacity gets no start in any resource, nothing on it is stopped, starts resume as runs end or it grows, an accepted task that fits nowhere waits, and a successor starts nothing by the capacity in the stored roster.

--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -84,6 +84,7 @@
             does not drain.
         unannounced_s: Time for which it drains for longer than it says, in
             seconds.
+        shrunk_s: Virtual time at which its capacity last shrank.
     """
 
     def __init__(self, entry: _executor.ListedExecutor, rig: "CellRig") -> None:
@@ -109,6 +110,7 @@
         self.stop_time_s = 0.0
         self.exits_s: float | None = None
         self.unannounced_s = 0.0
+        self.shrunk_s = float("-inf")
 
     @property
     def clock_ms(self) -> int:
@@ -129,6 +131,12 @@
         # A renewal that waits on the previous incarnation fails with it.
         self.fails_next_renewal = True
 
+    def resize(self, capacity: _job_spec.Resources) -> None:
+        """Changes its capacity; what runs on it goes on."""
+        if not capacity.covers(self.entry.capacity):
+            self.shrunk_s = self.rig.now_s
+        self.entry = dataclasses.replace(self.entry, capacity=capacity)
+
     def drain(self, seconds: float) -> None:
         """Announces an exit after `seconds`, at the earliest."""
         self.exits_s = self.rig.now_s + seconds + self.unannounced_s
@@ -355,12 +363,14 @@
         token: Fencing token under which it was sent.
         order: Order to the executor.
         executor_born_ms: Incarnation of the executor that received it.
+        sent_s: Virtual time at which it was sent.
     """
 
     due_s: float
     token: int
     order: _orders.ExecutorOrder
     executor_born_ms: int
+    sent_s: float
 
 
 @dataclasses.dataclass
@@ -469,6 +479,7 @@
             tuple[float, _scheduler.Scheduler, _orders.ApprovalOrder]
         ] = []
         self.is_executing_delayed_order = False
+        self.delayed_order_sent_s = float("inf")
         self.executor_by_id = {
             each.id: SimulatedExecutor(each, self)
             for each in entries or (build.executor_entry(),)
@@ -552,6 +563,27 @@
         self.executor_by_id[entry.id] = SimulatedExecutor(entry, self)
         self.list_executors()
 
+    def resize_executor(
+        self, executor_id: str, capacity: _job_spec.Resources
+    ) -> None:
+        """Changes an executor's capacity, which the platform lists at once.
+
+        No later start may bring the executor over it.
+        """
+        self.executor_by_id[executor_id].resize(capacity)
+        self.list_executors()
+
+    def restart_executor_resized(
+        self, executor_id: str, capacity: _job_spec.Resources
+    ) -> None:
+        """Restarts an executor with another capacity, not listed yet."""
+        executor = self.executor_by_id[executor_id]
+        executor.restart()
+        executor.resize(capacity)
+        executor.entry = dataclasses.replace(
+            executor.entry, born_ms=executor.born_ms
+        )
+
     def drain_executor(self, executor_id: str, seconds: float) -> None:
         """Lets an executor announce its exit after a drain."""
         self.executor_by_id[executor_id].drain(seconds)
@@ -722,7 +754,9 @@
         if not is_lost and self.rng.random() < self.delayed_share:
             due_s = self.now_s + self.rng.uniform(0.5, 8.0)
             self.delayed_orders.append(
-                DelayedOrder(due_s, self.epoch, order, executor.born_ms)
+                DelayedOrder(
+                    due_s, self.epoch, order, executor.born_ms, self.now_s
+                )
             )
             is_lost = True
         answer = (
@@ -818,8 +852,10 @@
             # An order is lost with the incarnation that received it.
             if executor.is_up and executor.born_ms == delayed.executor_born_ms:
                 self.is_executing_delayed_order = True
+                self.delayed_order_sent_s = delayed.sent_s
                 self._execute_order(executor, delayed.token, delayed.order)
                 self.is_executing_delayed_order = False
+                self.delayed_order_sent_s = float("inf")
 
     def _is_step_done(
         self, spec: _job_spec.JobSpec, task: _job_spec.TaskId, step: int
@@ -875,9 +911,11 @@
         used_resources = _job_spec.Resources()
         for run in executor.run_by_key.values():
             used_resources += run.step.reserved_resources
-        assert executor.entry.capacity.covers(used_resources), (
-            f"{task}: over capacity"
-        )
+        # An order that was sent before the capacity shrank may arrive later.
+        assert (
+            self.delayed_order_sent_s < executor.shrunk_s
+            or executor.entry.capacity.covers(used_resources)
+        ), f"{task}: over capacity"
         executors_running_task = [
             other.entry.id
             for other in self.executor_by_id.values()
--- /dev/null
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -0,0 +1,158 @@
+"""Tests that starts keep to an executor's capacity while it changes."""
+
+import pytest
+
+from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _progress
+import cell_rig
+import workload_builders as build
+
+_FULL = _job_spec.Resources(4000, 8000, 0)
+_HALF = _job_spec.Resources(2000, 4000, 0)
+_JOB_ID = "00000000000000a1"
+_OTHER_JOB_ID = "00000000000000a2"
+
+
+def _count_starts(rig: cell_rig.CellRig, job_id: str) -> int:
+    """Returns how many starts of a job executors have begun."""
+    return sum(order.task.job == job_id for _, _, order in rig.starts)
+
+
+def _lasting_job(
+    count: int, job_id: str = _JOB_ID, **changes: object
+) -> _progress.AcceptedJob:
+    """Returns a job with tasks of one core that run until cancelled."""
+    step = build.step_spec(count=count, runs_until_cancelled=True, **changes)
+    return build.accepted_job(step, job_id=job_id)
+
+
+class TestCapacityShrinksBelowWhatRuns:
+    """What runs goes on; nothing starts until it fits again."""
+
+    def _start_full(self) -> cell_rig.CellRig:
+        """Returns a rig whose only executor is full and has shrunk since."""
+        rig = cell_rig.CellRig()
+        rig.run_time_s = 2.0
+        rig.submit(build.accepted_job(build.step_spec(count=4)))
+        rig.run(1.0)
+        assert len(rig.executor_by_id["e1"].run_by_key) == 4
+        rig.submit(
+            build.accepted_job(build.step_spec(count=4), job_id=_OTHER_JOB_ID)
+        )
+        rig.resize_executor("e1", _HALF)
+        return rig
+
+    def test_no_start_while_it_is_over_its_capacity(self) -> None:
+        rig = self._start_full()
+        rig.run(0.5)
+        assert _count_starts(rig, _OTHER_JOB_ID) == 0
+
+    def test_no_run_is_stopped(self) -> None:
+        rig = self._start_full()
+        rig.run(0.5)
+        assert len(rig.executor_by_id["e1"].run_by_key) == 4
+
+    def test_starts_resume_within_what_is_left_as_runs_end(self) -> None:
+        rig = self._start_full()
+        rig.run(2.0)
+        assert _count_starts(rig, _OTHER_JOB_ID) == 2
+        rig.run(4.0)
+        for job_id in (_JOB_ID, _OTHER_JOB_ID):
+            state = rig.scheduler.visible_state(job_id)
+            assert state is _progress.JobState.COMPLETED
+
+    def test_starts_resume_at_once_when_it_grows(self) -> None:
+        rig = self._start_full()
+        rig.run(0.2)
+        rig.resize_executor("e1", _job_spec.Resources(5000, 8000, 0))
+        rig.run(0.2)
+        assert _count_starts(rig, _OTHER_JOB_ID) == 1
+
+    def test_lasting_tasks_stay_at_work(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.submit(_lasting_job(4))
+        rig.run(3.0)
+        rig.resize_executor("e1", _HALF)
+        rig.submit(build.accepted_job(job_id=_OTHER_JOB_ID))
+        rig.run(8.0)
+        assert rig.count_lasting_runs() == 4
+        assert _count_starts(rig, _JOB_ID) == 4
+
+    @pytest.mark.parametrize(
+        "capacity",
+        [_job_spec.Resources(4000, 0, 0), _job_spec.Resources(0, 8000, 0)],
+    )
+    def test_each_resource_counts_by_itself(
+        self, capacity: _job_spec.Resources
+    ) -> None:
+        rig = cell_rig.CellRig()
+        rig.submit(_lasting_job(2))
+        rig.run(1.0)
+        rig.resize_executor("e1", capacity)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(size=_job_spec.Resources(1, 1, 0)),
+                job_id=_OTHER_JOB_ID,
+            )
+        )
+        rig.run(3.0)
+        assert _count_starts(rig, _OTHER_JOB_ID) == 0
+
+    def test_a_gang_starts_only_where_all_members_fit(self) -> None:
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.submit(_lasting_job(8))
+        rig.run(1.0)
+        rig.cancel(_JOB_ID)
+        rig.resize_executor("e1", _HALF)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=7, gang=True), job_id=_OTHER_JOB_ID
+            )
+        )
+        rig.run(2.0)
+        assert _count_starts(rig, _OTHER_JOB_ID) == 0
+        rig.resize_executor("e1", _FULL)
+        rig.run(0.5)
+        assert _count_starts(rig, _OTHER_JOB_ID) == 7
+
+
+class TestAcceptedTaskFitsNoExecutorAnyMore:
+    """A task that was accepted waits until an executor has grown again."""
+
+    def test_it_waits_and_then_runs(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.submit(build.accepted_job(build.step_spec(size=_FULL)))
+        rig.resize_executor("e1", _HALF)
+        rig.run(5.0)
+        state = rig.scheduler.visible_state(_JOB_ID)
+        assert state is _progress.JobState.PENDING
+        rig.resize_executor("e1", _FULL)
+        rig.run(2.0)
+        state = rig.scheduler.visible_state(_JOB_ID)
+        assert state is _progress.JobState.COMPLETED
+
+
+class TestSuccessorBeforeItsFirstList:
+    """The capacity in the stored roster starts nothing."""
+
+    def test_no_start_before_the_list_is_read(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(1.0)
+        rig.submit(build.accepted_job(build.step_spec(count=4)))
+        rig.step()  # It stores the job, which starts with the next one.
+        assert not rig.starts
+        entry = rig.executor_by_id["e1"].entry
+        rig.executor_by_id["e1"].is_up = False
+        rig.take_over()  # It reads a list without the executor.
+        rig.executor_by_id["e1"].is_up = True
+        rig.executor_by_id["e1"].resize(_HALF)
+        rig.run(2.0)
+        state = rig.scheduler.cell.executor_by_id["e1"]
+        assert state.listing.capacity == entry.capacity
+        assert state.last_answer_s is not None
+        assert not rig.starts
+        rig.list_executors()
+        rig.run(0.3)
+        assert len(rig.starts) == 2
