Don't send a held start to an executor that has shrunk since

A start of a task that lasts waits until the batch with its executor is stored. Callers of an executor that doesn't guard its capacity saw it over that: _send_held_start asked whether the executor was still usable, but not whether the run still fitted, and a slow store can hold a start for seconds after a smaller capacity was listed.

A start that no longer fits is now released unsent, like one whose executor is no longer usable, so that its task can start elsewhere at once. The starts are checked in turn, and each release frees its reservation, so those that fit are still sent.

Both tests of TestCapacityShrinksBeforeAHeldStartIsSent failed before ("over capacity", four starts held, room for two).

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -651,4 +651,12 @@
         "            if arrived:\n",
         "tests/transport/test_http_server.py",
     ),
+    _mutation(
+        "held-start-sent-over-the-capacity",
+        "capacity",
+        f"{_SCHEDULING}/_scheduler.py",
+        " and not executor.is_overbooked:",
+        ":",
+        f"{_TESTS}/test_capacity_changes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -209,6 +209,11 @@
             self.free_capacity.cpu_millicores + idle - self.filler_millicores
         )
 
+    @property
+    def is_overbooked(self) -> bool:
+        """Whether its runs have reserved more than its present capacity."""
+        return not self.free_capacity.covers(_job_spec.Resources())
+
     def accepts_new_tasks(self, now_s: float, *, own_delay_s: float) -> bool:
         """Returns whether the executor accepts new tasks now.
 
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -581,7 +581,7 @@
             return
         if run.phase is not _runs.RunPhase.ORDERED:
             return
-        if cell.is_usable(executor, now.boot_s):
+        if cell.is_usable(executor, now.boot_s) and not executor.is_overbooked:
             cell.orders.append(order)
         else:
             # It was not sent, so the task can start elsewhere at once.
--- a/tests/coordination/scheduling/test_capacity_changes.py
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -156,3 +156,34 @@
         rig.list_executors()
         rig.run(0.3)
         assert len(rig.starts) == 2
+
+
+class TestCapacityShrinksBeforeAHeldStartIsSent:
+    """A start that waits for its batch is sent only if it still fits."""
+
+    def _hold_starts(self, count: int) -> cell_rig.CellRig:
+        """Returns a rig with starts that wait for an unavailable store."""
+        rig = cell_rig.CellRig()
+        rig.submit(_lasting_job(count))
+        rig.step()
+        rig.store_is_up = False
+        rig.run(0.2)
+        assert not rig.starts
+        assert len(rig.scheduler.cell.held_starts) == count
+        return rig
+
+    def test_those_that_no_longer_fit_are_not_sent(self) -> None:
+        rig = self._hold_starts(4)
+        rig.resize_executor("e1", _HALF)
+        rig.store_is_up = True
+        rig.run(0.5)
+        assert _count_starts(rig, _JOB_ID) == 2
+
+    def test_their_tasks_start_where_there_is_room(self) -> None:
+        rig = self._hold_starts(4)
+        rig.resize_executor("e1", _HALF)
+        rig.add_executor(build.executor_entry("e2"))
+        rig.store_is_up = True
+        rig.run(1.0)
+        assert rig.count_lasting_runs() == 4
+        assert len(rig.executor_by_id["e1"].run_by_key) == 2
