Place nothing by the capacity of an executor's earlier incarnation

An executor may start again under its id as a smaller kind. Its answer to a lease renewal can arrive before the listing with its new capacity, and the scheduler then filled the new incarnation by the capacity of the old one, which brings an executor that doesn't guard its capacity over it.

An executor now gets starts only while the start time in its listing is that of the incarnation that answers. The platform states that both are the same figure, the Unix millisecond of the start, and the stand-ins report it so. A start time that isn't known on either side tells nothing, so such an executor stays usable. Both directions count: where the listing is the newer one, the executor's clock, on which the deadline of a start is computed, isn't known yet either.

test_no_start_before_its_new_capacity_is_listed failed before ("over capacity", four starts on room for two).

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -659,4 +659,12 @@
         ":",
         f"{_TESTS}/test_capacity_changes.py",
     ),
+    _mutation(
+        "capacity-of-an-earlier-incarnation-used",
+        "capacity",
+        f"{_SCHEDULING}/_executors.py",
+        "return self.listing.born_ms == self.started_wall_ms",
+        "return True",
+        f"{_TESTS}/test_capacity_changes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -217,8 +217,9 @@
     def accepts_new_tasks(self, now_s: float, *, own_delay_s: float) -> bool:
         """Returns whether the executor accepts new tasks now.
 
-        It has to be listed, not draining, stored in the roster, in contact and
-        not avoided, and its lease may be extended.
+        It has to be listed, with the capacity of the incarnation that answers,
+        not draining, stored in the roster, in contact and not avoided, and its
+        lease may be extended.
 
         Args:
             now_s: Current time in seconds.
@@ -228,12 +229,24 @@
             return False
         if not self.is_roster_stored or self.last_answer_s is None:
             return False
+        if not self._is_capacity_current():
+            return False
         if self.is_lease_frozen:
             return False
         if now_s < self.avoid_until_s:
             return False
         return self.is_in_contact(now_s, own_delay_s=own_delay_s)
 
+    def _is_capacity_current(self) -> bool:
+        """Returns whether the listing is of the incarnation that answers.
+
+        A later incarnation may have less capacity. A start time that is not
+        known tells nothing.
+        """
+        if not self.started_wall_ms or not self.listing.born_ms:
+            return True
+        return self.listing.born_ms == self.started_wall_ms
+
     def is_in_contact(self, now_s: float, *, own_delay_s: float) -> bool:
         """Returns whether the executor has answered a renewal lately.
 
--- a/tests/coordination/scheduling/test_capacity_changes.py
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -187,3 +187,33 @@
         rig.run(1.0)
         assert rig.count_lasting_runs() == 4
         assert len(rig.executor_by_id["e1"].run_by_key) == 2
+
+
+class TestRestartUnderTheSameIdWithLessCapacity:
+    """The capacity of an earlier incarnation does not count for a later one."""
+
+    def _restart_smaller(self) -> cell_rig.CellRig:
+        """Returns a rig that knows of the restart but not of the capacity."""
+        rig = cell_rig.CellRig(build.executor_entry(born_ms=1))
+        rig.run(1.0)
+        rig.restart_executor_resized("e1", _HALF)
+        rig.run(1.0)
+        state = rig.scheduler.cell.executor_by_id["e1"]
+        assert state.started_wall_ms == rig.executor_by_id["e1"].born_ms
+        assert state.listing.capacity == _FULL
+        return rig
+
+    def test_no_start_before_its_new_capacity_is_listed(self) -> None:
+        rig = self._restart_smaller()
+        rig.submit(build.accepted_job(build.step_spec(count=4)))
+        rig.run(2.0)
+        assert not rig.starts
+        rig.list_executors()
+        rig.run(0.2)
+        assert len(rig.starts) == 2
+
+    def test_an_executor_without_a_listed_start_time_stays_usable(self) -> None:
+        rig = cell_rig.CellRig(build.executor_entry(born_ms=0))
+        rig.submit(build.accepted_job(build.step_spec(count=4)))
+        rig.run(1.0)
+        assert len(rig.starts) == 4
