Accept a job that fits once a shrunk executor has grown again

Callers saw a job refused for good ("never-fits", a final answer) because every executor large enough for it had shrunk at that moment, although the same job handed in a moment before was accepted and waits. could_ever_fit judged by the present capacity, which may be back a second later.

It now judges by the largest amounts that the executor's incarnation has been listed with. A caller is better off with a job that waits, and that it can cancel, than with a final refusal that isn't true; what no executor ever had room for is still refused at once, and a smaller incarnation doesn't inherit the capacity of the one before. The stored roster holds the largest capacity, so that a successor that starts while executors are small answers alike; no start relies on the roster.

test_it_is_accepted_and_runs_once_there_is_room and test_a_successor_accepts_it_too failed before (the job was refused).

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -667,4 +667,20 @@
         "return True",
         f"{_TESTS}/test_capacity_changes.py",
     ),
+    _mutation(
+        "job-refused-for-a-capacity-that-may-return",
+        "acceptance",
+        f"{_SCHEDULING}/_placement.py",
+        "executor.largest_capacity.covers(step.size)",
+        "executor.listing.capacity.covers(step.size)",
+        f"{_TESTS}/test_capacity_changes.py",
+    ),
+    _mutation(
+        "largest-capacity-not-stored",
+        "acceptance",
+        f"{_SCHEDULING}/_executors.py",
+        "(self.listing, capacity=self.largest_capacity)",
+        "(self.listing)",
+        f"{_TESTS}/test_capacity_changes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -363,7 +363,7 @@
         if self.roster_changed:
             self.roster_changed = False
             entries = (
-                each.listing
+                each.roster_entry
                 for each in self.executor_by_id.values()
                 if not each.is_vacated
             )
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -57,6 +57,9 @@
         fillers_adjusted_s: Time at which fillers were last stopped or slowed
             down on it.
         reserved_resources: Resources reserved by its runs.
+        largest_capacity: Largest amount of each resource that this
+            incarnation has been listed with; a smaller capacity may grow back
+            to it.
         free_capacity: Capacity that no run has reserved.
         unused_millicores: Estimated CPU that no task uses, in millicores;
             includes the part of the serving tasks' reservation that they leave
@@ -104,6 +107,7 @@
     reserved_resources: _job_spec.Resources = dataclasses.field(
         default_factory=_job_spec.Resources
     )
+    largest_capacity: _job_spec.Resources = dataclasses.field(init=False)
     free_capacity: _job_spec.Resources = dataclasses.field(init=False)
     unused_millicores: int = dataclasses.field(init=False)
     filler_millicores: int = 0
@@ -115,6 +119,7 @@
     revision: int = 0
 
     def __post_init__(self) -> None:
+        self.largest_capacity = self.listing.capacity
         self._update_free_capacity()
 
     def update_listing(
@@ -132,6 +137,11 @@
             or listing.drain_left_s != self.listing.drain_left_s
         ):
             self.drain_ends_s = now_s + listing.drain_left_s
+        self.largest_capacity = (
+            listing.capacity.max_with(self.largest_capacity)
+            if listing.born_ms == self.listing.born_ms
+            else listing.capacity
+        )
         self.listing = listing
         self.revision += 1
         self._update_free_capacity()
@@ -209,6 +219,11 @@
             self.free_capacity.cpu_millicores + idle - self.filler_millicores
         )
 
+    @property
+    def roster_entry(self) -> _executor.ListedExecutor:
+        """What the stored roster says of it: its listing when largest."""
+        return dataclasses.replace(self.listing, capacity=self.largest_capacity)
+
     @property
     def is_overbooked(self) -> bool:
         """Whether its runs have reserved more than its present capacity."""
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -25,10 +25,28 @@
 
     Checks the required label and the total capacity.
     """
-    entry = executor.listing
-    if step.required_label and step.required_label not in entry.labels:
+    if not _has_required_label(step, executor):
         return False
-    return entry.capacity.covers(step.size)
+    return executor.listing.capacity.covers(step.size)
+
+
+def may_become_eligible(
+    step: _job_spec.StepSpec, executor: _executors.ExecutorState
+) -> bool:
+    """Returns whether an executor could run a task when empty and largest."""
+    if not _has_required_label(step, executor):
+        return False
+    return executor.largest_capacity.covers(step.size)
+
+
+def _has_required_label(
+    step: _job_spec.StepSpec, executor: _executors.ExecutorState
+) -> bool:
+    """Returns whether an executor has the label that a step requires."""
+    return (
+        not step.required_label
+        or step.required_label in executor.listing.labels
+    )
 
 
 def has_capacity(
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -81,8 +81,9 @@
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
         """Returns whether each step of a job fits some executor when empty.
 
-        Returns True while the job's service has no known executor, since the
-        sizes are not known then.
+        The largest known capacity of an executor counts, because one that has
+        shrunk may grow again while the job waits. Returns True while the job's
+        service has no known executor, since the sizes are not known then.
         """
         executors = [
             each
@@ -92,7 +93,9 @@
         if not executors:
             return True
         return all(
-            any(_placement.is_eligible(step, each) for each in executors)
+            any(
+                _placement.may_become_eligible(step, each) for each in executors
+            )
             for step in accepted.spec.steps
         )
 
--- a/src/basiljunction/state/workload/_job_spec.py
+++ b/src/basiljunction/state/workload/_job_spec.py
@@ -36,6 +36,14 @@
             self.gpus - other.gpus,
         )
 
+    def max_with(self, other: "Resources") -> "Resources":
+        """Returns the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
     def covers(self, other: "Resources") -> bool:
         """Returns whether this amount is enough for the other one."""
         return (
--- a/tests/coordination/scheduling/test_capacity_changes.py
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -217,3 +217,48 @@
         rig.submit(build.accepted_job(build.step_spec(count=4)))
         rig.run(1.0)
         assert len(rig.starts) == 4
+
+
+class TestSubmissionWhileExecutorsHaveShrunk:
+    """A job that may fit again is accepted and waits."""
+
+    def test_it_is_accepted_and_runs_once_there_is_room(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(0.5)
+        rig.resize_executor("e1", _HALF)
+        rig.submit(build.accepted_job(build.step_spec(size=_FULL)))
+        rig.run(1.0)
+        assert not rig.refused_jobs
+        assert not rig.starts
+        rig.resize_executor("e1", _FULL)
+        rig.run(2.0)
+        state = rig.scheduler.visible_state(_JOB_ID)
+        assert state is _progress.JobState.COMPLETED
+
+    def test_a_successor_accepts_it_too(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(0.5)
+        rig.resize_executor("e1", _HALF)
+        rig.add_executor(build.executor_entry("e2", capacity=_HALF))
+        rig.run(0.5)
+        rig.take_over()
+        rig.submit(build.accepted_job(build.step_spec(size=_FULL)))
+        assert not rig.refused_jobs
+
+    def test_what_no_executor_ever_had_is_refused_at_once(self) -> None:
+        rig = cell_rig.CellRig()
+        rig.run(0.5)
+        rig.resize_executor("e1", _HALF)
+        size = _FULL + _job_spec.Resources(cpu_millicores=1)
+        rig.submit(build.accepted_job(build.step_spec(size=size)))
+        assert rig.refused_jobs == {_JOB_ID}
+
+    def test_a_smaller_incarnation_does_not_grow_to_the_earlier_one(
+        self,
+    ) -> None:
+        rig = cell_rig.CellRig(build.executor_entry(born_ms=1))
+        rig.run(0.5)
+        rig.restart_executor_resized("e1", _HALF)
+        rig.list_executors()
+        rig.submit(build.accepted_job(build.step_spec(size=_FULL)))
+        assert rig.refused_jobs == {_JOB_ID}
