Don't let one executor over its capacity hide the room of others

A lasting task waits up to 1.5 s while the free processor of its service is kept for short tasks. That sum added up what is free on each executor, which is negative where a capacity has shrunk below what runs there, so one such executor hid the room of others and lasting tasks waited beside empty ones.

An executor over its capacity now counts as zero. test_a_lasting_task_starts_at_once_on_another failed before (no start within 0.3 s).

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -683,4 +683,12 @@
         "(self.listing)",
         f"{_TESTS}/test_capacity_changes.py",
     ),
+    _mutation(
+        "room-of-others-hidden-by-one-over-its-capacity",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_placer.py",
+        "max(0, e.free_capacity.cpu_millicores) for",
+        "e.free_capacity.cpu_millicores for",
+        f"{_TESTS}/test_capacity_changes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -219,8 +219,9 @@
             waiting = waiting_by_service.get(service, 0)
             demand.update_demand(used + waiting, now.boot_s)
             self._capacity_by_service[service] = _ServiceCapacity(
+                # One that is over its capacity takes nothing from others.
                 free_millicores=sum(
-                    e.free_capacity.cpu_millicores for e in executors
+                    max(0, e.free_capacity.cpu_millicores) for e in executors
                 ),
                 reserved_millicores=max(0.0, demand.millicores - used),
                 vacating_millicores=vacating,
--- a/tests/coordination/scheduling/test_capacity_changes.py
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -262,3 +262,30 @@
         rig.list_executors()
         rig.submit(build.accepted_job(build.step_spec(size=_FULL)))
         assert rig.refused_jobs == {_JOB_ID}
+
+
+class TestOneExecutorOverItsCapacity:
+    """What is over the capacity of one takes no room from the others."""
+
+    def _start_beside_a_shrunk_executor(self) -> cell_rig.CellRig:
+        """Returns a rig with one executor over its capacity and one empty.
+
+        Short tasks have just run on the second.
+        """
+        rig = cell_rig.CellRig(build.executor_entry("e1"))
+        rig.submit(_lasting_job(4))
+        rig.run(3.0)
+        rig.add_executor(build.executor_entry("e2"))
+        rig.run(0.2)
+        rig.submit(
+            build.accepted_job(build.step_spec(), job_id="00000000000000a3")
+        )
+        rig.run(1.0)
+        rig.resize_executor("e1", _job_spec.Resources(0, 0, 0))
+        return rig
+
+    def test_a_lasting_task_starts_at_once_on_another(self) -> None:
+        rig = self._start_beside_a_shrunk_executor()
+        rig.submit(_lasting_job(1, job_id=_OTHER_JOB_ID))
+        rig.run(0.3)
+        assert _count_starts(rig, _OTHER_JOB_ID) == 1
