Don't count room over a capacity as room on its way for short tasks

A short task that waits stops a lasting one unless enough processor is being given up already. The processor of stopping runs counted in full, also on an executor whose capacity has shrunk below what runs there, where their end frees nothing for a start: short tasks waited until those stops were over, and only then was a lasting task stopped for them.

What is over an executor's capacity no longer counts. The test failed before (4000 millicores counted on an executor of 3000). Found by reading for sums over negative free capacity, after the fault in the room for lasting tasks; _sharing, _evacuation and the choice of the run to stop compare the free capacity of one executor at a time and were right.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -691,4 +691,12 @@
         "e.free_capacity.cpu_millicores for",
         f"{_TESTS}/test_capacity_changes.py",
     ),
+    _mutation(
+        "room-over-the-capacity-counted-as-given-up",
+        "short tasks first",
+        f"{_SCHEDULING}/_preemption.py",
+        "min(0, executor.free_capacity.cpu_millicores)",
+        "0",
+        f"{_TESTS}/test_preemption.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -65,13 +65,18 @@
 ) -> tuple[int, int]:
     """Returns the CPU of short runs and of lasting runs that are stopping.
 
-    Short runs that are being stopped are left out. Both are in millicores.
+    Short runs that are being stopped are left out, and so is what is over the
+    capacity of an executor. Both are in millicores.
     """
     short_millicores = 0
     vacating_millicores = 0
     for executor in executors:
         short_millicores += executor.short_millicores
-        vacating_millicores += executor.vacating_millicores
+        vacating_millicores += max(
+            0,
+            executor.vacating_millicores
+            + min(0, executor.free_capacity.cpu_millicores),
+        )
     return short_millicores, vacating_millicores
 
 
--- a/tests/coordination/scheduling/test_preemption.py
+++ b/tests/coordination/scheduling/test_preemption.py
@@ -101,3 +101,30 @@
                 )
             )
         assert _preemption.sum_short_and_vacating([executor]) == (1000, 1000)
+
+    def test_room_that_is_over_the_capacity_is_not_being_given_up(
+        self,
+    ) -> None:
+        executor = _executors.ExecutorState(listing=build.executor_entry())
+        for number in range(4):
+            executor.add_run(
+                _runs.Run(
+                    task=_job_spec.TaskId("00000000000000a1", 0, 0, number),
+                    number=number,
+                    executor="e1",
+                    step=_LASTING_STEP,
+                    phase=_runs.RunPhase.STOPPING,
+                    phase_since_s=0.0,
+                )
+            )
+        for cores, expected_millicores in ((4, 4000), (3, 3000), (0, 0)):
+            executor.update_listing(
+                build.executor_entry(
+                    capacity=_job_spec.Resources(1000 * cores, 8000, 0)
+                ),
+                now_s=1.0,
+            )
+            assert _preemption.sum_short_and_vacating([executor]) == (
+                0,
+                expected_millicores,
+            )
