Test random changes of capacity under load with take-overs

Executors shrink, grow and restart with another capacity while jobs arrive, the store fails, answers are lost, orders are late and schedulers take over; no start may exceed the capacity that is listed, no job may be refused and all have to end. Passes on 12 seeds.

--- a/tests/coordination/scheduling/test_capacity_changes.py
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -1,7 +1,10 @@
 """Tests that starts keep to an executor's capacity while it changes."""
 
+import random
+
 import pytest
 
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 import cell_rig
@@ -289,3 +292,90 @@
         rig.submit(_lasting_job(1, job_id=_OTHER_JOB_ID))
         rig.run(0.3)
         assert _count_starts(rig, _OTHER_JOB_ID) == 1
+
+
+class TestRandomChanges:
+    """Executors shrink and grow under load while schedulers take over."""
+
+    def _submit_random_job(
+        self, rig: cell_rig.CellRig, rng: random.Random, number: int
+    ) -> None:
+        """Submits a job whose tasks fit the larger executors."""
+        cores = rng.randint(1, 4)
+        lasts = rng.random() < 0.2
+        step = build.step_spec(
+            count=rng.randint(1, 2 if lasts else 6),
+            size=_job_spec.Resources(1000 * cores, 500 * rng.randint(1, 8), 0),
+            runs_until_cancelled=lasts,
+            gang=not lasts and rng.random() < 0.1,
+        )
+        rig.submit(build.accepted_job(step, job_id=f"{number:016x}"))
+
+    def _change_something(
+        self, rig: cell_rig.CellRig, rng: random.Random
+    ) -> None:
+        """Resizes or restarts an executor, or disturbs scheduler or store."""
+        executor_id = rng.choice(list(rig.executor_by_id))
+        match rng.randrange(10):
+            case 0:
+                rig.take_over()
+            case 1:
+                rig.resign()
+            case 2:
+                rig.store_is_up = not rig.store_is_up
+            case 3:
+                rig.restart_executor_resized(executor_id, _random_capacity(rng))
+                # Starts that are under way don't know of the restart.
+                rig.executor_by_id[executor_id].is_answering = False
+                rig.run(_limits.CONTACT_TIMEOUT_S + 0.1)
+                rig.executor_by_id[executor_id].is_answering = True
+                rig.run(rng.uniform(0.0, 1.0))
+                rig.list_executors()
+            case _:
+                rig.resize_executor(executor_id, _random_capacity(rng))
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_no_start_exceeds_a_capacity_and_all_jobs_end(
+        self, seed: int
+    ) -> None:
+        rng = random.Random(f"capacity-changes/{seed}")
+        rig = cell_rig.CellRig(
+            *(
+                build.executor_entry(f"e{number}", born_ms=1)
+                for number in range(4)
+            ),
+            seed=seed,
+            fail_share=0.05,
+        )
+        rig.lost_share = 0.05 if seed % 2 else 0.0
+        rig.delayed_share = 0.05 if seed % 3 else 0.0
+        rig.run(0.5)
+        for number in range(40):
+            self._submit_random_job(rig, rng, number)
+            rig.run(rng.uniform(0.0, 0.6))
+            self._change_something(rig, rng)
+        rig.store_is_up = True
+        rig.run(1.0)
+        for executor_id in rig.executor_by_id:
+            rig.resize_executor(
+                executor_id, _job_spec.Resources(64_000, 64_000, 0)
+            )
+        rig.run(20.0)
+        assert not rig.refused_jobs
+        assert {
+            job.id
+            for job in rig.scheduler.cell.job_by_id.values()
+            if job.is_active and not job.spec.has_lasting_step
+        } == set()
+        assert {
+            job.id
+            for job in rig.scheduler.cell.job_by_id.values()
+            if job.waiting_tasks_by_step
+        } == set()
+
+
+def _random_capacity(rng: random.Random) -> _job_spec.Resources:
+    """Returns a capacity between nothing and that of a new executor."""
+    return _job_spec.Resources(
+        1000 * rng.randint(0, 4), 1000 * rng.randint(0, 8), 0
+    )
