Don't let a renewal of a lease be sent a second time

Found in review; no caller is known to have seen it. The copy that libcurl sends on a new connection could reach the next incarnation of an executor, with the acknowledgement and the deadline of the one before: ends that nobody has recorded would be forgotten, and the lease would be counted on another clock. The scheduler's own retry carries neither, for that reason.

The test failed before: a third request arrived.

--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -145,7 +145,9 @@
 ) -> _http_call.HttpCall:
     """Builds the HTTP call that renews an executor's lease.
 
-    It also requests the list of active and ended runs.
+    It also requests the list of active and ended runs. It isn't repeatable: a
+    copy could reach the next incarnation, which must not take the order's
+    deadline and acknowledgement for its own.
 
     Args:
         address: ``ip:port`` of the executor.
@@ -169,7 +171,6 @@
         body,
         timeout_s,
         silence_limit_s=silence_limit_s,
-        is_repeatable=True,
     )
 
 
@@ -378,7 +379,6 @@
     timeout_s: float,
     *,
     silence_limit_s: float | None = None,
-    is_repeatable: bool = False,
 ) -> _http_call.HttpCall:
     """Builds a POST that only the named executor at the address may accept."""
     return _http_call.HttpCall(
@@ -389,5 +389,4 @@
         timeout_s,
         silence_limit_s,
         operation=_OPERATION_BY_PATH[path],
-        is_repeatable=is_repeatable,
     )
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import re
+import time
 
 import pytest
 
@@ -20,6 +21,9 @@
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _provision
+from basiljunction.transport import _metrics
+from basiljunction.transport.jobs import _http_calls
+import resetting_server
 
 _ROOT = pathlib.Path(basiljunction.__file__).parent
 
@@ -397,3 +401,28 @@
     ) -> None:
         reply = _http_call.HttpReply(status, body)
         assert _executors.parse_start_result(reply) is result
+
+
+class TestRepeatableCalls:
+    """No call that changes an executor is sent to it twice by the client."""
+
+    def test_a_renewal_may_not_reach_the_next_incarnation_too(self) -> None:
+        server = resetting_server.ResettingServer(later_status=200)
+        calls = _http_calls.HttpClient(
+            _metrics.Metrics("front-1"), max_connections=4
+        )
+        replies: list[_http_call.HttpReply] = []
+        address = server.url.removeprefix("http://").rstrip("/")
+        order = _orders.RenewalOrder("e1", 105_000, 57, 1000)
+        for expected in (1, 2):
+            calls.send(
+                _executors.make_renewal_call(address, 1, order, timeout_s=2.0),
+                replies.append,
+            )
+            deadline_s = time.monotonic() + 4.0
+            while len(replies) < expected and time.monotonic() < deadline_s:
+                calls.poll(0.05)
+        calls.close()
+        server.close()
+        assert [each.status for each in replies] == [200, 0]
+        assert len(server.received_bodies) == 2
