Don't take a refusal at an outdated address for the end of an executor's runs

An executor may restart under its id at another address. A refusal of a renewal that was sent to the old one ended all of its runs, those too that the present incarnation had begun, and their tasks started again beside them. A successor did the same, as the stored roster kept the old address.

A refusal counts only at the address that is listed now, and a new address is stored. Both tests failed before.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -38,6 +38,7 @@
             stored.
         renewal_sent_s: Time at which the lease renewal in flight was sent; None
             if none is in flight.
+        renewal_address: Address to which the newest lease renewal was sent.
         renewal_failures: Number of consecutive lease renewals without an
             answer.
         next_renewal_s: Time at which the next lease renewal is due.
@@ -94,6 +95,7 @@
     processed_end_number: int = 0
     stored_end_number: int = 0
     renewal_sent_s: float | None = None
+    renewal_address: str = ""
     renewal_failures: int = 0
     next_renewal_s: float = 0.0
     avoid_until_s: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -67,6 +67,7 @@
         )
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
+        executor.renewal_address = executor.listing.address
         cell.orders.append(
             _orders.RenewalOrder(
                 executor=executor.listing.id,
@@ -141,7 +142,8 @@
             order: The renewal order.
             now: The time.
             is_other_incarnation: Whether a new incarnation of the executor
-                refused the order; the runs of the old one are then gone.
+                refused the order; the runs of the old one are then gone. At an
+                outdated address that says nothing of the present one.
         """
         executor = self._cell.executor_by_id.get(order.executor)
         if executor is None:
@@ -149,7 +151,10 @@
         executor.renewal_sent_s = None
         executor.renewal_failures += 1
         executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
-        if is_other_incarnation:
+        if (
+            is_other_incarnation
+            and executor.renewal_address == executor.listing.address
+        ):
             self._end_incarnation(executor, now, has_answered=False)
             executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
 
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -193,6 +193,9 @@
             entry = entry_by_id.get(executor_id)
             state.is_listed = entry is not None
             if entry is not None:
+                # A successor calls the address in the stored roster.
+                if entry.address != state.listing.address:
+                    cell.roster_changed = True
                 state.update_listing(entry, now.boot_s)
             elif state.may_be_forgotten(now.boot_s):
                 del cell.executor_by_id[executor_id]
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -4,6 +4,7 @@
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _records
 import workload_builders as build
 
 _JOB_ID = "00000000000000a1"
@@ -51,23 +52,42 @@
             )
 
 
+def _start_scheduler() -> _scheduler.Scheduler:
+    """Returns a scheduler with one executor that has answered it."""
+    scheduler = build.scheduler()
+    scheduler.set_executors(
+        [build.executor_entry("e1")], build.clock_readings_at(0.0)
+    )
+    for now_s in (0.1, 0.2):
+        orders = _run_timed_work(scheduler, now_s)
+        _answer_renewals(scheduler, orders, now_s, born_ms=1)
+    return scheduler
+
+
+def _settle_without_run(
+    scheduler: _scheduler.Scheduler, from_s: float, *, born_ms: int
+) -> list[_orders.StartOrder]:
+    """Answers renewals without a run, and stops; returns the starts."""
+    starts = []
+    for number in range(20):
+        now_s = from_s + number / 10
+        orders = _run_timed_work(scheduler, now_s)
+        _answer_renewals(scheduler, orders, now_s, born_ms=born_ms)
+        for order in orders:
+            if isinstance(order, _orders.StopOrder):
+                scheduler.handle_stop_answer(
+                    order, True, build.clock_readings_at(now_s)
+                )
+        starts += _find_starts(orders)
+    return starts
+
+
 class TestStartAnsweredBeforeTheRestartIsKnown:
     """A run that a new incarnation started is not taken for one of the old.
 
     The answer that shows the restart was written before the run began.
     """
 
-    def _start_scheduler(self) -> _scheduler.Scheduler:
-        """Returns a scheduler with one executor that has answered it."""
-        scheduler = build.scheduler()
-        scheduler.set_executors(
-            [build.executor_entry("e1")], build.clock_readings_at(0.0)
-        )
-        for now_s in (0.1, 0.2):
-            orders = _run_timed_work(scheduler, now_s)
-            _answer_renewals(scheduler, orders, now_s, born_ms=1)
-        return scheduler
-
     def _order_start_beside_a_renewal(
         self, scheduler: _scheduler.Scheduler
     ) -> tuple[list[_orders.Order], _orders.StartOrder]:
@@ -81,7 +101,7 @@
         return orders, start
 
     def test_its_task_is_not_started_again(self) -> None:
-        scheduler = self._start_scheduler()
+        scheduler = _start_scheduler()
         orders, start = self._order_start_beside_a_renewal(scheduler)
         scheduler.handle_start_answer(
             start, _orders.StartResult.STARTED, build.clock_readings_at(0.31)
@@ -106,7 +126,7 @@
         assert state.value == "running"
 
     def test_its_room_stays_booked(self) -> None:
-        scheduler = self._start_scheduler()
+        scheduler = _start_scheduler()
         orders, start = self._order_start_beside_a_renewal(scheduler)
         scheduler.handle_start_answer(
             start, _orders.StartResult.STARTED, build.clock_readings_at(0.31)
@@ -118,28 +138,18 @@
     def test_its_task_starts_again_if_the_new_incarnation_does_not_list_it(
         self,
     ) -> None:
-        scheduler = self._start_scheduler()
+        scheduler = _start_scheduler()
         orders, start = self._order_start_beside_a_renewal(scheduler)
         scheduler.handle_start_answer(
             start, _orders.StartResult.STARTED, build.clock_readings_at(0.31)
         )
         _answer_renewals(scheduler, orders, 0.32, born_ms=2)
-        starts = []
-        for number in range(20):
-            now_s = 0.4 + number / 10
-            orders = _run_timed_work(scheduler, now_s)
-            _answer_renewals(scheduler, orders, now_s, born_ms=2)
-            for order in orders:
-                if isinstance(order, _orders.StopOrder):
-                    scheduler.handle_stop_answer(
-                        order, True, build.clock_readings_at(now_s)
-                    )
-            starts += _find_starts(orders)
+        starts = _settle_without_run(scheduler, 0.4, born_ms=2)
         assert len(starts) == 1
         assert starts[0].run > start.run
 
     def test_a_run_that_is_being_stopped_is_stopped_there_too(self) -> None:
-        scheduler = self._start_scheduler()
+        scheduler = _start_scheduler()
         orders, start = self._order_start_beside_a_renewal(scheduler)
         now = build.clock_readings_at(0.31)
         scheduler.handle_start_answer(start, _orders.StartResult.STARTED, now)
@@ -158,3 +168,56 @@
             isinstance(each, _orders.StopOrder)
             for each in _run_timed_work(scheduler, 0.4)
         )
+
+
+def _take_renewal(orders: list[_orders.Order]) -> _orders.RenewalOrder:
+    """Returns the only renewal among some orders."""
+    (renewal,) = (e for e in orders if isinstance(e, _orders.RenewalOrder))
+    return renewal
+
+
+class TestRestartAtAnotherAddress:
+    """What the old address answers says nothing of the present incarnation."""
+
+    def _move_executor(
+        self, scheduler: _scheduler.Scheduler, now_s: float
+    ) -> None:
+        """Lists the executor at a new address."""
+        scheduler.set_executors(
+            [build.executor_entry("e1", address="10.0.0.2:1")],
+            build.clock_readings_at(now_s),
+        )
+
+    def test_a_refusal_at_the_old_one_does_not_end_a_run_begun_since(
+        self,
+    ) -> None:
+        scheduler = _start_scheduler()
+        renewal = _take_renewal(_run_timed_work(scheduler, 0.3))
+        self._move_executor(scheduler, 0.31)
+        scheduler.submit_job(
+            build.accepted_job(), build.clock_readings_at(0.32)
+        )
+        _run_timed_work(scheduler, 0.35)
+        (start,) = _find_starts(_run_timed_work(scheduler, 0.4))
+        scheduler.handle_start_answer(
+            start, _orders.StartResult.STARTED, build.clock_readings_at(0.41)
+        )
+        scheduler.handle_renewal_failure(
+            renewal, build.clock_readings_at(0.42), is_other_incarnation=True
+        )
+        executor = scheduler.cell.executor_by_id["e1"]
+        assert list(executor.run_by_key) == [(start.task, start.run)]
+
+    def test_the_stored_roster_has_the_new_one(self) -> None:
+        scheduler = _start_scheduler()
+        self._move_executor(scheduler, 0.3)
+        now = build.clock_readings_at(0.3)
+        scheduler.run_timed_work(now, confirmed_s=0.3, confirmed_beat=1)
+        batch = scheduler.take_batch()
+        assert batch is not None
+        (roster,) = (
+            each
+            for each in batch.records
+            if isinstance(each, _records.ExecutorRosterRecord)
+        )
+        assert [each.address for each in roster.executors] == ["10.0.0.2:1"]
