Settle a run that no listing has named though its start was answered

After a refusal the next incarnation of an executor can't be told from the one after it: a run that the former had begun stayed on the books for good, and its task did not run (LOST). A run that an answer leaves out and that none has listed is barred by a stop order, and its task starts again.

The test failed before.

--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -432,10 +432,10 @@
         for key, run in list(executor.run_by_key.items()):
             if key in listed_by_key:
                 continue
-            if (
-                run.phase is _runs.RunPhase.UNSETTLED
-                and sent_s > run.phase_since_s
-            ):
+            may_not_exist = run.phase is _runs.RunPhase.UNSETTLED or (
+                run.phase is _runs.RunPhase.RUNNING and not run.was_listed
+            )
+            if may_not_exist and sent_s > run.phase_since_s:
                 self._cell.note(
                     "task.unsettled",
                     task=str(run.task),
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -221,3 +221,31 @@
             if isinstance(each, _records.ExecutorRosterRecord)
         )
         assert [each.address for each in roster.executors] == ["10.0.0.2:1"]
+
+
+class TestRunThatIsNeverListed:
+    """A run that no listing names does not hold up its task for good.
+
+    After a refusal the next incarnation is not told from the one after it.
+    """
+
+    def test_its_task_starts_again(self) -> None:
+        scheduler = _start_scheduler()
+        renewal = _take_renewal(_run_timed_work(scheduler, 0.25))
+        scheduler.handle_renewal_failure(
+            renewal, build.clock_readings_at(0.26), is_other_incarnation=True
+        )
+        scheduler.submit_job(
+            build.accepted_job(), build.clock_readings_at(0.27)
+        )
+        orders = _run_timed_work(scheduler, 0.52)
+        _answer_renewals(scheduler, orders, 0.52, born_ms=0)
+        orders = _run_timed_work(scheduler, 0.56)
+        (start,) = _find_starts(orders)
+        scheduler.handle_start_answer(
+            start, _orders.StartResult.STARTED, build.clock_readings_at(0.57)
+        )
+        _answer_renewals(scheduler, orders, 0.58, born_ms=0)
+        starts = _settle_without_run(scheduler, 0.6, born_ms=3)
+        assert len(starts) == 1
+        assert starts[0].run > start.run
