Let the mutation of the required label name the line that the check is in now

The check moved to a function of its own with the changes of capacity, so the mutation's text was found no longer (tests/test_mutations.py). It is noticed as before.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -446,8 +446,8 @@
         "label-not-checked",
         "labels",
         f"{_SCHEDULING}/_placement.py",
-        "step.required_label and step.required_label not in entry.labels",
-        "step.required_label and not entry.labels",
+        "or step.required_label in executor.listing.labels",
+        "or bool(executor.listing.labels)",
         f"{_TESTS}/test_placement.py",
     ),
     _mutation(
