--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -60,14 +60,6 @@
         "if is_current:",
         f"{_TESTS}/test_renewals.py",
     ),
-    _mutation(
-        "unsent-start-not-withdrawn",
-        "capacity",
-        f"{_SCHEDULING}/_scheduler.py",
-        "        self._withdraw_unsent_starts(now)\n",
-        "",
-        f"{_TESTS}/test_capacity_changes.py",
-    ),
     _mutation(
         "copies-of-every-step",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -209,25 +209,8 @@
                 state.update_listing(entry, now.boot_s)
                 cell.executor_by_id[executor_id] = state
                 cell.roster_changed = True
-        self._withdraw_unsent_starts(now)
         cell.needs_placing = True
 
-    def _withdraw_unsent_starts(self, now: _time.Now) -> None:
-        """Releases unsent starts on executors that have shrunk since."""
-        cell = self.cell
-        orders = cell.orders
-        cell.orders = []
-        for order in orders:
-            if isinstance(order, _orders.StartOrder):
-                executor, run = cell.find_executor_and_run(
-                    order.executor, order.task, order.run
-                )
-                if executor is not None and executor.is_overbooked:
-                    if run is not None:
-                        cell.release_run(executor, run, now)
-                    continue
-            cell.orders.append(order)
-
     # Jobs.
 
     def submit_job(
