Check start orders that are not sent yet against a newer list

A start order waits for up to a tick between the storing of its batch, or its placement, and its sending. A list that was read in between was applied to the executors but not to these orders, so starts were sent to an executor that had just been listed as too small, or as draining.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -699,4 +699,12 @@
         "0",
         f"{_TESTS}/test_preemption.py",
     ),
+    _mutation(
+        "unsent-start-not-checked-against-a-newer-list",
+        "capacity",
+        f"{_SCHEDULING}/_scheduler.py",
+        "        self._recheck_start_orders(now)\n",
+        "",
+        f"{_TESTS}/test_capacity_changes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -206,8 +206,20 @@
                 state.update_listing(entry, now.boot_s)
                 cell.executor_by_id[executor_id] = state
                 cell.roster_changed = True
+        self._recheck_start_orders(now)
         cell.needs_placing = True
 
+    def _recheck_start_orders(self, now: _time.Now) -> None:
+        """Drops start orders that are not sent yet and no longer in order."""
+        cell = self.cell
+        orders = cell.orders
+        cell.orders = []
+        for order in orders:
+            if isinstance(order, _orders.StartOrder):
+                self._order_held_start(order, now)
+            else:
+                cell.orders.append(order)
+
     # Jobs.
 
     def submit_job(
@@ -556,7 +568,7 @@
         for record in batch.records:
             self._mark_record_stored(record)
         for order in batch.starts:
-            self._send_held_start(order, now)
+            self._order_held_start(order, now)
         for executor_id, covered in batch.acknowledge_by_executor.items():
             state = cell.executor_by_id.get(executor_id)
             if (
@@ -569,10 +581,10 @@
                 state.next_renewal_s = now.boot_s
         cell.needs_placing = True
 
-    def _send_held_start(
+    def _order_held_start(
         self, order: _orders.StartOrder, now: _time.Now
     ) -> None:
-        """Sends a start that waited for its batch, if it is still in order."""
+        """Orders a start that waited, if it is still in order."""
         cell = self.cell
         executor, run = cell.find_executor_and_run(
             order.executor, order.task, order.run
