Cut connections to executors in the soak, after they have read a start

The calls to each executor of a soak now pass through a proxy. In half the seeds, drawn apart so that all other steps of a seed stay as they were, an executor is cut at its next start, again and again: the start passes, its connection is reset before the answer, and new connections are refused for 0.1 to 1 s. The soak's check of runs beside one another reports what follows from it.

--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -1,9 +1,9 @@
 """Soaks instances on a stand-in of the platform under many seeds.
 
 Each seed runs real processes through restarts, kills, pauses, executors that
-leave and crash, and outages of the store. Prints each violation with its seed
-and keeps the logs of seeds that failed. A seed takes some 40 s and somewhat
-more than one processor.
+leave, crash and lose connections, and outages of the store. Prints each
+violation with its seed and keeps the logs of seeds that failed. A seed takes
+some 40 s and somewhat more than one processor.
 """
 
 from concurrent import futures
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -11,6 +11,9 @@
 _SEED = 4
 """Seed with restarts in turn and executors that leave at short notice."""
 
+_CUTS_SEED = 9
+"""Seed with planned work and executors whose connections are cut at starts."""
+
 _DURATION_S = 8.0
 """Time in which disruptions begin, in seconds."""
 
@@ -20,3 +23,11 @@
     assert result.violations == ()
     assert result.jobs > 0
     assert result.terms > 1
+
+
+def test_starts_whose_connection_is_lost_run_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = soak_run.run_seed(_CUTS_SEED, tmp_path, duration_s=_DURATION_S)
+    assert result.violations == ()
+    assert " cut at a start " in result.log_path.read_text("utf-8")
--- a/tests/soak/executors.py
+++ b/tests/soak/executors.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+import cutting_proxy
 import platform_standin
 from soak import checks as soak_checks
 
@@ -36,6 +37,8 @@
 class SoakExecutor(platform_standin.Executor):
     """An executor that reports its runs to the checks.
 
+    Its calls pass through a proxy that can lose connections.
+
     Args:
         platform: The platform.
         number: Number that makes its id.
@@ -57,16 +60,32 @@
         self.born_ms = time.time_ns() // 1_000_000
         self.leaves_s: float | None = None
         self.is_gone = False
+        self._proxy = cutting_proxy.CuttingProxy(self.httpd.server_address[1])
         self._checks = checks
         self._life = f"{self.id}@{self.born_ms}"
         self._good_end_by_number: dict[int, _End] = {}
         self._highest_ended_run_by_task: dict[str, int] = {}
 
+    def cut_at_next_start(self, duration_s: float) -> None:
+        """Loses the answer to the next start, then refuses connections.
+
+        Args:
+            duration_s: How long it refuses them, in seconds.
+        """
+        self._proxy.cut_at_next("/run-start", duration_s)
+
+    def refuse_connections(self) -> None:
+        """Refuses new connections for good."""
+        self._proxy.close()
+
     def describe(self) -> dict[str, Any]:
+        description = super().describe() | {
+            "Address": f"127.0.0.1:{self._proxy.port}"
+        }
         if self.leaves_s is None:
-            return super().describe()
+            return description
         left_ms = int(max(0.0, self.leaves_s - time.monotonic()) * 1000)
-        return super().describe() | {
+        return description | {
             "State": "draining",
             "RemainingMs": left_ms,
         }
@@ -99,6 +118,7 @@
             for task, run in self.running:
                 self._checks.note_end(task, self._life, run, "gone", now_s)
             self.running.clear()
+        self.refuse_connections()
         self.httpd.shutdown()
         self.httpd.server_close()
 
@@ -230,6 +250,13 @@
             for executor in self._platform.executors:
                 executor.end_due_runs()
 
+    def close(self) -> None:
+        """Refuses new connections to all executors."""
+        with self._platform.lock:
+            for executor in self._platform.executors:
+                if isinstance(executor, SoakExecutor):
+                    executor.refuse_connections()
+
     def has_room(self, task_cpu: int) -> bool:
         """Returns whether an executor has room for two tasks of this size."""
         return any(
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -8,6 +8,10 @@
 """Share of the seeds with planned work only: restarts, leaves and arrivals."""
 
 
+CUT_SHARE = 0.5
+"""Share of the seeds in which connections to executors are cut."""
+
+
 class Kind(enum.Enum):
     """What happens; `Step.target` numbers the instance or executor."""
 
@@ -21,6 +25,7 @@
     JOIN = "join"
     STORE_DOWN = "store down"
     STORE_SLOW = "store slow"
+    CUT = "cut at a start"
 
 
 PLANNED = frozenset({Kind.RESTART, Kind.LEAVE, Kind.JOIN})
@@ -39,7 +44,9 @@
         kind: What happens.
         target: Number of the instance or executor, modulo how many there are.
         lasts_s: How long it lasts, in seconds: a pause, an outage, the time
-            until a leaving executor exits or a crashed one is reborn.
+            until a leaving executor exits or a crashed one is reborn, or for
+            which an executor refuses connections after the one with the next
+            start was reset.
     """
 
     at_s: float
@@ -88,6 +95,8 @@
     )
     if source.random() >= PLANNED_SHARE:
         steps += _draw_trouble(source, duration_s)
+    # Of its own, so that seeds keep their other steps.
+    steps += _draw_cuts(random.Random(f"platform-soak-cuts/{seed}"), duration_s)
     return Plan(
         instances=count,
         executors=source.randint(4, 8),
@@ -133,9 +142,22 @@
     return steps
 
 
+def _draw_cuts(source: random.Random, duration_s: float) -> list[Step]:
+    """Returns cuts of one executor after another, in a share of the seeds."""
+    if source.random() >= CUT_SHARE:
+        return []
+    interval_s = source.uniform(0.3, 1.5)
+    return [
+        Step(at_s, Kind.CUT, source.randrange(100), source.uniform(0.1, 1.0))
+        for at_s in _draw_times(source, duration_s, interval_s)
+    ]
+
+
 def _draw_trouble(source: random.Random, duration_s: float) -> list[Step]:
     """Returns unplanned disruptions at any time."""
-    kinds = [kind for kind in Kind if kind not in PLANNED]
+    kinds = [
+        kind for kind in Kind if kind not in PLANNED and kind is not Kind.CUT
+    ]
     chosen = source.sample(kinds, source.randint(1, 4))
     longest_s_by_kind = {
         Kind.STORE_DOWN: 1.5,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -119,6 +119,7 @@
         finally:
             for instance in self._instances:
                 instance.close()
+            self._fleet.close()
             self._platform.close()
         return self._make_result()
 
@@ -259,6 +260,8 @@
                 self._fleet.join()
             case soak_plan.Kind.LEAVE | soak_plan.Kind.CRASH:
                 self._end_executor(step)
+            case soak_plan.Kind.CUT:
+                self._cut_executor(step)
             case soak_plan.Kind.STORE_DOWN:
                 self._store_down_until_s = time.monotonic() + step.lasts_s
             case soak_plan.Kind.STORE_SLOW:
@@ -294,6 +297,14 @@
         )
         self._call_at(end_s, lambda: self._fleet.rebirth(victim))
 
+    def _cut_executor(self, step: soak_plan.Step) -> None:
+        """Lets an executor lose its next start and refuse connections."""
+        ready = self._fleet.list_ready()
+        if ready:
+            cut = ready[step.target % len(ready)]
+            self._note(f"{cut.id} is cut for {step.lasts_s:.2f} s at a start")
+            cut.cut_at_next_start(step.lasts_s)
+
     def _disturb_instance(self, step: soak_plan.Step) -> None:
         """Kills or pauses an instance, or the one that schedules."""
         instance = self._instances[step.target % len(self._instances)]
