Add mutations of the guards of the other HTTP clients

They remove the refusal of a second start to a worker, the memory of the first sending, and the rule that a refusal after a lost call doesn't settle it. All three were noticed by test_worker_calls.py and test_http_client.py (scripts/run_mutations.py).

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -117,6 +117,42 @@
         ),
         ("tests/transport/test_executor_calls.py",),
     ),
+    Mutation(
+        "second-start-not-refused",
+        2,
+        (
+            Edit(
+                f"{_SRC}/transport/_send_guard.py",
+                "if self.may_have_sent and not self._is_repeatable:",
+                "if False:",
+            ),
+        ),
+        ("tests/transport/test_worker_calls.py",),
+    ),
+    Mutation(
+        "start-sent-once-not-remembered",
+        2,
+        (
+            Edit(
+                f"{_SRC}/transport/_worker_calls.py",
+                "if not guard.may_have_sent and code in _NOT_SENT_ERRORS:",
+                "if code in _NOT_SENT_ERRORS:",
+            ),
+        ),
+        ("tests/transport/test_worker_calls.py",),
+    ),
+    Mutation(
+        "refusal-after-lost-call-means-not-run",
+        5,
+        (
+            Edit(
+                f"{_SRC}/transport/_http_client.py",
+                "if may_have_run and _refuses_change(call, last):",
+                "if False:",
+            ),
+        ),
+        ("tests/transport/test_http_client.py",),
+    ),
     Mutation(
         "expired-means-not-run",
         5,
