Give up a job whose task crashes executor after executor

Cause: only an end that an executor lists counts as an attempt. A crashed executor lists nothing, and the scheduler released the run as if it had never been. Class: a failure that its own reporter doesn't survive is counted nowhere.

Change: the runs that had started within half a second before the crash, as far as the executor has told, are its suspects. Their tasks get a record in the progress of their jobs and start again only in isolation: on an executor without another recent start, which gets no other until the run has been listed after its probation. A crash under such a start is put down to it alone. Two of them fail the job; a lasting task waits longer after each. A task that ran beside the culprit passes its isolated start and goes on.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -233,10 +233,12 @@
     def order_start(self, job: _jobs.Job, order: _orders.StartOrder) -> None:
         """Queues a start order, after the batch if its executor is stored."""
         step = job.spec.steps[order.task.step]
-        if (
+        run = self.current_run_by_task[order.task]
+        if run.is_isolated or (
             step.runs_until_cancelled
             and job.progress.executor_by_position is not None
         ):
+            run.is_start_held = True
             self.held_starts.append(order)
         else:
             self.orders.append(order)
--- /dev/null
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -0,0 +1,249 @@
+"""Attributes crashes of executors to the tasks that may have caused them.
+
+A crashed executor reports no end of its runs, so nothing else would keep a task
+that crashes each executor from being started again. Suspects of a crash are
+the runs that had started just before. They start again in isolation, each on
+an executor without another recent start, so that a second crash tells the
+cause from the tasks that ran beside it.
+"""
+
+from collections.abc import Container
+import dataclasses
+
+from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _jobs
+from basiljunction.coordination.scheduling import _runs
+from basiljunction.state import _time
+from basiljunction.state.workload import _progress
+
+PROBATION_S = 0.5
+"""Time for which a run has to go on before a crash of its executor is no longer
+put down to it, in seconds: a task that crashes its executor does so while it
+starts, and a longer time would isolate more tasks after each crash."""
+
+MAX_ISOLATED_CRASHES = 2
+"""Crashes under isolated starts of a task at which its job is given up.
+
+With the crash that made it a suspect, three executors have then crashed under
+it; an isolated start rarely meets an unrelated crash, let alone two.
+"""
+
+ISOLATED_RENEWAL_DELAY_S = 0.25
+"""Delay between two lease renewals of an executor that is kept free for an
+isolated start, in seconds: half the probation."""
+
+FIRST_BACKOFF_S = 2.0
+"""Wait of a task that runs until cancelled after its first crash in isolation,
+in seconds; doubles with each further one."""
+
+MAX_BACKOFF_S = 60.0
+"""Longest such wait, in seconds; the task still has to run again some time."""
+
+MAX_NOTED_SUSPECTS = 8
+"""Most suspects of a crash that a log entry names."""
+
+
+class CrashRecorder:
+    """Records which tasks may have crashed an executor, and gives up jobs.
+
+    Args:
+        cell: The scheduler's state.
+    """
+
+    def __init__(self, cell: _cell_state.CellState) -> None:
+        self._cell = cell
+
+    def prove_listed_runs(
+        self,
+        executor: _executors.ExecutorState,
+        listed_keys: Container[_executors.RunKey],
+        sent_s: float,
+    ) -> None:
+        """Marks runs as proven that an answer lists after their probation.
+
+        Args:
+            executor: The executor that answered.
+            listed_keys: Tasks and run numbers that the answer lists.
+            sent_s: When the renewal was sent.
+        """
+        for key, run in list(executor.unproven_run_by_key.items()):
+            if (
+                key in listed_keys
+                and run.phase is _runs.RunPhase.RUNNING
+                and sent_s >= run.phase_since_s + PROBATION_S
+            ):
+                executor.mark_proven(run)
+                if run.is_isolated:
+                    self._clear_attempt(run)
+
+    def find_suspects(
+        self, executor: _executors.ExecutorState
+    ) -> list[_runs.Run]:
+        """Returns the runs that may have crashed an executor.
+
+        A run that was started in isolation is the only suspect. An executor
+        that drains exits by itself.
+        """
+        if executor.listing.is_draining:
+            return []
+        suspects = [
+            run
+            for run in executor.unproven_run_by_key.values()
+            if not run.is_start_held
+        ]
+        return [run for run in suspects if run.is_isolated] or suspects
+
+    def suspect_run(
+        self, executor: _executors.ExecutorState, run: _runs.Run
+    ) -> None:
+        """Records an unproven run as a suspect of its executor's silence.
+
+        Its task starts a second time before it is known whether the executor
+        has crashed.
+        """
+        if not run.is_proven:
+            self._record(executor, run, is_isolated=False)
+
+    def record_crash(
+        self,
+        executor: _executors.ExecutorState,
+        suspects: list[_runs.Run],
+        now: _time.Now,
+    ) -> None:
+        """Records the crash of an executor with all of its suspects.
+
+        The runs of the executor have been released.
+
+        Args:
+            executor: The executor.
+            suspects: What `find_suspects` returned of it.
+            now: The time.
+        """
+        if not suspects:
+            return
+        is_isolated = suspects[0].is_isolated
+        self._cell.note(
+            "executor.crashed",
+            executor=executor.listing.id,
+            isolated=is_isolated,
+            suspect_count=len(suspects),
+            suspects=" ".join(
+                str(run.task) for run in suspects[:MAX_NOTED_SUSPECTS]
+            ),
+        )
+        for run in suspects:
+            crashes = self._record(executor, run, is_isolated=is_isolated)
+            job = self._cell.find_job(run.task)
+            if crashes is None or job is None:
+                continue
+            if run.step.runs_until_cancelled:
+                self._back_off(job, run, crashes, now)
+            elif len(crashes.isolated_executors) >= MAX_ISOLATED_CRASHES:
+                self._give_up(job, run, crashes, now)
+
+    def _record(
+        self,
+        executor: _executors.ExecutorState,
+        run: _runs.Run,
+        *,
+        is_isolated: bool,
+    ) -> _progress.TaskCrashes | None:
+        """Adds a crash to the record of a task, unless the task is finished.
+
+        Returns:
+            All crashes of the task; None if it is finished.
+        """
+        cell = self._cell
+        job = cell.find_job(run.task)
+        if job is None or not cell.is_task_unfinished(run.task):
+            return None
+        place = _cell_state.place_in_job(run.task)
+        crashes = job.progress.crashes_by_position.get(
+            place, _progress.TaskCrashes()
+        ).with_crash(executor.listing.id, is_isolated=is_isolated)
+        job.progress.crashes_by_position[place] = crashes
+        cell.mark_progress_dirty(job)
+        cell.note(
+            "task.crash-recorded",
+            task=str(run.task),
+            run=run.number,
+            executor=executor.listing.id,
+            shared=len(crashes.shared_executors),
+            isolated=len(crashes.isolated_executors),
+        )
+        return crashes
+
+    def _give_up(
+        self,
+        job: _jobs.Job,
+        run: _runs.Run,
+        crashes: _progress.TaskCrashes,
+        now: _time.Now,
+    ) -> None:
+        """Fails the job of a task that crashes its executors."""
+        executors = (*crashes.shared_executors, *crashes.isolated_executors)
+        self._cell.note(
+            "job.given-up",
+            job=job.id,
+            task=str(run.task),
+            executors=" ".join(executors),
+        )
+        self._cell.finish_job(job, _progress.JobState.FAILED, now)
+
+    def _back_off(
+        self,
+        job: _jobs.Job,
+        run: _runs.Run,
+        crashes: _progress.TaskCrashes,
+        now: _time.Now,
+    ) -> None:
+        """Delays the next start of a lasting task that waits for it."""
+        crash_count = len(crashes.isolated_executors)
+        place = _cell_state.place_in_job(run.task)
+        waiting_tasks = job.waiting_tasks_by_step.get(place[:2])
+        if (
+            not crash_count
+            or waiting_tasks is None
+            or place[2] not in waiting_tasks.ready_s_by_index
+        ):
+            return
+        delay_s = min(FIRST_BACKOFF_S * 2 ** (crash_count - 1), MAX_BACKOFF_S)
+        job.requeue_task(place, now.boot_s, delay_s)
+
+    def _clear_attempt(self, run: _runs.Run) -> None:
+        """Records that an isolated run has passed its probation.
+
+        The crashes of a task that runs until cancelled are forgotten with it,
+        so that it does not wait for what was long ago.
+        """
+        job = self._cell.find_job(run.task)
+        if job is None:
+            return
+        place = _cell_state.place_in_job(run.task)
+        crashes = job.progress.crashes_by_position.get(place)
+        if crashes is None:
+            return
+        settled = dataclasses.replace(crashes, attempt_executor="")
+        if run.step.runs_until_cancelled or settled == _progress.TaskCrashes():
+            del job.progress.crashes_by_position[place]
+        else:
+            job.progress.crashes_by_position[place] = settled
+        self._cell.mark_progress_dirty(job)
+
+
+def record_attempt(
+    cell: _cell_state.CellState, job: _jobs.Job, run: _runs.Run
+) -> None:
+    """Records where a task is started in isolation, to be stored before.
+
+    Of a gang, members without a crash have no record of their own.
+    """
+    place = _cell_state.place_in_job(run.task)
+    crashes = job.progress.crashes_by_position.get(
+        place, _progress.TaskCrashes()
+    )
+    job.progress.crashes_by_position[place] = dataclasses.replace(
+        crashes, attempt_executor=run.executor
+    )
+    cell.mark_progress_dirty(job)
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -30,6 +30,11 @@
         lease_until_ms: Latest end of a lease that was sent, on its clock.
         run_by_key: Its runs, also those whose start is not confirmed.
         stopping_run_by_key: Its runs that are to be stopped.
+        unproven_run_by_key: Its runs that a crash may be put down to; those
+            that are to be stopped are left out.
+        isolated_for: Task for whose isolated start no other task is placed on
+            it, of a gang the first; None for none.
+        isolation_ends_s: Time until which it waits for that start.
         run_count_by_job: Number of its runs by the id of their job; jobs
             without a run on it are left out.
         processed_end_number: Highest number of an ended run that the scheduler
@@ -87,6 +92,11 @@
     stopping_run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
         default_factory=dict
     )
+    unproven_run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
+        default_factory=dict
+    )
+    isolated_for: _job_spec.TaskId | None = None
+    isolation_ends_s: float = 0.0
     run_count_by_job: dict[str, int] = dataclasses.field(default_factory=dict)
     processed_end_number: int = 0
     stored_end_number: int = 0
@@ -141,6 +151,8 @@
         self.run_by_key[run.task, run.number] = run
         if run.phase is _runs.RunPhase.STOPPING:
             self.stopping_run_by_key[run.task, run.number] = run
+        elif not run.is_proven:
+            self.unproven_run_by_key[run.task, run.number] = run
         self._update_totals(run, 1)
 
     def remove_run(self, run: _runs.Run) -> None:
@@ -149,6 +161,32 @@
         if self.run_by_key.pop(key, None) is not None:
             self._update_totals(run, -1)
             self.stopping_run_by_key.pop(key, None)
+            self._drop_unproven_run(key)
+
+    def mark_proven(self, run: _runs.Run) -> None:
+        """Marks a run as one that a crash is not put down to."""
+        run.is_proven = True
+        self._drop_unproven_run((run.task, run.number))
+
+    def _drop_unproven_run(self, key: RunKey) -> None:
+        """Removes an unproven run; the last isolated one ends the isolation."""
+        run = self.unproven_run_by_key.pop(key, None)
+        if run is None or not run.is_isolated:
+            return
+        if not any(e.is_isolated for e in self.unproven_run_by_key.values()):
+            self.isolated_for = None
+
+    def isolate_for(self, task: _job_spec.TaskId, until_s: float) -> None:
+        """Keeps other tasks off until an isolated start, or until a time."""
+        self.isolated_for = task
+        self.isolation_ends_s = until_s
+
+    def end_overdue_isolation(self, now_s: float) -> None:
+        """Ends the wait for an isolated start that did not come in time."""
+        if now_s < self.isolation_ends_s:
+            return
+        if not any(e.is_isolated for e in self.unproven_run_by_key.values()):
+            self.isolated_for = None
 
     def stop_run(self, run: _runs.Run, now_s: float) -> None:
         """Marks a run as stopping, with a stop order due at once.
@@ -164,6 +202,7 @@
         run.mark_stopping(now_s)
         if is_present:
             self.stopping_run_by_key[key] = run
+            self._drop_unproven_run(key)
             self._update_turnover(run, 1)
             self.revision += 1
 
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -192,6 +192,21 @@
         """Returns whether a waiting task's start goes before short tasks."""
         return now_s >= self.urgent_from_s_by_place.get(place, float("inf"))
 
+    def needs_isolated_start(self, task: _job_spec.TaskId) -> bool:
+        """Returns whether a task starts only apart from other unproven runs.
+
+        The members of a gang start together, so the crashes of one count for
+        all.
+        """
+        crashes_by_position = self.progress.crashes_by_position
+        if not crashes_by_position:
+            return False
+        if not self.spec.steps[task.step].gang:
+            place = (task.occurrence, task.step, task.index)
+            return place in crashes_by_position
+        key = (task.occurrence, task.step)
+        return any(place[:2] == key for place in crashes_by_position)
+
     def earliest_urgent_start_s(self) -> float:
         """Returns when the first of the waiting tasks' starts is urgent."""
         return min(
@@ -230,6 +245,7 @@
             return False
         self.progress.completed_positions.add(place)
         self.progress.checkpoint_by_position.pop(place, None)
+        self.progress.crashes_by_position.pop(place, None)
         key = place[:2]
         self.done_count_by_step[key] = self.done_count_by_step.get(key, 0) + 1
         return True
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -6,8 +6,10 @@
 import dataclasses
 
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _inherited_runs
+from basiljunction.coordination.scheduling import _isolated_starts
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _ordering
 from basiljunction.coordination.scheduling import _orders
@@ -77,6 +79,7 @@
             tuple[str, str | None], _job_spec.Resources
         ] = {}
         self._unplaceable_steps: set[tuple[str, int, int]] = set()
+        self._isolated_starts = _isolated_starts.IsolatedStarts(cell)
 
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
         """Returns whether each step of a job fits some executor when empty.
@@ -116,11 +119,15 @@
         self._unplaceable_size_by_kind.clear()
         self._unplaceable_steps.clear()
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
+        self._isolated_starts.begin_pass(now)
         for executor in cell.executor_by_id.values():
-            if cell.is_usable(executor, now.boot_s):
+            if executor.isolated_for is None and cell.is_usable(
+                executor, now.boot_s
+            ):
                 executors_by_service.setdefault(
                     executor.listing.service, []
                 ).append(executor)
+        self._isolated_starts.set_executors(executors_by_service)
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
         urgent_budget = self._place_jobs(
@@ -311,6 +318,20 @@
                 approved_executors = self._cell.approvals.approved_executors(
                     key, executors, now.boot_s
                 )
+            if job.progress.crashes_by_position:
+                budget = self._place_isolated_tasks(
+                    job,
+                    waiting_tasks,
+                    approved_executors,
+                    budget,
+                    now,
+                    urgent_only=urgent_only,
+                )
+                if budget <= 0:
+                    return budget
+                approved_executors = [
+                    e for e in approved_executors if e.isolated_for is None
+                ]
             budget = self._place_step_tasks(
                 job,
                 waiting_tasks,
@@ -376,6 +397,43 @@
                 break
         return budget
 
+    def _place_isolated_tasks(
+        self,
+        job: _jobs.Job,
+        waiting_tasks: _jobs.WaitingTasks,
+        executors: list[_executors.ExecutorState],
+        budget: int,
+        now: _time.Now,
+        *,
+        urgent_only: bool,
+    ) -> int:
+        """Starts tasks of a step that may only start in isolation.
+
+        A gang is left to `_place_gang`.
+
+        Returns:
+            The remaining budget.
+        """
+        step = job.spec.steps[waiting_tasks.step]
+        for task, waited_s in self._tasks_to_place(
+            job, waiting_tasks, now, urgent_only=urgent_only, isolated=True
+        ):
+            if step.gang or budget <= 0:
+                break
+            failed_ids = _executor_ids_to_avoid(job, step, task, waited_s)
+            chosen = self._isolated_starts.choose_executor(
+                step,
+                task,
+                _without_failed_executors(executors, failed_ids),
+                now.boot_s,
+            )
+            if chosen is None:
+                continue
+            number = self._cell.next_run_number()
+            self._start_run(job, task, chosen, number, now, is_isolated=True)
+            budget -= 1
+        return budget
+
     def _tasks_to_place(
         self,
         job: _jobs.Job,
@@ -383,9 +441,12 @@
         now: _time.Now,
         *,
         urgent_only: bool,
+        isolated: bool = False,
     ) -> Iterator[tuple[_job_spec.TaskId, float]]:
         """Yields the tasks of a step that may start, with their waits in s.
 
+        They are those that start in isolation, or those that don't.
+
         The capacity that is kept for short tasks is checked anew for each task,
         since starts use it up.
         """
@@ -396,13 +457,16 @@
             is_urgent = job.is_start_urgent((*key, index), now.boot_s)
             if waited_s < 0 or (urgent_only and not is_urgent):
                 continue
+            task = _job_spec.TaskId(job.id, *key, index)
+            if job.needs_isolated_start(task) is not isolated:
+                continue
             if _inherited_runs.may_run_unlisted(self._cell, job, (*key, index)):
                 continue
             if not is_urgent and not self._may_start_beside_short_tasks(
                 job, step, waited_s
             ):
                 return
-            yield _job_spec.TaskId(job.id, *key, index), waited_s
+            yield task, waited_s
 
     def _request_approval(
         self,
@@ -516,9 +580,15 @@
         first = _job_spec.TaskId(
             job.id, waiting_tasks.occurrence, waiting_tasks.step, 0
         )
-        chosen = _placement.choose_gang(
-            step, first, step.count, executors, self._cell.sharing
-        )
+        is_isolated = job.needs_isolated_start(first)
+        if is_isolated:
+            chosen = self._isolated_starts.choose_gang(
+                step, first, executors, now.boot_s
+            )
+        else:
+            chosen = _placement.choose_gang(
+                step, first, step.count, executors, self._cell.sharing
+            )
         if chosen is None:
             return 0
         number = self._cell.next_run_number()
@@ -526,7 +596,9 @@
             task = _job_spec.TaskId(
                 job.id, waiting_tasks.occurrence, waiting_tasks.step, index
             )
-            self._start_run(job, task, executor, number, now)
+            self._start_run(
+                job, task, executor, number, now, is_isolated=is_isolated
+            )
         return step.count
 
     def _start_run(
@@ -536,6 +608,8 @@
         executor: _executors.ExecutorState,
         number: int,
         now: _time.Now,
+        *,
+        is_isolated: bool = False,
     ) -> None:
         """Creates a run of a task, books its capacity and orders its start."""
         cell = self._cell
@@ -548,6 +622,7 @@
             phase=_runs.RunPhase.ORDERED,
             phase_since_s=now.boot_s,
             checkpoint=self._checkpoint_to_resume(job, task, step),
+            is_isolated=is_isolated,
         )
         run.started_without_checkpoint = not run.checkpoint
         executor.add_run(run)
@@ -567,6 +642,8 @@
         )
         cell.set_current_run(job, run)
         cell.note_executor_of_lasting_task(job, run)
+        if is_isolated:
+            _crashes.record_attempt(cell, job, run)
         if not step.fills:
             capacity = self._capacity_by_service[job.queue.service]
             capacity.free_millicores -= step.size.cpu_millicores
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -5,6 +5,7 @@
 """
 
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
@@ -30,6 +31,7 @@
 
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
+        self._crashes = _crashes.CrashRecorder(cell)
 
     def tick(self, now: _time.Now) -> None:
         """Sends due renewals and stop orders, and releases expired runs."""
@@ -60,9 +62,9 @@
         if cell.is_term_confirmed and may_extend:
             until_ms = executor.extend_lease(now.boot_s, cell.times.lease_s)
         # A run that never began has no end that would cut the wait short.
-        is_short = (
-            is_first or is_retry or unstored or executor.has_unconfirmed_runs()
-        )
+        is_settling = unstored or executor.has_unconfirmed_runs()
+        is_isolated = executor.isolated_for is not None
+        is_short = is_first or is_retry or is_settling or is_isolated
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
         cell.orders.append(
@@ -123,8 +125,12 @@
         if now.boot_s - executor.last_answer_s < _limits.CONTACT_TIMEOUT_S:
             return
         for run in executor.run_by_key.values():
-            if run.step.speculative and not run.is_superseded:
-                self._cell.supersede_run(run, "executor-silent", now)
+            if not run.step.speculative or run.is_superseded:
+                continue
+            if run.is_isolated and not run.is_proven:
+                continue
+            if self._cell.supersede_run(run, "executor-silent", now):
+                self._crashes.suspect_run(executor, run)
 
     def handle_failure(
         self,
@@ -199,6 +205,7 @@
         for running in report.active_runs:
             self._update_listed_run(executor, running, now)
         self._settle_unlisted_runs(executor, listed, sent_s, now)
+        self._crashes.prove_listed_runs(executor, listed, sent_s)
         self._restart_slow_tasks(executor, now)
         self._restart_stalled_tasks(executor, now)
         self._relieve_serving_tasks(executor, now)
@@ -210,6 +217,8 @@
             if unstored
             else _limits.RENEWAL_DELAY_S
         )
+        if executor.isolated_for is not None:
+            gap_s = _crashes.ISOLATED_RENEWAL_DELAY_S
         executor.next_renewal_s = now.boot_s + gap_s
 
     def _restart_stalled_tasks(
@@ -317,6 +326,7 @@
         executor.lease_until_ms = min(executor.lease_until_ms, longest_ms)
         executor.inherited_until_s = None
         executor.next_renewal_s = now.boot_s
+        suspects = self._crashes.find_suspects(executor)
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.life-ended",
@@ -330,6 +340,7 @@
                 executor.stop_run(run, now.boot_s)
             else:
                 self._cell.release_run(executor, run, now)
+        self._crashes.record_crash(executor, suspects, now)
 
     def _update_listed_run(
         self,
@@ -374,6 +385,7 @@
             phase=_runs.RunPhase.RUNNING,
             phase_since_s=now.boot_s,
             was_confirmed=True,
+            is_proven=True,
         )
         executor.add_run(run)
         is_free = report.task not in cell.current_run_by_task
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -41,6 +41,10 @@
         is_preempted: Whether it was stopped in favor of a short task.
         is_superseded: Whether its task was requeued to run a second time
             beside it.
+        is_start_held: Whether its start order waits for a batch to be stored.
+        is_proven: Whether it was listed long enough after its start that a
+            crash of its executor is not put down to it.
+        is_isolated: Whether it was started apart from other unproven runs.
         started_without_checkpoint: Whether it is known to have started without
             a checkpoint.
         progress_percent: Progress as last reported.
@@ -73,6 +77,9 @@
     was_confirmed: bool = False
     is_preempted: bool = False
     is_superseded: bool = False
+    is_start_held: bool = False
+    is_proven: bool = False
+    is_isolated: bool = False
     started_without_checkpoint: bool = False
     progress_percent: float = 0.0
     progress_changed_s: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -582,6 +582,7 @@
         if run.phase is not _runs.RunPhase.ORDERED:
             return
         if cell.is_usable(executor, now.boot_s):
+            run.is_start_held = False
             cell.orders.append(order)
         else:
             # It was not sent, so the task can start elsewhere at once.
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -238,6 +238,16 @@
             (*place, executor)
             for place, executor in progress.executor_by_position.items()
         ]
+    if progress.crashes_by_position:
+        document["crashes"] = [
+            (
+                *place,
+                crashes.shared_executors,
+                crashes.isolated_executors,
+                crashes.attempt_executor,
+            )
+            for place, crashes in progress.crashes_by_position.items()
+        ]
     return document
 
 
@@ -263,6 +273,14 @@
             if "executors" in document
             else None
         ),
+        crashes_by_position={
+            _parse_position(row[:3]): _progress.TaskCrashes(
+                tuple(str(each) for each in row[3]),
+                tuple(str(each) for each in row[4]),
+                str(row[5]),
+            )
+            for row in document.get("crashes", ())
+        },
     )
 
 
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -26,6 +26,38 @@
 """Position of a task within its job: occurrence, step and index, from 0."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskCrashes:
+    """Crashes of executors that one task may have caused.
+
+    Attributes:
+        shared_executors: Executors that crashed while the task was one of the
+            suspects.
+        isolated_executors: Executors that crashed while it was the only one.
+        attempt_executor: Executor of its isolated start whose outcome is not
+            known yet; empty for none.
+    """
+
+    shared_executors: tuple[str, ...] = ()
+    isolated_executors: tuple[str, ...] = ()
+    attempt_executor: str = ""
+
+    def with_crash(self, executor: str, *, is_isolated: bool) -> "TaskCrashes":
+        """Returns the crashes with another one; each executor counts once."""
+        attempt = self.attempt_executor
+        known = (*self.shared_executors, *self.isolated_executors)
+        shared = self.shared_executors
+        isolated = self.isolated_executors
+        if executor not in known:
+            if is_isolated:
+                isolated = (*isolated, executor)
+            else:
+                shared = (*shared, executor)
+        return TaskCrashes(
+            shared, isolated, "" if attempt == executor else attempt
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class JobProgress:
     """Stored progress of one job.
@@ -44,6 +76,8 @@
             until cancelled, stored before the run may start; None if an
             earlier version of the program may have started some, or if the
             job has no such task.
+        crashes_by_position: Crashes of executors by position of each task that
+            may have caused them, stored before the task starts again.
     """
 
     state: JobState = JobState.PENDING
@@ -58,6 +92,9 @@
     )
     finished_wall_s: float = 0.0
     executor_by_position: dict[TaskPosition, str] | None = None
+    crashes_by_position: dict[TaskPosition, TaskCrashes] = dataclasses.field(
+        default_factory=dict
+    )
 
     def copy_to_store(self) -> "JobProgress":
         """Returns a copy of what a successor needs to know.
@@ -85,6 +122,7 @@
                 if self.executor_by_position is None
                 else dict(self.executor_by_position)
             ),
+            crashes_by_position=dict(self.crashes_by_position),
         )
 
 
