Count a crash together with a rack as weak evidence against a task

A rack that loses power takes an isolated run with it, which says little of that run. If at least three executors and most of those with the same labels and zone are lost within some seconds, the crash counts as one with other suspects. So that nothing is started without end, a task with four crashes of any kind is given up, one start after the third.

Further tests: several culprits at once, isolation in time, the record stored before the start, lost schedulers, lasting tasks, gangs, copies and repeats.

--- a/src/basiljunction/coordination/scheduling/_crashes.py
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -13,6 +13,7 @@
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state import _time
 from basiljunction.state.workload import _progress
@@ -29,6 +30,17 @@
 it; an isolated start rarely meets an unrelated crash, let alone two.
 """
 
+MAX_CRASHES = 4
+"""Crashes on record at which the job of a task is given up even if others may
+have caused some of them: one start more than three crashes call for."""
+
+GROUP_WINDOW_S = 4.0
+"""Time within which executors of a group that go silent count as lost
+together, in seconds: an executor may take some seconds to come back."""
+
+MIN_GROUP_CRASHES = 3
+"""Fewest executors that count as lost together."""
+
 ISOLATED_RENEWAL_DELAY_S = 0.25
 """Delay between two lease renewals of an executor that is kept free for an
 isolated start, in seconds: half the probation."""
@@ -122,11 +134,13 @@
         """
         if not suspects:
             return
-        is_isolated = suspects[0].is_isolated
+        is_group = self._has_crashed_with_group(executor, now)
+        is_isolated = suspects[0].is_isolated and not is_group
         self._cell.note(
             "executor.crashed",
             executor=executor.listing.id,
             isolated=is_isolated,
+            with_group=is_group,
             suspect_count=len(suspects),
             suspects=" ".join(
                 str(run.task) for run in suspects[:MAX_NOTED_SUSPECTS]
@@ -139,9 +153,37 @@
                 continue
             if run.step.runs_until_cancelled:
                 self._back_off(job, run, crashes, now)
-            elif len(crashes.isolated_executors) >= MAX_ISOLATED_CRASHES:
+            elif (
+                len(crashes.isolated_executors) >= MAX_ISOLATED_CRASHES
+                or crashes.count >= MAX_CRASHES
+            ):
                 self._give_up(job, run, crashes, now)
 
+    def _has_crashed_with_group(
+        self, executor: _executors.ExecutorState, now: _time.Now
+    ) -> bool:
+        """Returns whether most executors of the same labels are lost too.
+
+        Executors of one rack lose power together.
+        """
+        listing = executor.listing
+        lost_count = 0
+        alive_count = 0
+        for other in self._cell.executor_by_id.values():
+            if (
+                other.listing.zone != listing.zone
+                or other.listing.labels != listing.labels
+            ):
+                continue
+            if self._cell.is_in_contact(other, now.boot_s):
+                alive_count += 1
+            elif other.last_answer_s is not None and (
+                now.boot_s - other.last_answer_s
+                < GROUP_WINDOW_S + _limits.CONTACT_TIMEOUT_S
+            ):
+                lost_count += 1
+        return lost_count >= MIN_GROUP_CRASHES and lost_count > alive_count
+
     def _record(
         self,
         executor: _executors.ExecutorState,
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -33,7 +33,8 @@
     Attributes:
         shared_executors: Executors that crashed while the task was one of the
             suspects.
-        isolated_executors: Executors that crashed while it was the only one.
+        isolated_executors: Executors that crashed while it was the only one,
+            and not with the others of their rack.
         attempt_executor: Executor of its isolated start whose outcome is not
             known yet; empty for none.
     """
@@ -42,6 +43,11 @@
     isolated_executors: tuple[str, ...] = ()
     attempt_executor: str = ""
 
+    @property
+    def count(self) -> int:
+        """Number of crashed executors."""
+        return len(self.shared_executors) + len(self.isolated_executors)
+
     def with_crash(self, executor: str, *, is_isolated: bool) -> "TaskCrashes":
         """Returns the crashes with another one; each executor counts once."""
         attempt = self.attempt_executor
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -206,7 +206,7 @@
         )
         key = (order.task, order.run)
         if not self.stop_time_s:
-            self._end_run(key, _executor.RunEndKind.STOPPED)
+            self.end_run(key, _executor.RunEndKind.STOPPED)
         elif key in self.run_by_key and self.run_by_key[key].stopped_s is None:
             self.run_by_key[key].stopped_s = self.rig.now_s + self.stop_time_s
 
@@ -263,11 +263,11 @@
         """Ends runs that are finished, or all runs if the lease has expired."""
         for key, run in list(self.run_by_key.items()):
             if self.clock_ms >= self.lease_ms:
-                self._end_run(key, _executor.RunEndKind.LAPSED)
+                self.end_run(key, _executor.RunEndKind.LAPSED)
             elif run.stopped_s is not None and self.rig.now_s >= run.stopped_s:
-                self._end_run(key, _executor.RunEndKind.STOPPED)
+                self.end_run(key, _executor.RunEndKind.STOPPED)
             elif self.rig.now_s >= run.end_s and not self.is_hanging:
-                self._end_run(key, run.kind)
+                self.end_run(key, run.kind)
 
     def has_room_for(self, size: _job_spec.Resources) -> bool:
         """Returns whether the runs leave room for another of a size."""
@@ -280,9 +280,9 @@
         """Ends all runs that last until cancelled as failed."""
         for key, run in list(self.run_by_key.items()):
             if run.step.runs_until_cancelled:
-                self._end_run(key, _executor.RunEndKind.FAILED)
+                self.end_run(key, _executor.RunEndKind.FAILED)
 
-    def _end_run(self, key: RunKey, kind: _executor.RunEndKind) -> None:
+    def end_run(self, key: RunKey, kind: _executor.RunEndKind) -> None:
         """Ends a run, if it is running, and adds the end to the reports."""
         if self.run_by_key.pop(key, None) is None:
             return
--- a/tests/crash_rig.py
+++ b/tests/crash_rig.py
@@ -56,10 +56,24 @@
         """Crashes an executor, which is back after `restart_s`."""
         executor = self.executor_by_id[executor_id]
         executor.is_up = False
+        self._break_gangs(executor)
         executor.run_by_key.clear()
         executor.ends.clear()
         self._restarts.append((self.now_s + restart_s, executor_id))
 
+    def _break_gangs(self, executor: cell_rig.SimulatedExecutor) -> None:
+        """Ends the runs of gangs that lose a member with an executor."""
+        lost = {
+            (task.job, task.occurrence, task.step, number)
+            for (task, number), run in executor.run_by_key.items()
+            if run.step.gang
+        }
+        for other in self.executor_by_id.values():
+            for task, number in list(other.run_by_key):
+                gang = (task.job, task.occurrence, task.step, number)
+                if other is not executor and gang in lost:
+                    other.end_run((task, number), _executor.RunEndKind.BROKEN)
+
     def check_start(
         self, executor: cell_rig.SimulatedExecutor, order: _orders.StartOrder
     ) -> None:
