Release at once a run whose start another incarnation has refused

What callers saw: a task whose start reached the successor of a crashed executor waited until the lease of the old one had expired, and counted as a suspect of its crash.

Cause: the refusal was taken for an unclear answer. The order names the executor that it is for, and a start is sent once, so a refusal by another incarnation proves that the run never began and never will.

Change: the run is released and the executor avoided for a while, as after the refusal of an unhealthy one.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -683,4 +683,12 @@
         "        if (",
         f"{_TESTS}/test_crashes.py",
     ),
+    _mutation(
+        "refusal-by-another-incarnation-unsettled",
+        "short waits",
+        f"{_SCHEDULING}/_orders.py",
+        "            StartResult.OTHER_LIFE,\n",
+        "",
+        f"{_TESTS}/test_crashes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_orders.py
+++ b/src/basiljunction/coordination/scheduling/_orders.py
@@ -122,7 +122,8 @@
         SUPERSEDED: The executor refused the run number as outdated.
         UNHEALTHY: The executor is unhealthy, or the order was not sent.
         MALFORMED: The executor could not parse the order.
-        OTHER_LIFE: Another incarnation of the executor answered.
+        OTHER_LIFE: Another incarnation of the executor refused the order, which
+            names the one that it is for.
         NOT_APPROVED: The executor refused the proof of approval.
         UNKNOWN: No clear answer; the run may exist.
     """
@@ -147,6 +148,7 @@
             StartResult.FENCED,
             StartResult.UNHEALTHY,
             StartResult.MALFORMED,
+            StartResult.OTHER_LIFE,
             StartResult.NOT_APPROVED,
         )
 
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -609,6 +609,7 @@
 
 _AVOIDANCE_S_BY_START_RESULT = {
     _orders.StartResult.UNHEALTHY: _limits.UNHEALTHY_AVOID_S,
+    _orders.StartResult.OTHER_LIFE: _limits.UNHEALTHY_AVOID_S,
     _orders.StartResult.NO_ROOM: _limits.RENEWAL_RETRY_S,
 }
 """Seconds without placement on an executor after it refused a start order."""
--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -301,3 +301,23 @@
             rig.crashing_tasks = frozenset()
         rig.run(20.0)
         assert rig.state_of(_CULPRIT_JOB_ID) is _progress.JobState.COMPLETED
+
+
+class TestStartRefusedByAnotherIncarnation:
+    """The start has done nothing, so its task neither waits nor is blamed."""
+
+    def test_its_task_starts_elsewhere_at_once(self) -> None:
+        rig = _make_rig(2)
+        rig.run(1.0)
+        rig.replaced_ids.add("e0")
+        rig.executor_by_id["e0"].is_up = False
+        rig.crashing_tasks = frozenset()
+        rig.submit(build.accepted_job(build.step_spec(count=4)))
+        rig.run(0.5)
+        assert "e0" in {
+            note.value_by_field["executor"]
+            for note in rig.find_notes("task.started")
+        }
+        assert len(rig.starts) == 4
+        rig.run(3.0)
+        assert rig.find_notes("task.crash-recorded") == []
