Remember an isolated start whose scheduler is lost before its executor's crash is known

A crash that nobody had learned of by then counted for no task.

Cause: a crash becomes known by the restart of the executor, seconds later. A successor knows neither the run nor its executor, and executors that restart under their id were taken for one.

Change: the record of a task names the incarnation of its isolated start, stored before the start is sent. The successor counts a crash if another incarnation answers in its place, and none if the same one answers or nobody does. Crashes are recorded by incarnation, so that an executor that restarts under its id counts each time. Records without the field read as before.

Evidence: two schedulers are lost 0.3 s after a crash under an isolated start; without this the mutations attempts-of-earlier-terms-forgotten and restarts-under-one-id-count-once fail the new tests.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -655,8 +655,8 @@
         "crashes-not-counted",
         "crashing tasks",
         f"{_SCHEDULING}/_crashes.py",
-        "                self._give_up(job, run, crashes, now)\n",
-        "                pass\n",
+        "            self._give_up(job, task, crashes, now)\n",
+        "            pass\n",
         f"{_TESTS}/test_crashes.py",
     ),
     _mutation(
@@ -691,4 +691,20 @@
         "",
         f"{_TESTS}/test_crashes.py",
     ),
+    _mutation(
+        "attempts-of-earlier-terms-forgotten",
+        "crashing tasks",
+        f"{_SCHEDULING}/_scheduler.py",
+        "        self._renewals.restore()\n",
+        "",
+        f"{_TESTS}/test_crashes.py",
+    ),
+    _mutation(
+        "restarts-under-one-id-count-once",
+        "crashing tasks",
+        f"{_SCHEDULING}/_executors.py",
+        'return f"{self.listing.id}@{self.started_wall_ms}"',
+        'return f"{self.listing.id}@"',
+        f"{_TESTS}/test_crashes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_crashes.py
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -16,6 +16,7 @@
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state import _time
+from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 
 PROBATION_S = 0.5
@@ -56,6 +57,19 @@
 """Most suspects of a crash that a log entry names."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of an executor.
+
+    Attributes:
+        incarnation: The incarnation that crashed.
+        suspects: Runs that may have caused it.
+    """
+
+    incarnation: str
+    suspects: tuple[_runs.Run, ...]
+
+
 class CrashRecorder:
     """Records which tasks may have crashed an executor, and gives up jobs.
 
@@ -65,6 +79,9 @@
 
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
+        self._inherited_attempts_by_executor: dict[
+            str, list[_job_spec.TaskId]
+        ] = {}
 
     def prove_listed_runs(
         self,
@@ -89,22 +106,21 @@
                 if run.is_isolated:
                     self._clear_attempt(run)
 
-    def find_suspects(
-        self, executor: _executors.ExecutorState
-    ) -> list[_runs.Run]:
+    def find_crash(self, executor: _executors.ExecutorState) -> Crash:
         """Returns the runs that may have crashed an executor.
 
         A run that was started in isolation is the only suspect. An executor
         that drains exits by itself.
         """
         if executor.listing.is_draining:
-            return []
-        suspects = [
+            return Crash(executor.incarnation, ())
+        suspects = tuple(
             run
             for run in executor.unproven_run_by_key.values()
             if not run.is_start_held
-        ]
-        return [run for run in suspects if run.is_isolated] or suspects
+        )
+        isolated = tuple(run for run in suspects if run.is_isolated)
+        return Crash(executor.incarnation, isolated or suspects)
 
     def suspect_run(
         self, executor: _executors.ExecutorState, run: _runs.Run
@@ -115,12 +131,12 @@
         has crashed.
         """
         if not run.is_proven:
-            self._record(executor, run, is_isolated=False)
+            self._record(executor.incarnation, run.task, is_isolated=False)
 
     def record_crash(
         self,
         executor: _executors.ExecutorState,
-        suspects: list[_runs.Run],
+        crash: Crash,
         now: _time.Now,
     ) -> None:
         """Records the crash of an executor with all of its suspects.
@@ -129,9 +145,11 @@
 
         Args:
             executor: The executor.
-            suspects: What `find_suspects` returned of it.
+            crash: What `find_crash` returned of it.
             now: The time.
         """
+        self.settle_inherited_attempts(executor, "", now)
+        suspects = crash.suspects
         if not suspects:
             return
         is_group = self._has_crashed_with_group(executor, now)
@@ -147,17 +165,71 @@
             ),
         )
         for run in suspects:
-            crashes = self._record(executor, run, is_isolated=is_isolated)
-            job = self._cell.find_job(run.task)
-            if crashes is None or job is None:
+            self._blame(
+                crash.incarnation, run.task, now, is_isolated=is_isolated
+            )
+
+    def restore(self) -> None:
+        """Remembers the isolated starts of earlier terms that are not settled.
+
+        A restart of their executor since then tells that it crashed.
+        """
+        for job in self._cell.job_by_id.values():
+            for place, crashes in job.progress.crashes_by_position.items():
+                executor_id, _, _ = crashes.attempt_executor.rpartition("@")
+                if executor_id:
+                    self._inherited_attempts_by_executor.setdefault(
+                        executor_id, []
+                    ).append(_job_spec.TaskId(job.id, *place))
+
+    def settle_inherited_attempts(
+        self,
+        executor: _executors.ExecutorState,
+        incarnation: str,
+        now: _time.Now,
+    ) -> None:
+        """Blames tasks whose isolated start was on another incarnation.
+
+        Args:
+            executor: The executor of the starts, which earlier terms ordered.
+            incarnation: The incarnation that answered; empty if it is another
+                executor.
+            now: The time.
+        """
+        tasks = self._inherited_attempts_by_executor.pop(
+            executor.listing.id, ()
+        )
+        for task in tasks:
+            job = self._cell.find_job(task)
+            place = _cell_state.place_in_job(task)
+            if job is None or place not in job.progress.crashes_by_position:
                 continue
-            if run.step.runs_until_cancelled:
-                self._back_off(job, run, crashes, now)
-            elif (
-                len(crashes.isolated_executors) >= MAX_ISOLATED_CRASHES
-                or crashes.count >= MAX_CRASHES
-            ):
-                self._give_up(job, run, crashes, now)
+            attempt = job.progress.crashes_by_position[place].attempt_executor
+            # This term may have started the task again elsewhere.
+            executor_id, _, _ = attempt.rpartition("@")
+            if executor_id == executor.listing.id and attempt != incarnation:
+                self._blame(attempt, task, now, is_isolated=True)
+
+    def _blame(
+        self,
+        incarnation: str,
+        task: _job_spec.TaskId,
+        now: _time.Now,
+        *,
+        is_isolated: bool,
+    ) -> None:
+        """Records a crash of a task, and gives up its job or lets it wait."""
+        crashes = self._record(incarnation, task, is_isolated=is_isolated)
+        job = self._cell.find_job(task)
+        if crashes is None or job is None:
+            return
+        if job.spec.steps[task.step].runs_until_cancelled:
+            self._back_off(job, task, crashes, now)
+        elif (
+            len(crashes.isolated_executors) >= MAX_ISOLATED_CRASHES
+            or crashes.count >= MAX_CRASHES
+        ):
+            self._give_up(job, task, crashes, now)
 
     def _has_crashed_with_group(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -186,8 +258,8 @@
 
     def _record(
         self,
-        executor: _executors.ExecutorState,
-        run: _runs.Run,
+        incarnation: str,
+        task: _job_spec.TaskId,
         *,
         is_isolated: bool,
     ) -> _progress.TaskCrashes | None:
@@ -197,20 +269,19 @@
             All crashes of the task; None if it is finished.
         """
         cell = self._cell
-        job = cell.find_job(run.task)
-        if job is None or not cell.is_task_unfinished(run.task):
+        job = cell.find_job(task)
+        if job is None or not cell.is_task_unfinished(task):
             return None
-        place = _cell_state.place_in_job(run.task)
+        place = _cell_state.place_in_job(task)
         crashes = job.progress.crashes_by_position.get(
             place, _progress.TaskCrashes()
-        ).with_crash(executor.listing.id, is_isolated=is_isolated)
+        ).with_crash(incarnation, is_isolated=is_isolated)
         job.progress.crashes_by_position[place] = crashes
         cell.mark_progress_dirty(job)
         cell.note(
             "task.crash-recorded",
-            task=str(run.task),
-            run=run.number,
-            executor=executor.listing.id,
+            task=str(task),
+            executor=incarnation,
             shared=len(crashes.shared_executors),
             isolated=len(crashes.isolated_executors),
         )
@@ -219,7 +290,7 @@
     def _give_up(
         self,
         job: _jobs.Job,
-        run: _runs.Run,
+        task: _job_spec.TaskId,
         crashes: _progress.TaskCrashes,
         now: _time.Now,
     ) -> None:
@@ -228,7 +299,7 @@
         self._cell.note(
             "job.given-up",
             job=job.id,
-            task=str(run.task),
+            task=str(task),
             executors=" ".join(executors),
         )
         self._cell.finish_job(job, _progress.JobState.FAILED, now)
@@ -236,13 +307,13 @@
     def _back_off(
         self,
         job: _jobs.Job,
-        run: _runs.Run,
+        task: _job_spec.TaskId,
         crashes: _progress.TaskCrashes,
         now: _time.Now,
     ) -> None:
         """Delays the next start of a lasting task that waits for it."""
         crash_count = len(crashes.isolated_executors)
-        place = _cell_state.place_in_job(run.task)
+        place = _cell_state.place_in_job(task)
         waiting_tasks = job.waiting_tasks_by_step.get(place[:2])
         if (
             not crash_count
@@ -275,7 +346,10 @@
 
 
 def record_attempt(
-    cell: _cell_state.CellState, job: _jobs.Job, run: _runs.Run
+    cell: _cell_state.CellState,
+    job: _jobs.Job,
+    run: _runs.Run,
+    executor: _executors.ExecutorState,
 ) -> None:
     """Records where a task is started in isolation, to be stored before.
 
@@ -286,6 +360,6 @@
         place, _progress.TaskCrashes()
     )
     job.progress.crashes_by_position[place] = dataclasses.replace(
-        crashes, attempt_executor=run.executor
+        crashes, attempt_executor=executor.incarnation
     )
     cell.mark_progress_dirty(job)
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -146,6 +146,11 @@
         self.revision += 1
         self._update_free_capacity()
 
+    @property
+    def incarnation(self) -> str:
+        """Name of the incarnation that answered last, unique over restarts."""
+        return f"{self.listing.id}@{self.started_wall_ms}"
+
     def add_run(self, run: _runs.Run) -> None:
         """Adds a run and reserves its resources."""
         self.run_by_key[run.task, run.number] = run
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -643,7 +643,7 @@
         cell.set_current_run(job, run)
         cell.note_executor_of_lasting_task(job, run)
         if is_isolated:
-            _crashes.record_attempt(cell, job, run)
+            _crashes.record_attempt(cell, job, run, executor)
         if not step.fills:
             capacity = self._capacity_by_service[job.queue.service]
             capacity.free_millicores -= step.size.cpu_millicores
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -33,6 +33,10 @@
         self._cell = cell
         self._crashes = _crashes.CrashRecorder(cell)
 
+    def restore(self) -> None:
+        """Continues what earlier terms stored of crashed executors."""
+        self._crashes.restore()
+
     def tick(self, now: _time.Now) -> None:
         """Sends due renewals and stop orders, and releases expired runs."""
         cell = self._cell
@@ -185,6 +189,9 @@
         ):
             self._end_incarnation(executor, now, cause="answered")
         executor.started_wall_ms = report.started_wall_ms
+        self._crashes.settle_inherited_attempts(
+            executor, executor.incarnation, now
+        )
         if executor.last_answer_s is None and report.active_runs:
             # An earlier term may have granted a lease of full length.
             lease_ms = int(self._cell.times.lease_s * 1000)
@@ -317,6 +324,7 @@
             cause=cause,
             runs=len(executor.run_by_key),
         )
+        crash = self._crashes.find_crash(executor)
         executor.is_suspect = False
         executor.started_wall_ms = 0
         executor.processed_end_number = 0
@@ -326,7 +334,6 @@
         executor.lease_until_ms = min(executor.lease_until_ms, longest_ms)
         executor.inherited_until_s = None
         executor.next_renewal_s = now.boot_s
-        suspects = self._crashes.find_suspects(executor)
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.life-ended",
@@ -340,7 +347,7 @@
                 executor.stop_run(run, now.boot_s)
             else:
                 self._cell.release_run(executor, run, now)
-        self._crashes.record_crash(executor, suspects, now)
+        self._crashes.record_crash(executor, crash, now)
 
     def _update_listed_run(
         self,
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -95,6 +95,7 @@
         self._restore_jobs(stored, now)
         self._restore_executors(stored, inherited_until_s, history)
         cell.has_inherited_runs = bool(cell.executor_by_id)
+        self._renewals.restore()
         self.set_configuration(cell.configuration)
 
     def _restore_jobs(
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -30,6 +30,8 @@
 class TaskCrashes:
     """Crashes of executors that one task may have caused.
 
+    An executor is named by its incarnation, as it may restart under its id.
+
     Attributes:
         shared_executors: Executors that crashed while the task was one of the
             suspects.
--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -191,9 +191,36 @@
         assert len(rig.crashes_by_task[_CULPRIT]) == 2
 
 
+class TestRestartsUnderTheOldId:
+    """Each incarnation of an executor counts, also under the same id."""
+
+    def test_two_executors_that_crash_in_turn(self) -> None:
+        rig = _make_rig(2)
+        rig.keeps_ids = True
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        rig.run(60.0)
+        assert 1 <= len(rig.crashes_by_task[_CULPRIT]) <= _MAX_CRASHES
+        assert rig.state_of(_CULPRIT_JOB_ID) is _progress.JobState.FAILED
+
+
 class TestLostScheduler:
     """The crashes of a task survive the scheduler that saw them."""
 
+    @pytest.mark.parametrize("keeps_ids", [False, True])
+    def test_crash_that_no_scheduler_saw(self, *, keeps_ids: bool) -> None:
+        rig = _make_rig()
+        rig.keeps_ids = keeps_ids
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        for count in (2, 3):
+            _run_until_crashes(rig, _CULPRIT, count)
+            rig.run(0.3)
+            rig.take_over()
+        rig.run(60.0)
+        assert len(rig.crashes_by_task[_CULPRIT]) == 3
+        assert rig.state_of(_CULPRIT_JOB_ID) is _progress.JobState.FAILED
+
     @pytest.mark.parametrize("lost_after_s", [0.3, 1.5, 3.5])
     def test_the_culprit_is_given_up_nevertheless(
         self, lost_after_s: float
--- a/tests/crash_rig.py
+++ b/tests/crash_rig.py
@@ -30,6 +30,7 @@
 
     Attributes:
         crashing_tasks: Tasks that crash each executor that starts them.
+        keeps_ids: Whether crashed executors are back under their old id.
         loses_crash_answers: Whether the answer to such a start is lost.
         crashes_by_task: Time and executor of each crash by the task that
             caused it.
@@ -41,6 +42,7 @@
         self, *entries: _executor.ListedExecutor, seed: int = 1
     ) -> None:
         self.crashing_tasks: Collection[_job_spec.TaskId] = frozenset()
+        self.keeps_ids = False
         self.loses_crash_answers = False
         self.crashes_by_task: collections.defaultdict[
             _job_spec.TaskId, list[tuple[float, str]]
@@ -90,6 +92,10 @@
         due = [each for each in self._restarts if each[0] <= self.now_s]
         self._restarts = [e for e in self._restarts if e[0] > self.now_s]
         for _, executor_id in due:
+            if self.keeps_ids:
+                self.executor_by_id[executor_id].is_up = True
+                self.executor_by_id[executor_id].restart()
+                continue
             self.replaced_ids.add(executor_id)
             old = self.executor_by_id[executor_id].entry
             self.add_executor(dataclasses.replace(old, id=f"{executor_id}'"))
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -21,6 +21,10 @@
     failed_runs_by_position={(0, 1, 2): {7, 1048577}},
     checkpoint_by_position={(0, 1, 2): "c"},
     finished_wall_s=5.5,
+    crashes_by_position={
+        (0, 1, 2): _progress.TaskCrashes(("e1@5", "e2@6"), ("e3@7",), "e4@8"),
+        (0, 1, 3): _progress.TaskCrashes(attempt_executor="e4@8"),
+    },
 )
 
 
@@ -46,6 +50,19 @@
         (keyed,) = _job_records.encode_record(record)
         assert _job_records.decode_record(keyed) == record
 
+    def test_progress_of_an_earlier_version_has_no_crashes(self) -> None:
+        record = _records.ProgressRecord("00000000000000a1", _PROGRESS)
+        (keyed,) = _job_records.encode_record(record)
+        document = json.loads(keyed.value)
+        del document["d"]["crashes"]
+        earlier = _job_records.KeyedRecord(
+            keyed.key, json.dumps(document).encode()
+        )
+        assert _job_records.decode_record(earlier) == dataclasses.replace(
+            record,
+            progress=dataclasses.replace(_PROGRESS, crashes_by_position={}),
+        )
+
     def test_the_time_left_of_a_drain_is_not_stored(self) -> None:
         """It only holds when the executor reports it."""
         entry = build.executor_entry(is_draining=True, drain_left_s=2.0)
