Count executors that are lost with their listing as weak evidence of a crash

What callers would see: a task that crashes executors that stay away for longer than their lease was started without end, as its run had lapsed before the restart became known.

Cause: only the restart counted as a crash. By then the run was released and, once the platform had dropped the entry, the executor forgotten.

An executor that is silent but listed shows nothing. An isolated run that ended settles its attempt, so that no successor takes a later restart of the executor for its crash.

Evidence: a rig whose executors come back after 9 s; the mutations lost-executors-not-counted, silent-executors-counted-as-crashed and ended-attempt-stays-open are noticed.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -707,4 +707,28 @@
         'return f"{self.listing.id}@"',
         f"{_TESTS}/test_crashes.py",
     ),
+    _mutation(
+        "lost-executors-not-counted",
+        "crashing tasks",
+        f"{_SCHEDULING}/_renewals.py",
+        "        if not executor.is_listed:\n            self._crashes",
+        "        if False:\n            self._crashes",
+        f"{_TESTS}/test_crashes.py",
+    ),
+    _mutation(
+        "silent-executors-counted-as-crashed",
+        "crashing tasks",
+        f"{_SCHEDULING}/_renewals.py",
+        "        if not executor.is_listed:\n            self._crashes",
+        "        if True:\n            self._crashes",
+        f"{_TESTS}/test_crashes.py",
+    ),
+    _mutation(
+        "ended-attempt-stays-open",
+        "crashing tasks",
+        f"{_SCHEDULING}/_renewals.py",
+        "            self._crashes.settle_attempt(run)\n",
+        "",
+        f"{_TESTS}/test_crashes.py",
+    ),
 )
--- a/src/basiljunction/coordination/scheduling/_crashes.py
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -103,8 +103,7 @@
                 and sent_s >= run.phase_since_s + PROBATION_S
             ):
                 executor.mark_proven(run)
-                if run.is_isolated:
-                    self._clear_attempt(run)
+                self.settle_attempt(run)
 
     def find_crash(self, executor: _executors.ExecutorState) -> Crash:
         """Returns the runs that may have crashed an executor.
@@ -138,6 +137,8 @@
         executor: _executors.ExecutorState,
         crash: Crash,
         now: _time.Now,
+        *,
+        is_certain: bool = True,
     ) -> None:
         """Records the crash of an executor with all of its suspects.
 
@@ -147,18 +148,22 @@
             executor: The executor.
             crash: What `find_crash` returned of it.
             now: The time.
+            is_certain: Whether another incarnation has shown the crash; else
+                the executor was only lost, which counts as weak evidence.
         """
-        self.settle_inherited_attempts(executor, "", now)
+        if is_certain:
+            self.settle_inherited_attempts(executor, "", now)
         suspects = crash.suspects
         if not suspects:
             return
         is_group = self._has_crashed_with_group(executor, now)
-        is_isolated = suspects[0].is_isolated and not is_group
+        is_isolated = suspects[0].is_isolated and is_certain and not is_group
         self._cell.note(
             "executor.crashed",
             executor=executor.listing.id,
             isolated=is_isolated,
             with_group=is_group,
+            certain=is_certain,
             suspect_count=len(suspects),
             suspects=" ".join(
                 str(run.task) for run in suspects[:MAX_NOTED_SUSPECTS]
@@ -324,14 +329,14 @@
         delay_s = min(FIRST_BACKOFF_S * 2 ** (crash_count - 1), MAX_BACKOFF_S)
         job.requeue_task(place, now.boot_s, delay_s)
 
-    def _clear_attempt(self, run: _runs.Run) -> None:
-        """Records that an isolated run has passed its probation.
+    def settle_attempt(self, run: _runs.Run) -> None:
+        """Records that an isolated run did not crash its executor.
 
         The crashes of a task that runs until cancelled are forgotten with it,
         so that it does not wait for what was long ago.
         """
         job = self._cell.find_job(run.task)
-        if job is None:
+        if job is None or not run.is_isolated:
             return
         place = _cell_state.place_in_job(run.task)
         crashes = job.progress.crashes_by_position.get(place)
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -181,11 +181,6 @@
         if not any(e.is_isolated for e in self.unproven_run_by_key.values()):
             self.isolated_for = None
 
-    def isolate_for(self, task: _job_spec.TaskId, until_s: float) -> None:
-        """Keeps other tasks off until an isolated start, or until a time."""
-        self.isolated_for = task
-        self.isolation_ends_s = until_s
-
     def end_overdue_isolation(self, now_s: float) -> None:
         """Ends the wait for an isolated start that did not come in time."""
         if now_s < self.isolation_ends_s:
--- a/src/basiljunction/coordination/scheduling/_isolated_starts.py
+++ b/src/basiljunction/coordination/scheduling/_isolated_starts.py
@@ -160,7 +160,8 @@
         for executor in chosen:
             if executor.isolated_for == task:
                 continue
-            executor.isolate_for(task, now_s + MAX_WAIT_S)
+            executor.isolated_for = task
+            executor.isolation_ends_s = now_s + MAX_WAIT_S
             service = executor.listing.service
             others = self._executors_by_service.get(service, [])
             if executor in others:
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -110,6 +110,7 @@
             or now.boot_s <= executor.lease_expired_s()
         ):
             return
+        crash = self._crashes.find_crash(executor)
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.lapsed",
@@ -119,6 +120,8 @@
                 silent_s=round(now.boot_s - executor.last_answer_s, 3),
             )
             self._cell.release_run(executor, run, now)
+        if not executor.is_listed:
+            self._crashes.record_crash(executor, crash, now, is_certain=False)
 
     def _supersede_runs_on_silent_executor(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -498,6 +501,7 @@
             delay_s = 0.0
             if end.kind is _executor.RunEndKind.FAILED:
                 delay_s = _limits.TASK_RESTART_DELAY_S
+            self._crashes.settle_attempt(run)
             cell.release_run(executor, run, now, delay_s=delay_s)
 
     def _record_end(
--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -191,6 +191,35 @@
         assert len(rig.crashes_by_task[_CULPRIT]) == 2
 
 
+class TestExecutorsThatStayAway:
+    """An executor that is lost with its listing counts as well."""
+
+    def test_executors_that_come_back_after_their_lease(self) -> None:
+        rig = _make_rig(20)
+        rig.restart_s = 9.0
+        rig.run(1.0)
+        neighbor_ids = _submit_neighbors(rig, 5)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        rig.run(80.0)
+        assert 1 <= len(rig.crashes_by_task[_CULPRIT]) <= _MAX_CRASHES
+        assert rig.state_of(_CULPRIT_JOB_ID) is _progress.JobState.FAILED
+        for job_id in neighbor_ids:
+            assert rig.state_of(job_id) is _progress.JobState.COMPLETED
+
+    def test_silent_executor_that_is_listed_shows_nothing(self) -> None:
+        rig = _make_rig(4)
+        rig.crashing_tasks = frozenset()
+        rig.run_time_s = 20.0
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        _run_until_starts(rig, _CULPRIT, 1)
+        _, executor_id = _find_starts(rig, _CULPRIT)[0]
+        rig.executor_by_id[executor_id].is_answering = False
+        _run_until_starts(rig, _CULPRIT, 2)
+        assert rig.find_notes("task.lapsed")
+        assert rig.find_notes("executor.crashed") == []
+
+
 class TestRestartsUnderTheOldId:
     """Each incarnation of an executor counts, also under the same id."""
 
@@ -240,6 +269,27 @@
             assert rig.state_of(job_id) is _progress.JobState.COMPLETED
 
 
+class TestAttemptThatEnded:
+    """An isolated run that ended did not crash its executor later on."""
+
+    def test_a_successor_does_not_blame_it(self) -> None:
+        rig = _make_rig(3)
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        _run_until_crashes(rig, _CULPRIT, 1)
+        rig.crashing_tasks = frozenset()
+        rig.fail_share = 1.0
+        _run_until_starts(rig, _CULPRIT, 2)
+        _, executor_id = _find_starts(rig, _CULPRIT)[-1]
+        rig.run_until(lambda: bool(rig.find_notes("task.ended")), 5.0)
+        rig.fail_share = 0.0
+        rig.run_time_s = 20.0
+        rig.crash(executor_id)
+        rig.take_over()
+        rig.run(10.0)
+        assert len(rig.find_notes("task.crash-recorded")) == 1
+
+
 class TestLastingCulprit:
     """A lasting task is never given up, but waits longer after each crash."""
 
--- a/tests/crash_rig.py
+++ b/tests/crash_rig.py
@@ -13,6 +13,9 @@
 import cell_rig
 import workload_builders as build
 
+DELISTING_S = 1.5
+"""Virtual time after which the platform no longer lists a crashed executor."""
+
 RESTART_S = 3.0
 """Virtual time between a crash and the new incarnation, in seconds."""
 
@@ -21,7 +24,7 @@
     """Drives a scheduler and executors that crash as they start some tasks.
 
     A crashed executor refuses connections and loses its runs with their ends.
-    After `RESTART_S` it is listed under another id, and its address answers
+    After some seconds it is listed under another id, and its address answers
     orders to the old id as another incarnation.
 
     Args:
@@ -30,6 +33,7 @@
 
     Attributes:
         crashing_tasks: Tasks that crash each executor that starts them.
+        restart_s: Virtual time between a crash and the new incarnation.
         keeps_ids: Whether crashed executors are back under their old id.
         loses_crash_answers: Whether the answer to such a start is lost.
         crashes_by_task: Time and executor of each crash by the task that
@@ -42,6 +46,7 @@
         self, *entries: _executor.ListedExecutor, seed: int = 1
     ) -> None:
         self.crashing_tasks: Collection[_job_spec.TaskId] = frozenset()
+        self.restart_s = RESTART_S
         self.keeps_ids = False
         self.loses_crash_answers = False
         self.crashes_by_task: collections.defaultdict[
@@ -50,18 +55,20 @@
         self.replaced_ids: set[str] = set()
         self.notes: list[_notes.Note] = []
         self._restarts: list[tuple[float, str]] = []
+        self._delistings_s: list[float] = []
         super().__init__(*entries, seed=seed)
         self.holds_renewals = True
         self.on_note = self.notes.append
 
-    def crash(self, executor_id: str, restart_s: float = RESTART_S) -> None:
+    def crash(self, executor_id: str) -> None:
         """Crashes an executor, which is back after `restart_s`."""
         executor = self.executor_by_id[executor_id]
         executor.is_up = False
         self._break_gangs(executor)
         executor.run_by_key.clear()
         executor.ends.clear()
-        self._restarts.append((self.now_s + restart_s, executor_id))
+        self._restarts.append((self.now_s + self.restart_s, executor_id))
+        self._delistings_s.append(self.now_s + DELISTING_S)
 
     def _break_gangs(self, executor: cell_rig.SimulatedExecutor) -> None:
         """Ends the runs of gangs that lose a member with an executor."""
@@ -89,6 +96,9 @@
 
     def step(self) -> None:
         """Advances virtual time by one step; crashed executors may return."""
+        if self._delistings_s and self._delistings_s[0] <= self.now_s:
+            self._delistings_s.pop(0)
+            self.list_executors()
         due = [each for each in self._restarts if each[0] <= self.now_s]
         self._restarts = [e for e in self._restarts if e[0] > self.now_s]
         for _, executor_id in due:
