--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
@@ -32,6 +33,11 @@
 
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
+        self._crashes = _crashes.CrashRecorder(cell)
+
+    def restore(self) -> None:
+        """Continues what earlier terms stored of crashed executors."""
+        self._crashes.restore()
 
     def tick(self, now: _time.Now) -> None:
         """Sends due renewals and stop orders, and releases expired runs."""
@@ -62,9 +68,9 @@
         if cell.is_term_confirmed and may_extend:
             until_ms = executor.extend_lease(now.boot_s, cell.times.lease_s)
         # A run that never began has no end that would cut the wait short.
-        is_short = (
-            is_first or is_retry or unstored or executor.has_unlisted_runs()
-        )
+        is_settling = unstored or executor.has_unlisted_runs()
+        is_isolated = executor.isolated_for is not None
+        is_short = is_first or is_retry or is_settling or is_isolated
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
         executor.renewal_address = executor.listing.address
@@ -107,6 +113,7 @@
             or now.boot_s <= executor.lease_expired_s()
         ):
             return
+        crash = self._crashes.find_crash(executor)
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.lapsed",
@@ -116,6 +123,8 @@
                 silent_s=round(now.boot_s - executor.last_answer_s, 3),
             )
             self._cell.release_run(executor, run, now)
+        if not executor.is_listed:
+            self._crashes.record_crash(executor, crash, now, is_certain=False)
 
     def _supersede_runs_on_silent_executor(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -126,8 +135,12 @@
         if now.boot_s - executor.last_answer_s < _limits.CONTACT_TIMEOUT_S:
             return
         for run in executor.run_by_key.values():
-            if run.step.speculative and not run.is_superseded:
-                self._cell.supersede_run(run, "executor-silent", now)
+            if not run.step.speculative or run.is_superseded:
+                continue
+            if run.is_isolated and not run.is_proven:
+                continue
+            if self._cell.supersede_run(run, "executor-silent", now):
+                self._crashes.suspect_run(executor, run)
 
     def handle_failure(
         self,
@@ -186,6 +199,9 @@
         ):
             self._end_incarnation(executor, now, has_answered=True)
         executor.started_wall_ms = report.started_wall_ms
+        self._crashes.settle_inherited_attempts(
+            executor, executor.incarnation, now
+        )
         if executor.last_answer_s is None and report.active_runs:
             # An earlier term may have granted a lease of full length.
             lease_ms = int(self._cell.times.lease_s * 1000)
@@ -206,6 +222,7 @@
         for running in report.active_runs:
             self._update_listed_run(executor, running, now)
         self._settle_unlisted_runs(executor, listed, sent_s, now)
+        self._crashes.prove_listed_runs(executor, listed, sent_s)
         self._restart_slow_tasks(executor, now)
         self._restart_stalled_tasks(executor, now)
         self._relieve_serving_tasks(executor, now)
@@ -217,6 +234,8 @@
             if unstored
             else _limits.RENEWAL_DELAY_S
         )
+        if executor.isolated_for is not None:
+            gap_s = _crashes.ISOLATED_RENEWAL_DELAY_S
         executor.next_renewal_s = now.boot_s + gap_s
 
     def _restart_stalled_tasks(
@@ -320,6 +339,7 @@
             cause="answered" if has_answered else "refused",
             runs=len(executor.run_by_key),
         )
+        crash = self._crashes.find_crash(executor)
         executor.is_suspect = False
         executor.started_wall_ms = 0
         executor.processed_end_number = 0
@@ -345,6 +365,7 @@
             else:
                 # The new incarnation may have begun it already.
                 run.expect_next_listing(now.boot_s)
+        self._crashes.record_crash(executor, crash, now)
 
     def _update_listed_run(
         self,
@@ -391,6 +412,7 @@
             phase_since_s=now.boot_s,
             was_confirmed=True,
             was_listed=True,
+            is_proven=True,
         )
         executor.add_run(run)
         is_free = report.task not in cell.current_run_by_task
@@ -497,6 +519,7 @@
             delay_s = 0.0
             if end.kind is _executor.RunEndKind.FAILED:
                 delay_s = _limits.TASK_RESTART_DELAY_S
+            self._crashes.settle_attempt(run)
             cell.release_run(executor, run, now, delay_s=delay_s)
 
     def _record_end(
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -95,6 +95,7 @@
         self._restore_jobs(stored, now)
         self._restore_executors(stored, inherited_until_s, history)
         cell.has_inherited_runs = bool(cell.executor_by_id)
+        self._renewals.restore()
         self.set_configuration(cell.configuration)
 
     def _restore_jobs(
@@ -596,6 +597,7 @@
         if run.phase is not _runs.RunPhase.ORDERED:
             return
         if cell.is_usable(executor, now.boot_s) and not executor.is_overbooked:
+            run.is_start_held = False
             cell.orders.append(order)
         else:
             # It was not sent, so the task can start elsewhere at once.
@@ -622,6 +624,7 @@
 
 _AVOIDANCE_S_BY_START_RESULT = {
     _orders.StartResult.UNHEALTHY: _limits.UNHEALTHY_AVOID_S,
+    _orders.StartResult.OTHER_LIFE: _limits.UNHEALTHY_AVOID_S,
     _orders.StartResult.NO_ROOM: _limits.RENEWAL_RETRY_S,
 }
 """Seconds without placement on an executor after it refused a start order."""
