--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -275,8 +275,7 @@
 
         It has to be listed, with the capacity of the incarnation that answers,
         not draining, stored in the roster, in contact and not avoided, and its
-        lease may be extended. Its last lease renewal must not have failed: a
-        start on a connection lost with it would stay unsettled for long.
+        lease may be extended.
 
         Args:
             now_s: Current time in seconds.
@@ -288,7 +287,7 @@
             return False
         if not self._is_capacity_current():
             return False
-        if self.is_lease_frozen or self.renewal_failures:
+        if self.is_lease_frozen:
             return False
         if now_s < self.avoid_until_s:
             return False
