Let the soak's executors shrink and grow, and check what starts on them

Half of the seeds draw executors that keep none to three quarters of their processor for up to 8 s, from a source of their own, so that the other steps of every seed stay as they were. A start that brings an executor over a capacity that has been listed for 3.5 s (the users' bound for machines out of contact and one heartbeat) is reported as LIMIT.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -99,6 +99,32 @@
             self._starts_by_task[task].append(now_s)
             self._waiting_tasks.discard(task)
 
+    def note_room(
+        self,
+        task: str,
+        executor: str,
+        *,
+        used_cpu: int,
+        capacity_cpu: int,
+        now_s: float,
+    ) -> None:
+        """Notes the room on an executor after it has begun a run.
+
+        Args:
+            task: The task that was started.
+            executor: The executor.
+            used_cpu: Processor of all its runs, in thousandths of a core.
+            capacity_cpu: Its processor capacity that counts for the start.
+            now_s: The current time.
+        """
+        with self._lock:
+            if used_cpu > capacity_cpu:
+                self._report(
+                    f"LIMIT: {task} on {executor}: {used_cpu} of"
+                    f" {capacity_cpu} in use",
+                    now_s,
+                )
+
     def note_end(
         self, task: str, executor: str, run: int, kind: str, now_s: float
     ) -> None:
--- a/tests/soak/executors.py
+++ b/tests/soak/executors.py
@@ -6,10 +6,15 @@
 
 import platform_standin
 from soak import checks as soak_checks
+from soak import clients as soak_clients
 
 CAPACITY_CPU = 4000
 """Processor capacity of an executor, in thousandths of a core."""
 
+SHRINK_GRACE_S = 3.0 + platform_standin.HEARTBEAT_INTERVAL_S
+"""Time from which a smaller capacity counts for starts, in seconds: the users'
+bound for machines out of contact and one heartbeat."""
+
 MAX_LEASE_MS = 10_000
 """Longest lease that an executor grants, in milliseconds."""
 
@@ -45,6 +50,7 @@
         leaves_s: Steady time at which it exits; None if it has not announced
             its leave.
         is_gone: Whether its process has ended.
+        capacity_cpu: Its present processor capacity, in thousandths of a core.
     """
 
     def __init__(
@@ -57,23 +63,44 @@
         self.born_ms = time.time_ns() // 1_000_000
         self.leaves_s: float | None = None
         self.is_gone = False
+        self.capacity_cpu = CAPACITY_CPU
+        self._earlier_capacities: list[tuple[float, int]] = []
         self._checks = checks
         self._life = f"{self.id}@{self.born_ms}"
         self._good_end_by_number: dict[int, _End] = {}
         self._highest_ended_run_by_task: dict[str, int] = {}
 
     def describe(self) -> dict[str, Any]:
+        entry = super().describe()
+        entry["Capacity"] |= {"Cpu": self.capacity_cpu}
         if self.leaves_s is None:
-            return super().describe()
+            return entry
         left_ms = int(max(0.0, self.leaves_s - time.monotonic()) * 1000)
-        return super().describe() | {
+        return entry | {
             "State": "draining",
             "RemainingMs": left_ms,
         }
 
+    def resize(self, capacity_cpu: int) -> None:
+        """Changes its processor capacity; what runs goes on."""
+        self._earlier_capacities.append((time.monotonic(), self.capacity_cpu))
+        self.capacity_cpu = capacity_cpu
+
+    def _counted_capacity_cpu(self, now_s: float) -> int:
+        """Returns the largest capacity that a start may still rely on."""
+        return max(
+            self.capacity_cpu,
+            *(
+                cpu
+                for until_s, cpu in self._earlier_capacities
+                if now_s < until_s + SHRINK_GRACE_S
+            ),
+            0,
+        )
+
     def free_cpu(self, task_cpu: int) -> int:
         """Returns its free processor; `task_cpu` is that of each task."""
-        return CAPACITY_CPU - task_cpu * len(self.running)
+        return self.capacity_cpu - task_cpu * len(self.running)
 
     def end_due_runs(self) -> None:
         if self.clock_ms() > self.lease_ms:
@@ -120,7 +147,15 @@
             if path == "/hold":
                 self._note_taken_ends(body["LastSeen"])
             for task, run in set(self.running) - running:
-                self._checks.note_start(task, self._life, run, time.monotonic())
+                now_s = time.monotonic()
+                self._checks.note_start(task, self._life, run, now_s)
+                self._checks.note_room(
+                    task,
+                    self._life,
+                    used_cpu=soak_clients.TASK_CPU * len(self.running),
+                    capacity_cpu=self._counted_capacity_cpu(now_s),
+                    now_s=now_s,
+                )
             return status, answer
 
     def _shorten_lease(self, body: dict[str, Any]) -> dict[str, Any]:
@@ -196,6 +231,13 @@
             executor.leaves_s = leaves_s
             self._publish(executor)
 
+    def resize(self, executor: SoakExecutor, capacity_cpu: int) -> None:
+        """Changes an executor's processor capacity, if it still runs."""
+        with self._platform.lock:
+            if executor in self._platform.executors:
+                executor.resize(capacity_cpu)
+                self._publish(executor)
+
     def leave(self, executor: SoakExecutor) -> None:
         """Ends an executor that announced its leave, and removes its entry."""
         if self.crash(executor):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -4,6 +4,9 @@
 import enum
 import random
 
+SHRINKING_SHARE = 0.5
+"""Share of the seeds with executors that shrink and grow again."""
+
 PLANNED_SHARE = 0.4
 """Share of the seeds with planned work only: restarts, leaves and arrivals."""
 
@@ -19,11 +22,12 @@
     LEAVE = "leave"
     CRASH = "crash"
     JOIN = "join"
+    SHRINK = "shrink"
     STORE_DOWN = "store down"
     STORE_SLOW = "store slow"
 
 
-PLANNED = frozenset({Kind.RESTART, Kind.LEAVE, Kind.JOIN})
+PLANNED = frozenset({Kind.RESTART, Kind.LEAVE, Kind.JOIN, Kind.SHRINK})
 """Kinds that the bound for lasting tasks takes no account of."""
 
 KILLS = frozenset({Kind.KILL, Kind.KILL_SCHEDULER})
@@ -39,13 +43,16 @@
         kind: What happens.
         target: Number of the instance or executor, modulo how many there are.
         lasts_s: How long it lasts, in seconds: a pause, an outage, the time
-            until a leaving executor exits or a crashed one is reborn.
+            until a leaving executor exits, a crashed one is reborn or a shrunk
+            one grows again.
+        left_share: Share of its capacity that a shrunk executor keeps, 0 to 1.
     """
 
     at_s: float
     kind: Kind
     target: int = 0
     lasts_s: float = 0.0
+    left_share: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +95,7 @@
     )
     if source.random() >= PLANNED_SHARE:
         steps += _draw_trouble(source, duration_s)
+    steps += _draw_shrinks(seed, duration_s)
     return Plan(
         instances=count,
         executors=source.randint(4, 8),
@@ -133,6 +141,26 @@
     return steps
 
 
+def _draw_shrinks(seed: int, duration_s: float) -> list[Step]:
+    """Returns executors that shrink for a while; none on some seeds.
+
+    They have a source of their own, so that the other steps of a seed stay.
+    """
+    source = random.Random(f"platform-soak/{seed}/shrinks")
+    if source.random() >= SHRINKING_SHARE:
+        return []
+    return [
+        Step(
+            at_s,
+            Kind.SHRINK,
+            source.randrange(100),
+            source.uniform(0.3, 8.0),
+            source.choice((0.0, 0.25, 0.5, 0.75)),
+        )
+        for at_s in _draw_times(source, duration_s, source.uniform(1.0, 3.0))
+    ]
+
+
 def _draw_trouble(source: random.Random, duration_s: float) -> list[Step]:
     """Returns unplanned disruptions at any time."""
     kinds = [kind for kind in Kind if kind not in PLANNED]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -259,6 +259,8 @@
                 self._fleet.join()
             case soak_plan.Kind.LEAVE | soak_plan.Kind.CRASH:
                 self._end_executor(step)
+            case soak_plan.Kind.SHRINK:
+                self._shrink_executor(step)
             case soak_plan.Kind.STORE_DOWN:
                 self._store_down_until_s = time.monotonic() + step.lasts_s
             case soak_plan.Kind.STORE_SLOW:
@@ -294,6 +296,20 @@
         )
         self._call_at(end_s, lambda: self._fleet.rebirth(victim))
 
+    def _shrink_executor(self, step: soak_plan.Step) -> None:
+        """Lets an executor shrink and grow again later."""
+        ready = self._fleet.list_ready()
+        victim = ready[step.target % len(ready)]
+        left_cpu = int(soak_executors.CAPACITY_CPU * step.left_share)
+        self._note(
+            f"{victim.id} shrinks to {left_cpu} for {step.lasts_s:.2f} s"
+        )
+        self._fleet.resize(victim, left_cpu)
+        self._call_at(
+            time.monotonic() + step.lasts_s,
+            lambda: self._fleet.resize(victim, soak_executors.CAPACITY_CPU),
+        )
+
     def _disturb_instance(self, step: soak_plan.Step) -> None:
         """Kills or pauses an instance, or the one that schedules."""
         instance = self._instances[step.target % len(self._instances)]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -51,6 +51,21 @@
         assert "which was noted" in checks.violations[0]
 
 
+class TestRoom:
+    """A start that brings an executor over its capacity is reported."""
+
+    def test_only_a_start_over_the_capacity_is_reported(self) -> None:
+        checks = _make_checks()
+        checks.note_room(
+            _TASK, "i-1", used_cpu=2000, capacity_cpu=2000, now_s=1.0
+        )
+        assert checks.violations == []
+        checks.note_room(
+            _TASK, "i-1", used_cpu=2500, capacity_cpu=2000, now_s=2.0
+        )
+        assert "LIMIT" in checks.violations[0]
+
+
 class TestJobs:
     """Accepted jobs are known and end; rejected ones never start."""
 
