List a double run that needs a restart which no scheduler has seen; list the findings

Found in review, shown in the rig only. A start whose deadline is on the old clock of an executor gives the next incarnation the longest lease, and the scheduler counts on the shorter one.

--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -1,10 +1,13 @@
 """Tests that a restart of an executor under its id doubles no run."""
 
+import pytest
+
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _records
+import cell_rig
 import workload_builders as build
 
 _JOB_ID = "00000000000000a1"
@@ -249,3 +252,24 @@
         starts = _settle_without_run(scheduler, 0.6, born_ms=3)
         assert len(starts) == 1
         assert starts[0].run > start.run
+
+
+class TestLeaseOfAnIncarnationNotKnownYet:
+    """A deadline on the old clock gives a new incarnation a longer lease."""
+
+    @pytest.mark.parametrize("resigns", [False, True])
+    def test_its_run_is_not_taken_for_expired(self, *, resigns: bool) -> None:
+        rig = cell_rig.CellRig(build.executor_entry("e1"))
+        rig.run_time_s = 30.0
+        rig.run(60)
+        rig.executor_by_id["e1"].restart()
+        rig.submit(build.accepted_job())
+        while not rig.starts:
+            rig.executor_by_id["e1"].fails_next_renewal = True
+            rig.step()
+        rig.executor_by_id["e1"].is_answering = False
+        rig.add_executor(build.executor_entry("e2"))
+        if resigns:
+            rig.resign()
+        # The rig asserts that no task runs twice at a time.
+        rig.run(12)
