--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -254,22 +254,75 @@
         assert starts[0].run > start.run
 
 
+def _start_on_restarted_executor(
+    *, is_answer_lost: bool = False
+) -> cell_rig.CellRig:
+    """Returns a rig whose executor e1 restarted and then took a start.
+
+    The deadline of the start is on the clock of the incarnation before.
+
+    Args:
+        is_answer_lost: Whether the start got no answer.
+    """
+    rig = cell_rig.CellRig(build.executor_entry("e1"))
+    rig.run_time_s = 30.0
+    rig.run(60)
+    rig.executor_by_id["e1"].restart()
+    rig.submit(build.accepted_job())
+    rig.lost_share = float(is_answer_lost)
+    while not rig.starts:
+        rig.executor_by_id["e1"].fails_next_renewal = True
+        rig.step()
+    rig.lost_share = 0.0
+    return rig
+
+
+def _cut_off_beside_another(rig: cell_rig.CellRig) -> None:
+    """Cuts executor e1 off and adds e2, on which its tasks can start."""
+    rig.executor_by_id["e1"].is_answering = False
+    rig.add_executor(build.executor_entry("e2"))
+
+
 class TestLeaseOfAnIncarnationNotKnownYet:
-    """A deadline on the old clock gives a new incarnation a longer lease."""
+    """A deadline on the old clock gives a new incarnation a longer lease.
+
+    The rig asserts that no task runs twice at a time.
+    """
 
     @pytest.mark.parametrize("resigns", [False, True])
     def test_its_run_is_not_taken_for_expired(self, *, resigns: bool) -> None:
-        rig = cell_rig.CellRig(build.executor_entry("e1"))
-        rig.run_time_s = 30.0
-        rig.run(60)
-        rig.executor_by_id["e1"].restart()
-        rig.submit(build.accepted_job())
-        while not rig.starts:
-            rig.executor_by_id["e1"].fails_next_renewal = True
-            rig.step()
-        rig.executor_by_id["e1"].is_answering = False
-        rig.add_executor(build.executor_entry("e2"))
+        rig = _start_on_restarted_executor()
+        _cut_off_beside_another(rig)
         if resigns:
             rig.resign()
-        # The rig asserts that no task runs twice at a time.
         rig.run(12)
+
+    @pytest.mark.parametrize("resigns", [False, True])
+    def test_a_run_whose_start_got_no_answer_is_not_either(
+        self, *, resigns: bool
+    ) -> None:
+        rig = _start_on_restarted_executor(is_answer_lost=True)
+        _cut_off_beside_another(rig)
+        if resigns:
+            rig.resign()
+        rig.run(12)
+
+    @pytest.mark.parametrize("resigns", [False, True])
+    def test_a_later_scheduler_does_not_take_it_for_expired(
+        self, *, resigns: bool
+    ) -> None:
+        rig = _start_on_restarted_executor()
+        rig.run(0.3)
+        if resigns:
+            rig.resign()
+        else:
+            rig.take_over()
+        rig.run(0.3)
+        _cut_off_beside_another(rig)
+        rig.run(12)
+
+    def test_the_task_starts_elsewhere_in_the_end(self) -> None:
+        rig = _start_on_restarted_executor()
+        _cut_off_beside_another(rig)
+        rig.run(12)
+        assert [executor for _, executor, _ in rig.starts] == ["e1", "e2"]
