--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -343,13 +343,16 @@
         """
         if self.last_answer_s is None:
             return 0.0
-        left_s = (self.lease_until_ms - self.executor_clock_ms) / 1000
         return (
             self.last_answer_s
-            + max(0.0, left_s) * _limits.MAX_CLOCK_SLOWNESS
+            + self.lease_left_s() * _limits.MAX_CLOCK_SLOWNESS
             + _limits.LEASE_EXPIRY_MARGIN_S
         )
 
+    def lease_left_s(self) -> float:
+        """Returns what its last answer left of the lease, in seconds."""
+        return max(0.0, (self.lease_until_ms - self.executor_clock_ms) / 1000)
+
     def has_unlisted_runs(self) -> bool:
         """Returns whether it is still open if a run exists."""
         unsettled = (_runs.RunPhase.UNSETTLED, _runs.RunPhase.STOPPING)
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -120,7 +120,10 @@
                 task=str(run.task),
                 run=run.number,
                 executor=executor.listing.id,
+                phase=run.phase.value,
+                listed=run.was_listed,
                 silent_s=round(now.boot_s - executor.last_answer_s, 3),
+                lease_left_s=round(executor.lease_left_s(), 3),
             )
             self._cell.release_run(executor, run, now)
         if not executor.is_listed:
