Notice a restart of an executor by the clock in any answer

Callers: after a restart under its id and a cut, a task ran twice and its room was given away. Cause: only answers to renewals were read for a restart. Change: each answer's clock is held against the reading that was known when the order was sent. One that went back is a restart: the runs that had been listed are gone, a lease of full length is assumed, and nothing starts there until the new incarnation has listed its runs, whose capacity may differ. test_crashes: a start is refused by another incarnation only if no renewal was refused before; the test brings this about now, since nothing is placed after a refused renewal any more. It still passes without the change. The change of the lease after a refused renewal: counted from the longest time that the new incarnation can have lived, no longer from zero.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -12,6 +12,22 @@
 """Key of a run: its task and its run number."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClockReading:
+    """Reading of an executor's own clock, which begins anew at a restart.
+
+    Attributes:
+        restarts: Number of restarts of the executor that were known then; it
+            tells whose clock this is.
+        clock_ms: The reading, in milliseconds.
+        read_s: When it arrived, in seconds on the scheduler's steady clock.
+    """
+
+    restarts: int = 0
+    clock_ms: int = 0
+    read_s: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class ExecutorState:
     """State of one executor: its capacity, its runs and its lease.
@@ -26,7 +42,9 @@
             milliseconds since the Unix epoch; 0 before the first answer.
         last_answer_s: Time of its last answer to a lease renewal; None before
             the first.
-        executor_clock_ms: Reading of its clock in that answer.
+        clock: Newest reading of its clock.
+        has_listed_runs: Whether its present incarnation, as far as known, has
+            answered a lease renewal.
         lease_until_ms: Latest end of a lease that was sent, on its clock.
         run_by_key: Its runs, also those whose start is not confirmed.
         stopping_run_by_key: Its runs that are to be stopped.
@@ -88,7 +106,8 @@
     is_vacated: bool = False
     started_wall_ms: int = 0
     last_answer_s: float | None = None
-    executor_clock_ms: int = 0
+    clock: ClockReading = dataclasses.field(default_factory=ClockReading)
+    has_listed_runs: bool = False
     lease_until_ms: int = 0
     run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
         default_factory=dict
@@ -274,8 +293,8 @@
         """Returns whether the executor accepts new tasks now.
 
         It has to be listed, with the capacity of the incarnation that answers,
-        not draining, stored in the roster, in contact and not avoided, and its
-        lease may be extended.
+        which has listed its runs, not draining, stored in the roster, in
+        contact and not avoided, and its lease may be extended.
 
         Args:
             now_s: Current time in seconds.
@@ -283,7 +302,7 @@
         """
         if not self.is_listed or self.listing.is_draining:
             return False
-        if not self.is_roster_stored or self.last_answer_s is None:
+        if not self.is_roster_stored or not self.has_listed_runs:
             return False
         if not self._is_capacity_current():
             return False
@@ -319,7 +338,35 @@
         """Returns a lower bound of the executor's clock, in milliseconds."""
         if self.last_answer_s is None:
             return 0
-        return self.executor_clock_ms + int((now_s - self.last_answer_s) * 1000)
+        passed_ms = int((now_s - self.clock.read_s) * 1000)
+        return self.clock.clock_ms + passed_ms
+
+    def record_clock(self, clock_ms: int, now_s: float) -> None:
+        """Records a reading of the clock of its present incarnation."""
+        self.clock = ClockReading(self.clock.restarts, clock_ms, now_s)
+
+    def record_restart(
+        self, clock_ms: int, now_s: float, longest_lease_s: float
+    ) -> None:
+        """Begins a new incarnation, of which no list of runs is known.
+
+        A deadline on the clock before is far ahead of the new one, so that
+        orders on their way may have given it a lease of full length.
+
+        Args:
+            clock_ms: Highest reading that its clock can have by now.
+            now_s: Current time in seconds.
+            longest_lease_s: Longest lease that executors grant, in seconds.
+        """
+        self.clock = ClockReading(self.clock.restarts + 1, clock_ms, now_s)
+        self.lease_until_ms = clock_ms + int(longest_lease_s * 1000)
+        self.has_listed_runs = False
+        self.started_wall_ms = 0
+        self.processed_end_number = 0
+        self.stored_end_number = 0
+        self.inherited_until_s = None
+        self.is_suspect = False
+        self.next_renewal_s = now_s
 
     def extend_lease(self, now_s: float, lease_s: float) -> int:
         """Records a new lease and returns its end on the executor's clock.
@@ -344,14 +391,14 @@
         if self.last_answer_s is None:
             return 0.0
         return (
-            self.last_answer_s
+            self.clock.read_s
             + self.lease_left_s() * _limits.MAX_CLOCK_SLOWNESS
             + _limits.LEASE_EXPIRY_MARGIN_S
         )
 
     def lease_left_s(self) -> float:
-        """Returns what its last answer left of the lease, in seconds."""
-        return max(0.0, (self.lease_until_ms - self.executor_clock_ms) / 1000)
+        """Returns what is left of the lease at the last clock reading, in s."""
+        return max(0.0, (self.lease_until_ms - self.clock.clock_ms) / 1000)
 
     def has_unlisted_runs(self) -> bool:
         """Returns whether it is still open if a run exists."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -171,9 +171,37 @@
             is_other_incarnation
             and executor.renewal_address == executor.listing.address
         ):
-            self._end_incarnation(executor, now, has_answered=False)
+            # The next incarnation began after the last answer.
+            age_s = now.boot_s - executor.clock.read_s
+            self._end_incarnation(
+                executor, now, clock_ms=int(age_s * 1000), has_answered=False
+            )
             executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
 
+    def handle_clock(
+        self,
+        executor_id: str,
+        known: _executors.ClockReading,
+        clock_ms: int,
+        now: _time.Now,
+    ) -> None:
+        """Notices a restart by the clock in the answer to an order.
+
+        Args:
+            executor_id: Id of the executor.
+            known: Reading of its clock that was known when the order was sent.
+            clock_ms: Reading in the answer, in milliseconds.
+            now: The time.
+        """
+        executor = self._cell.executor_by_id.get(executor_id)
+        if executor is None or executor.clock.restarts != known.restarts:
+            return
+        # Answers may overtake each other, but not what was known before.
+        if clock_ms < known.clock_ms:
+            self._end_incarnation(
+                executor, now, clock_ms=clock_ms, has_answered=True
+            )
+
     def handle_answer(
         self,
         order: _orders.RenewalOrder,
@@ -200,7 +228,9 @@
             executor.started_wall_ms
             and report.started_wall_ms != executor.started_wall_ms
         ):
-            self._end_incarnation(executor, now, has_answered=True)
+            self._end_incarnation(
+                executor, now, clock_ms=report.clock_ms, has_answered=True
+            )
         executor.started_wall_ms = report.started_wall_ms
         self._crashes.settle_inherited_attempts(
             executor, executor.incarnation, now
@@ -210,7 +240,8 @@
             lease_ms = int(self._cell.times.lease_s * 1000)
             executor.lease_until_ms = report.clock_ms + lease_ms
         executor.last_answer_s = now.boot_s
-        executor.executor_clock_ms = report.clock_ms
+        executor.has_listed_runs = True
+        executor.record_clock(report.clock_ms, now.boot_s)
         longest_ms = int(self._cell.times.longest_lease_s * 1000)
         executor.lease_until_ms = min(
             executor.lease_until_ms, report.clock_ms + longest_ms
@@ -320,19 +351,20 @@
         executor: _executors.ExecutorState,
         now: _time.Now,
         *,
+        clock_ms: int,
         has_answered: bool,
     ) -> None:
         """Resets an executor whose process has restarted.
 
         The runs of the old incarnation are released and the numbers of ends
-        start anew. The new incarnation may have accepted orders whose lease
-        ends on the old clock, so the latest lease end stays. A start order
-        without an answer may still reach the new incarnation, whose clock is
-        unrelated to the order's deadline, so a stop order bars that run.
+        start anew. A start order without an answer may still reach the new
+        incarnation, whose clock is unrelated to the order's deadline, so a stop
+        order bars that run.
 
         Args:
             executor: The executor.
             now: The time.
+            clock_ms: Highest reading that its clock can have by now.
             has_answered: Whether the new incarnation accepts orders to the
                 executor; otherwise it has refused one.
         """
@@ -340,18 +372,14 @@
             "executor.other-life",
             executor=executor.listing.id,
             cause="answered" if has_answered else "refused",
+            clock_ms=clock_ms,
+            known_clock_ms=executor.clock.clock_ms,
             runs=len(executor.run_by_key),
         )
         crash = self._crashes.find_crash(executor)
-        executor.is_suspect = False
-        executor.started_wall_ms = 0
-        executor.processed_end_number = 0
-        executor.stored_end_number = 0
-        executor.executor_clock_ms = 0
-        longest_ms = int(self._cell.times.longest_lease_s * 1000)
-        executor.lease_until_ms = min(executor.lease_until_ms, longest_ms)
-        executor.inherited_until_s = None
-        executor.next_renewal_s = now.boot_s
+        executor.record_restart(
+            clock_ms, now.boot_s, self._cell.times.longest_lease_s
+        )
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.life-ended",
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -366,6 +366,23 @@
         else:
             run.mark_unsettled(now.boot_s)
 
+    def handle_clock(
+        self,
+        executor_id: str,
+        known: _executors.ClockReading,
+        clock_ms: int,
+        now: _time.Now,
+    ) -> None:
+        """Notices a restart of an executor by the clock in any answer.
+
+        Args:
+            executor_id: Id of the executor.
+            known: Reading of its clock that was known when the order was sent.
+            clock_ms: Reading in the answer, in milliseconds.
+            now: The time.
+        """
+        self._renewals.handle_clock(executor_id, known, clock_ms, now)
+
     def handle_stop_answer(
         self, order: _orders.StopOrder, is_answered: bool, now: _time.Now
     ) -> None:
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -5,9 +5,10 @@
 
 import structlog
 
+from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
-from basiljunction.platform import _executors
+from basiljunction.platform import _executors as _executor_calls
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
@@ -86,7 +87,7 @@
                 continue
             address = executor.listing.address
             if isinstance(order, _orders.StartOrder):
-                call = _executors.make_start_call(
+                call = _executor_calls.make_start_call(
                     address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
                 )
                 self._start_bytes_in_flight += len(call.body or b"")
@@ -96,6 +97,23 @@
         for start, call in starts:
             self._send_start(start, call)
 
+    def _handle_clock(
+        self,
+        order: _orders.StartOrder | _orders.StopOrder | _orders.PaceOrder,
+        known: _executors.ClockReading,
+        reply: _http_call.HttpReply,
+    ) -> None:
+        """Passes the reading of an executor's clock in an answer on."""
+        clock_ms = _executor_calls.parse_clock_ms(reply)
+        if clock_ms is not None:
+            self._scheduler.handle_clock(
+                order.executor, known, clock_ms, self._clock()
+            )
+
+    def _known_clock(self, executor_id: str) -> _executors.ClockReading:
+        """Returns the newest reading of the clock of an executor."""
+        return self._scheduler.cell.executor_by_id[executor_id].clock
+
     def _request_approval(self, order: _orders.ApprovalOrder) -> None:
         """Asks the policy service to approve executors for a step."""
 
@@ -108,7 +126,7 @@
             self._scheduler.handle_approval_failure(order, self._clock())
             return
         self._calls.send(
-            _executors.make_approval_call(
+            _executor_calls.make_approval_call(
                 self._policy_address, order, timeout_s=APPROVAL_TIMEOUT_S
             ),
             handle_reply,
@@ -121,7 +139,7 @@
         now = self._clock()
         if reply.is_success:
             try:
-                proofs = _executors.parse_approvals(reply)
+                proofs = _executor_calls.parse_approvals(reply)
             except _errors.DecodeError as error:
                 _log.warning("approval.torn", job=order.job, error=str(error))
             else:
@@ -166,16 +184,17 @@
         self, order: _orders.StartOrder, call: _http_call.HttpCall
     ) -> None:
         """Sends the call of an order to start a run and reports the result."""
+        known = self._known_clock(order.executor)
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             self._start_bytes_in_flight -= len(call.body or b"")
-            result = _executors.parse_start_result(reply)
+            result = _executor_calls.parse_start_result(reply)
             if not reply.may_have_been_sent:
                 result = _orders.StartResult.UNHEALTHY
             if result is not _orders.StartResult.STARTED:
                 _log.info(
                     "task.not-started",
-                    task=_executors.format_task_id(order.task),
+                    task=_executor_calls.format_task_id(order.task),
                     run=order.run,
                     executor=order.executor,
                     result=result.value,
@@ -186,6 +205,7 @@
                 self._scheduler.handle_start_answer(
                     order, result, self._clock()
                 )
+                self._handle_clock(order, known, reply)
 
         self._calls.send(
             dataclasses.replace(call, timeout_s=self._start_timeout_s()),
@@ -194,15 +214,17 @@
 
     def _send_stop(self, address: str, order: _orders.StopOrder) -> None:
         """Sends an order to stop a run and reports whether it succeeded."""
+        known = self._known_clock(order.executor)
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             if not self.is_closed:
                 self._scheduler.handle_stop_answer(
                     order, reply.is_success, self._clock()
                 )
+                self._handle_clock(order, known, reply)
 
         self._calls.send(
-            _executors.make_stop_call(
+            _executor_calls.make_stop_call(
                 address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
             ),
             handle_reply,
@@ -210,15 +232,17 @@
 
     def _send_pace(self, address: str, order: _orders.PaceOrder) -> None:
         """Sends an order to change a run's pace and reports the success."""
+        known = self._known_clock(order.executor)
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             if not self.is_closed:
                 self._scheduler.handle_pace_answer(
                     order, reply.is_success, self._clock()
                 )
+                self._handle_clock(order, known, reply)
 
         self._calls.send(
-            _executors.make_pace_call(
+            _executor_calls.make_pace_call(
                 address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
             ),
             handle_reply,
@@ -245,7 +269,7 @@
                 self._handle_renewal_reply(order, reply)
 
         self._calls.send(
-            _executors.make_renewal_call(
+            _executor_calls.make_renewal_call(
                 address,
                 self._epoch,
                 order,
@@ -263,7 +287,7 @@
         report = None
         if reply.is_success:
             try:
-                report = _executors.parse_renewal_reply(reply)
+                report = _executor_calls.parse_renewal_reply(reply)
             except _errors.DecodeError as error:
                 _log.warning(
                     "executor.torn", executor=order.executor, error=str(error)
@@ -279,11 +303,11 @@
                 fault=reply.error_text,
                 body=reply.body[:100].decode("latin-1"),
             )
-        if _executors.is_fenced(reply):
+        if _executor_calls.is_fenced(reply):
             self._scheduler.handle_fence()
             return
         self._scheduler.handle_renewal_failure(
             order,
             now,
-            is_other_incarnation=_executors.is_other_incarnation(reply),
+            is_other_incarnation=_executor_calls.is_other_incarnation(reply),
         )
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -13,6 +13,7 @@
 import random
 
 from basiljunction.coordination.leadership import _term_history
+from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _orders
@@ -739,6 +740,7 @@
     def _send_order(self, order: _orders.ExecutorOrder) -> None:
         """Sends an order to an executor; it may get lost or delayed."""
         executor = self.executor_by_id[order.executor]
+        known = self._known_clock(order.executor)
         is_lost = not executor.is_up or not executor.is_answering
         if (
             isinstance(order, _orders.RenewalOrder)
@@ -779,8 +781,20 @@
         if self.rng.random() < self.lost_share:
             answer = None
         self._deliver_answer(order, answer)
+        if answer is not None and not isinstance(order, _orders.RenewalOrder):
+            self.scheduler.handle_clock(
+                order.executor,
+                known,
+                executor.clock_ms,
+                build.clock_readings_at(self.now_s),
+            )
         self._process_notes()
 
+    def _known_clock(self, executor_id: str) -> _executors.ClockReading:
+        """Returns what the scheduler knows of an executor's clock."""
+        state = self.scheduler.cell.executor_by_id.get(executor_id)
+        return state.clock if state else _executors.ClockReading()
+
     def _execute_order(
         self,
         executor: SimulatedExecutor,
--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -385,11 +385,15 @@
 
     def test_its_task_starts_elsewhere_at_once(self) -> None:
         rig = _make_rig(2)
+        rig.crashing_tasks = frozenset()
+        rig.holds_renewals = False
         rig.run(1.0)
+        rig.submit(build.accepted_job(build.step_spec(count=4)))
+        rig.step()
+        # No refused renewal tells of the replacement before the start.
+        rig.scheduler.cell.executor_by_id["e0"].next_renewal_s = rig.now_s + 0.2
         rig.replaced_ids.add("e0")
         rig.executor_by_id["e0"].is_up = False
-        rig.crashing_tasks = frozenset()
-        rig.submit(build.accepted_job(build.step_spec(count=4)))
         rig.run(0.5)
         assert "e0" in {
             note.value_by_field["executor"]
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -403,6 +403,29 @@
         assert _executors.parse_start_result(reply) is result
 
 
+class TestClocks:
+    """Each answer of an executor tells its clock, or nothing of it."""
+
+    @pytest.mark.parametrize(
+        ("status", "body", "clock_ms"),
+        [
+            (200, b'{"ClockMs":482113}', 482113),
+            (409, b'{"ClockMs":0,"Reason":"late"}', 0),
+            (200, b'{"ClockMs":-1}', None),
+            (200, b'{"ClockMs":true}', None),
+            (200, b'{"ClockMs":"7"}', None),
+            (200, b"{}", None),
+            (503, b"busy", None),
+            (0, b'{"ClockMs":7}', None),
+        ],
+    )
+    def test_a_reading_that_cannot_be_is_none(
+        self, status: int, body: bytes, clock_ms: int | None
+    ) -> None:
+        reply = _http_call.HttpReply(status, body)
+        assert _executors.parse_clock_ms(reply) == clock_ms
+
+
 class TestRepeatableCalls:
     """No call that changes an executor is sent to it twice by the client."""
 
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -11,6 +11,7 @@
 import pytest
 
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _renewals
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.platform import _executors
 from basiljunction.protocol import _job_records
@@ -305,33 +306,35 @@
         assert took_s < _order_sender.ORDER_TIMEOUT_S + 0.3
 
 
-class TestCutExecutors:
-    """A start whose connection was lost after sending may have been begun."""
+@pytest.fixture
+def cut_platform() -> Iterator[platform_standin.Platform]:
+    """A platform of two executors."""
+    platform = platform_standin.Platform(executors=2)
+    yield platform
+    platform.close()
 
-    @pytest.fixture
-    def cut_platform(self) -> Iterator[platform_standin.Platform]:
-        """A platform of two executors."""
-        platform = platform_standin.Platform(executors=2)
-        yield platform
-        platform.close()
 
-    @pytest.fixture
-    def proxies(
-        self, rig: Rig, cut_platform: platform_standin.Platform
-    ) -> Iterator[list[cutting_proxy.CuttingProxy]]:
-        """Proxies to the executors, in their order; the rig lists them."""
-        proxies = [
-            cutting_proxy.CuttingProxy(each.httpd.server_address[1])
-            for each in cut_platform.executors
-        ]
-        rig.list_executors(
-            build.executor_entry(each.id, address=f"127.0.0.1:{proxy.port}")
-            for each, proxy in zip(cut_platform.executors, proxies, strict=True)
-        )
-        rig.run_until(lambda: rig.count_answering() == 2, limit_s=2.0)
-        yield proxies
-        for proxy in proxies:
-            proxy.close()
+@pytest.fixture
+def proxies(
+    rig: Rig, cut_platform: platform_standin.Platform
+) -> Iterator[list[cutting_proxy.CuttingProxy]]:
+    """Proxies to the executors, in their order; the rig lists them."""
+    proxies = [
+        cutting_proxy.CuttingProxy(each.httpd.server_address[1])
+        for each in cut_platform.executors
+    ]
+    rig.list_executors(
+        build.executor_entry(each.id, address=f"127.0.0.1:{proxy.port}")
+        for each, proxy in zip(cut_platform.executors, proxies, strict=True)
+    )
+    rig.run_until(lambda: rig.count_answering() == 2, limit_s=2.0)
+    yield proxies
+    for proxy in proxies:
+        proxy.close()
+
+
+class TestCutExecutors:
+    """A start whose connection was lost after sending may have been begun."""
 
     def _lose_start(
         self, rig: Rig, proxies: list[cutting_proxy.CuttingProxy]
@@ -402,3 +405,37 @@
         assert [path for _, path, _ in calls[1:]] == ["/run-start"]
         assert calls[1][2] > lost.number
         assert not cut.is_cut
+
+
+class TestRestartUnderAnId:
+    """The clock in any answer shows a restart that no renewal has shown."""
+
+    def test_the_answer_to_a_start_shows_it(
+        self,
+        rig: Rig,
+        cut_platform: platform_standin.Platform,
+        proxies: list[cutting_proxy.CuttingProxy],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        for each in cut_platform.executors:
+            each.born_s -= 60.0
+        rig.count_answers_for(1.2)
+        monkeypatch.setattr(
+            _renewals.LeaseRenewals, "_send_renewal", lambda *_: None
+        )
+        for each in cut_platform.executors:
+            each.born_s += 60.0
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(runs_until_cancelled=True), payload="lasts"
+            )
+        )
+        executors = rig.scheduler.cell.executor_by_id.values()
+        rig.run_until(
+            lambda: any(each.clock.restarts for each in executors), limit_s=2.0
+        )
+        (run,) = rig.list_runs()
+        executor = rig.scheduler.cell.executor_by_id[run.executor]
+        assert executor.clock.clock_ms < 60_000
+        longest_s = rig.scheduler.cell.times.longest_lease_s
+        assert executor.lease_left_s() == longest_s
