Let a new term assume the longest lease on a restarted executor

Cause: a new term took 5 s for the longest lease that earlier terms can have granted, or none if the first answer listed no run. A deadline on the clock of the incarnation before had given 10 s. Change: the stored roster says whether an executor's id has had an earlier incarnation; that it answers as another incarnation than the list says counts as much. If so, and while its own clock shows less than the contact timeout and a longest lease, the first answer assumes a lease of full length. An executor whose id has had one life costs nothing, so that the usual arrivals and losses wait no longer than before.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -43,6 +43,7 @@
         last_answer_s: Time of its last answer to a lease renewal; None before
             the first.
         clock: Newest reading of its clock.
+        has_restarted: Whether an earlier incarnation may have had its id.
         has_listed_runs: Whether its present incarnation, as far as known, has
             answered a lease renewal.
         lease_until_ms: Latest end of a lease that was sent, on its clock.
@@ -107,6 +108,7 @@
     started_wall_ms: int = 0
     last_answer_s: float | None = None
     clock: ClockReading = dataclasses.field(default_factory=ClockReading)
+    has_restarted: bool = False
     has_listed_runs: bool = False
     lease_until_ms: int = 0
     run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
@@ -151,6 +153,7 @@
 
     def __post_init__(self) -> None:
         self.largest_capacity = self.listing.capacity
+        self.has_restarted = self.listing.has_restarted
         self._update_free_capacity()
 
     def update_listing(
@@ -173,6 +176,8 @@
             if listing.born_ms == self.listing.born_ms
             else listing.capacity
         )
+        if listing.born_ms != self.listing.born_ms:
+            self.has_restarted = True
         self.listing = listing
         self.revision += 1
         self._update_free_capacity()
@@ -282,7 +287,11 @@
     @property
     def roster_entry(self) -> _executor.ListedExecutor:
         """What the stored roster says of it: its listing when largest."""
-        return dataclasses.replace(self.listing, capacity=self.largest_capacity)
+        return dataclasses.replace(
+            self.listing,
+            capacity=self.largest_capacity,
+            has_restarted=self.has_restarted,
+        )
 
     @property
     def is_overbooked(self) -> bool:
@@ -359,6 +368,7 @@
             longest_lease_s: Longest lease that executors grant, in seconds.
         """
         self.clock = ClockReading(self.clock.restarts + 1, clock_ms, now_s)
+        self.has_restarted = True
         self.lease_until_ms = clock_ms + int(longest_lease_s * 1000)
         self.has_listed_runs = False
         self.started_wall_ms = 0
@@ -368,6 +378,34 @@
         self.is_suspect = False
         self.next_renewal_s = now_s
 
+    def assume_earlier_lease(
+        self,
+        report: _executor.LeaseRenewalReply,
+        times: _limits.LeaseTimes,
+    ) -> None:
+        """Assumes the longest lease that earlier terms may have granted.
+
+        Args:
+            report: Its first answer in this term.
+            times: Lengths of leases.
+        """
+        if (
+            report.started_wall_ms != self.listing.born_ms
+            or not report.started_wall_ms
+        ):
+            self.has_restarted = True
+        lease_s = times.lease_s
+        age_s = report.clock_ms / 1000
+        # Deadlines on the clock of the incarnation before stop once that one is
+        # out of contact, and what they granted ends a longest lease later.
+        if self.has_restarted and age_s < (
+            _limits.CONTACT_TIMEOUT_S + times.longest_lease_s
+        ):
+            lease_s = times.longest_lease_s
+        elif not report.active_runs:
+            return
+        self.lease_until_ms = report.clock_ms + int(lease_s * 1000)
+
     def extend_lease(self, now_s: float, lease_s: float) -> int:
         """Records a new lease and returns its end on the executor's clock.
 
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -235,10 +235,8 @@
         self._crashes.settle_inherited_attempts(
             executor, executor.incarnation, now
         )
-        if executor.last_answer_s is None and report.active_runs:
-            # An earlier term may have granted a lease of full length.
-            lease_ms = int(self._cell.times.lease_s * 1000)
-            executor.lease_until_ms = report.clock_ms + lease_ms
+        if executor.last_answer_s is None:
+            executor.assume_earlier_lease(report, cell.times)
         executor.last_answer_s = now.boot_s
         executor.has_listed_runs = True
         executor.record_clock(report.clock_ms, now.boot_s)
--- a/src/basiljunction/state/workload/_executor.py
+++ b/src/basiljunction/state/workload/_executor.py
@@ -26,6 +26,8 @@
             the Unix epoch; 0 if it is not known yet.
         drain_left_s: Least time for which it goes on from when it reported
             this, in seconds; None if it does not drain or did not tell.
+        has_restarted: Whether an earlier incarnation may have had its id; only
+            what schedulers store of it tells this.
     """
 
     id: str
@@ -37,6 +39,7 @@
     labels: tuple[str, ...]
     born_ms: int = 0
     drain_left_s: float | None = None
+    has_restarted: bool = False
 
 
 class RunEndKind(enum.Enum):
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -33,7 +33,8 @@
 """Default run time of a task, in seconds."""
 
 HEARTBEAT_S = 0.5
-"""Virtual time between two reports of a draining executor, in seconds."""
+"""Virtual time between two reports of an executor that drains, or from a
+restart to the first report, in seconds."""
 
 RunKey = tuple[_job_spec.TaskId, int]
 """Task and run number."""
@@ -89,9 +90,9 @@
     """
 
     def __init__(self, entry: _executor.ListedExecutor, rig: "CellRig") -> None:
-        self.entry = entry
         self.rig = rig
-        self.born_ms = 1
+        self.born_ms = entry.born_ms or 1
+        self.entry = dataclasses.replace(entry, born_ms=self.born_ms)
         self.born_s = rig.now_s
         self.highest_token = 0
         self.lease_ms = 0
@@ -122,6 +123,8 @@
         """Begins a new incarnation that has no runs and remembers nothing."""
         self.born_ms += 1
         self.born_s = self.rig.now_s
+        self.entry = dataclasses.replace(self.entry, born_ms=self.born_ms)
+        self.rig.list_at_next_heartbeat()
         self.highest_token = 0
         self.lease_ms = 0
         self.run_by_key.clear()
@@ -434,6 +437,8 @@
         term_beat: Number of the renewal that confirmed it.
         history: When the records of the terms were read.
         next_drain_report_s: Time at which draining executors report next.
+        next_heartbeat_s: Time at which a restarted executor reports; None if
+            none has restarted since the last listing.
     """
 
     def __init__(
@@ -490,6 +495,7 @@
         self.term_beat = 0
         self.history = _term_history.TermHistory()
         self.next_drain_report_s = 0.0
+        self.next_heartbeat_s: float | None = None
         self.scheduler = self._start_scheduler()
 
     def _start_scheduler(
@@ -552,8 +558,14 @@
         """Replaces the scheduler by one that restores from the store."""
         self._start_scheduler(recovery_s, longest_inherited_run_s)
 
+    def list_at_next_heartbeat(self) -> None:
+        """Lets the list follow a restart after the time of a heartbeat."""
+        if self.next_heartbeat_s is None:
+            self.next_heartbeat_s = self.now_s + HEARTBEAT_S
+
     def list_executors(self) -> None:
         """Passes the list of executors that are up to the scheduler."""
+        self.next_heartbeat_s = None
         self.scheduler.set_executors(
             [e.entry for e in self.executor_by_id.values() if e.is_up],
             build.clock_readings_at(self.now_s),
@@ -577,13 +589,14 @@
     def restart_executor_resized(
         self, executor_id: str, capacity: _job_spec.Resources
     ) -> None:
-        """Restarts an executor with another capacity, not listed yet."""
+        """Restarts an executor with another capacity.
+
+        The platform lists neither until `list_executors` is called.
+        """
         executor = self.executor_by_id[executor_id]
         executor.restart()
         executor.resize(capacity)
-        executor.entry = dataclasses.replace(
-            executor.entry, born_ms=executor.born_ms
-        )
+        self.next_heartbeat_s = None
 
     def drain_executor(self, executor_id: str, seconds: float) -> None:
         """Lets an executor announce its exit after a drain."""
@@ -645,6 +658,10 @@
             if executor.is_up:
                 executor.end_due_runs()
         self._update_drains()
+        if self.next_heartbeat_s is not None and (
+            self.now_s >= self.next_heartbeat_s
+        ):
+            self.list_executors()
         self._execute_delayed_orders()
         if self.store_is_up:
             self.term_confirmed_s = self.now_s
