Hand the longer lease of a restarted executor on when a scheduler resigns

Callers: a task ran twice when a scheduler resigned after an executor had restarted under its id and was then cut off. Cause: a resigning scheduler said that its runs end within 5.1 s, the length of its own leases, and its successor waited no longer than that. The lease of the restarted executor lasts 10 s. Change: what it says covers the latest end of runs on any executor, as the stored bounds of silent executors do; both use the same figure now.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -434,6 +434,13 @@
             + _limits.LEASE_EXPIRY_MARGIN_S
         )
 
+    def runs_end_by_s(self) -> float:
+        """Returns the time by which all of its runs have certainly ended.
+
+        Those of earlier terms count as long as they are not known.
+        """
+        return max(self.inherited_until_s or 0.0, self.lease_expired_s())
+
     def lease_left_s(self) -> float:
         """Returns what is left of the lease at the last clock reading, in s."""
         return max(0.0, (self.lease_until_ms - self.clock.clock_ms) / 1000)
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -156,16 +156,21 @@
         """Returns how long runs go on if this scheduler stops now, in seconds.
 
         That is the length of a lease, or longer where runs of earlier terms
-        may exist.
+        may exist or an executor has a longer lease.
         """
         cell = self.cell
-        inherited_s = (
-            each.inherited_until_s - now.boot_s
-            for each in cell.executor_by_id.values()
-            if each.inherited_until_s is not None
-        )
         lease_s = cell.times.lease_s * _limits.MAX_CLOCK_SLOWNESS
-        return max(lease_s, *inherited_s, 0.0)
+        return max(
+            lease_s,
+            *(
+                each.runs_end_by_s()
+                - _limits.LEASE_EXPIRY_MARGIN_S
+                - now.boot_s
+                for each in cell.executor_by_id.values()
+                if not each.is_vacated
+            ),
+            0.0,
+        )
 
     # Configuration and discovery.
 
--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -104,13 +104,10 @@
     ) -> _run_bound.RunBound:
         """Returns the bound of the runs on an executor in this term."""
         cell = self._cell
-        until_s = max(
-            executor.inherited_until_s or 0.0, executor.lease_expired_s()
-        )
         return _run_bound.RunBound(
             cell.epoch,
             cell.confirmed_beat,
-            max(0.0, until_s - cell.confirmed_s),
+            max(0.0, executor.runs_end_by_s() - cell.confirmed_s),
         )
 
     def _make_record(self) -> _records.SilentExecutorsRecord:
