Release all runs of an executor whose address another one has taken

Callers: tasks whose start had no answer waited up to 10 s more after their executor had been replaced at its address, and so did the next scheduler. Cause: the refusal by another executor was treated like a restart under the id, where a start without an answer may still be carried out. The process that listened at the address is gone here, and with it all that it had not carried out. Evidence: TestStartLostWithItsExecutor and TestEndedLives::test_no_later_scheduler_does fail without the change. Change: such a refusal releases every run and leaves no lease. Both kinds of end are functions of their own now. TestEndedLives asked for a stored bound below 11.2 s; it asks for none now, and that the lasting tasks run again at once.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -355,21 +355,18 @@
         self.clock = ClockReading(self.clock.restarts, clock_ms, now_s)
 
     def record_restart(
-        self, clock_ms: int, now_s: float, longest_lease_s: float
+        self, now_s: float, *, clock_ms: int, lease_s: float
     ) -> None:
         """Begins a new incarnation, of which no list of runs is known.
 
-        A deadline on the clock before is far ahead of the new one, so that
-        orders on their way may have given it a lease of full length.
-
         Args:
-            clock_ms: Highest reading that its clock can have by now.
             now_s: Current time in seconds.
-            longest_lease_s: Longest lease that executors grant, in seconds.
+            clock_ms: Highest reading that its clock can have by now.
+            lease_s: Longest lease that it can have by now, in seconds.
         """
         self.clock = ClockReading(self.clock.restarts + 1, clock_ms, now_s)
         self.has_restarted = True
-        self.lease_until_ms = clock_ms + int(longest_lease_s * 1000)
+        self.lease_until_ms = clock_ms + int(lease_s * 1000)
         self.has_listed_runs = False
         self.started_wall_ms = 0
         self.processed_end_number = 0
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -4,6 +4,7 @@
 report of how a run ended; ends are numbered per incarnation of the executor.
 """
 
+from collections.abc import Callable
 import dataclasses
 
 from basiljunction.coordination.scheduling import _cell_state
@@ -171,12 +172,7 @@
             is_other_incarnation
             and executor.renewal_address == executor.listing.address
         ):
-            # The next incarnation began after the last answer.
-            age_s = now.boot_s - executor.clock.read_s
-            self._end_incarnation(
-                executor, now, clock_ms=int(age_s * 1000), has_answered=False
-            )
-            executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
+            self._end_replaced_incarnation(executor, now)
 
     def handle_clock(
         self,
@@ -198,9 +194,7 @@
             return
         # Answers may overtake each other, but not what was known before.
         if clock_ms < known.clock_ms:
-            self._end_incarnation(
-                executor, now, clock_ms=clock_ms, has_answered=True
-            )
+            self._end_incarnation(executor, now, clock_ms=clock_ms)
 
     def handle_answer(
         self,
@@ -228,9 +222,7 @@
             executor.started_wall_ms
             and report.started_wall_ms != executor.started_wall_ms
         ):
-            self._end_incarnation(
-                executor, now, clock_ms=report.clock_ms, has_answered=True
-            )
+            self._end_incarnation(executor, now, clock_ms=report.clock_ms)
         executor.started_wall_ms = report.started_wall_ms
         self._crashes.settle_inherited_attempts(
             executor, executor.incarnation, now
@@ -344,40 +336,89 @@
             )
             executor.stop_run(run, now.boot_s)
 
+    def _end_replaced_incarnation(
+        self, executor: _executors.ExecutorState, now: _time.Now
+    ) -> None:
+        """Resets an executor whose address another one has taken.
+
+        The process to which all orders went is gone, and with it each order
+        that it had not carried out, so nothing of it goes on.
+        """
+        # What it may be by now if it has restarted at another address.
+        age_s = now.boot_s - executor.clock.read_s
+        self._reset_incarnation(
+            executor,
+            now,
+            cause="refused",
+            clock_ms=int(age_s * 1000),
+            lease_s=0.0,
+            ends_run=lambda _: True,
+        )
+        executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
+
     def _end_incarnation(
         self,
         executor: _executors.ExecutorState,
         now: _time.Now,
         *,
         clock_ms: int,
-        has_answered: bool,
     ) -> None:
-        """Resets an executor whose process has restarted.
+        """Resets an executor that has restarted and accepts orders.
+
+        The runs that the old incarnation had listed are released. The new one
+        may have begun the others, or still begin them. A deadline on the clock
+        before is far ahead of the new one, so that orders on their way may have
+        given it a lease of full length.
+
+        Args:
+            executor: The executor.
+            now: The time.
+            clock_ms: Reading of its clock.
+        """
+        self._reset_incarnation(
+            executor,
+            now,
+            cause="answered",
+            clock_ms=clock_ms,
+            lease_s=self._cell.times.longest_lease_s,
+            ends_run=_was_listed_before_restart,
+        )
+        for run in list(executor.run_by_key.values()):
+            if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
+                executor.stop_run(run, now.boot_s)
+            else:
+                run.expect_next_listing(now.boot_s)
 
-        The runs of the old incarnation are released and the numbers of ends
-        start anew. A start order without an answer may still reach the new
-        incarnation, whose clock is unrelated to the order's deadline, so a stop
-        order bars that run.
+    def _reset_incarnation(
+        self,
+        executor: _executors.ExecutorState,
+        now: _time.Now,
+        *,
+        cause: str,
+        clock_ms: int,
+        lease_s: float,
+        ends_run: Callable[[_runs.Run], bool],
+    ) -> None:
+        """Resets an executor whose process has ended, and releases its runs.
 
         Args:
             executor: The executor.
             now: The time.
+            cause: How the end became known, for the log.
             clock_ms: Highest reading that its clock can have by now.
-            has_answered: Whether the new incarnation accepts orders to the
-                executor; otherwise it has refused one.
+            lease_s: Longest lease that it can have by now, in seconds.
+            ends_run: Tells whether a run has ended with the process.
         """
         self._cell.note(
             "executor.other-life",
             executor=executor.listing.id,
-            cause="answered" if has_answered else "refused",
+            cause=cause,
             clock_ms=clock_ms,
             known_clock_ms=executor.clock.clock_ms,
             runs=len(executor.run_by_key),
         )
         crash = self._crashes.find_crash(executor)
-        executor.record_restart(
-            clock_ms, now.boot_s, self._cell.times.longest_lease_s
-        )
+        executor.record_restart(now.boot_s, clock_ms=clock_ms, lease_s=lease_s)
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.life-ended",
@@ -387,13 +428,8 @@
                 phase=run.phase.value,
                 phase_s=round(now.boot_s - run.phase_since_s, 3),
             )
-            if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
-                executor.stop_run(run, now.boot_s)
-            elif run.was_listed or not has_answered:
+            if ends_run(run):
                 self._cell.release_run(executor, run, now)
-            else:
-                # The new incarnation may have begun it already.
-                run.expect_next_listing(now.boot_s)
         self._crashes.record_crash(executor, crash, now)
 
     def _update_listed_run(
@@ -672,6 +708,14 @@
         self._cell.needs_placing = True
 
 
+def _was_listed_before_restart(run: _runs.Run) -> bool:
+    """Returns whether a run was certainly one of the incarnation before."""
+    return run.was_listed and run.phase not in (
+        _runs.RunPhase.ORDERED,
+        _runs.RunPhase.UNSETTLED,
+    )
+
+
 _PLACEHOLDER_STEP = _job_spec.StepSpec(
     count=1, size=_job_spec.Resources(), estimate_s=0.0
 )
--- a/tests/coordination/scheduling/test_silent_executors.py
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -7,6 +7,7 @@
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _silent_executors
 from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _job_spec
@@ -457,9 +458,13 @@
 
 
 class TestEndedLives:
-    """An executor whose id is refused at its address runs nothing for long."""
+    """Nobody waits for an executor whose address another one has taken."""
 
-    def test_its_bound_does_not_depend_on_how_long_it_was_up(self) -> None:
+    def _lose_to_another(self) -> cell_rig.CellRig:
+        """Returns a rig whose executor e0 is lost and refused at its address.
+
+        It had been up for long, so that its clock was far ahead.
+        """
         rig = _make_rig_with_lasting_tasks()
         rig.run(60)
         _lose_executor(rig)
@@ -468,7 +473,45 @@
             build.clock_readings_at(rig.now_s),
             is_other_incarnation=True,
         )
+        return rig
+
+    def test_no_later_scheduler_does(self) -> None:
+        rig = self._lose_to_another()
         rig.run(_NOTICE_S)
-        bound = _read_record(rig).bound_by_executor["e0"]
-        longest_s = _limits.LeaseTimes().longest_lease_s
-        assert bound.after_s < longest_s * 1.02 + 1.0
+        assert "e0" not in _read_record(rig).bound_by_executor
+        times = _limits.LeaseTimes()
+        longest_run_s = rig.scheduler.longest_run_s(
+            build.clock_readings_at(rig.now_s)
+        )
+        assert longest_run_s <= times.lease_s * _limits.MAX_CLOCK_SLOWNESS
+
+    def test_its_tasks_do_not(self) -> None:
+        rig = self._lose_to_another()
+        rig.run(0.5)
+        assert rig.count_lasting_runs() == 6
+
+
+class TestStartLostWithItsExecutor:
+    """A start without an answer holds up its task no longer than its executor.
+
+    Another executor at the address shows that the process is gone.
+    """
+
+    def test_its_task_starts_elsewhere_at_once(self) -> None:
+        rig = cell_rig.CellRig(build.executor_entry("e0"))
+        rig.run(1)
+        rig.loses_next_start = True
+        rig.submit(build.accepted_job())
+        rig.run(2 * cell_rig.STEP_S)
+        executor = rig.scheduler.cell.executor_by_id["e0"]
+        (run,) = executor.run_by_key.values()
+        assert run.phase is _runs.RunPhase.UNSETTLED
+        rig.add_executor(build.executor_entry("e1"))
+        _lose_executor(rig)
+        rig.scheduler.handle_renewal_failure(
+            _orders.RenewalOrder("e0", None, 0, 0),
+            build.clock_readings_at(rig.now_s),
+            is_other_incarnation=True,
+        )
+        rig.run(1)
+        assert [executor_id for _, executor_id, _ in rig.starts] == ["e1"]
