Keep a start that an unknown incarnation may have begun for a longest lease

Callers: a task ran twice after its executor had restarted under its id, had begun a start without answering it, and was cut off. Cause: without an answer nothing shows the restart, and the run was taken for expired with the lease on the old clock, after 5.4 s. The new incarnation had cut the deadline down to 10 s. Change: only a process that accepted the connection can have the order. On a connection that was open before, that is the incarnation that answers are known of, or one that is gone; on one that was opened for the order it may be another. So the HTTP client says on which kind a request was sent, and a start without an answer on a new connection keeps its task and its room for a longest lease, until a listing settles it. All other lost starts, also those that found no connection, wait no longer than before.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -425,18 +425,22 @@
         """
         if self.last_answer_s is None:
             return 0.0
-        return (
-            self.clock.read_s
-            + self.lease_left_s() * _limits.MAX_CLOCK_SLOWNESS
-            + _limits.LEASE_EXPIRY_MARGIN_S
-        )
+        return end_of_lease_s(self.clock.read_s, self.lease_left_s())
 
     def runs_end_by_s(self) -> float:
         """Returns the time by which all of its runs have certainly ended.
 
         Those of earlier terms count as long as they are not known.
         """
-        return max(self.inherited_until_s or 0.0, self.lease_expired_s())
+        return max(
+            self.inherited_until_s or 0.0,
+            self.lease_expired_s(),
+            *(
+                run.may_last_until_s
+                for run in self.run_by_key.values()
+                if not run.was_listed
+            ),
+        )
 
     def lease_left_s(self) -> float:
         """Returns what is left of the lease at the last clock reading, in s."""
@@ -517,6 +521,22 @@
         self.consecutive_failures = 0
 
 
+def end_of_lease_s(begun_s: float, lease_s: float) -> float:
+    """Returns the time at which a lease has certainly expired, in seconds.
+
+    Allows for a slow clock of the executor and its delay in ending runs.
+
+    Args:
+        begun_s: Latest time at which the lease can have begun, in seconds.
+        lease_s: Length of the lease on the executor's clock, in seconds.
+    """
+    return (
+        begun_s
+        + lease_s * _limits.MAX_CLOCK_SLOWNESS
+        + _limits.LEASE_EXPIRY_MARGIN_S
+    )
+
+
 FAILURES_BEFORE_AVOIDED = 3
 """Consecutive failed runs after which an executor is avoided; the probability
 of that many by chance is below one in a hundred thousand."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -114,8 +114,15 @@
             or now.boot_s <= executor.lease_expired_s()
         ):
             return
+        expired = [
+            run
+            for run in executor.run_by_key.values()
+            if not run.may_outlast_lease(now.boot_s)
+        ]
+        if not expired:
+            return
         crash = self._crashes.find_crash(executor)
-        for run in list(executor.run_by_key.values()):
+        for run in expired:
             self._cell.note(
                 "task.lapsed",
                 task=str(run.task),
--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -45,12 +45,15 @@
         body: Body of the reply.
         error_text: Error text for logs; empty if a reply arrived.
         may_have_been_sent: Whether the call may have reached the server.
+        was_sent_on_new_connection: Whether it was sent on a connection that
+            was opened for it; another process may listen there than before.
     """
 
     status: int
     body: bytes = b""
     error_text: str = ""
     may_have_been_sent: bool = True
+    was_sent_on_new_connection: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -308,6 +308,11 @@
         call = self._call_by_handle.pop(handle)
         self._watched_by_handle.pop(handle, None)
         took_s = time.monotonic() - call.started_s
+        # libcurl wants to send again only what it sent on a reused connection.
+        was_opened = (
+            handle.getinfo(pycurl.NUM_CONNECTS) > 0
+            and not call.was_second_sending_refused
+        )
         self._metrics.count(
             "outgoing_calls",
             operation=call.call.operation,
@@ -328,6 +333,9 @@
             may_have_been_sent=(
                 call.may_have_been_received or code not in _NOT_SENT_ERRORS
             ),
+            was_sent_on_new_connection=(
+                call.may_have_been_received and was_opened
+            ),
         )
         try:
             call.on_reply(reply)
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -69,6 +69,8 @@
 
     Attributes:
         born_ms: Identifies the executor's incarnation.
+        answered_born_ms: Incarnation that last answered an order, to which
+            there is an open connection.
         highest_token: Highest fencing token received.
         lease_ms: End of the lease on the executor's own clock.
         is_answering: Whether orders reach the executor and are answered.
@@ -93,6 +95,7 @@
         self.rig = rig
         self.born_ms = entry.born_ms or 1
         self.entry = dataclasses.replace(entry, born_ms=self.born_ms)
+        self.answered_born_ms = 0
         self.born_s = rig.now_s
         self.highest_token = 0
         self.lease_ms = 0
@@ -834,11 +837,21 @@
     ) -> None:
         """Delivers an answer to the scheduler; None stands for no answer."""
         now = build.clock_readings_at(self.now_s)
+        executor = self.executor_by_id[order.executor]
+        if answer is not None:
+            executor.answered_born_ms = executor.born_ms
         if isinstance(order, _orders.StartOrder):
             result = _orders.StartResult.UNKNOWN
             if isinstance(answer, _orders.StartResult):
                 result = answer
-            self.scheduler.handle_start_answer(order, result, now)
+            self.scheduler.handle_start_answer(
+                order,
+                result,
+                now,
+                may_be_other_incarnation=(
+                    executor.born_ms != executor.answered_born_ms
+                ),
+            )
         elif isinstance(order, _orders.StopOrder):
             self.scheduler.handle_stop_answer(order, answer is not None, now)
         elif isinstance(order, _orders.RenewalOrder):
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -255,7 +255,7 @@
         monkeypatch.setattr(
             rig.scheduler,
             "handle_start_answer",
-            lambda _order, result, _now: results.append(result),
+            lambda _order, result, _now, **_: results.append(result),
         )
         rig.scheduler.cell.orders += [
             _orders.StartOrder(
