Raise the fencing token with each order that got no answer and each restart

Callers: in the rig, an order that was meant for one incarnation of an executor and carried out late by the next ran a task twice, went over its room, extended its lease, or dropped ends that nobody had read. Cause: the token was the epoch, the same for all orders of a term. A new incarnation has forgotten what was stopped and what had ended, so nothing told it which orders were older than what the scheduler knew of it. Evidence: TestLateOrdersForTheIncarnationBefore fails with tokens of the epoch alone (three tests). Change: orders have generations. One begins when a renewal got no answer and when a restart becomes known; the token is the epoch, then the generation. The first renewal of a generation that is answered bars all earlier orders. A refusal of an order of an earlier generation is no sign of a later term. Generations count over the whole cell, so that an executor that was forgotten and is listed again never gets a lower one.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -50,6 +50,7 @@
             store confirmed.
         confirmed_beat: Number of the renewal that wrote this record.
         is_fenced: Whether an executor has seen a later term.
+        order_generation: Newest generation of orders to any executor.
         has_inherited_runs: Whether runs of an earlier term may still exist on
             executors that have not listed them.
         knows_inherited_executors: Whether the stored executors of tasks that
@@ -93,6 +94,7 @@
     confirmed_s: float = 0.0
     confirmed_beat: int = 0
     is_fenced: bool = False
+    order_generation: int = 0
     has_inherited_runs: bool = False
     knows_inherited_executors: bool = False
     next_shorten_finished_s: float = 0.0
@@ -120,6 +122,17 @@
         """Queues a decision for the log, with the inputs that led to it."""
         self.notes.append(_notes.Note(event, fields))
 
+    def begin_order_generation(
+        self, executor: _executors.ExecutorState
+    ) -> None:
+        """Lets later orders to an executor bar all earlier ones there.
+
+        An order without an answer may still be carried out, also by the next
+        incarnation; it is refused once one of a later generation has arrived.
+        """
+        self.order_generation += 1
+        executor.generation = self.order_generation
+
     def next_run_number(self) -> int:
         """Returns a run number above all numbers of this and earlier terms."""
         self.run_counter += 1
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -63,6 +63,10 @@
         renewal_sent_s: Time at which the lease renewal in flight was sent; None
             if none is in flight.
         renewal_address: Address to which the newest lease renewal was sent.
+        generation: Generation of the orders that are sent to it now.
+        renewal_generation: Generation of the newest lease renewal.
+        is_fenced_off: Whether its present incarnation has answered an order
+            with a token that bars those meant for the one before.
         renewal_failures: Number of consecutive lease renewals without an
             answer.
         next_renewal_s: Time at which the next lease renewal is due.
@@ -127,6 +131,9 @@
     stored_end_number: int = 0
     renewal_sent_s: float | None = None
     renewal_address: str = ""
+    generation: int = 0
+    renewal_generation: int = 0
+    is_fenced_off: bool = True
     renewal_failures: int = 0
     next_renewal_s: float = 0.0
     avoid_until_s: float = 0.0
@@ -368,6 +375,7 @@
         self.has_restarted = True
         self.lease_until_ms = clock_ms + int(lease_s * 1000)
         self.has_listed_runs = False
+        self.is_fenced_off = False
         self.started_wall_ms = 0
         self.processed_end_number = 0
         self.stored_end_number = 0
@@ -375,6 +383,20 @@
         self.is_suspect = False
         self.next_renewal_s = now_s
 
+    def record_fence(self, clock_ms: int, longest_lease_s: float) -> None:
+        """Notes that orders for the incarnation before are barred from now on.
+
+        Until then one of them may have given it a lease of full length.
+
+        Args:
+            clock_ms: Reading of its clock, in milliseconds.
+            longest_lease_s: Longest lease that executors grant, in seconds.
+        """
+        if self.is_fenced_off or self.renewal_generation != self.generation:
+            return
+        self.is_fenced_off = True
+        self.lease_until_ms = clock_ms + int(longest_lease_s * 1000)
+
     def assume_earlier_lease(
         self,
         report: _executor.LeaseRenewalReply,
@@ -393,10 +415,10 @@
             self.has_restarted = True
         lease_s = times.lease_s
         age_s = report.clock_ms / 1000
-        # Deadlines on the clock of the incarnation before stop once that one is
-        # out of contact, and what they granted ends a longest lease later.
+        # Deadlines on the clock of the incarnation before arrive until the last
+        # late order, and what they granted ends a longest lease later.
         if self.has_restarted and age_s < (
-            _limits.CONTACT_TIMEOUT_S + times.longest_lease_s
+            _limits.MAX_ORDER_DELAY_S + times.longest_lease_s
         ):
             lease_s = times.longest_lease_s
         elif not report.active_runs:
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -42,6 +42,10 @@
 """Time for which the longest gap between two ticks counts, in seconds: two
 renewals."""
 
+MAX_ORDER_DELAY_S = 15.0
+"""Time in seconds after which an order without an answer is no longer expected
+to be carried out; the executors' contract speaks of seconds."""
+
 LEASE_EXPIRY_MARGIN_S = 0.3
 """Time added to the end of a lease for the executor's delay in ending its runs,
 in seconds."""
@@ -67,6 +71,21 @@
 epoch are always higher."""
 
 
+TOKENS_PER_EPOCH = 1 << 20
+"""Number of fencing tokens of one epoch, of which each generation of orders
+has one, so that a later epoch's tokens are always higher."""
+
+
+def fencing_token(epoch: int, generation: int) -> int:
+    """Returns the fencing token of an order.
+
+    Args:
+        epoch: Epoch of the term.
+        generation: Generation of orders to the executor within the term.
+    """
+    return epoch * TOKENS_PER_EPOCH + min(generation, TOKENS_PER_EPOCH - 1)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseTimes:
     """Durations of the executors' leases and related limits, in seconds.
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -625,6 +625,7 @@
             step=step,
             phase=_runs.RunPhase.ORDERED,
             phase_since_s=now.boot_s,
+            generation=executor.generation,
             checkpoint=self._checkpoint_to_resume(job, task, step),
             is_isolated=is_isolated,
         )
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -75,6 +75,7 @@
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
         executor.renewal_address = executor.listing.address
+        executor.renewal_generation = executor.generation
         cell.orders.append(
             _orders.RenewalOrder(
                 executor=executor.listing.id,
@@ -175,6 +176,7 @@
         executor.renewal_sent_s = None
         executor.renewal_failures += 1
         executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
+        self._cell.begin_order_generation(executor)
         if (
             is_other_incarnation
             and executor.renewal_address == executor.listing.address
@@ -221,28 +223,7 @@
             return
         sent_s = executor.renewal_sent_s or now.boot_s
         executor.renewal_sent_s = None
-        executor.renewal_failures = 0
-        if executor.silent_bound is not None:
-            executor.silent_bound = None
-            cell.silent_executors_changed = True
-        if (
-            executor.started_wall_ms
-            and report.started_wall_ms != executor.started_wall_ms
-        ):
-            self._end_incarnation(executor, now, clock_ms=report.clock_ms)
-        executor.started_wall_ms = report.started_wall_ms
-        self._crashes.settle_inherited_attempts(
-            executor, executor.incarnation, now
-        )
-        if executor.last_answer_s is None:
-            executor.assume_earlier_lease(report, cell.times)
-        executor.last_answer_s = now.boot_s
-        executor.has_listed_runs = True
-        executor.record_clock(report.clock_ms, now.boot_s)
-        longest_ms = int(self._cell.times.longest_lease_s * 1000)
-        executor.lease_until_ms = min(
-            executor.lease_until_ms, report.clock_ms + longest_ms
-        )
+        self._record_contact(executor, report, now)
         for end in report.unacknowledged_ends:
             if end.list_position > executor.processed_end_number:
                 executor.processed_end_number = end.list_position
@@ -269,6 +250,39 @@
             gap_s = _crashes.ISOLATED_RENEWAL_DELAY_S
         executor.next_renewal_s = now.boot_s + gap_s
 
+    def _record_contact(
+        self,
+        executor: _executors.ExecutorState,
+        report: _executor.LeaseRenewalReply,
+        now: _time.Now,
+    ) -> None:
+        """Updates what is known of an executor's incarnation and its lease."""
+        cell = self._cell
+        longest_lease_s = cell.times.longest_lease_s
+        executor.renewal_failures = 0
+        if executor.silent_bound is not None:
+            executor.silent_bound = None
+            cell.silent_executors_changed = True
+        if (
+            executor.started_wall_ms
+            and report.started_wall_ms != executor.started_wall_ms
+        ):
+            self._end_incarnation(executor, now, clock_ms=report.clock_ms)
+        executor.started_wall_ms = report.started_wall_ms
+        self._crashes.settle_inherited_attempts(
+            executor, executor.incarnation, now
+        )
+        if executor.last_answer_s is None:
+            executor.assume_earlier_lease(report, cell.times)
+        executor.record_fence(report.clock_ms, longest_lease_s)
+        executor.last_answer_s = now.boot_s
+        executor.has_listed_runs = True
+        executor.record_clock(report.clock_ms, now.boot_s)
+        executor.lease_until_ms = min(
+            executor.lease_until_ms,
+            report.clock_ms + int(longest_lease_s * 1000),
+        )
+
     def _restart_stalled_tasks(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
@@ -426,6 +440,7 @@
         )
         crash = self._crashes.find_crash(executor)
         executor.record_restart(now.boot_s, clock_ms=clock_ms, lease_s=lease_s)
+        self._cell.begin_order_generation(executor)
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.life-ended",
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -36,6 +36,7 @@
         step: Specification of the task's step.
         phase: Phase of the run.
         phase_since_s: When the phase began.
+        generation: Generation of orders to its executor when it was ordered.
         checkpoint: Newest checkpoint, from which a later run can resume.
         was_confirmed: Whether the executor has confirmed or listed it.
         was_listed: Whether the executor has listed it. A confirmed run that it
@@ -77,6 +78,7 @@
     step: _job_spec.StepSpec
     phase: RunPhase
     phase_since_s: float
+    generation: int = 0
     checkpoint: str = ""
     was_confirmed: bool = False
     was_listed: bool = False
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -209,8 +209,11 @@
                 cell.roster_changed = True
         for executor_id, entry in entry_by_id.items():
             if executor_id not in cell.executor_by_id:
+                # Under its id this term may have had orders of any generation.
                 state = _executors.ExecutorState(
-                    listing=entry, next_renewal_s=now.boot_s
+                    listing=entry,
+                    next_renewal_s=now.boot_s,
+                    generation=cell.order_generation,
                 )
                 state.update_listing(entry, now.boot_s)
                 cell.executor_by_id[executor_id] = state
@@ -351,7 +354,7 @@
         if state is None or run is None:
             return
         if result is _orders.StartResult.FENCED:
-            self.cell.is_fenced = True
+            self._note_fence(state, run.generation)
         if result is _orders.StartResult.NOT_APPROVED:
             key = (order.task.job, order.task.occurrence, order.task.step)
             self.cell.approvals.expire_rejected_approval(key, order.executor)
@@ -483,9 +486,24 @@
         """Applies an executor's answer to a lease renewal."""
         self._renewals.handle_answer(order, report, now)
 
-    def handle_fence(self) -> None:
-        """Ends this scheduler's work, as an executor has seen a later term."""
-        self.cell.is_fenced = True
+    def handle_fence(self, order: _orders.RenewalOrder, now: _time.Now) -> None:
+        """Handles a renewal that an executor refused for its fencing token."""
+        executor = self.cell.executor_by_id.get(order.executor)
+        if executor is None:
+            return
+        self._note_fence(executor, executor.renewal_generation)
+        self._renewals.handle_failure(order, now, is_other_incarnation=False)
+
+    def _note_fence(
+        self, executor: _executors.ExecutorState, generation: int
+    ) -> None:
+        """Ends this scheduler's work if an executor has seen a later term.
+
+        An order of an earlier generation is refused for the token of a later
+        order of this term.
+        """
+        if generation == executor.generation:
+            self.cell.is_fenced = True
 
     def handle_renewal_failure(
         self,
--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -67,18 +67,19 @@
 
 
 def make_start_call(
-    address: str, epoch: int, order: _orders.StartOrder, *, timeout_s: float
+    address: str, token: int, order: _orders.StartOrder, *, timeout_s: float
 ) -> _http_call.HttpCall:
     """Builds the HTTP call that starts a run of a task on an executor.
 
-    The epoch fences off the orders of earlier leaders.
+    The token fences off orders of earlier leaders, and those that were meant
+    for an earlier incarnation.
     """
     body: dict[str, Any] = {
         "Task": format_task_id(order.task),
         "Run": order.run,
         "Spec": order.payload,
         "DeadlineMs": order.lease_until_ms,
-        "FencingToken": epoch,
+        "FencingToken": token,
     }
     if order.checkpoint:
         body["Checkpoint"] = order.checkpoint
@@ -113,17 +114,17 @@
 
 
 def make_stop_call(
-    address: str, epoch: int, order: _orders.StopOrder, *, timeout_s: float
+    address: str, token: int, order: _orders.StopOrder, *, timeout_s: float
 ) -> _http_call.HttpCall:
     """Builds the HTTP call that stops a run of a task.
 
-    The executor also rejects a start of this run that arrives later. The
-    epoch fences off the orders of earlier leaders.
+    The executor also rejects a start of this run that arrives later. The token
+    fences off earlier orders.
     """
     body = {
         "Task": format_task_id(order.task),
         "Run": order.run,
-        "FencingToken": epoch,
+        "FencingToken": token,
     }
     return _make_post_call(
         address, "/run-stop", order.executor, body, timeout_s
@@ -131,24 +132,24 @@
 
 
 def make_pace_call(
-    address: str, epoch: int, order: _orders.PaceOrder, *, timeout_s: float
+    address: str, token: int, order: _orders.PaceOrder, *, timeout_s: float
 ) -> _http_call.HttpCall:
     """Builds the HTTP call that throttles a run to a percentage of its speed.
 
-    The epoch fences off the orders of earlier leaders.
+    The token fences off earlier orders.
     """
     body = {
         "Task": format_task_id(order.task),
         "Run": order.run,
         "Percent": order.percent,
-        "FencingToken": epoch,
+        "FencingToken": token,
     }
     return _make_post_call(address, "/pace", order.executor, body, timeout_s)
 
 
 def make_renewal_call(
     address: str,
-    epoch: int,
+    token: int,
     order: _orders.RenewalOrder,
     *,
     timeout_s: float,
@@ -162,14 +163,14 @@
 
     Args:
         address: ``ip:port`` of the executor.
-        epoch: Epoch of the term; it fences off the orders of earlier leaders.
+        token: Fencing token; it fences off earlier orders.
         order: The order.
         timeout_s: Timeout of the call, in seconds.
         silence_limit_s: Longest time without a byte of the answer, in
             seconds; None for no limit. It includes the wait of the order.
     """
     body = {
-        "FencingToken": epoch,
+        "FencingToken": token,
         "LastSeen": order.acknowledged,
         "WaitMs": order.wait_ms,
     }
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -6,6 +6,7 @@
 import structlog
 
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.platform import _executors as _executor_calls
@@ -44,7 +45,7 @@
     Args:
         calls: HTTP client for the calls.
         scheduler: The scheduler whose orders are sent.
-        epoch: Epoch of its term, the fencing token of every order.
+        epoch: Epoch of its term, part of the fencing token of every order.
         clock: Returns the current time.
         policy_address: Address of the policy service that approves runs;
             empty if there is none, in which case every approval fails.
@@ -88,7 +89,10 @@
             address = executor.listing.address
             if isinstance(order, _orders.StartOrder):
                 call = _executor_calls.make_start_call(
-                    address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
+                    address,
+                    self._fencing_token(order.executor),
+                    order,
+                    timeout_s=ORDER_TIMEOUT_S,
                 )
                 self._start_bytes_in_flight += len(call.body or b"")
                 starts.append((order, call))
@@ -97,6 +101,11 @@
         for start, call in starts:
             self._send_start(start, call)
 
+    def _fencing_token(self, executor_id: str) -> int:
+        """Returns the fencing token of an order that is sent now."""
+        executor = self._scheduler.cell.executor_by_id[executor_id]
+        return _limits.fencing_token(self._epoch, executor.generation)
+
     def _handle_clock(
         self,
         order: _orders.StartOrder | _orders.StopOrder | _orders.PaceOrder,
@@ -228,7 +237,10 @@
 
         self._calls.send(
             _executor_calls.make_stop_call(
-                address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
+                address,
+                self._fencing_token(order.executor),
+                order,
+                timeout_s=ORDER_TIMEOUT_S,
             ),
             handle_reply,
         )
@@ -246,7 +258,10 @@
 
         self._calls.send(
             _executor_calls.make_pace_call(
-                address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
+                address,
+                self._fencing_token(order.executor),
+                order,
+                timeout_s=ORDER_TIMEOUT_S,
             ),
             handle_reply,
         )
@@ -274,7 +289,7 @@
         self._calls.send(
             _executor_calls.make_renewal_call(
                 address,
-                self._epoch,
+                self._fencing_token(order.executor),
                 order,
                 timeout_s=_http_calls.MAX_TRANSFER_S,
                 silence_limit_s=wait_s + self._patience.margin_s(sent_s),
@@ -307,7 +322,7 @@
                 body=reply.body[:100].decode("latin-1"),
             )
         if _executor_calls.is_fenced(reply):
-            self._scheduler.handle_fence()
+            self._scheduler.handle_fence(order, now)
             return
         self._scheduler.handle_renewal_failure(
             order,
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -386,12 +386,14 @@
 
     Attributes:
         due_s: Virtual time at which it is answered at the latest.
+        epoch: Epoch of the scheduler that sent it.
         token: Fencing token under which it was sent.
         order: The renewal order.
         executor_born_ms: Incarnation of the executor that received it.
     """
 
     due_s: float
+    epoch: int
     token: int
     order: _orders.RenewalOrder
     executor_born_ms: int
@@ -435,7 +437,7 @@
         not_approved_count: Starts refused for an invalid approval.
         decisions: Approval requests that wait for an answer, with the time
             at which it is due.
-        epoch: Fencing token of the current scheduler.
+        epoch: Epoch of the current scheduler.
         term_confirmed_s: Time at which the term was last confirmed.
         term_beat: Number of the renewal that confirmed it.
         history: When the records of the terms were read.
@@ -761,6 +763,9 @@
         """Sends an order to an executor; it may get lost or delayed."""
         executor = self.executor_by_id[order.executor]
         known = self._known_clock(order.executor)
+        state = self.scheduler.cell.executor_by_id.get(order.executor)
+        generation = state.generation if state else 0
+        token = _limits.fencing_token(self.epoch, generation)
         is_lost = not executor.is_up or not executor.is_answering
         if (
             isinstance(order, _orders.RenewalOrder)
@@ -776,15 +781,11 @@
         if not is_lost and self.rng.random() < self.delayed_share:
             due_s = self.now_s + self.rng.uniform(0.5, 8.0)
             self.delayed_orders.append(
-                DelayedOrder(
-                    due_s, self.epoch, order, executor.born_ms, self.now_s
-                )
+                DelayedOrder(due_s, token, order, executor.born_ms, self.now_s)
             )
             is_lost = True
         answer = (
-            None
-            if is_lost
-            else self._execute_order(executor, self.epoch, order)
+            None if is_lost else self._execute_order(executor, token, order)
         )
         if (
             self.holds_renewals
@@ -795,7 +796,7 @@
         ):
             due_s = self.now_s + order.wait_ms / 1000
             self.held_renewals.append(
-                HeldRenewal(due_s, self.epoch, order, executor.born_ms)
+                HeldRenewal(due_s, self.epoch, token, order, executor.born_ms)
             )
             return
         if self.rng.random() < self.lost_share:
@@ -873,7 +874,7 @@
                 or not executor.is_answering
                 or executor.born_ms != held.executor_born_ms
             )
-            if held.token != self.epoch:
+            if held.epoch != self.epoch:
                 continue
             if not is_gone and self.now_s < held.due_s and not executor.ends:
                 self.held_renewals.append(held)
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.state.workload import _executor
@@ -326,3 +328,99 @@
         _cut_off_beside_another(rig)
         rig.run(12)
         assert [executor for _, executor, _ in rig.starts] == ["e1", "e2"]
+
+
+class TestLateOrdersForTheIncarnationBefore:
+    """An order that is carried out late means nothing to the next incarnation.
+
+    The next incarnation was already told of when it is carried out.
+    """
+
+    def _restart_before_late_order(
+        self, order: _orders.ExecutorOrder
+    ) -> cell_rig.CellRig:
+        """Returns a rig in which an order reached the next incarnation.
+
+        It was sent before the restart was known, and is carried out after the
+        executor has ended a run of its own and was cut off.
+        """
+        rig = cell_rig.CellRig(build.executor_entry("e1"))
+        rig.run(60)
+        token = _limits.fencing_token(rig.epoch, 0)
+        executor = rig.executor_by_id["e1"]
+        executor.restart()
+        rig.run(1)
+        rig.submit(build.accepted_job())
+        rig.run(0.1)
+        executor.is_answering = False
+        rig.run(1)
+        assert executor.ends
+        rig.delayed_orders.append(
+            cell_rig.DelayedOrder(
+                rig.now_s, token, order, executor.born_ms, rig.now_s
+            )
+        )
+        rig.step()
+        return rig
+
+    @pytest.fixture
+    def late_renewal(self) -> _orders.RenewalOrder:
+        """A renewal with the deadline and ends of the incarnation before."""
+        return _orders.RenewalOrder("e1", 65_000, 9, 0)
+
+    def test_it_drops_no_ends_that_nobody_has_read(
+        self, late_renewal: _orders.RenewalOrder
+    ) -> None:
+        rig = self._restart_before_late_order(late_renewal)
+        assert rig.executor_by_id["e1"].ends
+
+    def test_it_extends_no_lease(
+        self, late_renewal: _orders.RenewalOrder
+    ) -> None:
+        rig = self._restart_before_late_order(late_renewal)
+        executor = rig.executor_by_id["e1"]
+        state = rig.scheduler.cell.executor_by_id["e1"]
+        assert executor.lease_ms <= state.lease_until_ms
+
+    def test_it_starts_no_run(self) -> None:
+        rig = self._restart_before_late_order(
+            _orders.StartOrder(
+                "e1", _job_spec.TaskId(_JOB_ID, 0, 0, 0), 99, "", 65_000, ""
+            )
+        )
+        assert not rig.executor_by_id["e1"].run_by_key
+
+
+class TestFence:
+    """Only orders of a later term end a scheduler's work."""
+
+    @pytest.mark.parametrize("is_restart_known", [False, True])
+    def test_a_start_that_is_refused_for_a_restart_known_since_does_not(
+        self, *, is_restart_known: bool
+    ) -> None:
+        scheduler = _start_scheduler()
+        scheduler.submit_job(
+            build.accepted_job(), build.clock_readings_at(0.25)
+        )
+        orders = _run_timed_work(scheduler, 0.25)
+        orders += _run_timed_work(scheduler, 0.3)
+        (start,) = _find_starts(orders)
+        if is_restart_known:
+            _answer_renewals(scheduler, orders, 0.32, born_ms=2)
+        scheduler.handle_start_answer(
+            start, _orders.StartResult.FENCED, build.clock_readings_at(0.33)
+        )
+        assert scheduler.cell.is_fenced is not is_restart_known
+
+    @pytest.mark.parametrize("is_restart_known", [False, True])
+    def test_a_renewal_that_is_refused_for_a_restart_known_since_does_not(
+        self, *, is_restart_known: bool
+    ) -> None:
+        scheduler = _start_scheduler()
+        now = build.clock_readings_at(0.32)
+        renewal = _take_renewal(_run_timed_work(scheduler, 0.3))
+        if is_restart_known:
+            clock = _executors.ClockReading(0, 10_000, 0.2)
+            scheduler.handle_clock("e1", clock, 5, now)
+        scheduler.handle_fence(renewal, now)
+        assert scheduler.cell.is_fenced is not is_restart_known
