Take no clock from a refusal by another executor

Callers: saw nothing so far; a scheduler could have taken another executor's clock for that of the one it called. Cause: an order that reaches another executor at the address is answered with 421, whose body tells that executor's clock. It was held against the reading of the intended one, so that a lower one began an incarnation on a clock that is not its own, and leases would have been counted on it. Change: such an answer tells no clock. Renewals go on noticing the refusal. Measured: TestClocks fails for 421 without the change (100 instead of None), passes with it; tests/platform/test_border.py and tests/transport/jobs/test_order_sender.py pass.

--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -104,9 +104,10 @@
 def parse_clock_ms(reply: _http_call.HttpReply) -> int | None:
     """Returns the reading of the executor's clock in an answer, in ms.
 
-    Returns None if there is no such answer or it tells none.
+    Returns None if there is no such answer or it tells none, or if another
+    executor has refused the order.
     """
-    if not reply.has_complete_reply:
+    if not reply.has_complete_reply or is_other_incarnation(reply):
         return None
     clock_ms = reply.parse_json_object().get("ClockMs")
     return clock_ms if type(clock_ms) is int and clock_ms >= 0 else None
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -411,6 +411,7 @@
         [
             (200, b'{"ClockMs":482113}', 482113),
             (409, b'{"ClockMs":0,"Reason":"late"}', 0),
+            (421, b'{"ClockMs":100}', None),
             (200, b'{"ClockMs":-1}', None),
             (200, b'{"ClockMs":true}', None),
             (200, b'{"ClockMs":"7"}', None),
