Mend two faults of the noticing of restarts by clocks, found by its review

Callers: a task could run twice, or a start go by a room that is gone. Causes: (1) an answer of the incarnation before to a renewal that was sent before a restart became known was applied to the one after: its clock and its listing counted. (2) The clock of an incarnation that lived but a moment may be lower than that of the next one, so that the restart showed nowhere. Changes: (1) such an answer is dropped and asked for again. (2) A clock that went on by less than the slowest one can have gone on lets a lease of full length be assumed; it is not certain enough to release runs.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -65,6 +65,8 @@
         renewal_address: Address to which the newest lease renewal was sent.
         generation: Generation of the orders that are sent to it now.
         renewal_generation: Generation of the newest lease renewal.
+        renewal_restarts: Number of its restarts that were known when that was
+            sent.
         is_fenced_off: Whether its present incarnation has answered an order
             with a token that bars those meant for the one before.
         renewal_failures: Number of consecutive lease renewals without an
@@ -133,6 +135,7 @@
     renewal_address: str = ""
     generation: int = 0
     renewal_generation: int = 0
+    renewal_restarts: int = 0
     is_fenced_off: bool = True
     renewal_failures: int = 0
     next_renewal_s: float = 0.0
@@ -357,6 +360,13 @@
         passed_ms = int((now_s - self.clock.read_s) * 1000)
         return self.clock.clock_ms + passed_ms
 
+    def assume_longest_lease(
+        self, now_s: float, longest_lease_s: float
+    ) -> None:
+        """Assumes that a lease of full length may have begun by now."""
+        until_ms = self.min_clock_at(now_s) + int(longest_lease_s * 1000)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Records a reading of the clock of its present incarnation."""
         self.clock = ClockReading(self.clock.restarts, clock_ms, now_s)
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -46,6 +46,10 @@
 """Time in seconds after which an order without an answer is no longer expected
 to be carried out; the executors' contract speaks of seconds."""
 
+CLOCK_READING_MARGIN_MS = 50
+"""Difference of two clock readings that shows nothing, in milliseconds: they
+are rounded, and times are taken once per pass."""
+
 LEASE_EXPIRY_MARGIN_S = 0.3
 """Time added to the end of a lease for the executor's delay in ending its runs,
 in seconds."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -75,6 +75,7 @@
         wait_ms = 0 if is_short else int(_limits.RENEWAL_WAIT_S * 1000)
         executor.renewal_sent_s = now.boot_s
         executor.renewal_address = executor.listing.address
+        executor.renewal_restarts = executor.clock.restarts
         executor.renewal_generation = executor.generation
         cell.orders.append(
             _orders.RenewalOrder(
@@ -189,6 +190,8 @@
         known: _executors.ClockReading,
         clock_ms: int,
         now: _time.Now,
+        *,
+        sent_s: float,
     ) -> None:
         """Notices a restart by the clock in the answer to an order.
 
@@ -197,6 +200,7 @@
             known: Reading of its clock that was known when the order was sent.
             clock_ms: Reading in the answer, in milliseconds.
             now: The time.
+            sent_s: When the order was sent, in seconds.
         """
         executor = self._cell.executor_by_id.get(executor_id)
         if executor is None or executor.clock.restarts != known.restarts:
@@ -204,6 +208,15 @@
         # Answers may overtake each other, but not what was known before.
         if clock_ms < known.clock_ms:
             self._end_incarnation(executor, now, clock_ms=clock_ms)
+            return
+        passed_ms = (sent_s - known.read_s) * 1000 / _limits.MAX_CLOCK_SLOWNESS
+        least_ms = known.clock_ms + passed_ms - _limits.CLOCK_READING_MARGIN_MS
+        if clock_ms < least_ms:
+            # A young incarnation may have been followed by another. That is not
+            # certain enough to release its runs.
+            executor.assume_longest_lease(
+                now.boot_s, self._cell.times.longest_lease_s
+            )
 
     def handle_answer(
         self,
@@ -223,6 +236,10 @@
             return
         sent_s = executor.renewal_sent_s or now.boot_s
         executor.renewal_sent_s = None
+        if executor.renewal_restarts != executor.clock.restarts:
+            # The incarnation that answered is not the present one.
+            executor.next_renewal_s = now.boot_s
+            return
         self._record_contact(executor, report, now)
         for end in report.unacknowledged_ends:
             if end.list_position > executor.processed_end_number:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -393,6 +393,8 @@
         known: _executors.ClockReading,
         clock_ms: int,
         now: _time.Now,
+        *,
+        sent_s: float,
     ) -> None:
         """Notices a restart of an executor by the clock in any answer.
 
@@ -401,8 +403,11 @@
             known: Reading of its clock that was known when the order was sent.
             clock_ms: Reading in the answer, in milliseconds.
             now: The time.
+            sent_s: When the order was sent, in seconds.
         """
-        self._renewals.handle_clock(executor_id, known, clock_ms, now)
+        self._renewals.handle_clock(
+            executor_id, known, clock_ms, now, sent_s=sent_s
+        )
 
     def handle_stop_answer(
         self, order: _orders.StopOrder, is_answered: bool, now: _time.Now
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -110,13 +110,14 @@
         self,
         order: _orders.StartOrder | _orders.StopOrder | _orders.PaceOrder,
         known: _executors.ClockReading,
+        sent_s: float,
         reply: _http_call.HttpReply,
     ) -> None:
         """Passes the reading of an executor's clock in an answer on."""
         clock_ms = _executor_calls.parse_clock_ms(reply)
         if clock_ms is not None:
             self._scheduler.handle_clock(
-                order.executor, known, clock_ms, self._clock()
+                order.executor, known, clock_ms, self._clock(), sent_s=sent_s
             )
 
     def _known_clock(self, executor_id: str) -> _executors.ClockReading:
@@ -194,6 +195,7 @@
     ) -> None:
         """Sends the call of an order to start a run and reports the result."""
         known = self._known_clock(order.executor)
+        sent_s = self._clock().boot_s
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             self._start_bytes_in_flight -= len(call.body or b"")
@@ -217,7 +219,7 @@
                     self._clock(),
                     may_be_other_incarnation=reply.was_sent_on_new_connection,
                 )
-                self._handle_clock(order, known, reply)
+                self._handle_clock(order, known, sent_s, reply)
 
         self._calls.send(
             dataclasses.replace(call, timeout_s=self._start_timeout_s()),
@@ -227,13 +229,14 @@
     def _send_stop(self, address: str, order: _orders.StopOrder) -> None:
         """Sends an order to stop a run and reports whether it succeeded."""
         known = self._known_clock(order.executor)
+        sent_s = self._clock().boot_s
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             if not self.is_closed:
                 self._scheduler.handle_stop_answer(
                     order, reply.is_success, self._clock()
                 )
-                self._handle_clock(order, known, reply)
+                self._handle_clock(order, known, sent_s, reply)
 
         self._calls.send(
             _executor_calls.make_stop_call(
@@ -248,13 +251,14 @@
     def _send_pace(self, address: str, order: _orders.PaceOrder) -> None:
         """Sends an order to change a run's pace and reports the success."""
         known = self._known_clock(order.executor)
+        sent_s = self._clock().boot_s
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             if not self.is_closed:
                 self._scheduler.handle_pace_answer(
                     order, reply.is_success, self._clock()
                 )
-                self._handle_clock(order, known, reply)
+                self._handle_clock(order, known, sent_s, reply)
 
         self._calls.send(
             _executor_calls.make_pace_call(
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -808,6 +808,7 @@
                 known,
                 executor.clock_ms,
                 build.clock_readings_at(self.now_s),
+                sent_s=self.now_s,
             )
         self._process_notes()
 
--- a/tests/coordination/scheduling/test_mixed_incarnations.py
+++ b/tests/coordination/scheduling/test_mixed_incarnations.py
@@ -169,7 +169,7 @@
         known = scheduler.cell.executor_by_id["e1"].clock
         now = build.clock_readings_at(0.9)
         scheduler.handle_start_answer(start, _orders.StartResult.STARTED, now)
-        scheduler.handle_clock("e1", known, 100, now)
+        scheduler.handle_clock("e1", known, 100, now, sent_s=0.4)
         self._answer(scheduler, renewal, 1.0)
         return scheduler, renewal, start
 
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -421,6 +421,6 @@
         renewal = _take_renewal(_run_timed_work(scheduler, 0.3))
         if is_restart_known:
             clock = _executors.ClockReading(0, 10_000, 0.2)
-            scheduler.handle_clock("e1", clock, 5, now)
+            scheduler.handle_clock("e1", clock, 5, now, sent_s=0.3)
         scheduler.handle_fence(renewal, now)
         assert scheduler.cell.is_fenced is not is_restart_known
