Acknowledge no ends that a new incarnation may have ended unread

Callers: a task that was done could start again. Cause: while the store is slow, renewals are half a second apart. An executor that restarts in between under its id can take a start and end its run; its ends are numbered from 1 again, and the next renewal acknowledged the ends of the incarnation before, up to a higher number. Evidence: TestAcknowledgementThatReachesTheNextIncarnation fails without the change. Change: nothing is acknowledged with a renewal that comes 0.1 s or more after the last answer while a run is ordered that was never listed; the answer lists it or its end, and the next renewal acknowledges. With a store that answers in time this adds no call.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -478,6 +478,23 @@
         """Returns what is left of the lease at the last clock reading, in s."""
         return max(0.0, (self.lease_until_ms - self.clock.clock_ms) / 1000)
 
+    def may_have_unread_ends(self, now_s: float) -> bool:
+        """Returns whether a new incarnation may have ended runs unread.
+
+        It shows as a failed renewal, or it has restarted between two renewals
+        and may have ended what was ordered since and never listed.
+        """
+        if self.renewal_failures > 0:
+            return True
+        if self.last_answer_s is None:
+            return False
+        if now_s - self.last_answer_s < _limits.SHORTEST_RESTART_S:
+            return False
+        return any(
+            not run.was_listed and not run.is_start_held
+            for run in self.run_by_key.values()
+        )
+
     def has_unlisted_runs(self) -> bool:
         """Returns whether it is still open if a run exists."""
         unsettled = (_runs.RunPhase.UNSETTLED, _runs.RunPhase.STOPPING)
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -50,6 +50,10 @@
 """Difference of two clock readings that shows nothing, in milliseconds: they
 are rounded, and times are taken once per pass."""
 
+SHORTEST_RESTART_S = 0.1
+"""Shortest time, in seconds, in which an executor restarts, takes a start and
+ends its run."""
+
 LEASE_EXPIRY_MARGIN_S = 0.3
 """Time added to the end of a lease for the executor's delay in ending its runs,
 in seconds."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -81,9 +81,13 @@
             _orders.RenewalOrder(
                 executor=executor.listing.id,
                 lease_until_ms=until_ms,
-                # After a failure a new incarnation may answer. Its ends are
-                # numbered from 1 again and must not be acknowledged unseen.
-                acknowledged=0 if is_retry else executor.stored_end_number,
+                # The ends of a new incarnation are numbered from 1 again and
+                # must not be acknowledged unseen.
+                acknowledged=(
+                    0
+                    if executor.may_have_unread_ends(now.boot_s)
+                    else executor.stored_end_number
+                ),
                 wait_ms=wait_ms,
             )
         )
