Show from a log where tasks spent their time

Callers: nothing changes. Change: the command waits reads what schedulers logged and prints, for each window, for how long tasks waited, were suspects, behind an order without an answer, unsettled, being stopped, on a silent executor or behind an executor of an earlier term, and the lengths of these times. What the log leaves open isn't counted.

--- a/src/basiljunction/cli/_main.py
+++ b/src/basiljunction/cli/_main.py
@@ -20,6 +20,7 @@
     "settings": "_settings",
     "standin": "_standin",
     "status": "_status",
+    "waits": "_waits",
 }
 """Module in this package that defines each command, by command name."""
 
