Count the bytes of a start only while they can still be on the link

Callers: after orders were lost, tasks waited 4 s, not 1 s, until a further lost start was noticed, and its room stood empty for as long. Cause: the body of each start without an answer counted as being sent until the start was given up, so that lost starts lengthened the time-out that the next lost ones then filled. Evidence: the two new tests in TestStarts fail without the change: 2.84 s instead of at most 1.7 s with half of the executors silent, 3.41 s instead of 1.3 s after large lost starts. Change: a body counts until its call ends, until a start that was sent after it and is at least as large is answered, or until a slow link would have sent it. This is an estimate: what the sockets have sent isn't read. The tests of large payloads over a narrow link hold.

--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -12,9 +12,9 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
-from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _renewal_patience
+from basiljunction.transport.jobs import _unsent_bodies
 
 ORDER_TIMEOUT_S = 1.0
 """Timeout of an order, in seconds; well below the lease that it carries.
@@ -69,7 +69,7 @@
         self._epoch = epoch
         self._clock = clock
         self._patience = _renewal_patience.RenewalPatience()
-        self._start_bytes_in_flight = 0
+        self._unsent_starts = _unsent_bodies.UnsentBodies()
 
     def send_collected_orders(self) -> None:
         """Sends all orders that the scheduler has collected.
@@ -90,7 +90,7 @@
                 call = _executor_calls.make_start_call(
                     address, self._epoch, order, timeout_s=ORDER_TIMEOUT_S
                 )
-                self._start_bytes_in_flight += len(call.body or b"")
+                self._unsent_starts.expect(len(call.body or b""))
                 starts.append((order, call))
             else:
                 self._send_executor_order(address, order)
@@ -169,14 +169,12 @@
             self._send_pace(address, order)
 
     def _start_timeout_s(self) -> float:
-        """Returns the time for starts beside those in flight, in seconds.
+        """Returns the time for starts beside those being sent, in seconds.
 
         A start that is given up while its body is being sent stays unsettled,
-        and its task waits. The bodies in flight share the link.
+        and its task waits. The bodies that are being sent share the link.
         """
-        bodies_s = (
-            self._start_bytes_in_flight / _call_pace.SLOW_LINK_BYTES_PER_S
-        )
+        bodies_s = self._unsent_starts.seconds_left(self._clock().boot_s)
         lease_s = self._scheduler.cell.times.lease_s
         return min(ORDER_TIMEOUT_S + bodies_s, MAX_START_LEASE_SHARE * lease_s)
 
@@ -185,9 +183,14 @@
     ) -> None:
         """Sends the call of an order to start a run and reports the result."""
         known = self._known_clock(order.executor)
+        byte_count = len(call.body or b"")
+        timeout_s = self._start_timeout_s()
+        number = self._unsent_starts.begin(byte_count, self._clock().boot_s)
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
-            self._start_bytes_in_flight -= len(call.body or b"")
+            self._unsent_starts.end(
+                number, byte_count, is_answered=reply.has_complete_reply
+            )
             result = _executor_calls.parse_start_result(reply)
             if not reply.may_have_been_sent:
                 result = _orders.StartResult.UNHEALTHY
@@ -208,7 +211,7 @@
                 self._handle_clock(order, known, reply)
 
         self._calls.send(
-            dataclasses.replace(call, timeout_s=self._start_timeout_s()),
+            dataclasses.replace(call, timeout_s=timeout_s),
             handle_reply,
         )
 
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -15,6 +15,7 @@
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.platform import _executors
 from basiljunction.protocol import _job_records
+from basiljunction.state import _time
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -60,6 +61,16 @@
 START_PAYLOAD_CHARS = 60_000
 """Size of their payloads; all of them take 1.9 s over a narrow link."""
 
+LOST_PAYLOAD_CHARS = 5_000
+"""Size of the payloads of starts of which half get no answer."""
+
+LOST_ROUNDS = 12
+"""How often starts are sent of which half get no answer."""
+
+LOST_ROUND_S = 0.25
+"""Time between two of these rounds, in seconds; their bodies fill some two
+thirds of a narrow link."""
+
 
 @pytest.fixture
 def platform() -> Iterator[platform_standin.Platform]:
@@ -257,20 +268,26 @@
             "handle_start_answer",
             lambda _order, result, _now: results.append(result),
         )
+        self._order_starts(rig, payload, range(START_COUNT))
+        started_s = time.monotonic()
+        rig.run_until(lambda: len(results) == START_COUNT, limit_s=8.0)
+        return results, time.monotonic() - started_s
+
+    def _order_starts(
+        self, rig: Rig, payload: str, executors: Iterable[int], run: int = 0
+    ) -> None:
+        """Adds a start for each executor to the scheduler's orders."""
         rig.scheduler.cell.orders += [
             _orders.StartOrder(
                 executor=f"i-{number}",
                 task=_job_spec.TaskId("00000000000000a1", 0, 0, number),
-                run=number,
+                run=run + number,
                 payload=payload,
                 lease_until_ms=5000,
                 checkpoint="",
             )
-            for number in range(START_COUNT)
+            for number in executors
         ]
-        started_s = time.monotonic()
-        rig.run_until(lambda: len(results) == START_COUNT, limit_s=8.0)
-        return results, time.monotonic() - started_s
 
     def test_starts_with_large_payloads_get_through_a_narrow_link(
         self,
@@ -305,6 +322,67 @@
         assert results == [_orders.StartResult.UNKNOWN] * START_COUNT
         assert took_s < _order_sender.ORDER_TIMEOUT_S + 0.3
 
+    def test_lost_starts_lengthen_the_time_until_the_next_is_noticed(
+        self,
+        rig: Rig,
+        executors: linked_executors.LinkedExecutors,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        executors.silent.update(range(0, START_COUNT, 2))
+        began_s_by_run: dict[int, float] = {}
+        took_s_by_run: dict[int, float] = {}
+
+        def note(
+            order: _orders.StartOrder,
+            result: _orders.StartResult,
+            _now: _time.Now,
+        ) -> None:
+            if result is _orders.StartResult.UNKNOWN:
+                took_s = time.monotonic() - began_s_by_run[order.run]
+                took_s_by_run[order.run] = took_s
+
+        monkeypatch.setattr(rig.scheduler, "handle_start_answer", note)
+        for number in range(LOST_ROUNDS):
+            first_run = number * START_COUNT
+            began_s_by_run.update(
+                (first_run + each, time.monotonic())
+                for each in range(START_COUNT)
+            )
+            self._order_starts(
+                rig, "x" * LOST_PAYLOAD_CHARS, range(START_COUNT), first_run
+            )
+            rig.run_until(lambda: False, limit_s=LOST_ROUND_S)
+        lost_count = LOST_ROUNDS * len(executors.silent)
+        rig.run_until(lambda: len(took_s_by_run) == lost_count, limit_s=4.5)
+        assert len(took_s_by_run) == lost_count
+        # The bodies of one round take 0.4 s over the narrowest link that is
+        # reckoned with.
+        assert max(took_s_by_run.values()) < (
+            _order_sender.ORDER_TIMEOUT_S + 0.4 + 0.3
+        )
+
+    def test_a_lost_start_is_noticed_late_after_the_loss_of_large_ones(
+        self,
+        rig: Rig,
+        executors: linked_executors.LinkedExecutors,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        executors.silent.update(range(START_COUNT))
+        results: list[int] = []
+        monkeypatch.setattr(
+            rig.scheduler,
+            "handle_start_answer",
+            lambda order, _result, _now: results.append(order.run),
+        )
+        # Sent within 2.5 s over a slow link, and given up after 3.4 s.
+        self._order_starts(rig, "x" * START_PAYLOAD_CHARS, range(10))
+        rig.run_until(lambda: False, limit_s=2.6)
+        self._order_starts(rig, "x" * 100, [10])
+        started_s = time.monotonic()
+        rig.run_until(lambda: 10 in results, limit_s=4.5)
+        took_s = time.monotonic() - started_s
+        assert took_s < _order_sender.ORDER_TIMEOUT_S + 0.3
+
 
 @pytest.fixture
 def cut_platform() -> Iterator[platform_standin.Platform]:
