Adapt two tests of fenced terms to tokens with generations

They set the highest token that an executor has seen to 2, the second term's token until now; it is the first token of the second term again. Three tests of the order sender take the new keyword of a start's answer.

--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -18,6 +18,9 @@
 
 _JOB_PATH = "/jobs/00000000000000a1"
 
+_LATER_TOKEN = _limits.fencing_token(2, 0)
+"""First fencing token of the second term."""
+
 _TERM_S = 1.5
 """Duration of each term of a series, in seconds."""
 
@@ -113,7 +116,7 @@
         instances.append(instance_rig.Instance(platform))
         instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         instance_rig.wait_until(lambda: len(platform.starts) == 1)
-        platform.executors[0].highest_token = 2
+        platform.executors[0].highest_token = _LATER_TOKEN
         other_path = _JOB_PATH.replace("a1", "a2")
         assert (
             instances[0].call("POST", other_path, instance_rig.SHORT_JOB)[0]
@@ -130,7 +133,7 @@
         instances: list[instance_rig.Instance],
         logs: list[Any],
     ) -> None:
-        platform.executors[0].highest_token = 2
+        platform.executors[0].highest_token = _LATER_TOKEN
         instances.append(instance_rig.Instance(platform))
         instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         instance_rig.wait_until(lambda: platform.starts)
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -336,6 +336,7 @@
             order: _orders.StartOrder,
             result: _orders.StartResult,
             _now: _time.Now,
+            **_: bool,
         ) -> None:
             if result is _orders.StartResult.UNKNOWN:
                 took_s = time.monotonic() - began_s_by_run[order.run]
@@ -372,7 +373,7 @@
         monkeypatch.setattr(
             rig.scheduler,
             "handle_start_answer",
-            lambda order, _result, _now: results.append(order.run),
+            lambda order, _result, _now, **_: results.append(order.run),
         )
         # Sent within 2.5 s over a slow link, and given up after 3.4 s.
         self._order_starts(rig, "x" * START_PAYLOAD_CHARS, range(10))
