Rig: let a gang work only while all its runs are there, as an option

The rig let each run of a gang end done by itself. A late start of one member could so come after the end of another, which the check "is done" counted, though on executors a gang works only while all of it runs.

A run of a gang that ends otherwise breaks the others, as does a restart. Off by default.

--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -50,6 +50,7 @@
         run_time_s: Run time on this executor, in seconds.
         stopped_s: Virtual time at which the run has stopped; None if it is not
             to be stopped.
+        is_waiting_for_gang: Whether it waits for other runs of its gang.
     """
 
     step: _job_spec.StepSpec
@@ -57,6 +58,7 @@
     kind: _executor.RunEndKind
     run_time_s: float = RUN_TIME_S
     stopped_s: float | None = None
+    is_waiting_for_gang: bool = False
 
 
 @dataclasses.dataclass
@@ -141,7 +143,10 @@
         self.born_s = self.rig.now_s
         self.highest_token = 0
         self.lease_ms = 0
+        lost_keys = list(self.run_by_key)
         self.run_by_key.clear()
+        for key in lost_keys:
+            self.rig.break_gang(key)
         self.highest_closed_run_by_task.clear()
         self.ends.clear()
         self.end_count = 0
@@ -206,6 +211,7 @@
         if step.runs_until_cancelled:
             self.run_by_key[key].end_s = float("inf")
         self.rig.check_start(self, order)
+        self.rig.begin_gang(key)
         return _orders.StartResult.STARTED
 
     def _find_refusal(
@@ -274,7 +280,7 @@
 
     def _progress_percent(self, run: SimulatedRun) -> float:
         """Returns the progress of a run as it is reported."""
-        if self.is_hanging:
+        if self.is_hanging or run.is_waiting_for_gang:
             return 0.0
         if run.step.runs_until_cancelled:
             return 100.0
@@ -303,7 +309,9 @@
                 self.end_run(key, _executor.RunEndKind.LAPSED)
             elif run.stopped_s is not None and self.rig.now_s >= run.stopped_s:
                 self.end_run(key, _executor.RunEndKind.STOPPED)
-            elif self.rig.now_s >= run.end_s and not self.is_hanging:
+            elif self.rig.now_s >= run.end_s and not (
+                self.is_hanging or run.is_waiting_for_gang
+            ):
                 self.end_run(key, run.kind)
 
     def has_room_for(self, size: _job_spec.Resources) -> bool:
@@ -330,6 +338,8 @@
             done_end = DoneEnd(task)
             self.unseen_done_end_by_number[self.end_count] = done_end
             self.rig.done_ends.append(done_end)
+        else:
+            self.rig.break_gang(key)
         self.highest_closed_run_by_task[task] = max(
             number, self.highest_closed_run_by_task.get(task, 0)
         )
@@ -435,6 +445,8 @@
     Attributes:
         lost_share: Share of the orders whose answer is lost.
         delayed_share: Share of the orders that are delayed and not answered.
+        gangs_run_together: Whether a gang's runs work only while all of them
+            run, and are broken if one ends otherwise.
         drops_stop_orders: Whether stop orders get lost.
         holds_renewals: Whether executors hold back their answer to a renewal
             for as long as it asks for, until a run ends.
@@ -482,6 +494,7 @@
         self.fail_share = fail_share
         self.lost_share = 0.0
         self.delayed_share = 0.0
+        self.gangs_run_together = False
         self.holds_renewals = False
         self.held_renewals: list[HeldRenewal] = []
         self.loses_next_start = False
@@ -922,6 +935,41 @@
         """Returns the specification of a task's step."""
         return self.spec_by_job[task.job].steps[task.step]
 
+    def _find_gang(self, key: RunKey) -> list[SimulatedRun]:
+        """Returns the runs of a gang on all executors; none if it is no gang.
+
+        A gang is found only if the rig lets gangs run together.
+        """
+        task, number = key
+        if not self.gangs_run_together or not self.step_spec_of(task).gang:
+            return []
+        return [
+            run
+            for executor in self.executor_by_id.values()
+            if executor.is_up
+            for (other, run_number), run in executor.run_by_key.items()
+            if run_number == number
+            and dataclasses.replace(other, index=task.index) == task
+        ]
+
+    def begin_gang(self, key: RunKey) -> None:
+        """Lets a gang work from now on, if all its runs are there."""
+        runs = self._find_gang(key)
+        if any(run.kind is _executor.RunEndKind.BROKEN for run in runs):
+            self.break_gang(key)
+            return
+        is_complete = len(runs) == self.step_spec_of(key[0]).count
+        for run in runs:
+            run.is_waiting_for_gang = not is_complete
+            run.end_s = self.now_s + run.run_time_s
+
+    def break_gang(self, key: RunKey) -> None:
+        """Ends the other runs of a gang as broken with the next step."""
+        for run in self._find_gang(key):
+            run.is_waiting_for_gang = False
+            run.end_s = self.now_s
+            run.kind = _executor.RunEndKind.BROKEN
+
     def draw_end_kind(self, step: _job_spec.StepSpec) -> _executor.RunEndKind:
         """Returns a randomly drawn kind of end for a run; gangs never fail."""
         if not step.gang and self.rng.random() < self.fail_share:
