--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -900,6 +900,7 @@
                 else self._execute_order(executor, held.token, held.order)
             )
             self._deliver_answer(held.order, answer)
+            self._process_notes()
 
     def _execute_delayed_orders(self) -> None:
         """Lets executors carry out delayed orders that are due."""
