--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SEED ?= 20261203
 
-.PHONY: setup test processes format lint types demo openapi faults binary mutations capacity fault-seeds soak
+.PHONY: setup test processes format lint types demo openapi faults binary mutations capacity fault-seeds soak sequences
 
 setup: $(STAMP)
 
@@ -64,3 +64,8 @@
 
 soak: setup
 	$(BIN)/python scripts/platform_soak.py --seeds $(SOAK_SEEDS)
+
+SEQUENCE_SEEDS ?= 2000
+
+sequences: setup
+	$(BIN)/python scripts/random_sequences.py --seeds $(SEQUENCE_SEEDS)
