--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).parents[1]
 sys.path.insert(0, str(ROOT / "tests"))
 
+import cell_rig  # noqa: E402 - the path is set above
 import restart_sequences  # noqa: E402 - the path is set above
 
 CHUNK_SIZE = 20
@@ -48,6 +49,12 @@
 @click.option(
     "--delayed", default=0.1, show_default=True, help="Share of late orders."
 )
+@click.option(
+    "--longest-delay",
+    default=cell_rig.LONGEST_DELAY_S,
+    show_default=True,
+    help="Seconds.",
+)
 @click.option("--show/--brief", default=True, help="Print the last steps.")
 def main(
     *,
@@ -57,11 +64,15 @@
     restarts: bool,
     varied: bool,
     delayed: float,
+    longest_delay: float,
     show: bool,
 ) -> None:
     """Play random sequences; exit with 1 if one breaks a rule."""
     mix = restart_sequences.Mix(
-        has_restarts=restarts, has_varied_jobs=varied, delayed_share=delayed
+        has_restarts=restarts,
+        has_varied_jobs=varied,
+        delayed_share=delayed,
+        longest_delay_s=longest_delay,
     )
     began_s = time.monotonic()
     start_count = 0
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -35,6 +35,12 @@
 HEARTBEAT_S = 0.5
 """Virtual time between two reports of a draining executor, in seconds."""
 
+SHORTEST_DELAY_S = 0.5
+"""Shortest time by which an order is late, in seconds."""
+
+LONGEST_DELAY_S = 8.0
+"""Default longest time by which an order is late, in seconds."""
+
 RunKey = tuple[_job_spec.TaskId, int]
 """Task and run number."""
 
@@ -447,6 +453,7 @@
         delayed_share: Share of the orders that are delayed and not answered.
         gangs_run_together: Whether a gang's runs work only while all of them
             run, and are broken if one ends otherwise.
+        longest_delay_s: Longest time by which an order is delayed, in seconds.
         drops_stop_orders: Whether stop orders get lost.
         holds_renewals: Whether executors hold back their answer to a renewal
             for as long as it asks for, until a run ends.
@@ -494,6 +501,7 @@
         self.fail_share = fail_share
         self.lost_share = 0.0
         self.delayed_share = 0.0
+        self.longest_delay_s = LONGEST_DELAY_S
         self.gangs_run_together = False
         self.holds_renewals = False
         self.held_renewals: list[HeldRenewal] = []
@@ -800,7 +808,9 @@
             self.loses_next_start = False
             is_lost = True
         if not is_lost and self.rng.random() < self.delayed_share:
-            due_s = self.now_s + self.rng.uniform(0.5, 8.0)
+            due_s = self.now_s + self.rng.uniform(
+                SHORTEST_DELAY_S, self.longest_delay_s
+            )
             self.delayed_orders.append(
                 DelayedOrder(
                     due_s, self.epoch, order, executor.born_ms, self.now_s
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -46,12 +46,14 @@
 
     Attributes:
         delayed_share: Share of the orders that are delayed and not answered.
+        longest_delay_s: Longest time by which an order is late, in seconds.
         lost_share: Share of the orders whose answer is lost.
         fail_share: Share of the runs that fail.
         holds_renewals: Whether executors hold back answers to renewals.
     """
 
     delayed_share: float = 0.1
+    longest_delay_s: float = cell_rig.LONGEST_DELAY_S
     lost_share: float = 0.0
     fail_share: float = 0.0
     holds_renewals: bool = False
@@ -128,12 +130,14 @@
         has_varied_jobs: Whether there are gangs, copies, dependent steps, runs
             that fail and cancels.
         delayed_share: Share of the orders that are delayed and not answered.
+        longest_delay_s: Longest time by which an order is late, in seconds.
     """
 
     duration_s: float = 40.0
     has_restarts: bool = True
     has_varied_jobs: bool = True
     delayed_share: float = 0.1
+    longest_delay_s: float = cell_rig.LONGEST_DELAY_S
 
 
 class _Drawing:
@@ -163,6 +167,7 @@
         run_time_s = rng.choice([0.5, 2.0, 6.0])
         faults = Faults(
             delayed_share=self._mix.delayed_share,
+            longest_delay_s=self._mix.longest_delay_s,
             lost_share=rng.choice([0.0, 0.05, 0.2]),
             holds_renewals=rng.random() < 0.5,
         )
@@ -290,6 +295,7 @@
     rig.gangs_run_together = True
     rig.run_time_s = sequence.run_time_s
     rig.delayed_share = faults.delayed_share
+    rig.longest_delay_s = faults.longest_delay_s
     rig.lost_share = faults.lost_share
     rig.holds_renewals = faults.holds_renewals
     return rig
