Rig: let refused starts extend the lease, as an option

A start that is outdated or finds no room extends the lease as an accepted one does; in the rig it did not.

--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -55,6 +55,7 @@
     show_default=True,
     help="Seconds.",
 )
+@click.option("--refusals/--no-refusals", default=False, show_default=True)
 @click.option("--show/--brief", default=True, help="Print the last steps.")
 def main(
     *,
@@ -65,6 +66,7 @@
     varied: bool,
     delayed: float,
     longest_delay: float,
+    refusals: bool,
     show: bool,
 ) -> None:
     """Play random sequences; exit with 1 if one breaks a rule."""
@@ -73,6 +75,7 @@
         has_varied_jobs=varied,
         delayed_share=delayed,
         longest_delay_s=longest_delay,
+        has_refusals=refusals,
     )
     began_s = time.monotonic()
     start_count = 0
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -202,6 +202,7 @@
         if key in self.run_by_key:
             return _orders.StartResult.STARTED
         if order.run <= self.highest_closed_run_by_task.get(order.task, 0):
+            self._take_deadline_of_refused_start(order)
             return _orders.StartResult.SUPERSEDED
         if order.lease_until_ms <= self.clock_ms:
             return _orders.StartResult.TOO_LATE
@@ -232,9 +233,17 @@
             return _orders.StartResult.NOT_APPROVED
         if self.refuses_for_capacity:
             self.refused_count += 1
+            self._take_deadline_of_refused_start(order)
             return _orders.StartResult.NO_ROOM
         return None
 
+    def _take_deadline_of_refused_start(
+        self, order: _orders.StartOrder
+    ) -> None:
+        """Extends the lease by a start that is outdated or finds no room."""
+        if self.rig.refused_starts_extend_lease:
+            self._extend_lease(order.lease_until_ms)
+
     def stop(self, token: int, order: _orders.StopOrder) -> None:
         """Stops a run and bars the task's runs up to it from starting."""
         if token < self.highest_token:
@@ -454,6 +463,8 @@
         gangs_run_together: Whether a gang's runs work only while all of them
             run, and are broken if one ends otherwise.
         longest_delay_s: Longest time by which an order is delayed, in seconds.
+        refused_starts_extend_lease: Whether a start that is outdated or finds
+            no room extends the lease.
         drops_stop_orders: Whether stop orders get lost.
         holds_renewals: Whether executors hold back their answer to a renewal
             for as long as it asks for, until a run ends.
@@ -502,6 +513,7 @@
         self.lost_share = 0.0
         self.delayed_share = 0.0
         self.longest_delay_s = LONGEST_DELAY_S
+        self.refused_starts_extend_lease = False
         self.gangs_run_together = False
         self.holds_renewals = False
         self.held_renewals: list[HeldRenewal] = []
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -20,6 +20,7 @@
 _PAUSES_S = (0.05, 0.1, 0.2, 0.5, 1.0)
 _CUT_LENGTHS_S = (0.3, 1.0, 3.0, 6.0, 11.0)
 _RECOVERY_TIMES_S = (0.0, 0.3, 1.0)
+_REFUSAL_LENGTHS_S = (0.3, 1.0, 3.0)
 _STORE_PAUSES_S = (0.3, 1.0)
 _MAX_JOBS = 40
 
@@ -50,6 +51,8 @@
         lost_share: Share of the orders whose answer is lost.
         fail_share: Share of the runs that fail.
         holds_renewals: Whether executors hold back answers to renewals.
+        refused_starts_extend_lease: Whether a start that is outdated or finds
+            no room extends the lease.
     """
 
     delayed_share: float = 0.1
@@ -57,6 +60,7 @@
     lost_share: float = 0.0
     fail_share: float = 0.0
     holds_renewals: bool = False
+    refused_starts_extend_lease: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +135,8 @@
             that fail and cancels.
         delayed_share: Share of the orders that are delayed and not answered.
         longest_delay_s: Longest time by which an order is late, in seconds.
+        has_refusals: Whether executors refuse starts for lack of capacity;
+            these and outdated starts extend their lease.
     """
 
     duration_s: float = 40.0
@@ -138,6 +144,7 @@
     has_varied_jobs: bool = True
     delayed_share: float = 0.1
     longest_delay_s: float = cell_rig.LONGEST_DELAY_S
+    has_refusals: bool = False
 
 
 class _Drawing:
@@ -156,6 +163,7 @@
         self._names: list[str] = []
         self._returns: list[tuple[float, sequence_actions.Action]] = []
         self._cut_off: set[str] = set()
+        self._refusing: set[str] = set()
         self._is_store_up = True
         self._job_count = 0
 
@@ -170,6 +178,7 @@
             longest_delay_s=self._mix.longest_delay_s,
             lost_share=rng.choice([0.0, 0.05, 0.2]),
             holds_renewals=rng.random() < 0.5,
+            refused_starts_extend_lease=self._mix.has_refusals,
         )
         if self._mix.has_varied_jobs:
             fail_share = rng.choice([0.0, 0.1])
@@ -200,6 +209,7 @@
             (0.50, self._draw_resign),
             (0.52, self._draw_store_pause),
             (0.60, self._draw_cancel),
+            (0.66, self._draw_refusal),
         ):
             drawn = draw_action(name) if share < limit else None
             if drawn is not None:
@@ -214,6 +224,8 @@
         for action in due:
             if isinstance(action, sequence_actions.Return):
                 self._cut_off.discard(action.executor)
+            elif isinstance(action, sequence_actions.SetRefusal):
+                self._refusing.discard(action.executor)
             else:
                 self._is_store_up = True
         return due
@@ -270,6 +282,15 @@
             return None
         return sequence_actions.Cancel(self._rng.randint(1, self._job_count))
 
+    def _draw_refusal(self, name: str) -> sequence_actions.Action | None:
+        if not self._mix.has_refusals or name in self._refusing:
+            return None
+        self._refusing.add(name)
+        ends_s = self._now_s + self._rng.choice(_REFUSAL_LENGTHS_S)
+        end = sequence_actions.SetRefusal(name, refuses=False)
+        self._returns.append((ends_s, end))
+        return sequence_actions.SetRefusal(name, refuses=True)
+
 
 def executor_ids(count: int) -> list[str]:
     """Returns the ids of a number of executors."""
@@ -298,6 +319,7 @@
     rig.longest_delay_s = faults.longest_delay_s
     rig.lost_share = faults.lost_share
     rig.holds_renewals = faults.holds_renewals
+    rig.refused_starts_extend_lease = faults.refused_starts_extend_lease
     return rig
 
 
--- a/tests/sequence_actions.py
+++ b/tests/sequence_actions.py
@@ -152,5 +152,21 @@
         rig.store_is_up = self.is_up
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetRefusal(Action):
+    """An executor begins or ceases to refuse starts for lack of capacity.
+
+    Attributes:
+        executor: Its id.
+        refuses: Whether it refuses them from now on.
+    """
+
+    executor: str
+    refuses: bool
+
+    def apply(self, rig: cell_rig.CellRig) -> None:
+        rig.executor_by_id[self.executor].refuses_for_capacity = self.refuses
+
+
 def _job_id(number: int) -> str:
     return f"{number:016x}"
