--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -55,6 +55,12 @@
     show_default=True,
     help="Seconds.",
 )
+@click.option(
+    "--outlive/--no-outlive",
+    default=False,
+    show_default=True,
+    help="Late orders may reach a later incarnation.",
+)
 @click.option("--refusals/--no-refusals", default=False, show_default=True)
 @click.option("--show/--brief", default=True, help="Print the last steps.")
 def main(
@@ -66,6 +72,7 @@
     varied: bool,
     delayed: float,
     longest_delay: float,
+    outlive: bool,
     refusals: bool,
     show: bool,
 ) -> None:
@@ -75,6 +82,7 @@
         has_varied_jobs=varied,
         delayed_share=delayed,
         longest_delay_s=longest_delay,
+        late_orders_outlive=outlive,
         has_refusals=refusals,
     )
     began_s = time.monotonic()
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -465,6 +465,8 @@
         longest_delay_s: Longest time by which an order is delayed, in seconds.
         refused_starts_extend_lease: Whether a start that is outdated or finds
             no room extends the lease.
+        late_orders_outlive: Whether a delayed order may reach a later
+            incarnation of its executor.
         drops_stop_orders: Whether stop orders get lost.
         holds_renewals: Whether executors hold back their answer to a renewal
             for as long as it asks for, until a run ends.
@@ -513,6 +515,7 @@
         self.lost_share = 0.0
         self.delayed_share = 0.0
         self.longest_delay_s = LONGEST_DELAY_S
+        self.late_orders_outlive = False
         self.refused_starts_extend_lease = False
         self.gangs_run_together = False
         self.holds_renewals = False
@@ -932,14 +935,26 @@
         ]
         for delayed in due:
             executor = self.executor_by_id[delayed.order.executor]
-            # An order is lost with the incarnation that received it.
-            if executor.is_up and executor.born_ms == delayed.executor_born_ms:
+            if executor.is_up and self._reaches(delayed, executor):
                 self.is_executing_delayed_order = True
                 self.delayed_order_sent_s = delayed.sent_s
                 self._execute_order(executor, delayed.token, delayed.order)
                 self.is_executing_delayed_order = False
                 self.delayed_order_sent_s = float("inf")
 
+    def _reaches(
+        self, delayed: DelayedOrder, executor: SimulatedExecutor
+    ) -> bool:
+        """Returns whether an executor carries out an order that is due.
+
+        An order is lost with the incarnation that received it, unless late
+        orders may outlive it.
+        """
+        return (
+            self.late_orders_outlive
+            or executor.born_ms == delayed.executor_born_ms
+        )
+
     def _is_step_done(
         self, spec: _job_spec.JobSpec, task: _job_spec.TaskId, step: int
     ) -> bool:
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -48,6 +48,8 @@
     Attributes:
         delayed_share: Share of the orders that are delayed and not answered.
         longest_delay_s: Longest time by which an order is late, in seconds.
+        late_orders_outlive: Whether a late order may reach a later incarnation
+            of its executor.
         lost_share: Share of the orders whose answer is lost.
         fail_share: Share of the runs that fail.
         holds_renewals: Whether executors hold back answers to renewals.
@@ -57,6 +59,7 @@
 
     delayed_share: float = 0.1
     longest_delay_s: float = cell_rig.LONGEST_DELAY_S
+    late_orders_outlive: bool = False
     lost_share: float = 0.0
     fail_share: float = 0.0
     holds_renewals: bool = False
@@ -135,6 +138,8 @@
             that fail and cancels.
         delayed_share: Share of the orders that are delayed and not answered.
         longest_delay_s: Longest time by which an order is late, in seconds.
+        late_orders_outlive: Whether a late order may reach a later incarnation
+            of its executor.
         has_refusals: Whether executors refuse starts for lack of capacity;
             these and outdated starts extend their lease.
     """
@@ -144,6 +149,7 @@
     has_varied_jobs: bool = True
     delayed_share: float = 0.1
     longest_delay_s: float = cell_rig.LONGEST_DELAY_S
+    late_orders_outlive: bool = False
     has_refusals: bool = False
 
 
@@ -176,6 +182,7 @@
         faults = Faults(
             delayed_share=self._mix.delayed_share,
             longest_delay_s=self._mix.longest_delay_s,
+            late_orders_outlive=self._mix.late_orders_outlive,
             lost_share=rng.choice([0.0, 0.05, 0.2]),
             holds_renewals=rng.random() < 0.5,
             refused_starts_extend_lease=self._mix.has_refusals,
@@ -317,6 +324,7 @@
     rig.run_time_s = sequence.run_time_s
     rig.delayed_share = faults.delayed_share
     rig.longest_delay_s = faults.longest_delay_s
+    rig.late_orders_outlive = faults.late_orders_outlive
     rig.lost_share = faults.lost_share
     rig.holds_renewals = faults.holds_renewals
     rig.refused_starts_extend_lease = faults.refused_starts_extend_lease
