Rig: let a scheduler go on beside the next one, as an option

The rig ran one scheduler at a time. With the option the scheduler before goes on for up to 5 s after a take-over: it sends orders with its lower token, its records are refused, its term isn't confirmed any more, and it ends with the first order that an executor fences.

--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -62,6 +62,7 @@
     help="Late orders may reach a later incarnation.",
 )
 @click.option("--refusals/--no-refusals", default=False, show_default=True)
+@click.option("--overlaps/--no-overlaps", default=False, show_default=True)
 @click.option("--show/--brief", default=True, help="Print the last steps.")
 def main(
     *,
@@ -74,6 +75,7 @@
     longest_delay: float,
     outlive: bool,
     refusals: bool,
+    overlaps: bool,
     show: bool,
 ) -> None:
     """Play random sequences; exit with 1 if one breaks a rule."""
@@ -84,6 +86,7 @@
         longest_delay_s=longest_delay,
         late_orders_outlive=outlive,
         has_refusals=refusals,
+        has_overlaps=overlaps,
     )
     began_s = time.monotonic()
     start_count = 0
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
@@ -104,6 +105,7 @@
         unseen_done_end_by_number: Successful ends that are not acknowledged, by
             their numbers in the reports.
         fails_next_renewal: Whether the next renewal gets no answer.
+        has_fenced_renewal: Whether the last renewal had an outdated token.
         stop_time_s: Time that it takes to stop a run, in seconds.
         exits_s: Virtual time at which it exits after its drain; None if it
             does not drain.
@@ -133,6 +135,7 @@
         self.unseen_done_end_by_number: dict[int, DoneEnd] = {}
         self.acknowledged = 0
         self.fails_next_renewal = False
+        self.has_fenced_renewal = False
         self.stop_time_s = 0.0
         self.exits_s: float | None = None
         self.unannounced_s = 0.0
@@ -265,6 +268,7 @@
 
         An order with an outdated fencing token renews nothing.
         """
+        self.has_fenced_renewal = token < self.highest_token
         if token >= self.highest_token:
             self.highest_token = token
             if order.lease_until_ms is not None:
@@ -447,6 +451,29 @@
     executor_born_ms: int
 
 
+@dataclasses.dataclass
+class EarlierTerm:
+    """A scheduler that goes on beside the one that has taken over.
+
+    The store refuses its records and confirms its term no more.
+
+    Attributes:
+        scheduler: The scheduler.
+        epoch: Its fencing token.
+        held_renewals: Its renewals that executors hold back.
+        confirmed_s: Virtual time at which its term was last confirmed.
+        beat: Number of the renewal that confirmed it.
+        ends_s: Virtual time at which it stops.
+    """
+
+    scheduler: _scheduler.Scheduler
+    epoch: int
+    held_renewals: list[HeldRenewal]
+    confirmed_s: float
+    beat: int
+    ends_s: float
+
+
 class CellRig:
     """Drives a scheduler and simulated executors through virtual time.
 
@@ -496,6 +523,9 @@
         epoch: Fencing token of the current scheduler.
         term_confirmed_s: Time at which the term was last confirmed.
         term_beat: Number of the renewal that confirmed it.
+        earlier_terms: Schedulers that go on beside the current one.
+        current_scheduler: The current scheduler while one of these is at work;
+            None otherwise.
         history: When the records of the terms were read.
         next_drain_report_s: Time at which draining executors report next.
     """
@@ -557,6 +587,8 @@
         self.epoch = 0
         self.term_confirmed_s = 0.0
         self.term_beat = 0
+        self.earlier_terms: list[EarlierTerm] = []
+        self.current_scheduler: _scheduler.Scheduler | None = None
         self.history = _term_history.TermHistory()
         self.next_drain_report_s = 0.0
         self.scheduler = self._start_scheduler()
@@ -604,6 +636,7 @@
                 if executor.is_up:
                     executor.end_due_runs()
                 executor.exit_if_drained()
+            self._run_earlier_terms()
 
     def resign(self) -> None:
         """Replaces the scheduler by one that knows how long runs go on."""
@@ -621,6 +654,62 @@
         """Replaces the scheduler by one that restores from the store."""
         self._start_scheduler(recovery_s, longest_inherited_run_s)
 
+    def take_over_beside_earlier(
+        self, earlier_goes_on_s: float, recovery_s: float = 0.0
+    ) -> None:
+        """Replaces the scheduler, which goes on for a time.
+
+        Args:
+            earlier_goes_on_s: Time for which it goes on, in seconds.
+            recovery_s: Time that reading the store takes, in seconds.
+        """
+        self.earlier_terms.append(
+            EarlierTerm(
+                scheduler=self.scheduler,
+                epoch=self.epoch,
+                held_renewals=self.held_renewals,
+                confirmed_s=self.term_confirmed_s,
+                beat=self.term_beat,
+                ends_s=self.now_s + earlier_goes_on_s,
+            )
+        )
+        self.held_renewals = []
+        self.take_over(recovery_s)
+
+    def _run_earlier_terms(self) -> None:
+        """Lets schedulers that go on beside the current one send orders."""
+        self.earlier_terms = [
+            each
+            for each in self.earlier_terms
+            if self.now_s < each.ends_s and not each.scheduler.cell.is_fenced
+        ]
+        for term in self.earlier_terms:
+            with self._acting_as(term):
+                self._answer_held_renewals()
+                term.scheduler.run_timed_work(
+                    build.clock_readings_at(self.now_s),
+                    confirmed_s=term.confirmed_s,
+                    confirmed_beat=term.beat,
+                )
+                for order in term.scheduler.take_orders():
+                    if not isinstance(order, _orders.ApprovalOrder):
+                        self._send_order(order)
+
+    @contextlib.contextmanager
+    def _acting_as(self, term: EarlierTerm) -> Iterator[None]:
+        """Sends orders and delivers answers for an earlier term."""
+        current = (self.scheduler, self.epoch, self.held_renewals)
+        self.scheduler = term.scheduler
+        self.epoch = term.epoch
+        self.held_renewals = term.held_renewals
+        self.current_scheduler = current[0]
+        try:
+            yield
+        finally:
+            term.held_renewals = self.held_renewals
+            self.scheduler, self.epoch, self.held_renewals = current
+            self.current_scheduler = None
+
     def list_executors(self) -> None:
         """Passes the list of executors that are up to the scheduler."""
         self.scheduler.set_executors(
@@ -719,6 +808,7 @@
             self.term_confirmed_s = self.now_s
             self.term_beat += 1
             self.history.record(self.epoch, self.term_beat, self.now_s)
+        self._run_earlier_terms()
         self._answer_held_renewals()
         now = build.clock_readings_at(self.now_s)
         self.scheduler.run_timed_work(
@@ -738,6 +828,8 @@
 
     def _process_notes(self) -> None:
         """Passes on the scheduler's notes; records which tasks are done."""
+        if self.current_scheduler is not None:
+            return
         for note in self.scheduler.take_notes():
             self.on_note(note)
             if note.value_by_field.get("how") == "done":
@@ -896,13 +988,28 @@
         elif isinstance(order, _orders.StopOrder):
             self.scheduler.handle_stop_answer(order, answer is not None, now)
         elif isinstance(order, _orders.RenewalOrder):
-            if isinstance(answer, _executor.LeaseRenewalReply):
+            if self._is_answered_by_fence(order, answer):
+                self.scheduler.handle_fence()
+            elif isinstance(answer, _executor.LeaseRenewalReply):
                 self.scheduler.handle_renewal_answer(order, answer, now)
             else:
                 self.scheduler.handle_renewal_failure(
                     order, now, is_other_incarnation=False
                 )
 
+    def _is_answered_by_fence(
+        self,
+        order: _orders.RenewalOrder,
+        answer: _orders.StartResult | _executor.LeaseRenewalReply | bool | None,
+    ) -> bool:
+        """Returns whether an executor refused an earlier term's renewal."""
+        executor = self.executor_by_id[order.executor]
+        return (
+            self.current_scheduler is not None
+            and answer is not None
+            and executor.has_fenced_renewal
+        )
+
     def _answer_held_renewals(self) -> None:
         """Answers held renewals that are due or whose executor has an end."""
         held_renewals = self.held_renewals
@@ -1095,7 +1202,9 @@
             f"{task}: runs twice, also on {executors_running_task}"
         )
         task_position = (task.occurrence, task.step, task.index)
-        state = self.scheduler.cell.job_by_id.get(task.job)
+        state = (self.current_scheduler or self.scheduler).cell.job_by_id.get(
+            task.job
+        )
         done_for_s = self.now_s - self.done_s_by_task.get(str(task), 0.0)
         may_start_after_done = may_be_copy and (
             self.is_executing_delayed_order or done_for_s <= 1.0
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -20,6 +20,7 @@
 _PAUSES_S = (0.05, 0.1, 0.2, 0.5, 1.0)
 _CUT_LENGTHS_S = (0.3, 1.0, 3.0, 6.0, 11.0)
 _RECOVERY_TIMES_S = (0.0, 0.3, 1.0)
+_OVERLAPS_S = (0.0, 0.5, 2.0, 5.0)
 _REFUSAL_LENGTHS_S = (0.3, 1.0, 3.0)
 _STORE_PAUSES_S = (0.3, 1.0)
 _MAX_JOBS = 40
@@ -142,6 +143,8 @@
             of its executor.
         has_refusals: Whether executors refuse starts for lack of capacity;
             these and outdated starts extend their lease.
+        has_overlaps: Whether a scheduler goes on beside the one that has taken
+            over, for up to 5 s.
     """
 
     duration_s: float = 40.0
@@ -151,6 +154,7 @@
     longest_delay_s: float = cell_rig.LONGEST_DELAY_S
     late_orders_outlive: bool = False
     has_refusals: bool = False
+    has_overlaps: bool = False
 
 
 class _Drawing:
@@ -271,7 +275,10 @@
     def _draw_take_over(self, name: str) -> sequence_actions.Action:
         recovery_s = self._rng.choice(_RECOVERY_TIMES_S)
         self._pass_time(recovery_s)
-        return sequence_actions.TakeOver(recovery_s)
+        if not self._mix.has_overlaps:
+            return sequence_actions.TakeOver(recovery_s)
+        overlap_s = self._rng.choice(_OVERLAPS_S)
+        return sequence_actions.TakeOver(recovery_s, overlap_s)
 
     def _draw_resign(self, name: str) -> sequence_actions.Action:
         return sequence_actions.Resign()
--- a/tests/sequence_actions.py
+++ b/tests/sequence_actions.py
@@ -117,13 +117,21 @@
     """Another scheduler takes over without warning.
 
     Attributes:
+        earlier_goes_on_s: Time for which the scheduler before goes on beside
+            it, in seconds.
         recovery_s: Time that it needs to read the store, in seconds.
     """
 
     recovery_s: float = 0.0
+    earlier_goes_on_s: float = 0.0
 
     def apply(self, rig: cell_rig.CellRig) -> None:
-        rig.take_over(recovery_s=self.recovery_s)
+        if self.earlier_goes_on_s:
+            rig.take_over_beside_earlier(
+                self.earlier_goes_on_s, self.recovery_s
+            )
+        else:
+            rig.take_over(recovery_s=self.recovery_s)
 
     @property
     def duration_s(self) -> float:
