--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -63,6 +63,12 @@
 )
 @click.option("--refusals/--no-refusals", default=False, show_default=True)
 @click.option("--overlaps/--no-overlaps", default=False, show_default=True)
+@click.option(
+    "--late-confirmed",
+    default=0.0,
+    show_default=True,
+    help="Share of the batches that are confirmed late or never.",
+)
 @click.option("--show/--brief", default=True, help="Print the last steps.")
 def main(
     *,
@@ -76,6 +82,7 @@
     outlive: bool,
     refusals: bool,
     overlaps: bool,
+    late_confirmed: float,
     show: bool,
 ) -> None:
     """Play random sequences; exit with 1 if one breaks a rule."""
@@ -87,6 +94,7 @@
         late_orders_outlive=outlive,
         has_refusals=refusals,
         has_overlaps=overlaps,
+        late_confirmed_share=late_confirmed,
     )
     began_s = time.monotonic()
     start_count = 0
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -42,6 +42,9 @@
 LONGEST_DELAY_S = 8.0
 """Default longest time by which an order is late, in seconds."""
 
+LONGEST_CONFIRMATION_S = 2.0
+"""Longest time after which the store confirms a late write, in seconds."""
+
 RunKey = tuple[_job_spec.TaskId, int]
 """Task and run number."""
 
@@ -451,6 +454,21 @@
     executor_born_ms: int
 
 
+@dataclasses.dataclass
+class UnconfirmedBatch:
+    """A batch that is stored and whose scheduler has not been told so.
+
+    Attributes:
+        scheduler: The scheduler.
+        batch: The batch.
+        due_s: Virtual time at which the scheduler is told.
+    """
+
+    scheduler: _scheduler.Scheduler
+    batch: _orders.Batch
+    due_s: float
+
+
 @dataclasses.dataclass
 class EarlierTerm:
     """A scheduler that goes on beside the one that has taken over.
@@ -499,6 +517,9 @@
             for as long as it asks for, until a run ends.
         held_renewals: Renewals that executors hold back.
         loses_next_start: Whether the next start order gets lost.
+        late_confirmed_share: Share of the batches whose storing is confirmed
+            late, or never if another scheduler takes over meanwhile.
+        unconfirmed: Batch that is stored and not confirmed; None for none.
         store: Stored value by key.
         writes: All records in the order in which they were stored.
         shown_states: Each state that callers were first shown after a batch
@@ -552,6 +573,8 @@
         self.held_renewals: list[HeldRenewal] = []
         self.loses_next_start = False
         self.store_is_up = True
+        self.late_confirmed_share = 0.0
+        self.unconfirmed: UnconfirmedBatch | None = None
         self.drops_stop_orders = False
         self.store: dict[str, bytes] = dict(stored or {})
         self.writes: list[_job_records.KeyedRecord] = []
@@ -838,6 +861,8 @@
 
     def _store_batch(self) -> None:
         """Stores the scheduler's next batch of records and confirms it."""
+        if self._awaits_confirmation():
+            return
         batch = self.scheduler.take_batch()
         if batch is None:
             return
@@ -852,6 +877,30 @@
                 self.stored_jobs.add(record.job.id)
             elif isinstance(record, _records.ProgressRecord):
                 self._record_stored_done(record.job_id)
+        if self.late_confirmed_share and (
+            self.rng.random() < self.late_confirmed_share
+        ):
+            delay_s = self.rng.uniform(STEP_S, LONGEST_CONFIRMATION_S)
+            self.unconfirmed = UnconfirmedBatch(
+                self.scheduler, batch, self.now_s + delay_s
+            )
+        else:
+            self._confirm_batch(batch)
+
+    def _awaits_confirmation(self) -> bool:
+        """Confirms a stored batch if it is due; returns whether one waits."""
+        waiting = self.unconfirmed
+        if waiting is None or waiting.scheduler is not self.scheduler:
+            self.unconfirmed = None
+            return False
+        if self.now_s < waiting.due_s:
+            return True
+        self.unconfirmed = None
+        self._confirm_batch(waiting.batch)
+        return False
+
+    def _confirm_batch(self, batch: _orders.Batch) -> None:
+        """Tells the scheduler that a batch is stored."""
         self.scheduler.handle_batch_stored(
             batch, build.clock_readings_at(self.now_s)
         )
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -54,6 +54,8 @@
         lost_share: Share of the orders whose answer is lost.
         fail_share: Share of the runs that fail.
         holds_renewals: Whether executors hold back answers to renewals.
+        late_confirmed_share: Share of the batches whose storing is confirmed
+            late or never.
         refused_starts_extend_lease: Whether a start that is outdated or finds
             no room extends the lease.
     """
@@ -64,6 +66,7 @@
     lost_share: float = 0.0
     fail_share: float = 0.0
     holds_renewals: bool = False
+    late_confirmed_share: float = 0.0
     refused_starts_extend_lease: bool = False
 
 
@@ -145,6 +148,8 @@
             these and outdated starts extend their lease.
         has_overlaps: Whether a scheduler goes on beside the one that has taken
             over, for up to 5 s.
+        late_confirmed_share: Share of the batches whose storing is confirmed
+            late or never.
     """
 
     duration_s: float = 40.0
@@ -155,6 +160,7 @@
     late_orders_outlive: bool = False
     has_refusals: bool = False
     has_overlaps: bool = False
+    late_confirmed_share: float = 0.0
 
 
 class _Drawing:
@@ -187,6 +193,7 @@
             delayed_share=self._mix.delayed_share,
             longest_delay_s=self._mix.longest_delay_s,
             late_orders_outlive=self._mix.late_orders_outlive,
+            late_confirmed_share=self._mix.late_confirmed_share,
             lost_share=rng.choice([0.0, 0.05, 0.2]),
             holds_renewals=rng.random() < 0.5,
             refused_starts_extend_lease=self._mix.has_refusals,
@@ -332,6 +339,7 @@
     rig.delayed_share = faults.delayed_share
     rig.longest_delay_s = faults.longest_delay_s
     rig.late_orders_outlive = faults.late_orders_outlive
+    rig.late_confirmed_share = faults.late_confirmed_share
     rig.lost_share = faults.lost_share
     rig.holds_renewals = faults.holds_renewals
     rig.refused_starts_extend_lease = faults.refused_starts_extend_lease
