--- a/tests/coordination/scheduling/test_random_sequences.py
+++ b/tests/coordination/scheduling/test_random_sequences.py
@@ -10,6 +10,16 @@
 
 _SEED_COUNT = 40
 
+_WIDE_SEED_COUNT = 20
+
+_WIDE = restart_sequences.Mix(
+    longest_delay_s=12.0,
+    has_refusals=True,
+    has_overlaps=True,
+    late_confirmed_share=0.2,
+)
+
+_OVERLAPPING = restart_sequences.Mix(has_overlaps=True)
 _PLAIN = restart_sequences.Mix(has_varied_jobs=False)
 _PLAIN_WITHOUT_RESTARTS = restart_sequences.Mix(
     has_varied_jobs=False, has_restarts=False
@@ -34,6 +44,12 @@
     def test_no_rule_is_broken(self, seed: int) -> None:
         _play(seed)
 
+    @pytest.mark.parametrize("seed", range(1, _WIDE_SEED_COUNT + 1))
+    def test_none_is_with_refusals_overlaps_and_late_answers(
+        self, seed: int
+    ) -> None:
+        _play(seed, _WIDE)
+
 
 class TestSecondRunBesideLeaseOfOldClock:
     """A deadline on the old clock reaches a restarted executor.
@@ -49,6 +65,16 @@
     def test_no_task_of_varied_jobs_runs_twice(self, seed: int) -> None:
         _play(seed)
 
+    @pytest.mark.parametrize("seed", [47, 51, 568])
+    def test_none_runs_twice_beside_an_earlier_scheduler(
+        self, seed: int
+    ) -> None:
+        _play(seed, _OVERLAPPING)
+
+    @pytest.mark.parametrize("seed", [419, 593])
+    def test_none_runs_twice_with_all_faults(self, seed: int) -> None:
+        _play(seed, _WIDE)
+
 
 class TestStartBesideDoneEndOfLapsedLease:
     """A start is ordered in the tick that brings the end of an earlier run.
@@ -81,8 +107,8 @@
     def test_each_kind_of_action_is_drawn(self) -> None:
         kinds = {
             type(action).__name__
-            for seed in range(1, _SEED_COUNT + 1)
-            for step in restart_sequences.draw_sequence(seed).steps
+            for seed in range(1, _WIDE_SEED_COUNT + 1)
+            for step in restart_sequences.draw_sequence(seed, _WIDE).steps
             for action in step.actions
         }
         assert kinds == {
@@ -94,6 +120,7 @@
             "TakeOver",
             "Resign",
             "SetStore",
+            "SetRefusal",
         }
 
     def test_tasks_start(self) -> None:
