Restart executors under their id, cut them off and delay orders in the soak

No seed combined restart, cut and take-over. Change: in a share of the seeds, executors restart under their id and address within a second, with a new clock, token, ends and bars, silently or not; most are cut off right after, some from the store too. Orders get no answer and are carried out 2 to 12 s later by the incarnation that received them. These fall together with kills, pauses and restarts of the scheduler. A fifth of the jobs in such seeds runs for 5 s. SIGHUP and new configurations come in series. Plain seeds (--plain, and the two short tests) keep their steps. Checks: a job that runs for 5 s has 5 s more to settle; short ones are now reported at 14 s as before.

--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -1,7 +1,8 @@
 """Soaks instances on a stand-in of the platform under many seeds.
 
-Each seed runs real processes through restarts, kills, pauses, executors that
-leave, crash and lose connections, and outages of the store. Prints each
+Each seed runs real processes through restarts, kills, pauses, signals, new
+configurations, executors that leave, crash, restart under their id, lose
+connections and carry out orders late, and outages of the store. Prints each
 violation with its seed and keeps the logs of seeds that failed. A seed takes
 some 40 s and somewhat more than one processor.
 """
@@ -34,6 +35,7 @@
     seed: int
     folder: pathlib.Path
     duration_s: float
+    is_plain: bool
 
 
 def _run_seed(job: _Job) -> tuple[_Job, soak_run.Result]:
@@ -46,6 +48,7 @@
         job.folder,
         duration_s=job.duration_s,
         instances=CROWD_INSTANCES if is_crowd else None,
+        is_plain=job.is_plain,
     )
     if not result.violations:
         shutil.rmtree(job.folder)
@@ -63,16 +66,19 @@
     type=click.Path(path_type=pathlib.Path),
     help="Folder for the logs of seeds that failed.",
 )
+@click.option("--plain", is_flag=True, help="Without storms and signals.")
 def main(
+    *,
     seeds: int,
     first: int,
     duration: float,
     processes: int,
     folder: pathlib.Path,
+    plain: bool,
 ) -> None:
     """Run soaks under many seeds; exit with 1 if one fails."""
     jobs = [
-        _Job(seed, folder / f"seed-{seed}", duration)
+        _Job(seed, folder / f"seed-{seed}", duration, plain)
         for seed in range(first, first + seeds)
     ]
     began_s = time.monotonic()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -90,6 +90,23 @@
         checks.check_end(20.0)
         assert "is left as: running" in checks.violations[0]
 
+    def test_a_short_job_that_ends_too_late_is_reported_once(self) -> None:
+        checks = _make_checks()
+        for now_s in (soak_checks.FINISH_S - 0.1, soak_checks.FINISH_S, 19.0):
+            checks.check_settled(0.0, now_s)
+        checks.check_end(19.1)
+        assert len(checks.violations) == 1
+        assert checks.violations[0].startswith("14.000")
+
+    def test_a_long_job_has_its_work_more(self) -> None:
+        checks = soak_checks.Checks()
+        checks.add_job(_JOB, 1, lasts=False, work_s=5.0)
+        checks.note_attempt(_JOB, 200, 0.0)
+        checks.check_settled(0.0, soak_checks.FINISH_S + 4.9)
+        assert checks.violations == []
+        checks.check_settled(0.0, soak_checks.FINISH_S + 5.0)
+        assert len(checks.violations) == 1
+
     def test_a_lasting_job_that_nobody_answers_for_is_reported(self) -> None:
         checks = _make_checks(lasts=True)
         checks.check_end(20.0)
