--- a/tests/cutting_proxy.py
+++ b/tests/cutting_proxy.py
@@ -65,9 +65,10 @@
         No answer on a connection that is open now reaches its caller any more.
 
         Args:
-            is_silent: Whether the callers see nothing of it: open connections
-                stay open until they are used, and new ones wait for a target.
-                Else open ones are closed and new ones refused.
+            is_silent: Whether the callers that wait for an answer see nothing
+                of it: their connections stay open, idle ones are closed, and
+                new ones wait for a target. Else all open ones are closed and
+                new ones refused.
         """
         with self._target_changed:
             self._target_port = None
@@ -140,6 +141,7 @@
                 path = request.split(b" ", 2)[1].decode()
                 self._begin_planned_cut(path)
                 link.is_lost = link.is_parted or self.is_cut
+                link.is_busy = True
                 if not (
                     link.is_parted or (link.is_lost and self.loses_requests)
                 ):
@@ -196,18 +198,24 @@
         far: Connection to the target.
         is_lost: Whether the client gets no further answer.
         is_parted: Whether the target gets no further request, either.
+        is_busy: Whether a request waits for its answer.
     """
 
     def __init__(self, near: socket.socket, far: socket.socket) -> None:
         self.far = far
         self.is_lost = False
         self.is_parted = False
+        self.is_busy = False
         self._near = near
 
     def part(self, *, is_silent: bool) -> None:
-        """Passes nothing on any more; closes the connection unless silent."""
+        """Passes nothing on any more; closes the connection.
+
+        Args:
+            is_silent: Whether it stays open if a request waits for its answer.
+        """
         self.is_lost = self.is_parted = True
-        if not is_silent:
+        if not (is_silent and self.is_busy):
             with contextlib.suppress(OSError):
                 self._near.shutdown(socket.SHUT_RDWR)
 
@@ -215,6 +223,7 @@
         """Passes answers on until the target closes the connection."""
         with self.far, contextlib.suppress(OSError):
             while data := self.far.recv(_CHUNK_BYTES):
+                self.is_busy = False
                 if not self.is_lost:
                     self._near.sendall(data)
             if not self.is_lost:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -28,11 +28,11 @@
 STORM_EXECUTORS = 2
 """Number of further executors in those seeds, in place of those cut off."""
 
-STORM_REQUEST_INTERVAL_S = 0.2
+STORM_REQUEST_INTERVAL_S = 0.3
 """Mean time between two requests of a client in those seeds, in seconds; most
 of the room goes to long jobs."""
 
-LONG_SHARE = 0.2
+LONG_SHARE = 0.5
 """Share of the jobs in those seeds whose tasks run for seconds."""
 
 SIGNAL_SHARE = 0.5
@@ -312,7 +312,7 @@
 def _draw_storm(source: random.Random, at_s: float) -> list[Step]:
     """Returns late orders, restarts of executors, cuts and a take-over."""
     steps = []
-    for _ in range(source.randint(1, 3)):
+    for _ in range(source.randint(1, 4)):
         target = source.randrange(100)
         begin_s = at_s + source.uniform(0.0, 2.0)
         if source.random() < 0.6:
@@ -332,15 +332,22 @@
                     begin_s + source.uniform(-0.3, 1.0),
                     Kind.RESTART_EXECUTOR,
                     target,
-                    source.choice((0.1, 0.2, 0.4, 0.8))
+                    source.choice((0.1, 0.1, 0.2, 0.4, 0.8))
                     * source.uniform(1.0, 1.25),
                     left_share=source.choice((1.0, 1.0, 0.5)),
                     cut=_draw_cut_off(source),
-                    is_silent=source.random() < 0.6,
+                    is_silent=source.random() < 0.7,
                 )
             )
     take_over = source.choice(
-        (None, None, Kind.KILL_SCHEDULER, Kind.PAUSE_SCHEDULER, Kind.RESTART)
+        (
+            None,
+            None,
+            Kind.KILL_SCHEDULER,
+            Kind.KILL_SCHEDULER,
+            Kind.PAUSE_SCHEDULER,
+            Kind.RESTART,
+        )
     )
     if take_over is not None:
         begin_s = at_s + source.uniform(0.0, 4.0)
@@ -353,7 +360,7 @@
     if source.random() < 0.2:
         return None
     return Cut(
-        after_s=source.choice((0.05, 0.3, 0.6, 1.0, 2.0))
+        after_s=source.choice((0.05, 0.3, 0.3, 0.6, 1.0, 2.0, 3.0))
         * source.uniform(0.5, 1.5),
         lasts_s=source.choice((1.0, 4.0, 8.0, 11.0, 11.0))
         * source.uniform(0.8, 1.1),
--- a/tests/soak/test_executors.py
+++ b/tests/soak/test_executors.py
@@ -115,15 +115,30 @@
         assert _start(rig, second, 1, 900_000)[0] == 200
         assert 9_000 < second.lease_ms <= 11_000
 
-    def test_a_connection_to_the_incarnation_before_that_is_still_answered(
-        self, rig: _Rig
+    @pytest.mark.parametrize("is_silent", [True, False])
+    def test_a_wait_for_an_answer_that_sees_the_wrong_end(
+        self, rig: _Rig, is_silent: bool
+    ) -> None:
+        first = rig.executors[0]
+        body = {"FencingToken": 1, "LastSeen": 0, "WaitMs": 2000}
+        connection = rig.connect(first)
+        connection.request("POST", "/hold", json.dumps(body))
+        time.sleep(0.1)
+        _restart(rig, first, is_silent=is_silent)
+        expected = TimeoutError if is_silent else ConnectionError
+        with pytest.raises(expected):
+            connection.getresponse()
+
+    @pytest.mark.parametrize("is_silent", [True, False])
+    def test_an_idle_connection_to_the_last_incarnation_that_stays(
+        self, rig: _Rig, is_silent: bool
     ) -> None:
         first = rig.executors[0]
         connection = rig.connect(first)
+        connection.connect()
         assert _call(connection, "/hold", LastSeen=0)[0] == 200
-        _restart(rig, first, is_silent=True)
-        with pytest.raises(ConnectionError):
-            _call(connection, "/hold", LastSeen=0)
+        _restart(rig, first, is_silent=is_silent)
+        assert connection.sock.recv(1) == b""
 
 
 class TestCutOff:
