Leave the renewals of a new incarnation without an answer in the soak

Starts then reach it with deadlines on the clock before, which a scheduler can only learn from the answers to these starts. Late orders are logged with the lease that they leave. Tasks of long jobs run for 8 s, longer than the time after which a run is taken for expired, and fewer of them.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -38,7 +38,7 @@
 LASTING_TASKS = 2
 """Number of tasks of a lasting job."""
 
-LONG_WORK_S = 5.0
+LONG_WORK_S = 8.0
 """Run time of each task of a long job, in seconds; longer than the time after
 which the run on an executor that is cut off is taken for expired."""
 
--- a/tests/soak/executor_steps.py
+++ b/tests/soak/executor_steps.py
@@ -104,6 +104,11 @@
         )
         self._note(f"{born.id} has restarted at {born.born_ms}")
         cut = step.cut
+        born.late_orders.begin(
+            step.late_share,
+            cut.after_s if cut is not None else step.lasts_s,
+            spares_others=step.spares_others,
+        )
         if cut is not None:
             self._call_at(
                 time.monotonic() + cut.after_s,
--- a/tests/soak/executors.py
+++ b/tests/soak/executors.py
@@ -189,13 +189,13 @@
         """Carries out the orders that are due by now."""
         for order in self.late_orders.take_due(time.monotonic()):
             status, answer = self.answer(order.path, order.body)
-            if order.path != "/hold":
-                self._checks.note_step(
-                    f"late {order.path} {order.body['Task']}"
-                    f" {order.body['Run']} {self._life}: {status}"
-                    f" {answer.get('Reason', '')}",
-                    time.monotonic(),
-                )
+            self._checks.note_step(
+                f"late {order.path} {order.body.get('Task', '')}"
+                f" {order.body.get('Run', '')} {self._life}: {status}"
+                f" {answer.get('Reason', '')}, {self.clock_ms()} of"
+                f" {self.lease_ms} ms",
+                time.monotonic(),
+            )
 
     def answer(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
         with self.platform.lock:
--- a/tests/soak/late_orders.py
+++ b/tests/soak/late_orders.py
@@ -50,6 +50,7 @@
         self._source = source
         self._share = 0.0
         self._spares_renewals = False
+        self._spares_others = False
         self._until_s = 0.0
         self._orders: list[LateOrder] = []
 
@@ -59,17 +60,33 @@
         return len(self._orders)
 
     def begin(
-        self, share: float, duration_s: float, *, spares_renewals: bool
+        self,
+        share: float,
+        duration_s: float,
+        *,
+        spares_renewals: bool = False,
+        spares_others: bool = False,
     ) -> None:
-        """Holds back a share of the orders that arrive in the next time."""
+        """Holds back a share of the orders that arrive in the next time.
+
+        Args:
+            share: The share, 0 to 1.
+            duration_s: The time, in seconds.
+            spares_renewals: Whether lease renewals are not held back.
+            spares_others: Whether all other orders are not held back.
+        """
         self._share = share
         self._spares_renewals = spares_renewals
+        self._spares_others = spares_others
         self._until_s = time.monotonic() + duration_s
 
     def hold_back(self, path: str, body: dict[str, Any]) -> LateOrder | None:
         """Returns the order if it is held back, None if it is not."""
         now_s = time.monotonic()
-        if path == "/hold" and self._spares_renewals:
+        is_spared = (
+            self._spares_renewals if path == "/hold" else self._spares_others
+        )
+        if is_spared:
             return None
         if now_s >= self._until_s or self._source.random() >= self._share:
             return None
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -32,7 +32,7 @@
 """Mean time between two requests of a client in those seeds, in seconds; most
 of the room goes to long jobs."""
 
-LONG_SHARE = 0.5
+LONG_SHARE = 0.35
 """Share of the jobs in those seeds whose tasks run for seconds."""
 
 SIGNAL_SHARE = 0.5
@@ -103,8 +103,10 @@
         left_share: Share of its capacity that a shrunk or restarted executor
             has, 0 to 1.
         cut: Cut after the restart of an executor; None for none.
-        late_share: Share of the orders without an answer, 0 to 1.
+        late_share: Share of the orders without an answer, 0 to 1; for a restart
+            of an executor, those that arrive before it is cut off.
         spares_renewals: Whether lease renewals are answered all the while.
+        spares_others: Whether all but lease renewals are answered.
         is_silent: Whether the crash of a restarting executor is silent.
     """
 
@@ -116,6 +118,7 @@
     cut: "Cut | None" = None
     late_share: float = 0.0
     spares_renewals: bool = False
+    spares_others: bool = False
     is_silent: bool = False
 
 
@@ -336,6 +339,8 @@
                     * source.uniform(1.0, 1.25),
                     left_share=source.choice((1.0, 1.0, 0.5)),
                     cut=_draw_cut_off(source),
+                    late_share=source.choice((0.0, 0.5, 1.0)),
+                    spares_others=source.random() < 0.8,
                     is_silent=source.random() < 0.7,
                 )
             )
--- a/tests/soak/test_late_orders.py
+++ b/tests/soak/test_late_orders.py
@@ -37,6 +37,14 @@
         assert orders.hold_back("/hold", {}) is None
         assert orders.hold_back("/run-start", _BODY) is not None
 
+    def test_other_orders_that_are_held_back_though_they_are_spared(
+        self,
+    ) -> None:
+        orders = soak_late_orders.LateOrders(random.Random(1))
+        orders.begin(1.0, 60.0, spares_others=True)
+        assert orders.hold_back("/run-start", _BODY) is None
+        assert orders.hold_back("/hold", {}) is not None
+
     def test_orders_that_are_held_back_for_ever(self) -> None:
         orders = soak_late_orders.LateOrders(random.Random(1))
         orders.begin(1.0, 0.0, spares_renewals=False)
