Leave schedulers longer alone in steady seeds of the soak, cut executors longer

Trial on, seeds 13 and 1: long tasks started on a new incarnation before its first renewal, but a change of schedulers came before their lease was believed to be over, or the cut was short.

--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -22,7 +22,7 @@
 """Share of those seeds in which few instances are restarted and few executors
 leave, so that both live to see a lease expire."""
 
-STEADY_INTERVAL = 6
+STEADY_INTERVAL = 12
 """One in so many planned restarts and leaves remains in such a seed."""
 
 STORM_EXECUTORS = 2
@@ -346,6 +346,8 @@
             )
     take_over = source.choice(
         (
+            None,
+            None,
             None,
             None,
             Kind.KILL_SCHEDULER,
@@ -365,9 +367,9 @@
     if source.random() < 0.2:
         return None
     return Cut(
-        after_s=source.choice((0.05, 0.3, 0.3, 0.6, 1.0, 2.0, 3.0))
+        after_s=source.choice((0.05, 0.3, 0.6, 1.0, 1.0, 2.0, 3.0))
         * source.uniform(0.5, 1.5),
-        lasts_s=source.choice((1.0, 4.0, 8.0, 11.0, 11.0))
+        lasts_s=source.choice((1.0, 4.0, 8.0, 11.0, 11.0, 11.0))
         * source.uniform(0.8, 1.1),
         is_silent=source.random() < 0.5,
         from_store=source.random() < 0.3,
