--- a/tests/soak/executor_steps.py
+++ b/tests/soak/executor_steps.py
@@ -5,7 +5,7 @@
 
 from soak import executors as soak_executors
 from soak import fleet as soak_fleet
-from soak import plan as soak_plan
+from soak import steps as soak_steps
 
 MIN_READY = 3
 """Least number of executors that take tasks before one may end."""
@@ -30,39 +30,39 @@
         self._call_at = call_at
         self._note = note
 
-    def begin(self, step: soak_plan.Step) -> bool:
+    def begin(self, step: soak_steps.Step) -> bool:
         """Begins a step; returns whether it concerns executors."""
         match step.kind:
-            case soak_plan.Kind.JOIN:
+            case soak_steps.Kind.JOIN:
                 self._fleet.join()
-            case soak_plan.Kind.LEAVE | soak_plan.Kind.CRASH:
+            case soak_steps.Kind.LEAVE | soak_steps.Kind.CRASH:
                 self._end(step)
-            case soak_plan.Kind.RESTART_EXECUTOR:
+            case soak_steps.Kind.RESTART_EXECUTOR:
                 self._restart(step)
-            case soak_plan.Kind.SHRINK:
+            case soak_steps.Kind.SHRINK:
                 self._shrink(step)
-            case soak_plan.Kind.CUT:
+            case soak_steps.Kind.CUT:
                 self._cut_at_start(step)
-            case soak_plan.Kind.LATE_ORDERS:
+            case soak_steps.Kind.LATE_ORDERS:
                 self._delay_orders(step)
             case _:
                 return False
         return True
 
     def _choose(
-        self, step: soak_plan.Step
+        self, step: soak_steps.Step
     ) -> soak_executors.SoakExecutor | None:
         """Returns the executor of a step, if there is one that takes tasks."""
         ready = self._fleet.list_ready()
         return ready[step.target % len(ready)] if ready else None
 
-    def _end(self, step: soak_plan.Step) -> None:
+    def _end(self, step: soak_steps.Step) -> None:
         """Lets the oldest executor leave, or one crash and be reborn."""
         ready = self._fleet.list_ready()
         if len(ready) < MIN_READY:
             return
         end_s = time.monotonic() + step.lasts_s
-        if step.kind is soak_plan.Kind.LEAVE:
+        if step.kind is soak_steps.Kind.LEAVE:
             self._fleet.announce_leave(ready[0], end_s)
             self._note(f"{ready[0].id} leaves in {step.lasts_s:.2f} s")
             self._call_at(end_s, lambda: self._fleet.leave(ready[0]))
@@ -80,7 +80,7 @@
             lambda: self._fleet.expire_entry(executor),
         )
 
-    def _restart(self, step: soak_plan.Step) -> None:
+    def _restart(self, step: soak_steps.Step) -> None:
         """Restarts an executor under its id and address, then cuts it off."""
         victim = self._choose(step)
         if victim is None or not self._fleet.crash_for_restart(
@@ -96,7 +96,7 @@
         )
 
     def _start_next(
-        self, victim: soak_executors.SoakExecutor, step: soak_plan.Step
+        self, victim: soak_executors.SoakExecutor, step: soak_steps.Step
     ) -> None:
         """Starts the next incarnation of an executor."""
         born = self._fleet.restart(
@@ -116,7 +116,7 @@
             )
 
     def _cut_off(
-        self, executor: soak_executors.SoakExecutor, cut: soak_plan.Cut
+        self, executor: soak_executors.SoakExecutor, cut: soak_steps.Cut
     ) -> None:
         """Cuts an executor off for a time, if it still runs."""
         if executor.is_gone:
@@ -136,7 +136,7 @@
         self._note(f"{executor.id} is no longer cut off")
         self._fleet.mend(executor)
 
-    def _shrink(self, step: soak_plan.Step) -> None:
+    def _shrink(self, step: soak_steps.Step) -> None:
         """Lets an executor shrink and grow again later."""
         victim = self._choose(step)
         if victim is None:
@@ -151,7 +151,7 @@
             lambda: self._fleet.resize(victim, soak_executors.CAPACITY_CPU),
         )
 
-    def _cut_at_start(self, step: soak_plan.Step) -> None:
+    def _cut_at_start(self, step: soak_steps.Step) -> None:
         """Lets an executor lose its next start and refuse connections."""
         victim = self._choose(step)
         if victim is not None:
@@ -160,7 +160,7 @@
             )
             victim.cut_at_next_start(step.lasts_s)
 
-    def _delay_orders(self, step: soak_plan.Step) -> None:
+    def _delay_orders(self, step: soak_steps.Step) -> None:
         """Lets an executor give no answer and carry orders out later."""
         victim = self._choose(step)
         if victim is not None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,6 +20,7 @@
 from soak import fleet as soak_fleet
 from soak import instances as soak_instances
 from soak import plan as soak_plan
+from soak import steps as soak_steps
 
 TICK_S = 0.02
 """Time between two looks at processes, executors and tasks, in seconds."""
@@ -257,37 +258,37 @@
         self._note(f"SIGTERM {instance.name}")
         instance.terminate()
 
-    def _begin(self, step: soak_plan.Step) -> None:
+    def _begin(self, step: soak_steps.Step) -> None:
         """Begins a step of the plan."""
         self._note(f"{step.kind.value} {step.target} {step.lasts_s:.2f}")
-        if step.kind not in soak_plan.PLANNED:
+        if step.kind not in soak_steps.PLANNED:
             self._calm_since_s = max(
                 self._calm_since_s, time.monotonic() + self._disruption_s(step)
             )
         match step.kind:
-            case soak_plan.Kind.RESTART:
+            case soak_steps.Kind.RESTART:
                 self._pending_restarts += 1
-            case soak_plan.Kind.HANGUP:
+            case soak_steps.Kind.HANGUP:
                 self._hang_up(step)
-            case soak_plan.Kind.CONFIGURE:
+            case soak_steps.Kind.CONFIGURE:
                 self._configure()
-            case soak_plan.Kind.STORE_DOWN:
+            case soak_steps.Kind.STORE_DOWN:
                 self._store_down_until_s = time.monotonic() + step.lasts_s
-            case soak_plan.Kind.STORE_SLOW:
+            case soak_steps.Kind.STORE_SLOW:
                 self._store_slow_until_s = time.monotonic() + step.lasts_s
             case _ if not self._executor_steps.begin(step):
                 self._disturb_instance(step)
 
     @staticmethod
-    def _disruption_s(step: soak_plan.Step) -> float:
+    def _disruption_s(step: soak_steps.Step) -> float:
         """Returns how long an unplanned disruption lasts, in seconds."""
-        if step.kind in soak_plan.KILLS:
+        if step.kind in soak_steps.KILLS:
             return soak_instances.RESTART_DELAY_S
         if step.cut is not None:
             return step.lasts_s + step.cut.after_s + step.cut.lasts_s
         return step.lasts_s
 
-    def _hang_up(self, step: soak_plan.Step) -> None:
+    def _hang_up(self, step: soak_steps.Step) -> None:
         """Sends SIGHUP to an instance."""
         instance = self._instances[step.target % len(self._instances)]
         self._note(f"SIGHUP {instance.name}")
@@ -299,16 +300,16 @@
         paths = ["/jobs/", "/other/"][: 1 + self._config_version % 2]
         self._platform.configure(self._config_version, *paths)
 
-    def _disturb_instance(self, step: soak_plan.Step) -> None:
+    def _disturb_instance(self, step: soak_steps.Step) -> None:
         """Kills or pauses an instance, or the one that schedules."""
         instance = self._instances[step.target % len(self._instances)]
         if step.kind in (
-            soak_plan.Kind.KILL_SCHEDULER,
-            soak_plan.Kind.PAUSE_SCHEDULER,
+            soak_steps.Kind.KILL_SCHEDULER,
+            soak_steps.Kind.PAUSE_SCHEDULER,
         ):
             instance = self._find_scheduler() or instance
         self._note(f"{step.kind.value}: {instance.name}")
-        if step.kind in soak_plan.KILLS:
+        if step.kind in soak_steps.KILLS:
             instance.kill()
         else:
             instance.pause(step.lasts_s)
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -1,6 +1,7 @@
 """Tests of the disruptions that a seed draws."""
 
 from soak import plan as soak_plan
+from soak import steps as soak_steps
 
 
 class TestCuts:
@@ -9,7 +10,7 @@
     def test_some_seeds_have_them_and_others_not(self) -> None:
         has_cuts = {
             any(
-                step.kind is soak_plan.Kind.CUT
+                step.kind is soak_steps.Kind.CUT
                 for step in soak_plan.make_plan(seed, 25.0).steps
             )
             for seed in range(1, 11)
@@ -29,10 +30,10 @@
             plan = soak_plan.make_plan(seed, 25.0, is_plain=True)
             assert plan.long_share == 0.0
             assert not {step.kind for step in plan.steps} & {
-                soak_plan.Kind.RESTART_EXECUTOR,
-                soak_plan.Kind.LATE_ORDERS,
-                soak_plan.Kind.HANGUP,
-                soak_plan.Kind.CONFIGURE,
+                soak_steps.Kind.RESTART_EXECUTOR,
+                soak_steps.Kind.LATE_ORDERS,
+                soak_steps.Kind.HANGUP,
+                soak_steps.Kind.CONFIGURE,
             }
 
     def test_no_seed_has_restart_cut_and_take_over_within_ten_seconds(
@@ -45,7 +46,10 @@
 def _has_overlap(seed: int) -> bool:
     """Returns whether a seed cuts a restarted executor at a take-over."""
     steps = soak_plan.make_plan(seed, 25.0).steps
-    take_overs = (soak_plan.Kind.KILL_SCHEDULER, soak_plan.Kind.PAUSE_SCHEDULER)
+    take_overs = (
+        soak_steps.Kind.KILL_SCHEDULER,
+        soak_steps.Kind.PAUSE_SCHEDULER,
+    )
     return any(
         0.0 < other.at_s - step.at_s < 10.0
         for step in steps
