Drop orders of callers that gave up before the next incarnation came

An order is carried out late by the incarnation that received it, so this was a fault of the rig, not of the scheduler. Measured: the new test fails without the change; tests/soak passes.

--- a/tests/cutting_proxy.py
+++ b/tests/cutting_proxy.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import re
+import select
 import socket
 import struct
 import threading
@@ -159,12 +160,16 @@
             far.shutdown(socket.SHUT_WR)
 
     def _connect(self, near: socket.socket) -> "_Link | None":
-        """Connects a caller with the target, once there is one."""
+        """Connects a caller with the target, once there is one.
+
+        Returns None for a caller that did not wait so long: a target that
+        comes later receives nothing that was meant for the one before.
+        """
         with self._target_changed:
             self._target_changed.wait_for(
                 lambda: self._target_port is not None, _TARGET_TIMEOUT_S
             )
-            if self._target_port is None:
+            if self._target_port is None or _has_given_up(near):
                 return None
             try:
                 far = socket.create_connection(("127.0.0.1", self._target_port))
@@ -230,6 +235,13 @@
                 self._near.shutdown(socket.SHUT_RDWR)
 
 
+def _has_given_up(near: socket.socket) -> bool:
+    """Returns whether a caller has closed its connection."""
+    poll = select.poll()
+    poll.register(near, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _make_reusable_socket() -> socket.socket:
     """Returns a socket whose port others of its kind may use, too."""
     made = socket.socket()
--- a/tests/soak/test_executors.py
+++ b/tests/soak/test_executors.py
@@ -156,6 +156,18 @@
         assert _start(rig, second, 3)[0] == 200
         assert "TWICE" in rig.checks.violations[0]
 
+    def test_an_order_for_one_incarnation_that_reaches_the_next(
+        self, rig: _Rig
+    ) -> None:
+        first = rig.executors[0]
+        rig.fleet.cut_off(first, is_silent=True, from_store=False)
+        with pytest.raises(TimeoutError):
+            _start(rig, first, 1)
+        second = _restart(rig, first, is_silent=True)
+        assert _call(rig.connect(second), "/hold", LastSeen=0)[0] == 200
+        time.sleep(0.2)
+        assert rig.checks.start_count == 0
+
     def test_an_executor_that_does_not_come_back(self, rig: _Rig) -> None:
         first = rig.executors[0]
         rig.fleet.cut_off(first, is_silent=False, from_store=True)
