--- a/tests/soak/test_executors.py
+++ b/tests/soak/test_executors.py
@@ -123,7 +123,9 @@
         body = {"FencingToken": 1, "LastSeen": 0, "WaitMs": 2000}
         connection = rig.connect(first)
         connection.request("POST", "/hold", json.dumps(body))
-        time.sleep(0.1)
+        end_s = time.monotonic() + 5.0
+        while first.highest_token == 0 and time.monotonic() < end_s:
+            time.sleep(0.01)
         _restart(rig, first, is_silent=is_silent)
         expected = TimeoutError if is_silent else ConnectionError
         with pytest.raises(expected):
