--- a/tests/soak/storms.py
+++ b/tests/soak/storms.py
@@ -77,14 +77,23 @@
 def draw_groups(
     source: random.Random, duration_s: float
 ) -> list[soak_steps.Step]:
-    """Returns groups of executors that restart together and are cut off.
+    """Returns groups of executors that restart, in a share of the seeds."""
+    if source.random() >= GROUP_SHARE:
+        return []
+    interval_s = source.uniform(9.0, 14.0)
+    return [
+        step
+        for at_s in soak_steps.draw_times(source, duration_s, interval_s)
+        for step in draw_group(source, at_s)
+    ]
+
+
+def draw_group(source: random.Random, at_s: float) -> list[soak_steps.Step]:
+    """Returns a group of executors that restart together and are cut off.
 
     A start that reaches one before the cut carries a deadline on the clock
-    before, and no answer to a renewal tells of the restart. Some seeds have
-    none.
+    before, and no answer to a renewal tells of the restart.
     """
-    if source.random() >= GROUP_SHARE:
-        return []
     return [
         soak_steps.Step(
             at_s + source.uniform(0.0, 0.3),
@@ -101,9 +110,6 @@
             spares_others=True,
             is_silent=True,
         )
-        for at_s in soak_steps.draw_times(
-            source, duration_s, source.uniform(9.0, 14.0)
-        )
         for _ in range(source.randint(3, 5))
     ]
 
