--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,9 +1,11 @@
 """Disruptions of a soak, drawn from its seed."""
 
 import dataclasses
-import enum
 import random
 
+from soak import steps as soak_steps
+from soak import storms as soak_storms
+
 SHRINKING_SHARE = 0.5
 """Share of the seeds with executors that shrink and grow again."""
 
@@ -14,51 +16,41 @@
 CUT_SHARE = 0.5
 """Share of the seeds in which connections to executors are cut."""
 
+STORM_SHARE = 0.6
+"""Share of the seeds in which executors restart under their id, are cut off
+and carry out orders late, all within seconds of a change of schedulers."""
 
-class Kind(enum.Enum):
-    """What happens; `Step.target` numbers the instance or executor."""
+STEADY_SHARE = 0.5
+"""Share of those seeds in which few instances are restarted and few executors
+leave, so that both live to see a lease expire."""
 
-    RESTART = "restart"
-    KILL = "kill"
-    KILL_SCHEDULER = "kill scheduler"
-    PAUSE = "pause"
-    PAUSE_SCHEDULER = "pause scheduler"
-    LEAVE = "leave"
-    CRASH = "crash"
-    JOIN = "join"
-    SHRINK = "shrink"
-    STORE_DOWN = "store down"
-    STORE_SLOW = "store slow"
-    CUT = "cut at a start"
+STEADY_INTERVAL = 12
+"""One in so many planned restarts and leaves remains in such a seed."""
 
+STORM_EXECUTORS = 2
+"""Number of further executors in those seeds, in place of those cut off."""
 
-PLANNED = frozenset({Kind.RESTART, Kind.LEAVE, Kind.JOIN, Kind.SHRINK})
-"""Kinds that the bound for lasting tasks takes no account of."""
+STORM_REQUEST_INTERVAL_S = 0.3
+"""Mean time between two requests of a client in those seeds, in seconds; most
+of the room goes to long jobs."""
 
-KILLS = frozenset({Kind.KILL, Kind.KILL_SCHEDULER})
-"""Kinds after which a process is started anew."""
+LONG_SHARE = 0.35
+"""Share of the jobs in those seeds whose tasks run for seconds."""
 
+SIGNAL_SHARE = 0.5
+"""Share of the seeds with SIGHUP and new configurations in series."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """A disruption.
 
-    Attributes:
-        at_s: Time since the start of the disruptions, in seconds.
-        kind: What happens.
-        target: Number of the instance or executor, modulo how many there are.
-        lasts_s: How long it lasts, in seconds: a pause, an outage, the time
-            until a leaving executor exits, a crashed one is reborn or a shrunk
-            one grows again, or for which an executor refuses connections after
-            the one with the next start was reset.
-        left_share: Share of its capacity that a shrunk executor keeps, 0 to 1.
-    """
-
-    at_s: float
-    kind: Kind
-    target: int = 0
-    lasts_s: float = 0.0
-    left_share: float = 1.0
+_TROUBLE = (
+    soak_steps.Kind.KILL,
+    soak_steps.Kind.KILL_SCHEDULER,
+    soak_steps.Kind.PAUSE,
+    soak_steps.Kind.PAUSE_SCHEDULER,
+    soak_steps.Kind.CRASH,
+    soak_steps.Kind.STORE_DOWN,
+    soak_steps.Kind.STORE_SLOW,
+)
+"""Kinds that are drawn as unplanned disruptions at any time."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,18 +66,24 @@
         steps: Disruptions, in order of time.
         restarts_follow_scheduler: Whether each restart is that of the instance
             that schedules, in place of the next in turn.
+        long_share: Share of the jobs whose tasks run for seconds.
     """
 
     instances: int
     executors: int
     clients: int
     request_interval_s: float
-    steps: tuple[Step, ...]
+    steps: tuple[soak_steps.Step, ...]
     restarts_follow_scheduler: bool
+    long_share: float = 0.0
 
 
 def make_plan(
-    seed: int, duration_s: float, instances: int | None = None
+    seed: int,
+    duration_s: float,
+    instances: int | None = None,
+    *,
+    is_plain: bool = False,
 ) -> Plan:
     """Returns what a seed does.
 
@@ -93,6 +91,8 @@
         seed: The seed.
         duration_s: Time in which disruptions begin, in seconds.
         instances: Number of instances; None draws 3 to 6.
+        is_plain: Whether to leave out storms and signals, which seeds did not
+            have at first.
     """
     source = random.Random(f"platform-soak/{seed}")
     count = source.randint(3, 6) if instances is None else instances
@@ -104,52 +104,65 @@
     steps += _draw_shrinks(seed, duration_s)
     # From a source of its own, so that seeds keep their other steps.
     steps += _draw_cuts(random.Random(f"platform-soak-cuts/{seed}"), duration_s)
+    executors = source.randint(4, 8)
+    storms = random.Random(f"platform-soak-storms/{seed}")
+    has_storms = storms.random() < STORM_SHARE and not is_plain
+    if not is_plain:
+        steps += _draw_signals(
+            random.Random(f"platform-soak-signals/{seed}"), duration_s
+        )
+    if has_storms:
+        if storms.random() < STEADY_SHARE:
+            steps = _thin_planned(steps)
+        steps += soak_storms.draw_storms(storms, duration_s)
+        groups = random.Random(f"platform-soak-groups/{seed}")
+        steps += soak_storms.draw_groups(groups, duration_s)
     return Plan(
         instances=count,
-        executors=source.randint(4, 8),
+        executors=executors + (STORM_EXECUTORS if has_storms else 0),
         clients=4,
-        request_interval_s=0.1 if count <= 6 else 0.5,
+        request_interval_s=max(
+            0.1 if count <= 6 else 0.5,
+            STORM_REQUEST_INTERVAL_S if has_storms else 0.0,
+        ),
         steps=tuple(sorted(steps, key=lambda step: step.at_s)),
         restarts_follow_scheduler=source.random() < 0.5,
+        long_share=LONG_SHARE if has_storms else 0.0,
     )
 
 
-def _draw_times(
-    source: random.Random, duration_s: float, interval_s: float
-) -> list[float]:
-    """Returns the times of a series that begins early and ends late."""
-    at_s = source.uniform(0.0, duration_s / 4)
-    times = []
-    while at_s < duration_s:
-        times.append(at_s)
-        at_s += interval_s * source.uniform(0.8, 1.2)
-    return times
-
-
-def _draw_restarts(source: random.Random, duration_s: float) -> list[Step]:
+def _draw_restarts(
+    source: random.Random, duration_s: float
+) -> list[soak_steps.Step]:
     """Returns restarts of the instances in turn."""
     interval_s = source.uniform(1.0, 2.5)
     return [
-        Step(at_s, Kind.RESTART, number)
+        soak_steps.Step(at_s, soak_steps.Kind.RESTART, number)
         for number, at_s in enumerate(
-            _draw_times(source, duration_s, interval_s)
+            soak_steps.draw_times(source, duration_s, interval_s)
         )
     ]
 
 
-def _draw_leaves(source: random.Random, duration_s: float) -> list[Step]:
+def _draw_leaves(
+    source: random.Random, duration_s: float
+) -> list[soak_steps.Step]:
     """Returns executors that leave in turn, each with a successor."""
     interval_s = source.uniform(0.7, 2.0)
     notice_s = source.uniform(2.0, 9.0)
     steps = []
-    for number, at_s in enumerate(_draw_times(source, duration_s, interval_s)):
+    for number, at_s in enumerate(
+        soak_steps.draw_times(source, duration_s, interval_s)
+    ):
         joins_s = at_s + source.uniform(0.0, 1.0)
-        steps.append(Step(at_s, Kind.LEAVE, number, notice_s))
-        steps.append(Step(joins_s, Kind.JOIN))
+        steps.append(
+            soak_steps.Step(at_s, soak_steps.Kind.LEAVE, number, notice_s)
+        )
+        steps.append(soak_steps.Step(joins_s, soak_steps.Kind.JOIN, number))
     return steps
 
 
-def _draw_shrinks(seed: int, duration_s: float) -> list[Step]:
+def _draw_shrinks(seed: int, duration_s: float) -> list[soak_steps.Step]:
     """Returns executors that shrink for a while; none on some seeds.
 
     They have a source of their own, so that the other steps of a seed stay.
@@ -158,41 +171,79 @@
     if source.random() >= SHRINKING_SHARE:
         return []
     return [
-        Step(
+        soak_steps.Step(
             at_s,
-            Kind.SHRINK,
+            soak_steps.Kind.SHRINK,
             source.randrange(100),
             source.uniform(0.3, 8.0),
             source.choice((0.0, 0.25, 0.5, 0.75)),
         )
-        for at_s in _draw_times(source, duration_s, source.uniform(1.0, 3.0))
+        for at_s in soak_steps.draw_times(
+            source, duration_s, source.uniform(1.0, 3.0)
+        )
     ]
 
 
-def _draw_cuts(source: random.Random, duration_s: float) -> list[Step]:
+def _draw_cuts(
+    source: random.Random, duration_s: float
+) -> list[soak_steps.Step]:
     """Returns cuts of one executor after another, in a share of the seeds."""
     if source.random() >= CUT_SHARE:
         return []
     interval_s = source.uniform(0.3, 1.5)
     return [
-        Step(at_s, Kind.CUT, source.randrange(100), source.uniform(0.1, 1.0))
-        for at_s in _draw_times(source, duration_s, interval_s)
+        soak_steps.Step(
+            at_s,
+            soak_steps.Kind.CUT,
+            source.randrange(100),
+            source.uniform(0.1, 1.0),
+        )
+        for at_s in soak_steps.draw_times(source, duration_s, interval_s)
     ]
 
 
-def _draw_trouble(source: random.Random, duration_s: float) -> list[Step]:
-    """Returns unplanned disruptions at any time."""
-    kinds = [
-        kind for kind in Kind if kind not in PLANNED and kind is not Kind.CUT
+def _draw_signals(
+    source: random.Random, duration_s: float
+) -> list[soak_steps.Step]:
+    """Returns hangups and new configurations, in a share of the seeds."""
+    if source.random() >= SIGNAL_SHARE:
+        return []
+    return [
+        soak_steps.Step(at_s, kind, source.randrange(100))
+        for kind in (soak_steps.Kind.HANGUP, soak_steps.Kind.CONFIGURE)
+        for at_s in soak_steps.draw_times(
+            source, duration_s, source.uniform(1.0, 4.0)
+        )
+    ]
+
+
+def _thin_planned(steps: list[soak_steps.Step]) -> list[soak_steps.Step]:
+    """Returns the steps with few planned restarts, leaves and successors."""
+    return [
+        step
+        for step in steps
+        if step.kind
+        not in (
+            soak_steps.Kind.RESTART,
+            soak_steps.Kind.LEAVE,
+            soak_steps.Kind.JOIN,
+        )
+        or step.target % STEADY_INTERVAL == 0
     ]
-    chosen = source.sample(kinds, source.randint(1, 4))
+
+
+def _draw_trouble(
+    source: random.Random, duration_s: float
+) -> list[soak_steps.Step]:
+    """Returns unplanned disruptions at any time."""
+    chosen = source.sample(_TROUBLE, source.randint(1, 4))
     longest_s_by_kind = {
-        Kind.STORE_DOWN: 1.5,
-        Kind.STORE_SLOW: 2.0,
-        Kind.CRASH: 2.0,
+        soak_steps.Kind.STORE_DOWN: 1.5,
+        soak_steps.Kind.STORE_SLOW: 2.0,
+        soak_steps.Kind.CRASH: 2.0,
     }
     return [
-        Step(
+        soak_steps.Step(
             source.uniform(0.0, duration_s),
             kind,
             source.randrange(100),
