--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -47,7 +47,7 @@
     _mutation(
         "run-of-new-incarnation-released",
         "one run",
-        f"{_SCHEDULING}/_renewals.py",
+        f"{_SCHEDULING}/_restarts.py",
         "ends_run=_was_listed_before_restart,",
         "ends_run=lambda _: True,",
         f"{_TESTS}/test_restarted_executors.py",
@@ -55,7 +55,7 @@
     _mutation(
         "restart-not-noticed-by-a-clock",
         "one run",
-        f"{_SCHEDULING}/_renewals.py",
+        f"{_SCHEDULING}/_restarts.py",
         "if clock_ms < known.clock_ms:",
         "if clock_ms < 0:",
         f"{_TESTS}/test_restarted_executors.py",
@@ -831,7 +831,7 @@
         "attempts-of-earlier-terms-forgotten",
         "crashing tasks",
         f"{_SCHEDULING}/_scheduler.py",
-        "        self._renewals.restore()\n",
+        "        self._crashes.restore()\n",
         "",
         f"{_TESTS}/test_crashes.py",
     ),
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -4,7 +4,6 @@
 report of how a run ended; ends are numbered per incarnation of the executor.
 """
 
-from collections.abc import Callable
 import dataclasses
 
 from basiljunction.coordination.scheduling import _cell_state
@@ -13,6 +12,7 @@
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _restarts
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _slowness
 from basiljunction.coordination.scheduling import _stalls
@@ -30,15 +30,19 @@
 
     Args:
         cell: The scheduler's state.
+        crashes: Records what crashed executors ran.
+        restarts: Resets executors that have restarted.
     """
 
-    def __init__(self, cell: _cell_state.CellState) -> None:
+    def __init__(
+        self,
+        cell: _cell_state.CellState,
+        crashes: _crashes.CrashRecorder,
+        restarts: _restarts.RestartHandler,
+    ) -> None:
         self._cell = cell
-        self._crashes = _crashes.CrashRecorder(cell)
-
-    def restore(self) -> None:
-        """Continues what earlier terms stored of crashed executors."""
-        self._crashes.restore()
+        self._crashes = crashes
+        self._restarts = restarts
 
     def tick(self, now: _time.Now) -> None:
         """Sends due renewals and stop orders, and releases expired runs."""
@@ -186,41 +190,7 @@
             is_other_incarnation
             and executor.renewal_address == executor.listing.address
         ):
-            self._end_replaced_incarnation(executor, now)
-
-    def handle_clock(
-        self,
-        executor_id: str,
-        known: _executors.ClockReading,
-        clock_ms: int,
-        now: _time.Now,
-        *,
-        sent_s: float,
-    ) -> None:
-        """Notices a restart by the clock in the answer to an order.
-
-        Args:
-            executor_id: Id of the executor.
-            known: Reading of its clock that was known when the order was sent.
-            clock_ms: Reading in the answer, in milliseconds.
-            now: The time.
-            sent_s: When the order was sent, in seconds.
-        """
-        executor = self._cell.executor_by_id.get(executor_id)
-        if executor is None or executor.clock.restarts != known.restarts:
-            return
-        # Answers may overtake each other, but not what was known before.
-        if clock_ms < known.clock_ms:
-            self._end_incarnation(executor, now, clock_ms=clock_ms)
-            return
-        passed_ms = (sent_s - known.read_s) * 1000 / _limits.MAX_CLOCK_SLOWNESS
-        least_ms = known.clock_ms + passed_ms - _limits.CLOCK_READING_MARGIN_MS
-        if clock_ms < least_ms:
-            # A young incarnation may have been followed by another. That is not
-            # certain enough to release its runs.
-            executor.assume_longest_lease(
-                now.boot_s, self._cell.times.longest_lease_s
-            )
+            self._restarts.end_replaced_incarnation(executor, now)
 
     def handle_answer(
         self,
@@ -288,7 +258,9 @@
             executor.started_wall_ms
             and report.started_wall_ms != executor.started_wall_ms
         ):
-            self._end_incarnation(executor, now, clock_ms=report.clock_ms)
+            self._restarts.end_incarnation(
+                executor, now, clock_ms=report.clock_ms
+            )
         executor.started_wall_ms = report.started_wall_ms
         self._crashes.settle_inherited_attempts(
             executor, executor.incarnation, now
@@ -378,103 +350,6 @@
             )
             executor.stop_run(run, now.boot_s)
 
-    def _end_replaced_incarnation(
-        self, executor: _executors.ExecutorState, now: _time.Now
-    ) -> None:
-        """Resets an executor whose address another one has taken.
-
-        The process to which all orders went is gone, and with it each order
-        that it had not carried out, so nothing of it goes on.
-        """
-        # What it may be by now if it has restarted at another address.
-        age_s = now.boot_s - executor.clock.read_s
-        self._reset_incarnation(
-            executor,
-            now,
-            cause="refused",
-            clock_ms=int(age_s * 1000),
-            lease_s=0.0,
-            ends_run=lambda _: True,
-        )
-        executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
-
-    def _end_incarnation(
-        self,
-        executor: _executors.ExecutorState,
-        now: _time.Now,
-        *,
-        clock_ms: int,
-    ) -> None:
-        """Resets an executor that has restarted and accepts orders.
-
-        The runs that the old incarnation had listed are released. The new one
-        may have begun the others, or still begin them. A deadline on the clock
-        before is far ahead of the new one, so that orders on their way may have
-        given it a lease of full length.
-
-        Args:
-            executor: The executor.
-            now: The time.
-            clock_ms: Reading of its clock.
-        """
-        self._reset_incarnation(
-            executor,
-            now,
-            cause="answered",
-            clock_ms=clock_ms,
-            lease_s=self._cell.times.longest_lease_s,
-            ends_run=_was_listed_before_restart,
-        )
-        for run in list(executor.run_by_key.values()):
-            if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
-                executor.stop_run(run, now.boot_s)
-            else:
-                run.expect_next_listing(now.boot_s)
-
-    def _reset_incarnation(
-        self,
-        executor: _executors.ExecutorState,
-        now: _time.Now,
-        *,
-        cause: str,
-        clock_ms: int,
-        lease_s: float,
-        ends_run: Callable[[_runs.Run], bool],
-    ) -> None:
-        """Resets an executor whose process has ended, and releases its runs.
-
-        Args:
-            executor: The executor.
-            now: The time.
-            cause: How the end became known, for the log.
-            clock_ms: Highest reading that its clock can have by now.
-            lease_s: Longest lease that it can have by now, in seconds.
-            ends_run: Tells whether a run has ended with the process.
-        """
-        self._cell.note(
-            "executor.other-life",
-            executor=executor.listing.id,
-            cause=cause,
-            clock_ms=clock_ms,
-            known_clock_ms=executor.clock.clock_ms,
-            runs=len(executor.run_by_key),
-        )
-        crash = self._crashes.find_crash(executor)
-        executor.record_restart(now.boot_s, clock_ms=clock_ms, lease_s=lease_s)
-        self._cell.begin_order_generation(executor)
-        for run in list(executor.run_by_key.values()):
-            self._cell.note(
-                "task.life-ended",
-                task=str(run.task),
-                run=run.number,
-                executor=executor.listing.id,
-                phase=run.phase.value,
-                phase_s=round(now.boot_s - run.phase_since_s, 3),
-            )
-            if ends_run(run):
-                self._cell.release_run(executor, run, now)
-        self._crashes.record_crash(executor, crash, now)
-
     def _update_listed_run(
         self,
         executor: _executors.ExecutorState,
@@ -751,14 +626,6 @@
         self._cell.needs_placing = True
 
 
-def _was_listed_before_restart(run: _runs.Run) -> bool:
-    """Returns whether a run was certainly one of the incarnation before."""
-    return run.was_listed and run.phase not in (
-        _runs.RunPhase.ORDERED,
-        _runs.RunPhase.UNSETTLED,
-    )
-
-
 _PLACEHOLDER_STEP = _job_spec.StepSpec(
     count=1, size=_job_spec.Resources(), estimate_s=0.0
 )
--- /dev/null
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -0,0 +1,168 @@
+"""Restarts of executors: how they are noticed, and what ends with them.
+
+An executor that restarts may keep its id. It knows nothing of before, and its
+clock and the numbers of its ends begin anew.
+"""
+
+from collections.abc import Callable
+
+from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _crashes
+from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _runs
+from basiljunction.state import _time
+
+
+class RestartHandler:
+    """Resets executors whose process has ended, and releases its runs.
+
+    Args:
+        cell: The scheduler's state.
+        crashes: Records what crashed executors ran.
+    """
+
+    def __init__(
+        self, cell: _cell_state.CellState, crashes: _crashes.CrashRecorder
+    ) -> None:
+        self._cell = cell
+        self._crashes = crashes
+
+    def handle_clock(
+        self,
+        executor_id: str,
+        known: _executors.ClockReading,
+        clock_ms: int,
+        now: _time.Now,
+        *,
+        sent_s: float,
+    ) -> None:
+        """Notices a restart by the clock in the answer to an order.
+
+        Args:
+            executor_id: Id of the executor.
+            known: Reading of its clock that was known when the order was sent.
+            clock_ms: Reading in the answer, in milliseconds.
+            now: The time.
+            sent_s: When the order was sent, in seconds.
+        """
+        executor = self._cell.executor_by_id.get(executor_id)
+        if executor is None or executor.clock.restarts != known.restarts:
+            return
+        # Answers may overtake each other, but not what was known before.
+        if clock_ms < known.clock_ms:
+            self.end_incarnation(executor, now, clock_ms=clock_ms)
+            return
+        passed_ms = (sent_s - known.read_s) * 1000 / _limits.MAX_CLOCK_SLOWNESS
+        least_ms = known.clock_ms + passed_ms - _limits.CLOCK_READING_MARGIN_MS
+        if clock_ms < least_ms:
+            # A young incarnation may have been followed by another. That is not
+            # certain enough to release its runs.
+            executor.assume_longest_lease(
+                now.boot_s, self._cell.times.longest_lease_s
+            )
+
+    def end_replaced_incarnation(
+        self, executor: _executors.ExecutorState, now: _time.Now
+    ) -> None:
+        """Resets an executor whose address another one has taken.
+
+        The process to which all orders went is gone, and with it each order
+        that it had not carried out, so nothing of it goes on.
+        """
+        # What it may be by now if it has restarted at another address.
+        age_s = now.boot_s - executor.clock.read_s
+        self._reset_incarnation(
+            executor,
+            now,
+            cause="refused",
+            clock_ms=int(age_s * 1000),
+            lease_s=0.0,
+            ends_run=lambda _: True,
+        )
+        executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
+
+    def end_incarnation(
+        self,
+        executor: _executors.ExecutorState,
+        now: _time.Now,
+        *,
+        clock_ms: int,
+    ) -> None:
+        """Resets an executor that has restarted and accepts orders.
+
+        The runs that the old incarnation had listed are released. The new one
+        may have begun the others, or still begin them. A deadline on the clock
+        before is far ahead of the new one, so that orders on their way may have
+        given it a lease of full length.
+
+        Args:
+            executor: The executor.
+            now: The time.
+            clock_ms: Reading of its clock.
+        """
+        self._reset_incarnation(
+            executor,
+            now,
+            cause="answered",
+            clock_ms=clock_ms,
+            lease_s=self._cell.times.longest_lease_s,
+            ends_run=_was_listed_before_restart,
+        )
+        for run in list(executor.run_by_key.values()):
+            if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
+                executor.stop_run(run, now.boot_s)
+            else:
+                run.expect_next_listing(now.boot_s)
+
+    def _reset_incarnation(
+        self,
+        executor: _executors.ExecutorState,
+        now: _time.Now,
+        *,
+        cause: str,
+        clock_ms: int,
+        lease_s: float,
+        ends_run: Callable[[_runs.Run], bool],
+    ) -> None:
+        """Resets an executor whose process has ended, and releases its runs.
+
+        Args:
+            executor: The executor.
+            now: The time.
+            cause: How the end became known, for the log.
+            clock_ms: Highest reading that its clock can have by now.
+            lease_s: Longest lease that it can have by now, in seconds.
+            ends_run: Tells whether a run has ended with the process.
+        """
+        self._cell.note(
+            "executor.other-life",
+            executor=executor.listing.id,
+            cause=cause,
+            clock_ms=clock_ms,
+            known_clock_ms=executor.clock.clock_ms,
+            runs=len(executor.run_by_key),
+        )
+        crash = self._crashes.find_crash(executor)
+        executor.record_restart(now.boot_s, clock_ms=clock_ms, lease_s=lease_s)
+        self._cell.begin_order_generation(executor)
+        for run in list(executor.run_by_key.values()):
+            self._cell.note(
+                "task.life-ended",
+                task=str(run.task),
+                run=run.number,
+                executor=executor.listing.id,
+                phase=run.phase.value,
+                phase_s=round(now.boot_s - run.phase_since_s, 3),
+            )
+            if ends_run(run):
+                self._cell.release_run(executor, run, now)
+        self._crashes.record_crash(executor, crash, now)
+
+
+def _was_listed_before_restart(run: _runs.Run) -> bool:
+    """Returns whether a run was certainly one of the incarnation before."""
+    return run.was_listed and run.phase not in (
+        _runs.RunPhase.ORDERED,
+        _runs.RunPhase.UNSETTLED,
+    )
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -10,6 +10,7 @@
 
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _evacuation
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _inherited_runs
@@ -19,6 +20,7 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _placer
 from basiljunction.coordination.scheduling import _renewals
+from basiljunction.coordination.scheduling import _restarts
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _silent_executors
 from basiljunction.state import _time
@@ -52,7 +54,11 @@
             epoch=epoch, times=times, configuration=configuration
         )
         self._placer = _placer.Placer(self.cell)
-        self._renewals = _renewals.LeaseRenewals(self.cell)
+        self._crashes = _crashes.CrashRecorder(self.cell)
+        self._restarts = _restarts.RestartHandler(self.cell, self._crashes)
+        self._renewals = _renewals.LeaseRenewals(
+            self.cell, self._crashes, self._restarts
+        )
         self._inherited_waits = _inherited_runs.InheritedRunWaits(self.cell)
         self._silent_executors = _silent_executors.SilentExecutors(self.cell)
         self._evacuation = _evacuation.Evacuation(self.cell)
@@ -95,7 +101,7 @@
         self._restore_jobs(stored, now)
         self._restore_executors(stored, inherited_until_s, history)
         cell.has_inherited_runs = bool(cell.executor_by_id)
-        self._renewals.restore()
+        self._crashes.restore()
         self.set_configuration(cell.configuration)
 
     def _restore_jobs(
@@ -405,7 +411,7 @@
             now: The time.
             sent_s: When the order was sent, in seconds.
         """
-        self._renewals.handle_clock(
+        self._restarts.handle_clock(
             executor_id, known, clock_ms, now, sent_s=sent_s
         )
 
