End the longer wait for a start once its executor has answered since

Callers could see: after a change of schedulers, tasks waited 10 s instead of 5 s for silent executors whenever any start had gone unanswered. Cause: the longer wait for a start that an unknown incarnation may have stayed on a run that was being stopped, and a resigning scheduler hands the longest of all on. Evidence: test_an_answer_since_the_start_ends_the_longer_wait, which the read through of the change brought about. Change: an answer to a renewal that was sent after the start was given up comes from the incarnation that had the start, or from a later one.

--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -434,9 +434,15 @@
             sent_s: When the renewal was sent.
             now: The time.
         """
+        settled_until_s = _executors.end_of_lease_s(
+            sent_s, self._cell.times.longest_lease_s
+        )
         for key, run in list(executor.run_by_key.items()):
             if key in listed_by_key:
                 continue
+            if run.may_last_until_s <= settled_until_s:
+                # The incarnation that answered had the start, or a dead one.
+                run.may_last_until_s = 0.0
             may_not_exist = run.phase is _runs.RunPhase.UNSETTLED or (
                 run.phase is _runs.RunPhase.RUNNING and not run.was_listed
             )
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -5,6 +5,7 @@
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
@@ -323,6 +324,15 @@
         _cut_off_beside_another(rig)
         rig.run(12)
 
+    def test_an_answer_since_the_start_ends_the_longer_wait(self) -> None:
+        rig = _start_on_restarted_executor(is_answer_lost=True)
+        rig.executor_by_id["e1"].run_by_key.clear()
+        rig.drops_stop_orders = True
+        rig.run(1.0)
+        (run,) = rig.scheduler.cell.executor_by_id["e1"].run_by_key.values()
+        assert run.phase is _runs.RunPhase.STOPPING
+        assert run.may_last_until_s == 0.0
+
     def test_the_task_starts_elsewhere_in_the_end(self) -> None:
         rig = _start_on_restarted_executor()
         _cut_off_beside_another(rig)
