Claim a term that was given up while the calls that wait still wait

Callers saw: 504, or 503, from a sole instance whose term an executor had fenced.

Cause: an instance that gives up its term leaves the next one to others for 2.0 s, and calls wait 2.4 s for a scheduler. With the claim, the recovery and the store's write the answer came at 2.30 to 2.42 s.

Evidence: six calls sent after term.ended on the code before took 2.39, 2.30, 2.43 (answered 504, given up while it waited for the store), 2.40, 2.40 and 2.39 s. Which answer comes is a matter of milliseconds, load or none.

Change: the time left to others follows from what they need, the delay of the least provided one and the random delay, 1.2 s. The conditional write decides between both as before.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -49,9 +49,13 @@
 others within this time.
 """
 
-ABSTENTION_S = 2.0
+ABSTENTION_S = MAX_PROVISION_DELAY_S + MAX_CLAIM_JITTER_S
 """Time for which an instance that gave up a term leaves the next one to others,
-in seconds; they read the resignation and claim well within it."""
+in seconds.
+
+Even the least provided one claims within it. Calls wait longer than that for a
+scheduler, so that a sole instance still answers them.
+"""
 
 WRITE_RETRY_S = 0.2
 """Delay before a failed claim or renewal is repeated, in seconds."""
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -9,6 +9,8 @@
 from basiljunction.coordination.leadership import _ranking
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _provision
+from basiljunction.transport.jobs import _call_router
+from basiljunction.transport.jobs import _term_keeper
 import election_rig
 
 _WEAK_DELAY_S = 0.95 * _election.MAX_PROVISION_DELAY_S
@@ -381,6 +383,16 @@
         assert claim is not None
         assert claim.term.epoch == 2
 
+    def test_waiting_calls_outlast_the_abstention_of_a_sole_instance(
+        self,
+    ) -> None:
+        """Time for the longest write is left when the term is claimed."""
+        election = self._give_up()
+        left_s = _term_keeper.WRITE_TIMEOUT_S
+        latest_s = 4.01 + _call_router.MAX_CALL_WAIT_S - left_s
+        claim = election.next_term_write(latest_s)
+        assert claim is not None
+
     def test_a_resignation_that_was_not_stored_is_repeated(self) -> None:
         election = _make_leader()
         election.give_up()
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -127,6 +127,21 @@
             "fenced"
         ]
 
+    def test_a_call_that_comes_after_the_fence_waits_for_the_next_term(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        instances.append(instance_rig.Instance(platform))
+        instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
+        instance_rig.wait_until(lambda: len(platform.starts) == 1)
+        platform.executors[0].highest_token = _LATER_TOKEN
+        instance_rig.wait_until(lambda: _events(logs, "term.ended"))
+        other_path = _JOB_PATH.replace("a1", "a2")
+        answer = instances[0].call("POST", other_path, instance_rig.SHORT_JOB)
+        assert answer[0] == 200
+
     def test_a_term_whose_renewals_executors_fence_is_not_held_for_ever(
         self,
         platform: platform_standin.Platform,
