--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -61,6 +61,12 @@
     show_default=True,
     help="Late orders may reach a later incarnation.",
 )
+@click.option(
+    "--checks/--no-checks",
+    default=True,
+    show_default=True,
+    help="Orders reach only the incarnation that the scheduler knows.",
+)
 @click.option("--refusals/--no-refusals", default=False, show_default=True)
 @click.option("--overlaps/--no-overlaps", default=False, show_default=True)
 @click.option(
@@ -80,6 +86,7 @@
     delayed: float,
     longest_delay: float,
     outlive: bool,
+    checks: bool,
     refusals: bool,
     overlaps: bool,
     late_confirmed: float,
@@ -92,6 +99,7 @@
         delayed_share=delayed,
         longest_delay_s=longest_delay,
         late_orders_outlive=outlive,
+        checks_incarnations=checks,
         has_refusals=refusals,
         has_overlaps=overlaps,
         late_confirmed_share=late_confirmed,
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -71,6 +71,8 @@
             with a token that bars those meant for the one before.
         renewal_failures: Number of consecutive lease renewals without an
             answer.
+        lacks_connection: Whether the last lease renewal was not sent, as no
+            open connection was free.
         next_renewal_s: Time at which the next lease renewal is due.
         avoid_until_s: Time before which no task is placed on it.
         is_suspect: Whether it was slow lately and no task has run at normal
@@ -138,6 +140,7 @@
     renewal_restarts: int = 0
     is_fenced_off: bool = True
     renewal_failures: int = 0
+    lacks_connection: bool = False
     next_renewal_s: float = 0.0
     avoid_until_s: float = 0.0
     is_suspect: bool = False
@@ -341,6 +344,13 @@
             return True
         return self.listing.born_ms == self.started_wall_ms
 
+    def is_same_incarnation(self, report: _executor.LeaseRenewalReply) -> bool:
+        """Returns whether an answer is from the incarnation listed last."""
+        return (
+            self.has_listed_runs
+            and report.started_wall_ms == self.started_wall_ms
+        )
+
     def is_in_contact(self, now_s: float, *, own_delay_s: float) -> bool:
         """Returns whether the executor has answered a renewal lately.
 
--- a/src/basiljunction/coordination/scheduling/_orders.py
+++ b/src/basiljunction/coordination/scheduling/_orders.py
@@ -86,6 +86,14 @@
     acknowledged: int
     wait_ms: int
 
+    @property
+    def is_for_one_incarnation(self) -> bool:
+        """Whether it has a time or a number of one incarnation's own.
+
+        Another one would extend its lease too far, or forget ends unread.
+        """
+        return self.lease_until_ms is not None or self.acknowledged > 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ApprovalOrder:
@@ -120,7 +128,10 @@
         TOO_LATE: The order arrived after the end of its lease.
         FENCED: The executor has seen a later term.
         SUPERSEDED: The executor refused the run number as outdated.
-        UNHEALTHY: The executor is unhealthy, or the order was not sent.
+        UNHEALTHY: The executor is unhealthy, or no connection to it could be
+            opened.
+        NOT_SENT: The order was not sent, as its executor has restarted or the
+            run is to be stopped.
         MALFORMED: The executor could not parse the order.
         OTHER_LIFE: Another incarnation of the executor refused the order, which
             names the one that it is for.
@@ -134,6 +145,7 @@
     FENCED = "fenced"
     SUPERSEDED = "superseded"
     UNHEALTHY = "unhealthy"
+    NOT_SENT = "not-sent"
     MALFORMED = "malformed"
     OTHER_LIFE = "other-life"
     NOT_APPROVED = "not-approved"
@@ -147,6 +159,7 @@
             StartResult.TOO_LATE,
             StartResult.FENCED,
             StartResult.UNHEALTHY,
+            StartResult.NOT_SENT,
             StartResult.MALFORMED,
             StartResult.OTHER_LIFE,
             StartResult.NOT_APPROVED,
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -66,7 +66,7 @@
         is_first = executor.last_answer_s is None
         # The lease of an executor that did not answer is not extended, so
         # that its tasks can start elsewhere soon if it has failed.
-        is_retry = executor.renewal_failures > 0
+        is_retry = executor.renewal_failures > 0 or executor.lacks_connection
         unstored = executor.processed_end_number > executor.stored_end_number
         until_ms = None
         may_extend = not (is_first or is_retry or executor.is_lease_frozen)
@@ -89,7 +89,8 @@
                 # must not be acknowledged unseen.
                 acknowledged=(
                     0
-                    if executor.may_have_unread_ends(now.boot_s)
+                    if executor.lacks_connection
+                    or executor.may_have_unread_ends(now.boot_s)
                     else executor.stored_end_number
                 ),
                 wait_ms=wait_ms,
@@ -163,6 +164,17 @@
             if self._cell.supersede_run(run, "executor-silent", now):
                 self._crashes.suspect_run(executor, run)
 
+    def handle_unsent(
+        self, order: _orders.RenewalOrder, now: _time.Now
+    ) -> None:
+        """Lets the next renewal open a connection, as this one found none."""
+        executor = self._cell.executor_by_id.get(order.executor)
+        if executor is None:
+            return
+        executor.renewal_sent_s = None
+        executor.lacks_connection = True
+        executor.next_renewal_s = now.boot_s
+
     def handle_failure(
         self,
         order: _orders.RenewalOrder,
@@ -251,6 +263,7 @@
         cell = self._cell
         longest_lease_s = cell.times.longest_lease_s
         executor.renewal_failures = 0
+        executor.lacks_connection = False
         if executor.silent_bound is not None:
             executor.silent_bound = None
             cell.silent_executors_changed = True
--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -12,6 +12,7 @@
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state import _time
+from basiljunction.state.workload import _executor
 
 
 class RestartHandler:
@@ -62,6 +63,33 @@
                 now.boot_s, self._cell.times.longest_lease_s
             )
 
+    def handle_incarnation_check(
+        self,
+        executor_id: str,
+        known: _executors.ClockReading,
+        report: _executor.LeaseRenewalReply,
+        now: _time.Now,
+    ) -> bool:
+        """Notices a restart by what an executor says of itself.
+
+        Args:
+            executor_id: Id of the executor.
+            known: Reading of its clock that was known when it was asked.
+            report: The answer.
+            now: The time.
+
+        Returns:
+            Whether it is the incarnation that has listed its runs last.
+        """
+        executor = self._cell.executor_by_id.get(executor_id)
+        if executor is None or not executor.has_listed_runs:
+            return False
+        if executor.is_same_incarnation(report):
+            return True
+        if executor.clock.restarts == known.restarts:
+            self.end_incarnation(executor, now, clock_ms=report.clock_ms)
+        return False
+
     def end_replaced_incarnation(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -46,7 +46,8 @@
         is_preempted: Whether it was stopped in favor of a short task.
         is_superseded: Whether its task was requeued to run a second time
             beside it.
-        is_start_held: Whether its start order waits for a batch to be stored.
+        is_start_held: Whether its start order was not sent yet: it waits for a
+            batch to be stored, or for a check of the executor.
         is_proven: Whether it was listed long enough after its start that a
             crash of its executor is not put down to it.
         is_isolated: Whether it was started apart from other unproven runs.
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -335,6 +335,28 @@
 
     # Answers of executors and of the approval policy.
 
+    def hold_start(self, order: _orders.StartOrder) -> None:
+        """Notes that a start is not sent yet, as its executor is checked."""
+        _, run = self.cell.find_executor_and_run(
+            order.executor, order.task, order.run
+        )
+        if run is not None:
+            run.is_start_held = True
+
+    def confirm_start(self, order: _orders.StartOrder) -> bool:
+        """Returns whether a start is still in order; it counts as sent then.
+
+        It is not if its run is to be stopped, or if its executor has restarted
+        since it was ordered.
+        """
+        _, run = self.cell.find_executor_and_run(
+            order.executor, order.task, order.run
+        )
+        if run is None or run.phase is not _runs.RunPhase.ORDERED:
+            return False
+        run.is_start_held = False
+        return True
+
     def handle_start_answer(
         self,
         order: _orders.StartOrder,
@@ -535,6 +557,34 @@
             order, now, is_other_incarnation=is_other_incarnation
         )
 
+    def handle_unsent_renewal(
+        self, order: _orders.RenewalOrder, now: _time.Now
+    ) -> None:
+        """Repeats a renewal that found no open connection to its executor."""
+        self._renewals.handle_unsent(order, now)
+
+    def handle_incarnation_check(
+        self,
+        executor_id: str,
+        known: _executors.ClockReading,
+        report: _executor.LeaseRenewalReply,
+        now: _time.Now,
+    ) -> bool:
+        """Compares an executor that has answered with the one that is known.
+
+        Args:
+            executor_id: Id of the executor.
+            known: Reading of its clock that was known when it was asked.
+            report: The answer.
+            now: The time.
+
+        Returns:
+            Whether it is the incarnation that has listed its runs last.
+        """
+        return self._restarts.handle_incarnation_check(
+            executor_id, known, report, now
+        )
+
     # Time and output.
 
     def run_timed_work(
--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -47,6 +47,8 @@
         may_have_been_sent: Whether the call may have reached the server.
         was_sent_on_new_connection: Whether it was sent on a connection that
             was opened for it; another process may listen there than before.
+        lacked_connection: Whether it was not sent because none of the
+            connections that it may use was free.
     """
 
     status: int
@@ -54,6 +56,7 @@
     error_text: str = ""
     may_have_been_sent: bool = True
     was_sent_on_new_connection: bool = False
+    lacked_connection: bool = False
 
     @property
     def is_success(self) -> bool:
--- /dev/null
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -0,0 +1,346 @@
+"""Calls that reach an executor only in the incarnation that is known of it.
+
+An executor may restart under its id, and the next incarnation accepts what was
+meant for the one before. A connection ends with the process that accepted it,
+so that a call on an open one can't reach a later incarnation.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+import structlog
+
+from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _scheduler
+from basiljunction.platform import _executors as _executor_calls
+from basiljunction.protocol import _errors
+from basiljunction.protocol import _http_call
+from basiljunction.state import _time
+from basiljunction.state.workload import _executor
+from basiljunction.transport.jobs import _http_calls
+
+MAX_CHECKS = 3
+"""Most connections that are opened for one call.
+
+Other calls may take a connection that was opened for this one.
+"""
+
+MAX_CHECK_SHARE = 0.5
+"""Longest time of a check as a share of what is left for the call, 0 to 1.
+
+The rest is left for the call itself.
+"""
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckedCall:
+    """A call that only the known incarnation of an executor may receive.
+
+    Attributes:
+        executor: Id of the executor.
+        address: ``ip:port`` of the executor.
+        token: Fencing token of the checks that precede the call.
+        call: The call. Its timeout includes the checks.
+        on_reply: Called once with the reply; for a call that was not sent, with
+            the refusal of a check, or with a reply without a status.
+        on_held: Called if the call has to wait for a check.
+        confirm: Returns whether the call is still to be sent; called just
+            before each attempt.
+    """
+
+    executor: str
+    address: str
+    token: int
+    call: _http_call.HttpCall
+    on_reply: _http_calls.ReplyCallback
+    on_held: Callable[[], None] = lambda: None
+    confirm: Callable[[], bool] = lambda: True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempts:
+    """What is left for a call.
+
+    Attributes:
+        ends_s: When its timeout ends, in seconds on the steady clock.
+        checks_left: How many more checks may precede it.
+    """
+
+    ends_s: float
+    checks_left: int
+
+    def after_check(self) -> "_Attempts":
+        """Returns what is left with one more check."""
+        return _Attempts(self.ends_s, self.checks_left - 1)
+
+
+class CheckedCalls:
+    """Sends calls on connections on which an executor has named itself.
+
+    If none is open and free, a new one is opened by a request for the
+    executor's runs, which changes nothing. The call follows if the answer is
+    from the incarnation that the scheduler knows.
+
+    Args:
+        calls: HTTP client for the calls.
+        scheduler: The scheduler, which compares incarnations.
+        clock: Returns the current time.
+
+    Attributes:
+        is_closed: Whether the term has ended; nothing more is sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        calls: _http_calls.HttpClient,
+        scheduler: _scheduler.Scheduler,
+        clock: Callable[[], _time.Now],
+    ) -> None:
+        self.is_closed = False
+        self._calls = calls
+        self._scheduler = scheduler
+        self._clock = clock
+        self._connections = _CheckedConnections(2 * calls.max_connections)
+
+    def send(self, checked: CheckedCall) -> None:
+        """Sends a call, after a check of the executor if it needs one."""
+        self._send(
+            checked,
+            _Attempts(
+                self._clock().boot_s + checked.call.timeout_s, MAX_CHECKS
+            ),
+        )
+
+    def make_renewal_guard(
+        self, order: _orders.RenewalOrder
+    ) -> "IncarnationGuard":
+        """Returns the guard of a lease renewal.
+
+        One that suits any incarnation may open a connection.
+        """
+        if order.is_for_one_incarnation:
+            return self._guard_known_incarnation(order.executor)
+        return IncarnationGuard(self._connections, order.executor)
+
+    def record_answer(
+        self, guard: "IncarnationGuard", report: _executor.LeaseRenewalReply
+    ) -> None:
+        """Records whose answer to a renewal came on a connection.
+
+        The scheduler has handled the answer.
+        """
+        executor = self._scheduler.cell.executor_by_id.get(guard.executor)
+        if (
+            executor is not None
+            and guard.connection is not None
+            and executor.is_same_incarnation(report)
+        ):
+            self._connections.record(
+                guard.executor, guard.connection, executor.clock.restarts
+            )
+
+    def _guard_known_incarnation(self, executor_id: str) -> "IncarnationGuard":
+        """Returns a guard that admits the known incarnation of an executor."""
+        executor = self._scheduler.cell.executor_by_id[executor_id]
+        return IncarnationGuard(
+            self._connections, executor_id, executor.clock.restarts
+        )
+
+    def _send(self, checked: CheckedCall, attempts: "_Attempts") -> None:
+        """Sends a call on a known connection, or checks the executor."""
+
+        def handle_reply(reply: _http_call.HttpReply) -> None:
+            if (
+                reply.lacked_connection
+                and attempts.checks_left > 0
+                and not self.is_closed
+            ):
+                checked.on_held()
+                self._check(checked, attempts.after_check())
+            else:
+                checked.on_reply(reply)
+
+        if checked.executor not in self._scheduler.cell.executor_by_id:
+            checked.on_reply(_unsent("executor is no longer known"))
+        elif not checked.confirm():
+            checked.on_reply(_unsent("no longer in order"))
+        else:
+            left_s = attempts.ends_s - self._clock().boot_s
+            self._calls.send(
+                dataclasses.replace(checked.call, timeout_s=max(0.0, left_s)),
+                handle_reply,
+                self._guard_known_incarnation(checked.executor),
+            )
+
+    def _check(self, checked: CheckedCall, attempts: "_Attempts") -> None:
+        """Opens a connection to an executor and asks who it is."""
+        executor = self._scheduler.cell.executor_by_id.get(checked.executor)
+        if executor is None:
+            checked.on_reply(_unsent("executor is no longer known"))
+            return
+        known = executor.clock
+        left_s = attempts.ends_s - self._clock().boot_s
+        order = _orders.RenewalOrder(
+            executor=checked.executor,
+            lease_until_ms=None,
+            acknowledged=0,
+            wait_ms=0,
+        )
+        guard = IncarnationGuard(self._connections, checked.executor)
+
+        def handle_reply(reply: _http_call.HttpReply) -> None:
+            if self.is_closed:
+                checked.on_reply(_unsent("term has ended"))
+            elif not reply.is_success:
+                checked.on_reply(
+                    dataclasses.replace(reply, may_have_been_sent=False)
+                )
+            elif self._is_known_incarnation(guard, known, reply):
+                self._send(checked, attempts)
+            else:
+                checked.on_reply(_unsent("another incarnation answered"))
+
+        call = _executor_calls.make_renewal_call(
+            checked.address,
+            checked.token,
+            order,
+            timeout_s=max(0.0, left_s) * MAX_CHECK_SHARE,
+        )
+        self._calls.send(
+            dataclasses.replace(call, needs_new_connection=True),
+            handle_reply,
+            guard,
+        )
+
+    def _is_known_incarnation(
+        self,
+        guard: "IncarnationGuard",
+        known: _executors.ClockReading,
+        reply: _http_call.HttpReply,
+    ) -> bool:
+        """Returns whether the known incarnation of an executor answered."""
+        try:
+            report = _executor_calls.parse_renewal_reply(reply)
+        except _errors.DecodeError as error:
+            _log.warning(
+                "executor.torn", executor=guard.executor, error=str(error)
+            )
+            return False
+        is_known = self._scheduler.handle_incarnation_check(
+            guard.executor, known, report, self._clock()
+        )
+        self.record_answer(guard, report)
+        return is_known
+
+
+class _CheckedConnections:
+    """Connections on which an incarnation of an executor has named itself.
+
+    Args:
+        limit: Most connections that are remembered. Closed ones are not told
+            from open ones; a call that misses one that was dropped needs
+            another check.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._restarts_by_connection: collections.OrderedDict[
+            tuple[str, _http_calls.Connection], int
+        ] = collections.OrderedDict()
+
+    def record(
+        self,
+        executor_id: str,
+        connection: _http_calls.Connection,
+        restarts: int,
+    ) -> None:
+        """Records whose answer came on a connection.
+
+        Args:
+            executor_id: Id of the executor.
+            connection: The connection.
+            restarts: Number of restarts of the executor that are known with
+                this answer.
+        """
+        self._restarts_by_connection[executor_id, connection] = restarts
+        self._restarts_by_connection.move_to_end((executor_id, connection))
+        if len(self._restarts_by_connection) > self._limit:
+            self._restarts_by_connection.popitem(last=False)
+
+    def forget(
+        self, executor_id: str, connection: _http_calls.Connection
+    ) -> None:
+        """Forgets a connection, or an earlier one between the same ports."""
+        self._restarts_by_connection.pop((executor_id, connection), None)
+
+    def is_known(
+        self,
+        executor_id: str,
+        connection: _http_calls.Connection,
+        restarts: int,
+    ) -> bool:
+        """Returns whether the incarnation after some restarts answered on it.
+
+        A connection that is asked for is dropped later than others.
+        """
+        key = (executor_id, connection)
+        if self._restarts_by_connection.get(key) != restarts:
+            return False
+        self._restarts_by_connection.move_to_end(key)
+        return True
+
+
+class IncarnationGuard(_http_calls.ConnectionGuard):
+    """Admits connections to one incarnation of an executor, or opens one.
+
+    Args:
+        connections: Connections to known incarnations.
+        executor: Id of the executor.
+        restarts: Number of restarts of the executor after which the incarnation
+            began; None to admit any, and to open a connection if need be.
+
+    Attributes:
+        executor: Id of the executor.
+        connection: The connection that was admitted last; None before.
+    """
+
+    def __init__(
+        self,
+        connections: _CheckedConnections,
+        executor: str,
+        restarts: int | None = None,
+    ) -> None:
+        self.executor = executor
+        self.connection: _http_calls.Connection | None = None
+        self.may_open = restarts is None
+        self._connections = connections
+        self._restarts = restarts
+
+    def admits(self, connection: _http_calls.Connection) -> bool:
+        """Returns whether the call may be sent on a connection.
+
+        One that may be new is not known until an answer has come on it.
+        """
+        if self._restarts is None:
+            self._connections.forget(self.executor, connection)
+        elif not self._connections.is_known(
+            self.executor, connection, self._restarts
+        ):
+            return False
+        self.connection = connection
+        return True
+
+
+def _unsent(reason: str) -> _http_call.HttpReply:
+    """Returns the reply to a call that no known connection suits any more."""
+    return _http_call.HttpReply(
+        status=0,
+        error_text=reason,
+        may_have_been_sent=False,
+        lacked_connection=True,
+    )
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -1,5 +1,6 @@
 """Concurrent HTTP calls on one thread, using libcurl's socket interface."""
 
+import abc
 from collections.abc import Callable
 import dataclasses
 import io
@@ -32,6 +33,24 @@
 ReplyCallback = Callable[[_http_call.HttpReply], None]
 """Called once with the reply to an HTTP call, or with its failure."""
 
+Connection = tuple[str, int, int]
+"""An open connection: the server's address and port, and the own port."""
+
+
+class ConnectionGuard(abc.ABC):
+    """Decides on which connection a call may be sent.
+
+    Attributes:
+        may_open: Whether a connection may be opened for the call.
+    """
+
+    may_open: bool = True
+
+    @abc.abstractmethod
+    def admits(self, connection: Connection) -> bool:
+        """Returns whether the call may be sent on a connection."""
+
+
 _NOT_SENT_ERRORS = frozenset(
     {
         pycurl.E_COULDNT_CONNECT,
@@ -53,6 +72,7 @@
         on_reply: Called with the reply.
         response_body: Receives the bytes of the response.
         call: The call.
+        guard: Decides on which connection it may be sent; None if any will do.
         started_s: Monotonic time at which the call started, in seconds.
         last_byte_s: Monotonic time at which the newest byte arrived, or at
             which the call started, in seconds; kept only with a limit.
@@ -61,24 +81,41 @@
         may_have_been_received: Whether the request was sent on a connection.
         was_second_sending_refused: Whether libcurl wanted to send the request
             a second time and was not allowed to.
+        was_connection_refused: Whether libcurl wanted to open or to use a
+            connection and was not allowed to.
     """
 
     on_reply: ReplyCallback
     response_body: io.BytesIO
     call: _http_call.HttpCall
+    guard: ConnectionGuard | None
     started_s: float
     last_byte_s: float
     silence_limit_s: float | None = None
     may_have_been_received: bool = False
     was_second_sending_refused: bool = False
+    was_connection_refused: bool = False
 
-    def check_before_sending(self, *_addresses: object) -> int:
-        """Refuses to send the request a second time unless it is repeatable.
+    def refuse_to_connect(self, *_address: object) -> int:
+        """Lets the call fail, as no open connection is free for it."""
+        self.was_connection_refused = True
+        return int(pycurl.SOCKET_BAD)
 
+    def check_before_sending(
+        self, server_ip: str, _own_ip: str, server_port: int, own_port: int
+    ) -> int:
+        """Refuses a connection that the call may not be sent on.
+
+        Also refuses to send the request a second time unless it is repeatable.
         libcurl calls this each time just before it sends the request. It does
         so again, on a new connection, if a reused one is lost before a byte of
         the response; the server may have received the first request.
         """
+        if self.guard is not None and not self.guard.admits(
+            (server_ip, server_port, own_port)
+        ):
+            self.was_connection_refused = True
+            return int(pycurl.PREREQFUNC_ABORT)
         if self.may_have_been_received and not self.call.is_repeatable:
             self.was_second_sending_refused = True
             return int(pycurl.PREREQFUNC_ABORT)
@@ -147,18 +184,34 @@
         self._idle_handles: list[pycurl.Curl] = []
         self._timer_ms = -1
 
-    def send(self, call: _http_call.HttpCall, on_reply: ReplyCallback) -> None:
-        """Starts a call; `poll` later passes the reply to `on_reply`."""
+    def send(
+        self,
+        call: _http_call.HttpCall,
+        on_reply: ReplyCallback,
+        guard: ConnectionGuard | None = None,
+    ) -> None:
+        """Starts a call; `poll` later passes the reply to `on_reply`.
+
+        Args:
+            call: The call.
+            on_reply: Called once with the reply.
+            guard: Decides on which connection it may be sent; None if any will
+                do.
+        """
         handle = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
         body = io.BytesIO()
         now_s = time.monotonic()
         in_flight = _CallInFlight(
-            on_reply, body, call, now_s, now_s, call.silence_limit_s
+            on_reply, body, call, guard, now_s, now_s, call.silence_limit_s
         )
         _configure_handle(handle, call)
         handle.setopt(pycurl.PREREQFUNCTION, in_flight.check_before_sending)
+        if guard is not None and not guard.may_open:
+            handle.setopt(
+                pycurl.OPENSOCKETFUNCTION, in_flight.refuse_to_connect
+            )
         self._call_by_handle[handle] = in_flight
         if call.silence_limit_s is None:
             handle.setopt(pycurl.WRITEFUNCTION, body.write)
@@ -313,29 +366,37 @@
             handle.getinfo(pycurl.NUM_CONNECTS) > 0
             and not call.was_second_sending_refused
         )
-        self._metrics.count(
-            "outgoing_calls",
-            operation=call.call.operation,
-            status=str(status) if status else "none",
-        )
-        self._metrics.observe(
-            "outgoing_call_duration", took_s, operation=call.call.operation
+        lacked_connection = (
+            call.was_connection_refused and not call.may_have_been_received
         )
+        if not lacked_connection:
+            self._metrics.count(
+                "outgoing_calls",
+                operation=call.call.operation,
+                status=str(status) if status else "none",
+            )
+            self._metrics.observe(
+                "outgoing_call_duration", took_s, operation=call.call.operation
+            )
         self._multi.remove_handle(handle)
         handle.reset()
         self._idle_handles.append(handle)
-        if call.was_second_sending_refused:
+        if lacked_connection:
+            fault = "no connection that may be used was free"
+        elif call.was_second_sending_refused or call.was_connection_refused:
             fault = "connection lost before a byte of the response"
         reply = _http_call.HttpReply(
             status=status,
             body=call.response_body.getvalue(),
             error_text=fault,
             may_have_been_sent=(
-                call.may_have_been_received or code not in _NOT_SENT_ERRORS
+                call.may_have_been_received
+                or not (lacked_connection or code in _NOT_SENT_ERRORS)
             ),
             was_sent_on_new_connection=(
                 call.may_have_been_received and was_opened
             ),
+            lacked_connection=lacked_connection,
         )
         try:
             call.on_reply(reply)
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -185,7 +185,7 @@
 
         Pending calls become due for the router to try elsewhere.
         """
-        self._sender.is_closed = True
+        self._sender.close()
         self._journal.is_closed = True
         self._metrics.clear_term()
         self._executors.restart()
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -13,6 +13,7 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
+from basiljunction.transport.jobs import _checked_calls
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _renewal_patience
 from basiljunction.transport.jobs import _unsent_bodies
@@ -50,8 +51,9 @@
         policy_address: Address of the policy service that approves runs;
             empty if there is none, in which case every approval fails.
 
-    Attributes:
-        is_closed: Whether the term has ended; answers are then ignored.
+    Starts, stops and changes of pace reach only the known incarnation of an
+    executor. So do the deadline and the acknowledgement of a renewal; one that
+    has neither may open a connection.
     """
 
     def __init__(
@@ -63,15 +65,28 @@
         clock: Callable[[], _time.Now],
         policy_address: str = "",
     ) -> None:
-        self.is_closed = False
+        self._is_closed = False
         self._policy_address = policy_address
         self._calls = calls
+        self._checked_calls = _checked_calls.CheckedCalls(
+            calls=calls, scheduler=scheduler, clock=clock
+        )
         self._scheduler = scheduler
         self._epoch = epoch
         self._clock = clock
         self._patience = _renewal_patience.RenewalPatience()
         self._unsent_starts = _unsent_bodies.UnsentBodies()
 
+    def close(self) -> None:
+        """Ends the sending; answers are ignored from now on."""
+        self._is_closed = True
+        self._checked_calls.is_closed = True
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the term has ended."""
+        return self._is_closed
+
     def send_collected_orders(self) -> None:
         """Sends all orders that the scheduler has collected.
 
@@ -95,11 +110,11 @@
                     timeout_s=ORDER_TIMEOUT_S,
                 )
                 self._unsent_starts.expect(len(call.body or b""))
-                starts.append((order, call))
+                starts.append((address, order, call))
             else:
                 self._send_executor_order(address, order)
-        for start, call in starts:
-            self._send_start(start, call)
+        for address, start, call in starts:
+            self._send_start(address, start, call)
 
     def _fencing_token(self, executor_id: str) -> int:
         """Returns the fencing token of an order that is sent now."""
@@ -189,7 +204,7 @@
         return min(ORDER_TIMEOUT_S + bodies_s, MAX_START_LEASE_SHARE * lease_s)
 
     def _send_start(
-        self, order: _orders.StartOrder, call: _http_call.HttpCall
+        self, address: str, order: _orders.StartOrder, call: _http_call.HttpCall
     ) -> None:
         """Sends the call of an order to start a run and reports the result."""
         known = self._known_clock(order.executor)
@@ -202,9 +217,7 @@
             self._unsent_starts.end(
                 number, byte_count, is_answered=reply.has_complete_reply
             )
-            result = _executor_calls.parse_start_result(reply)
-            if not reply.may_have_been_sent:
-                result = _orders.StartResult.UNHEALTHY
+            result = _parse_start_result(reply)
             if result is not _orders.StartResult.STARTED:
                 _log.info(
                     "task.not-started",
@@ -224,9 +237,40 @@
                 )
                 self._handle_clock(order, known, sent_s, reply)
 
-        self._calls.send(
-            dataclasses.replace(call, timeout_s=timeout_s),
-            handle_reply,
+        def hold() -> None:
+            self._scheduler.hold_start(order)
+
+        def confirm() -> bool:
+            return not self.is_closed and self._scheduler.confirm_start(order)
+
+        self._checked_calls.send(
+            _checked_calls.CheckedCall(
+                executor=order.executor,
+                address=address,
+                token=self._fencing_token(order.executor),
+                call=dataclasses.replace(call, timeout_s=timeout_s),
+                on_reply=handle_reply,
+                on_held=hold,
+                confirm=confirm,
+            )
+        )
+
+    def _send_checked(
+        self,
+        executor_id: str,
+        address: str,
+        call: _http_call.HttpCall,
+        on_reply: _http_calls.ReplyCallback,
+    ) -> None:
+        """Sends a call that only the known incarnation may receive."""
+        self._checked_calls.send(
+            _checked_calls.CheckedCall(
+                executor=executor_id,
+                address=address,
+                token=self._fencing_token(executor_id),
+                call=call,
+                on_reply=on_reply,
+            )
         )
 
     def _send_stop(self, address: str, order: _orders.StopOrder) -> None:
@@ -241,7 +285,9 @@
                 )
                 self._handle_clock(order, known, sent_s, reply)
 
-        self._calls.send(
+        self._send_checked(
+            order.executor,
+            address,
             _executor_calls.make_stop_call(
                 address,
                 self._fencing_token(order.executor),
@@ -263,7 +309,9 @@
                 )
                 self._handle_clock(order, known, sent_s, reply)
 
-        self._calls.send(
+        self._send_checked(
+            order.executor,
+            address,
             _executor_calls.make_pace_call(
                 address,
                 self._fencing_token(order.executor),
@@ -281,8 +329,13 @@
         """
         sent_s = self._clock().boot_s
         wait_s = order.wait_ms / 1000
+        guard = self._checked_calls.make_renewal_guard(order)
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
+            if reply.lacked_connection:
+                if not self.is_closed:
+                    self._scheduler.handle_unsent_renewal(order, self._clock())
+                return
             now_s = self._clock().boot_s
             record = (
                 self._patience.record_answer
@@ -291,21 +344,22 @@
             )
             record(order.executor, now_s - sent_s - wait_s, now_s)
             if not self.is_closed:
-                self._handle_renewal_reply(order, reply)
+                self._handle_renewal_reply(order, reply, guard)
 
-        self._calls.send(
-            _executor_calls.make_renewal_call(
-                address,
-                self._fencing_token(order.executor),
-                order,
-                timeout_s=_http_calls.MAX_TRANSFER_S,
-                silence_limit_s=wait_s + self._patience.margin_s(sent_s),
-            ),
-            handle_reply,
+        call = _executor_calls.make_renewal_call(
+            address,
+            self._fencing_token(order.executor),
+            order,
+            timeout_s=_http_calls.MAX_TRANSFER_S,
+            silence_limit_s=wait_s + self._patience.margin_s(sent_s),
         )
+        self._calls.send(call, handle_reply, guard)
 
     def _handle_renewal_reply(
-        self, order: _orders.RenewalOrder, reply: _http_call.HttpReply
+        self,
+        order: _orders.RenewalOrder,
+        reply: _http_call.HttpReply,
+        guard: _checked_calls.IncarnationGuard,
     ) -> None:
         """Passes an executor's report, or the failure, to the scheduler."""
         now = self._clock()
@@ -319,6 +373,7 @@
                 )
         if report is not None:
             self._scheduler.handle_renewal_answer(order, report, now)
+            self._checked_calls.record_answer(guard, report)
             return
         if not reply.is_success:
             _log.info(
@@ -336,3 +391,12 @@
             now,
             is_other_incarnation=_executor_calls.is_other_incarnation(reply),
         )
+
+
+def _parse_start_result(reply: _http_call.HttpReply) -> _orders.StartResult:
+    """Returns the result of a start, which may not have been sent."""
+    if reply.lacked_connection:
+        return _orders.StartResult.NOT_SENT
+    if not reply.may_have_been_sent and not reply.has_complete_reply:
+        return _orders.StartResult.UNHEALTHY
+    return _executor_calls.parse_start_result(reply)
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -95,8 +95,9 @@
 
     Attributes:
         born_ms: Identifies the executor's incarnation.
-        answered_born_ms: Incarnation that last answered an order, to which
-            there is an open connection.
+        answered_born_ms: Incarnation that last answered an order.
+        connected_born_ms_by_epoch: Incarnation that a scheduler has an open
+            connection to, by the scheduler's epoch.
         highest_token: Highest fencing token received.
         lease_ms: End of the lease on the executor's own clock.
         is_answering: Whether orders reach the executor and are answered.
@@ -125,6 +126,7 @@
         self.born_ms = entry.born_ms or 1
         self.entry = dataclasses.replace(entry, born_ms=self.born_ms)
         self.answered_born_ms = 0
+        self.connected_born_ms_by_epoch: dict[int, int] = {}
         self.born_s = rig.now_s
         self.highest_token = 0
         self.lease_ms = 0
@@ -520,6 +522,8 @@
             no room extends the lease.
         late_orders_outlive: Whether a delayed order may reach a later
             incarnation of its executor.
+        checks_incarnations: Whether orders reach only an incarnation that the
+            scheduler has an open connection to, after a check if need be.
         drops_stop_orders: Whether stop orders get lost.
         holds_renewals: Whether executors hold back their answer to a renewal
             for as long as it asks for, until a run ends.
@@ -577,6 +581,7 @@
         self.delayed_share = 0.0
         self.longest_delay_s = LONGEST_DELAY_S
         self.late_orders_outlive = False
+        self.checks_incarnations = True
         self.refused_starts_extend_lease = False
         self.gangs_run_together = False
         self.holds_renewals = False
@@ -730,7 +735,7 @@
                     confirmed_s=term.confirmed_s,
                     confirmed_beat=term.beat,
                 )
-                for order in term.scheduler.take_orders():
+                for order in self._take_orders():
                     if not isinstance(order, _orders.ApprovalOrder):
                         self._send_order(order)
 
@@ -862,7 +867,7 @@
             confirmed_beat=self.term_beat,
         )
         self._answer_due_approval_requests()
-        for order in self.scheduler.take_orders():
+        for order in self._take_orders():
             if isinstance(order, _orders.ApprovalOrder):
                 self._queue_approval_request(order)
             else:
@@ -969,9 +974,22 @@
             else:
                 scheduler.handle_approval_failure(order, now)
 
+    def _take_orders(self) -> list[_orders.Order]:
+        """Returns the scheduler's orders; it knows that none is sent yet."""
+        orders = self.scheduler.take_orders()
+        for order in orders:
+            if isinstance(order, _orders.StartOrder):
+                self.scheduler.hold_start(order)
+        return orders
+
     def _send_order(self, order: _orders.ExecutorOrder) -> None:
         """Sends an order to an executor; it may get lost or delayed."""
         executor = self.executor_by_id[order.executor]
+        if isinstance(
+            order, _orders.StartOrder
+        ) and not self.scheduler.confirm_start(order):
+            self._report_unsent(order, _orders.StartResult.NOT_SENT)
+            return
         known = self._known_clock(order.executor)
         state = self.scheduler.cell.executor_by_id.get(order.executor)
         generation = state.generation if state else 0
@@ -988,13 +1006,10 @@
         if self.loses_next_start and isinstance(order, _orders.StartOrder):
             self.loses_next_start = False
             is_lost = True
-        if not is_lost and self.rng.random() < self.delayed_share:
-            due_s = self.now_s + self.rng.uniform(
-                SHORTEST_DELAY_S, self.longest_delay_s
-            )
-            self.delayed_orders.append(
-                DelayedOrder(due_s, token, order, executor.born_ms, self.now_s)
-            )
+        if not is_lost and not self._is_connected(executor, token, order):
+            self._process_notes()
+            return
+        if not is_lost and self._is_delayed(executor, token, order):
             is_lost = True
         answer = (
             None if is_lost else self._execute_order(executor, token, order)
@@ -1024,6 +1039,100 @@
             )
         self._process_notes()
 
+    def _is_delayed(
+        self,
+        executor: SimulatedExecutor,
+        token: int,
+        order: _orders.ExecutorOrder,
+    ) -> bool:
+        """Decides whether an order is carried out later, unanswered."""
+        if self.rng.random() >= self.delayed_share:
+            return False
+        due_s = self.now_s + self.rng.uniform(
+            SHORTEST_DELAY_S, self.longest_delay_s
+        )
+        self.delayed_orders.append(
+            DelayedOrder(due_s, token, order, executor.born_ms, self.now_s)
+        )
+        return True
+
+    def _is_connected(
+        self,
+        executor: SimulatedExecutor,
+        token: int,
+        order: _orders.ExecutorOrder,
+    ) -> bool:
+        """Returns whether an order can be sent to an executor that is up.
+
+        Without an open connection, a renewal is sent only if it may reach any
+        incarnation, and other orders follow a check of the incarnation. The
+        scheduler is told of an order that is not sent.
+        """
+        if not self.checks_incarnations:
+            return True
+        if (
+            executor.connected_born_ms_by_epoch.get(self.epoch)
+            == executor.born_ms
+        ):
+            return True
+        now = build.clock_readings_at(self.now_s)
+        if isinstance(order, _orders.RenewalOrder):
+            if order.is_for_one_incarnation:
+                self.scheduler.handle_unsent_renewal(order, now)
+            return not order.is_for_one_incarnation
+        if isinstance(order, _orders.StartOrder):
+            self.scheduler.hold_start(order)
+        refusal = self._check_incarnation(executor, token)
+        if refusal is None and isinstance(order, _orders.StartOrder):
+            self.scheduler.confirm_start(order)
+        if refusal is not None:
+            self._report_unsent(order, refusal)
+        return refusal is None
+
+    def _report_unsent(
+        self,
+        order: _orders.ExecutorOrder,
+        refusal: _orders.StartResult,
+    ) -> None:
+        """Tells the scheduler that an order was not sent.
+
+        Args:
+            order: The order.
+            refusal: Result of the order if it is a start.
+        """
+        now = build.clock_readings_at(self.now_s)
+        if isinstance(order, _orders.StartOrder):
+            self.scheduler.handle_start_answer(order, refusal, now)
+        elif isinstance(order, _orders.StopOrder):
+            self.scheduler.handle_stop_answer(order, False, now)
+
+    def _check_incarnation(
+        self, executor: SimulatedExecutor, token: int
+    ) -> _orders.StartResult | None:
+        """Opens a connection to an executor and asks for its incarnation.
+
+        Returns:
+            None if it is the one that the scheduler knows; else the result of
+            a start that is not sent because of that.
+        """
+        check = _orders.RenewalOrder(executor.entry.id, None, 0, 0)
+        known = self._known_clock(executor.entry.id)
+        if self._is_delayed(executor, token, check):
+            return _orders.StartResult.UNHEALTHY
+        report = executor.renew_lease(token, check)
+        if executor.has_fenced_renewal:
+            return _orders.StartResult.FENCED
+        if self.rng.random() < self.lost_share:
+            return _orders.StartResult.UNHEALTHY
+        executor.connected_born_ms_by_epoch[self.epoch] = executor.born_ms
+        is_known = self.scheduler.handle_incarnation_check(
+            executor.entry.id,
+            known,
+            report,
+            build.clock_readings_at(self.now_s),
+        )
+        return None if is_known else _orders.StartResult.NOT_SENT
+
     def _known_clock(self, executor_id: str) -> _executors.ClockReading:
         """Returns what the scheduler knows of an executor's clock."""
         state = self.scheduler.cell.executor_by_id.get(executor_id)
@@ -1054,6 +1163,7 @@
         executor = self.executor_by_id[order.executor]
         if answer is not None:
             executor.answered_born_ms = executor.born_ms
+            executor.connected_born_ms_by_epoch[self.epoch] = executor.born_ms
         if isinstance(order, _orders.StartOrder):
             result = _orders.StartResult.UNKNOWN
             if isinstance(answer, _orders.StartResult):
--- a/tests/coordination/scheduling/test_random_sequences.py
+++ b/tests/coordination/scheduling/test_random_sequences.py
@@ -4,6 +4,8 @@
 steps; `scripts/random_sequences.py` plays many seeds.
 """
 
+import dataclasses
+
 import pytest
 
 import restart_sequences
@@ -26,10 +28,26 @@
 )
 
 
+_WITH_AND_WITHOUT_CHECKS = pytest.mark.parametrize("checks", [True, False])
+
+
 def _play(
-    seed: int, mix: restart_sequences.Mix | None = None
+    seed: int,
+    mix: restart_sequences.Mix | None = None,
+    *,
+    checks: bool = False,
 ) -> restart_sequences.Outcome:
-    """Plays a seed's sequence and asserts that it breaks no rule."""
+    """Plays a seed's sequence and asserts that it breaks no rule.
+
+    Args:
+        seed: The seed.
+        mix: What the sequence is drawn from.
+        checks: Whether orders reach only the incarnation that the scheduler
+            knows.
+    """
+    mix = dataclasses.replace(
+        mix or restart_sequences.Mix(), checks_incarnations=checks
+    )
     sequence = restart_sequences.draw_sequence(seed, mix)
     outcome = restart_sequences.play(sequence)
     if outcome.fault:
@@ -40,15 +58,17 @@
 class TestRuleBrokenByFaultsInSequence:
     """Faults that do no harm one by one break no rule together either."""
 
+    @_WITH_AND_WITHOUT_CHECKS
     @pytest.mark.parametrize("seed", range(1, _SEED_COUNT + 1))
-    def test_no_rule_is_broken(self, seed: int) -> None:
-        _play(seed)
+    def test_no_rule_is_broken(self, seed: int, *, checks: bool) -> None:
+        _play(seed, checks=checks)
 
+    @_WITH_AND_WITHOUT_CHECKS
     @pytest.mark.parametrize("seed", range(1, _WIDE_SEED_COUNT + 1))
     def test_none_is_with_refusals_overlaps_and_late_answers(
-        self, seed: int
+        self, seed: int, *, checks: bool
     ) -> None:
-        _play(seed, _WIDE)
+        _play(seed, _WIDE, checks=checks)
 
 
 class TestSecondRunBesideLeaseOfOldClock:
@@ -57,23 +77,31 @@
     Its lease is longer than the next scheduler assumes.
     """
 
+    @_WITH_AND_WITHOUT_CHECKS
     @pytest.mark.parametrize("seed", [304, 723])
-    def test_no_task_runs_twice(self, seed: int) -> None:
-        _play(seed, _PLAIN)
+    def test_no_task_runs_twice(self, seed: int, *, checks: bool) -> None:
+        _play(seed, _PLAIN, checks=checks)
 
+    @_WITH_AND_WITHOUT_CHECKS
     @pytest.mark.parametrize("seed", [702, 936, 1290, 1336])
-    def test_no_task_of_varied_jobs_runs_twice(self, seed: int) -> None:
-        _play(seed)
+    def test_no_task_of_varied_jobs_runs_twice(
+        self, seed: int, *, checks: bool
+    ) -> None:
+        _play(seed, checks=checks)
 
+    @_WITH_AND_WITHOUT_CHECKS
     @pytest.mark.parametrize("seed", [47, 51, 568])
     def test_none_runs_twice_beside_an_earlier_scheduler(
-        self, seed: int
+        self, seed: int, *, checks: bool
     ) -> None:
-        _play(seed, _OVERLAPPING)
+        _play(seed, _OVERLAPPING, checks=checks)
 
+    @_WITH_AND_WITHOUT_CHECKS
     @pytest.mark.parametrize("seed", [419, 593])
-    def test_none_runs_twice_with_all_faults(self, seed: int) -> None:
-        _play(seed, _WIDE)
+    def test_none_runs_twice_with_all_faults(
+        self, seed: int, *, checks: bool
+    ) -> None:
+        _play(seed, _WIDE, checks=checks)
 
 
 class TestStartBesideDoneEndOfLapsedLease:
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -262,12 +262,14 @@
 ) -> cell_rig.CellRig:
     """Returns a rig whose executor e1 restarted and then took a start.
 
-    The deadline of the start is on the clock of the incarnation before.
+    The deadline of the start is on the clock of the incarnation before. The
+    start was not preceded by a check of the incarnation.
 
     Args:
         is_answer_lost: Whether the start got no answer.
     """
     rig = cell_rig.CellRig(build.executor_entry("e1"))
+    rig.checks_incarnations = False
     rig.run_time_s = 30.0
     rig.run(60)
     rig.executor_by_id["e1"].restart()
--- a/tests/linked_executors.py
+++ b/tests/linked_executors.py
@@ -25,12 +25,14 @@
         link: The link that the answers share.
         uplink: The link that the bodies of the requests share.
         silent: Numbers of the executors that don't answer.
+        silent_to_starts: Numbers of those that don't answer starts.
     """
 
     def __init__(self, count: int, answer_bytes: int) -> None:
         self.link = platform_standin.Link()
         self.uplink = platform_standin.Link()
         self.silent: set[int] = set()
+        self.silent_to_starts: set[int] = set()
         self._answer_bytes = answer_bytes
         self._born_s = time.monotonic()
         self._is_closed = False
@@ -71,9 +73,11 @@
             contextlib.suppress(OSError, ValueError),
             connection.makefile("rb") as requests,
         ):
-            while self._read_request(requests):
+            while path := self._read_request(requests):
                 if number in self.silent:
                     continue
+                if path == "/run-start" and number in self.silent_to_starts:
+                    continue
                 self.link.carry(self._answer_bytes)
                 clock_ms = int((time.monotonic() - self._born_s) * 1000)
                 answer = {"ClockMs": clock_ms, "Running": [], "Ended": []}
@@ -81,9 +85,15 @@
                 head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}"
                 connection.sendall(head.encode() + b"\r\n\r\n" + body)
 
-    def _read_request(self, requests: BinaryIO) -> bool:
-        """Reads one request over the link; returns whether it is whole."""
+    def _read_request(self, requests: BinaryIO) -> str:
+        """Reads one request over the link.
+
+        Returns:
+            Its path; empty if the request is not whole.
+        """
         left = 0
+        _, _, target = requests.readline().decode("latin-1").partition(" ")
+        path = target.partition(" ")[0]
         while line := requests.readline().strip():
             name, _, value = line.partition(b":")
             if name.lower() == b"content-length":
@@ -92,10 +102,10 @@
         while left > 0:
             piece = requests.read(min(left, platform_standin.RECEIVE_BYTES))
             if not piece:
-                return False
+                return ""
             self.uplink.carry(len(piece))
             left -= len(piece)
-        return is_whole
+        return path if is_whole else ""
 
     def close(self) -> None:
         """Closes all connections."""
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -58,6 +58,8 @@
             late or never.
         refused_starts_extend_lease: Whether a start that is outdated or finds
             no room extends the lease.
+        checks_incarnations: Whether orders reach only the incarnation that the
+            scheduler knows.
     """
 
     delayed_share: float = 0.1
@@ -68,6 +70,7 @@
     holds_renewals: bool = False
     late_confirmed_share: float = 0.0
     refused_starts_extend_lease: bool = False
+    checks_incarnations: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,6 +153,8 @@
             over, for up to 5 s.
         late_confirmed_share: Share of the batches whose storing is confirmed
             late or never.
+        checks_incarnations: Whether orders reach only the incarnation that the
+            scheduler knows.
     """
 
     duration_s: float = 40.0
@@ -161,6 +166,7 @@
     has_refusals: bool = False
     has_overlaps: bool = False
     late_confirmed_share: float = 0.0
+    checks_incarnations: bool = True
 
 
 class _Drawing:
@@ -197,6 +203,7 @@
             lost_share=rng.choice([0.0, 0.05, 0.2]),
             holds_renewals=rng.random() < 0.5,
             refused_starts_extend_lease=self._mix.has_refusals,
+            checks_incarnations=self._mix.checks_incarnations,
         )
         if self._mix.has_varied_jobs:
             fail_share = rng.choice([0.0, 0.1])
@@ -342,6 +349,7 @@
     rig.late_confirmed_share = faults.late_confirmed_share
     rig.lost_share = faults.lost_share
     rig.holds_renewals = faults.holds_renewals
+    rig.checks_incarnations = faults.checks_incarnations
     rig.refused_starts_extend_lease = faults.refused_starts_extend_lease
     return rig
 
--- a/tests/transport/jobs/test_call_router.py
+++ b/tests/transport/jobs/test_call_router.py
@@ -30,9 +30,12 @@
         ] = []
 
     def send(
-        self, call: _http_call.HttpCall, done: _http_calls.ReplyCallback
+        self,
+        call: _http_call.HttpCall,
+        on_reply: _http_calls.ReplyCallback,
+        guard: _http_calls.ConnectionGuard | None = None,
     ) -> None:
-        self.sent.append((call, done))
+        self.sent.append((call, on_reply))
 
     def answer_oldest(self, reply: _client_calls.ClientReply) -> None:
         """Answers the oldest open call with a peer's reply."""
--- /dev/null
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -0,0 +1,333 @@
+"""Tests that orders reach only the known incarnation of an executor."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _renewals
+from basiljunction.transport.jobs import _checked_calls
+import cutting_proxy
+import order_rig
+import platform_standin
+import workload_builders as build
+
+_WAIT_S = 3.0
+"""Longest wait for what is expected, in seconds."""
+
+_LASTING = build.step_spec(runs_until_cancelled=True)
+
+
+@pytest.fixture
+def platform() -> Iterator[platform_standin.Platform]:
+    """A platform of one executor, whose clock shows a minute."""
+    platform = platform_standin.Platform(executors=1)
+    platform.executors[0].born_s -= 60.0
+    yield platform
+    platform.close()
+
+
+@pytest.fixture
+def proxy(
+    platform: platform_standin.Platform,
+) -> Iterator[cutting_proxy.CuttingProxy]:
+    """A proxy to the executor."""
+    port = platform.executors[0].httpd.server_address[1]
+    proxy = cutting_proxy.CuttingProxy(port)
+    yield proxy
+    proxy.close()
+
+
+@pytest.fixture
+def rig(
+    platform: platform_standin.Platform, proxy: cutting_proxy.CuttingProxy
+) -> Iterator[order_rig.OrderRig]:
+    """A scheduler that knows the executor."""
+    rig = order_rig.OrderRig()
+    rig.list_executors(
+        [
+            build.executor_entry(
+                platform.executors[0].id, address=f"127.0.0.1:{proxy.port}"
+            )
+        ]
+    )
+    rig.count_answers_for(0.3)
+    assert rig.count_answering() == 1
+    yield rig
+    rig.close()
+
+
+def _restart(
+    platform: platform_standin.Platform, proxy: cutting_proxy.CuttingProxy
+) -> platform_standin.Executor:
+    """Restarts the executor under its id and address; its connections end.
+
+    Returns:
+        The next incarnation.
+    """
+    proxy.part(is_silent=False)
+    executor = platform_standin.Executor(platform, 0)
+    executor.born_ms += 1
+    platform.executors.append(executor)
+    proxy.join(executor.httpd.server_address[1])
+    return executor
+
+
+def _hold_back_renewals(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets the scheduler send no renewals from now on."""
+    monkeypatch.setattr(
+        _renewals.LeaseRenewals, "_send_renewal", lambda *_: None
+    )
+
+
+class _Recorder:
+    """Records the calls that an incarnation of an executor carries out.
+
+    Args:
+        born_ms: Tells the incarnation.
+        monkeypatch: Replaces a method of the stand-in.
+
+    Attributes:
+        calls: Path and body of each.
+    """
+
+    def __init__(self, born_ms: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.calls: list[tuple[str, dict[str, Any]]] = []
+        answer = platform_standin.Executor.answer
+
+        def record(
+            executor: platform_standin.Executor, path: str, body: dict[str, Any]
+        ) -> tuple[int, Any]:
+            if executor.born_ms == born_ms:
+                self.calls.append((path, body))
+            return answer(executor, path, body)
+
+        monkeypatch.setattr(platform_standin.Executor, "answer", record)
+
+
+class TestOrderForTheFormerIncarnation:
+    """The next incarnation receives nothing that was meant for the one before.
+
+    No answer to a renewal has shown it yet.
+    """
+
+    def test_no_start_reaches_the_next_one(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        proxy: cutting_proxy.CuttingProxy,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        _hold_back_renewals(monkeypatch)
+        executor = _restart(platform, proxy)
+        rig.submit(build.accepted_job(_LASTING, payload="lasts"))
+        state = rig.scheduler.cell.executor_by_id[executor.id]
+        rig.run_until(lambda: state.clock.restarts > 0, limit_s=_WAIT_S)
+        rig.count_answers_for(0.3)
+        assert state.clock.restarts == 1
+        assert platform.starts == []
+        assert rig.list_runs() == []
+
+    def test_none_does_on_a_connection_that_a_check_opened(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        proxy: cutting_proxy.CuttingProxy,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Several starts of one pass are checked one by one."""
+        _hold_back_renewals(monkeypatch)
+        executor = _restart(platform, proxy)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=4, runs_until_cancelled=True),
+                payload="lasts",
+            )
+        )
+        state = rig.scheduler.cell.executor_by_id[executor.id]
+        rig.run_until(lambda: state.clock.restarts > 0, limit_s=_WAIT_S)
+        rig.count_answers_for(0.3)
+        assert platform.starts == []
+        assert rig.list_runs() == []
+
+    def test_no_renewal_extends_the_lease_of_the_next_one(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        proxy: cutting_proxy.CuttingProxy,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        recorder = _Recorder(2, monkeypatch)
+        executor = _restart(platform, proxy)
+        state = rig.scheduler.cell.executor_by_id[executor.id]
+        rig.run_until(lambda: state.clock.restarts > 0, limit_s=_WAIT_S)
+        rig.count_answers_for(0.3)
+        assert state.clock.restarts == 1
+        deadlines_ms = [body.get("DeadlineMs", 0) for _, body in recorder.calls]
+        assert max(deadlines_ms) < 60_000
+
+    def test_its_task_starts_once_the_next_one_has_listed_its_runs(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        proxy: cutting_proxy.CuttingProxy,
+    ) -> None:
+        _restart(platform, proxy)
+        rig.submit(build.accepted_job(_LASTING, payload="lasts"))
+        rig.run_until(lambda: bool(platform.starts), limit_s=_WAIT_S)
+        assert len(platform.starts) == 1
+
+
+class TestCheck:
+    """A check changes nothing at the executor, and its price is bounded."""
+
+    def _submit_wide(self, rig: order_rig.OrderRig, count: int) -> None:
+        """Submits a job whose tasks start together."""
+        size = build.step_spec().size
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(
+                    count=count,
+                    size=type(size)(size.cpu_millicores // count, 1, 0),
+                    runs_until_cancelled=True,
+                ),
+                payload="lasts",
+            )
+        )
+
+    def test_starts_beside_each_other_all_arrive(
+        self, rig: order_rig.OrderRig, platform: platform_standin.Platform
+    ) -> None:
+        self._submit_wide(rig, 20)
+        rig.run_until(lambda: len(platform.starts) == 20, limit_s=_WAIT_S)
+        assert len(platform.starts) == 20
+        assert len(rig.list_runs()) == 20
+
+    def test_it_has_no_deadline_and_acknowledges_nothing(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        _hold_back_renewals(monkeypatch)
+        # The renewal on its way is answered.
+        rig.count_answers_for(1.2)
+        recorder = _Recorder(1, monkeypatch)
+        self._submit_wide(rig, 8)
+        rig.run_until(lambda: len(platform.starts) == 8, limit_s=_WAIT_S)
+        checks = [body for path, body in recorder.calls if path == "/hold"]
+        assert checks
+        assert all("DeadlineMs" not in body for body in checks)
+        assert {body["LastSeen"] for body in checks} == {0}
+
+    def test_later_starts_need_none(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        self._submit_wide(rig, 4)
+        rig.run_until(lambda: len(platform.starts) == 4, limit_s=_WAIT_S)
+        rig.count_answers_for(0.3)
+        checks: list[_checked_calls.CheckedCall] = []
+        check = _checked_calls.CheckedCalls._check
+
+        def record(
+            calls: _checked_calls.CheckedCalls,
+            checked: _checked_calls.CheckedCall,
+            attempts: Any,
+        ) -> None:
+            checks.append(checked)
+            check(calls, checked, attempts)
+
+        monkeypatch.setattr(_checked_calls.CheckedCalls, "_check", record)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(
+                    size=type(build.step_spec().size)(10, 1, 0),
+                    runs_until_cancelled=True,
+                ),
+                job_id="00000000000000a2",
+                payload="lasts",
+            )
+        )
+        rig.run_until(lambda: len(platform.starts) == 5, limit_s=_WAIT_S)
+        assert len(platform.starts) == 5
+        assert checks == []
+
+    def test_a_start_without_an_answer_to_it_is_not_sent(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        proxy: cutting_proxy.CuttingProxy,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        _hold_back_renewals(monkeypatch)
+        proxy.part(is_silent=False)
+        results: list[_orders.StartResult] = []
+        handle = rig.scheduler.handle_start_answer
+
+        def record(
+            order: _orders.StartOrder,
+            result: _orders.StartResult,
+            *rest: Any,
+            **options: Any,
+        ) -> None:
+            results.append(result)
+            handle(order, result, *rest, **options)
+
+        monkeypatch.setattr(rig.scheduler, "handle_start_answer", record)
+        rig.submit(build.accepted_job(_LASTING, payload="lasts"))
+        rig.run_until(lambda: bool(results), limit_s=_WAIT_S)
+        assert results[0] is _orders.StartResult.UNHEALTHY
+        assert platform.starts == []
+        assert rig.list_runs() == []
+
+
+class TestGuard:
+    """A connection is known for what has answered on it."""
+
+    def _make(
+        self, restarts: int | None
+    ) -> Callable[[tuple[str, int, int]], bool]:
+        """Returns what a guard says of connections; one is known."""
+        connections = _checked_calls._CheckedConnections(limit=2)
+        connections.record("e1", ("10.0.0.1", 1, 1), restarts=1)
+        guard = _checked_calls.IncarnationGuard(connections, "e1", restarts)
+        return guard.admits
+
+    def test_a_known_connection_to_the_present_incarnation_is_admitted(
+        self,
+    ) -> None:
+        assert self._make(1)(("10.0.0.1", 1, 1))
+
+    @pytest.mark.parametrize("restarts", [0, 2])
+    def test_one_to_another_incarnation_is_not(self, restarts: int) -> None:
+        assert not self._make(restarts)(("10.0.0.1", 1, 1))
+
+    def test_one_without_an_answer_is_not(self) -> None:
+        assert not self._make(1)(("10.0.0.1", 1, 2))
+
+    def test_one_that_may_be_new_is_forgotten_until_it_has_answered(
+        self,
+    ) -> None:
+        connections = _checked_calls._CheckedConnections(limit=2)
+        connections.record("e1", ("10.0.0.1", 1, 1), restarts=1)
+        opening = _checked_calls.IncarnationGuard(connections, "e1")
+        assert opening.admits(("10.0.0.1", 1, 1))
+        assert not connections.is_known("e1", ("10.0.0.1", 1, 1), 1)
+
+    def test_the_one_used_least_recently_is_dropped_over_the_limit(
+        self,
+    ) -> None:
+        connections = _checked_calls._CheckedConnections(limit=2)
+        for port in (1, 2):
+            connections.record("e1", ("10.0.0.1", 1, port), restarts=0)
+        assert connections.is_known("e1", ("10.0.0.1", 1, 1), 0)
+        connections.record("e1", ("10.0.0.1", 1, 3), restarts=0)
+        assert [
+            connections.is_known("e1", ("10.0.0.1", 1, port), 0)
+            for port in (1, 2, 3)
+        ] == [True, False, True]
--- a/tests/transport/jobs/test_http_calls.py
+++ b/tests/transport/jobs/test_http_calls.py
@@ -369,3 +369,92 @@
             True,
             False,
         ]
+
+
+class _Guard(_http_calls.ConnectionGuard):
+    """Admits the connections that it is told, and opens none.
+
+    Attributes:
+        admitted: What it answers.
+        asked: The connections that it was asked for.
+    """
+
+    may_open = False
+
+    def __init__(self, *, admitted: bool) -> None:
+        self.admitted = admitted
+        self.asked: list[_http_calls.Connection] = []
+
+    def admits(self, connection: _http_calls.Connection) -> bool:
+        self.asked.append(connection)
+        return self.admitted
+
+
+class TestGuardedConnections:
+    """A call that may use no connection is not sent, and says so."""
+
+    def _call(
+        self,
+        calls: _http_calls.HttpClient,
+        url: str,
+        guard: _http_calls.ConnectionGuard | None = None,
+    ) -> _http_call.HttpReply:
+        """Returns the reply to a call."""
+        replies: list[_http_call.HttpReply] = []
+        calls.send(
+            _http_call.HttpCall("POST", url, body=b"x", timeout_s=2.0),
+            replies.append,
+            guard,
+        )
+        deadline_s = time.monotonic() + 4.0
+        while not replies and time.monotonic() < deadline_s:
+            calls.poll(0.05)
+        return replies[0]
+
+    @pytest.fixture
+    def url(self) -> Iterator[str]:
+        """URL of a server that keeps connections open."""
+        servers = _ManyServers(1)
+        servers.start()
+        yield f"http://127.0.0.1:{servers.ports[0]}/"
+        servers.stop()
+
+    def test_it_opens_none(
+        self, calls: _http_calls.HttpClient, url: str
+    ) -> None:
+        guard = _Guard(admitted=True)
+        reply = self._call(calls, url, guard)
+        assert reply.lacked_connection
+        assert not reply.may_have_been_sent
+        assert guard.asked == []
+
+    def test_it_is_sent_on_an_open_one_that_is_admitted(
+        self, calls: _http_calls.HttpClient, url: str
+    ) -> None:
+        assert self._call(calls, url).status == 200
+        guard = _Guard(admitted=True)
+        reply = self._call(calls, url, guard)
+        assert reply.status == 200
+        assert not reply.lacked_connection
+        assert [port for _, port, _ in guard.asked] == [
+            int(url.rpartition(":")[2].strip("/"))
+        ]
+
+    def test_it_is_not_sent_on_another(
+        self, calls: _http_calls.HttpClient, url: str
+    ) -> None:
+        assert self._call(calls, url).status == 200
+        reply = self._call(calls, url, _Guard(admitted=False))
+        assert reply.lacked_connection
+        assert not reply.may_have_been_sent
+
+    def test_one_that_is_lost_after_sending_may_have_been_read(
+        self, calls: _http_calls.HttpClient
+    ) -> None:
+        server = resetting_server.ResettingServer(200)
+        assert self._call(calls, server.url).status == 200
+        reply = self._call(calls, server.url, _Guard(admitted=True))
+        server.close()
+        assert reply.status == 0
+        assert reply.may_have_been_sent
+        assert not reply.lacked_connection
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -1,6 +1,5 @@
 """Tests of the scheduler's orders against stand-ins of executors."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import socket
@@ -16,15 +15,11 @@
 from basiljunction.platform import _executors
 from basiljunction.protocol import _job_records
 from basiljunction.state import _time
-from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
-from basiljunction.state.workload import _progress
-from basiljunction.transport import _clock
-from basiljunction.transport import _metrics
-from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _order_sender
 import cutting_proxy
 import linked_executors
+import order_rig
 import platform_standin
 import workload_builders as build
 
@@ -85,88 +80,10 @@
     platform.close()
 
 
-class Rig:
-    """A scheduler that sends its orders to executors over real sockets.
-
-    Attributes:
-        scheduler: The scheduler.
-    """
-
-    def __init__(self) -> None:
-        self.scheduler = build.scheduler(epoch=2)
-        self._clock = _clock.SystemClock()
-        self._calls = _http_calls.HttpClient(
-            _metrics.Metrics("front-1"), max_connections=100
-        )
-        self._sender = _order_sender.OrderSender(
-            calls=self._calls,
-            scheduler=self.scheduler,
-            epoch=2,
-            clock=self._clock.now,
-        )
-
-    def list_executors(
-        self, executors: Iterable[_executor.ListedExecutor]
-    ) -> None:
-        """Gives the scheduler the platform's list of executors."""
-        self.scheduler.set_executors(executors, self._clock.now())
-
-    def submit(self, job: _progress.AcceptedJob) -> None:
-        """Submits a job, which is stored as the scheduler runs on."""
-        self.scheduler.submit_job(job, self._clock.now())
-
-    def list_runs(self) -> list[_runs.Run]:
-        """Returns the runs of all executors."""
-        return [
-            run
-            for executor in self.scheduler.cell.executor_by_id.values()
-            for run in executor.run_by_key.values()
-        ]
-
-    def count_answering(self) -> int:
-        """Returns how many executors have answered."""
-        states = self.scheduler.cell.executor_by_id.values()
-        return sum(each.last_answer_s is not None for each in states)
-
-    def count_answers_for(self, seconds: float) -> int:
-        """Runs the scheduler for a time; returns the answers it processed."""
-        newest_s_by_id: dict[str, float | None] = {}
-        answer_count = 0
-
-        def count_new_answers() -> bool:
-            nonlocal answer_count
-            for id_, each in self.scheduler.cell.executor_by_id.items():
-                if newest_s_by_id.get(id_) != each.last_answer_s:
-                    newest_s_by_id[id_] = each.last_answer_s
-                    answer_count += 1
-            return False
-
-        self.run_until(count_new_answers, limit_s=seconds)
-        return answer_count
-
-    def run_until(self, is_done: Callable[[], bool], *, limit_s: float) -> None:
-        """Runs the scheduler until a condition holds or a time has passed."""
-        end_s = time.monotonic() + limit_s
-        while not is_done() and time.monotonic() < end_s:
-            now = self._clock.now()
-            self.scheduler.run_timed_work(
-                now, confirmed_s=now.boot_s, confirmed_beat=0
-            )
-            batch = self.scheduler.take_batch()
-            if batch is not None:
-                self.scheduler.handle_batch_stored(batch, now)
-            self._sender.send_collected_orders()
-            self._calls.poll(0.01)
-
-    def close(self) -> None:
-        """Closes the connections."""
-        self._calls.close()
-
-
 @pytest.fixture
-def rig() -> Iterator[Rig]:
+def rig() -> Iterator[order_rig.OrderRig]:
     """A scheduler and its orders."""
-    rig = Rig()
+    rig = order_rig.OrderRig()
     yield rig
     rig.close()
 
@@ -175,7 +92,7 @@
     """A scheduler learns the runs of all executors that answer."""
 
     def test_long_lists_of_runs_arrive_over_a_narrow_link(
-        self, rig: Rig, platform: platform_standin.Platform
+        self, rig: order_rig.OrderRig, platform: platform_standin.Platform
     ) -> None:
         platform.executor_bytes_per_s = NARROW_LINK_BYTES_PER_S
         rig.list_executors(
@@ -193,7 +110,7 @@
         assert rig.count_answering() == EXECUTOR_COUNT
 
     def test_an_executor_that_does_not_answer_is_noticed_within_a_second(
-        self, rig: Rig
+        self, rig: order_rig.OrderRig
     ) -> None:
         with socket.create_server(("127.0.0.1", 0)) as silent:
             address = f"127.0.0.1:{silent.getsockname()[1]}"
@@ -207,7 +124,9 @@
     """Answers that queue on the scheduler's own link are waited for."""
 
     @pytest.fixture
-    def executors(self, rig: Rig) -> Iterator[linked_executors.LinkedExecutors]:
+    def executors(
+        self, rig: order_rig.OrderRig
+    ) -> Iterator[linked_executors.LinkedExecutors]:
         """Executors that the scheduler lists."""
         executors = linked_executors.LinkedExecutors(
             FULL_LINK_EXECUTORS, FULL_LINK_ANSWER_BYTES
@@ -220,7 +139,9 @@
         executors.close()
 
     def test_answers_on_their_way_are_not_thrown_away_over_and_over(
-        self, rig: Rig, executors: linked_executors.LinkedExecutors
+        self,
+        rig: order_rig.OrderRig,
+        executors: linked_executors.LinkedExecutors,
     ) -> None:
         executors.link.bytes_per_s = NARROW_LINK_BYTES_PER_S
         answer_count = rig.count_answers_for(FULL_LINK_TIME_S)
@@ -230,7 +151,9 @@
         assert answer_count > carried / 2
 
     def test_a_silent_executor_is_noticed_soon_again_after_the_link_was_full(
-        self, rig: Rig, executors: linked_executors.LinkedExecutors
+        self,
+        rig: order_rig.OrderRig,
+        executors: linked_executors.LinkedExecutors,
     ) -> None:
         executors.link.bytes_per_s = NARROW_LINK_BYTES_PER_S
         rig.count_answers_for(FULL_LINK_TIME_S / 2)
@@ -247,7 +170,9 @@
     """The bodies of start orders are given the time that they need."""
 
     @pytest.fixture
-    def executors(self, rig: Rig) -> Iterator[linked_executors.LinkedExecutors]:
+    def executors(
+        self, rig: order_rig.OrderRig
+    ) -> Iterator[linked_executors.LinkedExecutors]:
         """Executors that the scheduler lists, behind a narrow uplink."""
         executors = linked_executors.LinkedExecutors(START_COUNT, 200)
         rig.list_executors(
@@ -259,7 +184,10 @@
         executors.close()
 
     def _send_starts(
-        self, rig: Rig, monkeypatch: pytest.MonkeyPatch, payload: str
+        self,
+        rig: order_rig.OrderRig,
+        monkeypatch: pytest.MonkeyPatch,
+        payload: str,
     ) -> tuple[list[_orders.StartResult], float]:
         """Sends a start to each executor; returns results and the time."""
         results: list[_orders.StartResult] = []
@@ -274,24 +202,40 @@
         return results, time.monotonic() - started_s
 
     def _order_starts(
-        self, rig: Rig, payload: str, executors: Iterable[int], run: int = 0
+        self,
+        rig: order_rig.OrderRig,
+        payload: str,
+        executors: Iterable[int],
+        run: int = 0,
     ) -> None:
         """Adds a start for each executor to the scheduler's orders."""
-        rig.scheduler.cell.orders += [
-            _orders.StartOrder(
-                executor=f"i-{number}",
-                task=_job_spec.TaskId("00000000000000a1", 0, 0, number),
-                run=run + number,
-                payload=payload,
-                lease_until_ms=5000,
-                checkpoint="",
+        for number in executors:
+            task = _job_spec.TaskId("00000000000000a1", 0, 0, number)
+            executor_id = f"i-{number}"
+            rig.scheduler.cell.executor_by_id[executor_id].add_run(
+                _runs.Run(
+                    task=task,
+                    number=run + number,
+                    executor=executor_id,
+                    step=build.step_spec(),
+                    phase=_runs.RunPhase.ORDERED,
+                    phase_since_s=0.0,
+                )
+            )
+            rig.scheduler.cell.orders.append(
+                _orders.StartOrder(
+                    executor=executor_id,
+                    task=task,
+                    run=run + number,
+                    payload=payload,
+                    lease_until_ms=5000,
+                    checkpoint="",
+                )
             )
-            for number in executors
-        ]
 
     def test_starts_with_large_payloads_get_through_a_narrow_link(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         executors: linked_executors.LinkedExecutors,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
@@ -302,33 +246,33 @@
 
     def test_a_start_is_given_up_before_its_lease_ends(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         executors: linked_executors.LinkedExecutors,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        executors.silent.update(range(START_COUNT))
+        executors.silent_to_starts.update(range(START_COUNT))
         results, took_s = self._send_starts(rig, monkeypatch, "x" * 200_000)
         assert results == [_orders.StartResult.UNKNOWN] * START_COUNT
         assert took_s < rig.scheduler.cell.times.lease_s
 
     def test_a_lost_small_start_is_noticed_soon(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         executors: linked_executors.LinkedExecutors,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        executors.silent.update(range(START_COUNT))
+        executors.silent_to_starts.update(range(START_COUNT))
         results, took_s = self._send_starts(rig, monkeypatch, "x" * 100)
         assert results == [_orders.StartResult.UNKNOWN] * START_COUNT
         assert took_s < _order_sender.ORDER_TIMEOUT_S + 0.3
 
     def test_lost_starts_lengthen_the_time_until_the_next_is_noticed(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         executors: linked_executors.LinkedExecutors,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        executors.silent.update(range(0, START_COUNT, 2))
+        executors.silent_to_starts.update(range(0, START_COUNT, 2))
         began_s_by_run: dict[int, float] = {}
         took_s_by_run: dict[int, float] = {}
 
@@ -353,7 +297,7 @@
                 rig, "x" * LOST_PAYLOAD_CHARS, range(START_COUNT), first_run
             )
             rig.run_until(lambda: False, limit_s=LOST_ROUND_S)
-        lost_count = LOST_ROUNDS * len(executors.silent)
+        lost_count = LOST_ROUNDS * len(executors.silent_to_starts)
         rig.run_until(lambda: len(took_s_by_run) == lost_count, limit_s=4.5)
         assert len(took_s_by_run) == lost_count
         # The bodies of one round take 0.4 s over the narrowest link that is
@@ -364,11 +308,11 @@
 
     def test_a_lost_start_is_noticed_late_after_the_loss_of_large_ones(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         executors: linked_executors.LinkedExecutors,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        executors.silent.update(range(START_COUNT))
+        executors.silent_to_starts.update(range(START_COUNT))
         results: list[int] = []
         monkeypatch.setattr(
             rig.scheduler,
@@ -395,7 +339,7 @@
 
 @pytest.fixture
 def proxies(
-    rig: Rig, cut_platform: platform_standin.Platform
+    rig: order_rig.OrderRig, cut_platform: platform_standin.Platform
 ) -> Iterator[list[cutting_proxy.CuttingProxy]]:
     """Proxies to the executors, in their order; the rig lists them."""
     proxies = [
@@ -416,7 +360,7 @@
     """A start whose connection was lost after sending may have been begun."""
 
     def _lose_start(
-        self, rig: Rig, proxies: list[cutting_proxy.CuttingProxy]
+        self, rig: order_rig.OrderRig, proxies: list[cutting_proxy.CuttingProxy]
     ) -> cutting_proxy.CuttingProxy:
         """Submits a job whose start is lost; returns the proxy that lost it."""
         for proxy in proxies:
@@ -433,7 +377,7 @@
 
     def test_a_start_lost_after_sending_is_unsettled_until_it_is_listed(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         cut_platform: platform_standin.Platform,
         proxies: list[cutting_proxy.CuttingProxy],
     ) -> None:
@@ -456,7 +400,7 @@
 
     def test_a_start_that_was_not_begun_is_barred_before_another(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         cut_platform: platform_standin.Platform,
         proxies: list[cutting_proxy.CuttingProxy],
         monkeypatch: pytest.MonkeyPatch,
@@ -491,7 +435,7 @@
 
     def test_the_answer_to_a_start_shows_it(
         self,
-        rig: Rig,
+        rig: order_rig.OrderRig,
         cut_platform: platform_standin.Platform,
         proxies: list[cutting_proxy.CuttingProxy],
         monkeypatch: pytest.MonkeyPatch,
--- a/tests/transport/jobs/test_read_progress.py
+++ b/tests/transport/jobs/test_read_progress.py
@@ -45,7 +45,10 @@
         ] = []
 
     def send(
-        self, call: _http_call.HttpCall, on_reply: _http_calls.ReplyCallback
+        self,
+        call: _http_call.HttpCall,
+        on_reply: _http_calls.ReplyCallback,
+        guard: _http_calls.ConnectionGuard | None = None,
     ) -> None:
         self._open_calls.append((call, on_reply))
 
