Test that no restarted executor has a lease beyond the next scheduler's wait

Callers could see: a task runs twice, after a scheduler was without its store for almost 5 s, an executor restarted under its id then, and the scheduler was lost. A renewal with a deadline on the clock before gave the next incarnation 10 s from then, 14.9 s after the last confirmation (4.8 s without the store); the next scheduler waits for 10.5 s.

--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -342,6 +342,28 @@
         assert [executor for _, executor, _ in rig.starts] == ["e1", "e2"]
 
 
+class TestLeaseBeyondTheWaitOfTheNextScheduler:
+    """A scheduler that has lost its store grants no lease that ends too late.
+
+    The next scheduler waits for a bounded time after the last confirmation.
+    """
+
+    @pytest.mark.parametrize("unconfirmed_s", [3.0, 4.0, 4.5, 4.8, 4.9])
+    def test_a_restarted_executor_has_none(self, unconfirmed_s: float) -> None:
+        rig = cell_rig.CellRig(build.executor_entry("e1"))
+        rig.holds_renewals = True
+        rig.run(60)
+        rig.store_is_up = False
+        rig.run(unconfirmed_s)
+        executor = rig.executor_by_id["e1"]
+        executor.restart()
+        executor.fails_next_renewal = False
+        rig.run(1.0)
+        lease_ends_s = executor.born_s + executor.lease_ms / 1000
+        longest_s = rig.scheduler.cell.times.max_run_after_term_s
+        assert lease_ends_s <= rig.term_confirmed_s + longest_s
+
+
 class TestLateOrdersForTheIncarnationBefore:
     """An order that is carried out late means nothing to the next incarnation.
 
