Drop the longer wait for starts that an unknown incarnation may have

Callers saw nothing of it; it could cost them: a start without an answer on a connection that was opened for it kept its task and room for 10.5 s. Cause: it guarded against a start that reaches an incarnation that no answer has shown. Change: `may_be_other_incarnation`, `may_last_until_s` and `was_sent_on_new_connection` go. Their three tests in test_restarted_executors become tests of what keeps the promise now, and stricter ones: the start is not sent, the task starts elsewhere, and within a lease's time instead of after the longer wait. The two tests of the reply's field go with the field; TestGuardedConnections of the same file checks what took its place. The test of lost starts now notes every start that is not begun: one whose check gets no answer is given up as unhealthy, in the same time. A restart that a check shows is logged with cause "checked".

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -474,15 +474,7 @@
 
         Those of earlier terms count as long as they are not known.
         """
-        return max(
-            self.inherited_until_s or 0.0,
-            self.lease_expired_s(),
-            *(
-                run.may_last_until_s
-                for run in self.run_by_key.values()
-                if not run.was_listed
-            ),
-        )
+        return max(self.inherited_until_s or 0.0, self.lease_expired_s())
 
     def lease_left_s(self) -> float:
         """Returns what is left of the lease at the last clock reading, in s."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -125,11 +125,7 @@
             or now.boot_s <= executor.lease_expired_s()
         ):
             return
-        expired = [
-            run
-            for run in executor.run_by_key.values()
-            if not run.may_outlast_lease(now.boot_s)
-        ]
+        expired = list(executor.run_by_key.values())
         if not expired:
             return
         crash = self._crashes.find_crash(executor)
@@ -447,15 +443,9 @@
             sent_s: When the renewal was sent.
             now: The time.
         """
-        settled_until_s = _executors.end_of_lease_s(
-            sent_s, self._cell.times.longest_lease_s
-        )
         for key, run in list(executor.run_by_key.items()):
             if key in listed_by_key:
                 continue
-            if run.may_last_until_s <= settled_until_s:
-                # The incarnation that answered had the start, or a dead one.
-                run.may_last_until_s = 0.0
             may_not_exist = run.phase is _runs.RunPhase.UNSETTLED or (
                 run.phase is _runs.RunPhase.RUNNING and not run.was_listed
             )
--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -87,7 +87,9 @@
         if executor.is_same_incarnation(report):
             return True
         if executor.clock.restarts == known.restarts:
-            self.end_incarnation(executor, now, clock_ms=report.clock_ms)
+            self.end_incarnation(
+                executor, now, clock_ms=report.clock_ms, cause="checked"
+            )
         return False
 
     def end_replaced_incarnation(
@@ -116,6 +118,7 @@
         now: _time.Now,
         *,
         clock_ms: int,
+        cause: str = "answered",
     ) -> None:
         """Resets an executor that has restarted and accepts orders.
 
@@ -128,11 +131,12 @@
             executor: The executor.
             now: The time.
             clock_ms: Reading of its clock.
+            cause: How the restart became known, for the log.
         """
         self._reset_incarnation(
             executor,
             now,
-            cause="answered",
+            cause=cause,
             clock_ms=clock_ms,
             lease_s=self._cell.times.longest_lease_s,
             ends_run=_was_listed_before_restart,
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -41,8 +41,6 @@
         was_confirmed: Whether the executor has confirmed or listed it.
         was_listed: Whether the executor has listed it. A confirmed run that it
             has not may be one of its next incarnation.
-        may_last_until_s: Time until which it may go on, if it was never listed,
-            though the known lease of its executor has expired.
         is_preempted: Whether it was stopped in favor of a short task.
         is_superseded: Whether its task was requeued to run a second time
             beside it.
@@ -83,7 +81,6 @@
     checkpoint: str = ""
     was_confirmed: bool = False
     was_listed: bool = False
-    may_last_until_s: float = 0.0
     is_preempted: bool = False
     is_superseded: bool = False
     is_start_held: bool = False
@@ -106,10 +103,6 @@
     next_stop_order_s: float = 0.0
     stop_answered_s: float | None = None
 
-    def may_outlast_lease(self, now_s: float) -> bool:
-        """Returns whether it may go on after its executor's known lease."""
-        return not self.was_listed and now_s <= self.may_last_until_s
-
     def mark_running(self, now_s: float) -> None:
         """Marks the run as running, as its executor confirmed."""
         self.phase = RunPhase.RUNNING
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -362,8 +362,6 @@
         order: _orders.StartOrder,
         result: _orders.StartResult,
         now: _time.Now,
-        *,
-        may_be_other_incarnation: bool = False,
     ) -> None:
         """Updates a run after a start order was answered or got no answer.
 
@@ -373,8 +371,6 @@
             order: The start order.
             result: What became of it.
             now: The time.
-            may_be_other_incarnation: Whether an incarnation of the executor
-                that no answer has shown may have received the order.
         """
         state, run = self.cell.find_executor_and_run(
             order.executor, order.task, order.run
@@ -404,10 +400,6 @@
                 state, run, now, delay_s=_limits.RENEWAL_DELAY_S
             )
             return
-        if result is _orders.StartResult.UNKNOWN and may_be_other_incarnation:
-            run.may_last_until_s = _executors.end_of_lease_s(
-                now.boot_s, self.cell.times.longest_lease_s
-            )
         if run.phase is not _runs.RunPhase.ORDERED:
             return
         if result is _orders.StartResult.STARTED:
--- a/src/basiljunction/protocol/_http_call.py
+++ b/src/basiljunction/protocol/_http_call.py
@@ -45,8 +45,6 @@
         body: Body of the reply.
         error_text: Error text for logs; empty if a reply arrived.
         may_have_been_sent: Whether the call may have reached the server.
-        was_sent_on_new_connection: Whether it was sent on a connection that
-            was opened for it; another process may listen there than before.
         lacked_connection: Whether it was not sent because none of the
             connections that it may use was free.
     """
@@ -55,7 +53,6 @@
     body: bytes = b""
     error_text: str = ""
     may_have_been_sent: bool = True
-    was_sent_on_new_connection: bool = False
     lacked_connection: bool = False
 
     @property
--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -361,11 +361,6 @@
         call = self._call_by_handle.pop(handle)
         self._watched_by_handle.pop(handle, None)
         took_s = time.monotonic() - call.started_s
-        # libcurl wants to send again only what it sent on a reused connection.
-        was_opened = (
-            handle.getinfo(pycurl.NUM_CONNECTS) > 0
-            and not call.was_second_sending_refused
-        )
         lacked_connection = (
             call.was_connection_refused and not call.may_have_been_received
         )
@@ -393,9 +388,6 @@
                 call.may_have_been_received
                 or not (lacked_connection or code in _NOT_SENT_ERRORS)
             ),
-            was_sent_on_new_connection=(
-                call.may_have_been_received and was_opened
-            ),
             lacked_connection=lacked_connection,
         )
         try:
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -230,10 +230,7 @@
                 )
             if not self.is_closed:
                 self._scheduler.handle_start_answer(
-                    order,
-                    result,
-                    self._clock(),
-                    may_be_other_incarnation=reply.was_sent_on_new_connection,
+                    order, result, self._clock()
                 )
                 self._handle_clock(order, known, sent_s, reply)
 
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -95,7 +95,6 @@
 
     Attributes:
         born_ms: Identifies the executor's incarnation.
-        answered_born_ms: Incarnation that last answered an order.
         connected_born_ms_by_epoch: Incarnation that a scheduler has an open
             connection to, by the scheduler's epoch.
         highest_token: Highest fencing token received.
@@ -125,7 +124,6 @@
         self.rig = rig
         self.born_ms = entry.born_ms or 1
         self.entry = dataclasses.replace(entry, born_ms=self.born_ms)
-        self.answered_born_ms = 0
         self.connected_born_ms_by_epoch: dict[int, int] = {}
         self.born_s = rig.now_s
         self.highest_token = 0
@@ -1162,20 +1160,12 @@
         now = build.clock_readings_at(self.now_s)
         executor = self.executor_by_id[order.executor]
         if answer is not None:
-            executor.answered_born_ms = executor.born_ms
             executor.connected_born_ms_by_epoch[self.epoch] = executor.born_ms
         if isinstance(order, _orders.StartOrder):
             result = _orders.StartResult.UNKNOWN
             if isinstance(answer, _orders.StartResult):
                 result = answer
-            self.scheduler.handle_start_answer(
-                order,
-                result,
-                now,
-                may_be_other_incarnation=(
-                    executor.born_ms != executor.answered_born_ms
-                ),
-            )
+            self.scheduler.handle_start_answer(order, result, now)
         elif isinstance(order, _orders.StopOrder):
             self.scheduler.handle_stop_answer(order, answer is not None, now)
         elif isinstance(order, _orders.RenewalOrder):
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -5,7 +5,6 @@
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
-from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
@@ -257,16 +256,11 @@
         assert starts[0].run > start.run
 
 
-def _start_on_restarted_executor(
-    *, is_answer_lost: bool = False
-) -> cell_rig.CellRig:
+def _start_on_restarted_executor() -> cell_rig.CellRig:
     """Returns a rig whose executor e1 restarted and then took a start.
 
     The deadline of the start is on the clock of the incarnation before. The
     start was not preceded by a check of the incarnation.
-
-    Args:
-        is_answer_lost: Whether the start got no answer.
     """
     rig = cell_rig.CellRig(build.executor_entry("e1"))
     rig.checks_incarnations = False
@@ -274,10 +268,24 @@
     rig.run(60)
     rig.executor_by_id["e1"].restart()
     rig.submit(build.accepted_job())
-    rig.lost_share = float(is_answer_lost)
     while not rig.starts:
         rig.executor_by_id["e1"].fails_next_renewal = True
         rig.step()
+    return rig
+
+
+def _lose_answers_of_restarted_executor() -> cell_rig.CellRig:
+    """Returns a rig whose executor e1 restarted; no answer of it arrives.
+
+    A task is to start on it.
+    """
+    rig = cell_rig.CellRig(build.executor_entry("e1"))
+    rig.run_time_s = 30.0
+    rig.run(60)
+    rig.executor_by_id["e1"].restart()
+    rig.submit(build.accepted_job())
+    rig.lost_share = 1.0
+    rig.run(1.0)
     rig.lost_share = 0.0
     return rig
 
@@ -303,14 +311,15 @@
         rig.run(12)
 
     @pytest.mark.parametrize("resigns", [False, True])
-    def test_a_run_whose_start_got_no_answer_is_not_either(
+    def test_a_start_that_would_get_no_answer_is_not_sent(
         self, *, resigns: bool
     ) -> None:
-        rig = _start_on_restarted_executor(is_answer_lost=True)
+        rig = _lose_answers_of_restarted_executor()
         _cut_off_beside_another(rig)
         if resigns:
             rig.resign()
         rig.run(12)
+        assert [executor for _, executor, _ in rig.starts] == ["e2"]
 
     @pytest.mark.parametrize("resigns", [False, True])
     def test_a_later_scheduler_does_not_take_it_for_expired(
@@ -326,14 +335,15 @@
         _cut_off_beside_another(rig)
         rig.run(12)
 
-    def test_an_answer_since_the_start_ends_the_longer_wait(self) -> None:
-        rig = _start_on_restarted_executor(is_answer_lost=True)
-        rig.executor_by_id["e1"].run_by_key.clear()
-        rig.drops_stop_orders = True
-        rig.run(1.0)
-        (run,) = rig.scheduler.cell.executor_by_id["e1"].run_by_key.values()
-        assert run.phase is _runs.RunPhase.STOPPING
-        assert run.may_last_until_s == 0.0
+    def test_the_task_of_one_that_was_not_sent_starts_elsewhere_soon(
+        self,
+    ) -> None:
+        rig = _lose_answers_of_restarted_executor()
+        cut_s = rig.now_s
+        _cut_off_beside_another(rig)
+        rig.run(12)
+        ((started_s, _, _),) = rig.starts
+        assert started_s < cut_s + rig.scheduler.cell.times.lease_s
 
     def test_the_task_starts_elsewhere_in_the_end(self) -> None:
         rig = _start_on_restarted_executor()
--- a/tests/transport/jobs/test_http_calls.py
+++ b/tests/transport/jobs/test_http_calls.py
@@ -275,32 +275,6 @@
             assert servers.accepted == expected_connections
 
 
-class TestNewConnections:
-    """A reply tells whether a process unknown so far may have the request."""
-
-    def test_a_request_without_an_answer_was_sent_on_a_new_one(
-        self, calls: _http_calls.HttpClient
-    ) -> None:
-        reply, _ = call_server(calls, Server([], 0), timeout_s=0.3)
-        assert reply.status == 0
-        assert reply.was_sent_on_new_connection
-
-    def test_a_request_that_found_no_connection_was_not_sent_on_one(
-        self, calls: _http_calls.HttpClient
-    ) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            port = listener.getsockname()[1]
-        replies: list[_http_call.HttpReply] = []
-        calls.send(
-            _http_call.HttpCall("GET", f"http://127.0.0.1:{port}/"),
-            replies.append,
-        )
-        deadline_s = time.monotonic() + 2.0
-        while not replies and time.monotonic() < deadline_s:
-            calls.poll(0.05)
-        assert not replies[0].was_sent_on_new_connection
-
-
 class TestFailingCallbacks:
     """An error in the callback of one call affects no other call."""
 
@@ -365,10 +339,7 @@
         assert server.received_bodies == [b"first", b"second"]
         assert [each.status for each in replies] == [200, 0]
         assert replies[-1].may_have_been_sent
-        assert [each.was_sent_on_new_connection for each in replies] == [
-            True,
-            False,
-        ]
+        assert not any(each.lacked_connection for each in replies)
 
 
 class _Guard(_http_calls.ConnectionGuard):
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -282,7 +282,8 @@
             _now: _time.Now,
             **_: bool,
         ) -> None:
-            if result is _orders.StartResult.UNKNOWN:
+            if int(order.executor[2:]) in executors.silent_to_starts:
+                assert result is not _orders.StartResult.STARTED
                 took_s = time.monotonic() - began_s_by_run[order.run]
                 took_s_by_run[order.run] = took_s
 
