Renew the leases of executors that close their connections after each answer

Callers would have seen: nothing runs for long on executors that keep no connection open. Cause: a renewal with a deadline, and each order, waits for an open connection on which the known incarnation has answered, and there never is one. Change: after five renewals in a row that found none, the executor is taken to close its connections (logged as executor.closes-connections), and its renewals open one each, as before; a restart or an answer on an open one ends that. An order whose third check has just been answered opens one itself.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -73,6 +73,8 @@
             answer.
         lacks_connection: Whether the last lease renewal was not sent, as no
             open connection was free.
+        unsent_renewals: Number of lease renewals in a row that were not sent
+            for that reason; those in between that open one are left out.
         next_renewal_s: Time at which the next lease renewal is due.
         avoid_until_s: Time before which no task is placed on it.
         is_suspect: Whether it was slow lately and no task has run at normal
@@ -141,6 +143,7 @@
     is_fenced_off: bool = True
     renewal_failures: int = 0
     lacks_connection: bool = False
+    unsent_renewals: int = 0
     next_renewal_s: float = 0.0
     avoid_until_s: float = 0.0
     is_suspect: bool = False
@@ -344,6 +347,14 @@
             return True
         return self.listing.born_ms == self.started_wall_ms
 
+    @property
+    def keeps_connections(self) -> bool:
+        """Whether it keeps connections open between two calls, as far as known.
+
+        Else its renewals have to open one each.
+        """
+        return self.unsent_renewals < _limits.MAX_UNSENT_RENEWALS
+
     def is_same_incarnation(self, report: _executor.LeaseRenewalReply) -> bool:
         """Returns whether an answer is from the incarnation listed last."""
         return (
@@ -402,6 +413,7 @@
         self.inherited_until_s = None
         self.is_suspect = False
         self.next_renewal_s = now_s
+        self.unsent_renewals = 0
 
     def record_fence(self, clock_ms: int, longest_lease_s: float) -> None:
         """Notes that orders for the incarnation before are barred from now on.
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -22,6 +22,10 @@
 """Delay before a lease renewal that got no answer is repeated, in seconds;
 several tries fit into a lease."""
 
+MAX_UNSENT_RENEWALS = 5
+"""Lease renewals in a row without an open connection after which an executor is
+taken to close its connections after each answer."""
+
 STOP_RETRY_S = 0.4
 """Delay before a stop order without an answer is repeated, in seconds."""
 
--- a/src/basiljunction/coordination/scheduling/_orders.py
+++ b/src/basiljunction/coordination/scheduling/_orders.py
@@ -79,20 +79,16 @@
             may forget the ends up to it.
         wait_ms: How long the executor may hold back its answer until a run
             ends, in ms.
+        is_for_one_incarnation: Whether it has a time or a number of the known
+            incarnation's own, so that no other one may receive it. Another
+            one would extend its lease too far, or forget ends unread.
     """
 
     executor: str
     lease_until_ms: int | None
     acknowledged: int
     wait_ms: int
-
-    @property
-    def is_for_one_incarnation(self) -> bool:
-        """Whether it has a time or a number of one incarnation's own.
-
-        Another one would extend its lease too far, or forget ends unread.
-        """
-        return self.lease_until_ms is not None or self.acknowledged > 0
+    is_for_one_incarnation: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -81,19 +81,24 @@
         executor.renewal_address = executor.listing.address
         executor.renewal_restarts = executor.clock.restarts
         executor.renewal_generation = executor.generation
+        # The ends of a new incarnation are numbered from 1 again and must not
+        # be acknowledged unseen.
+        acknowledged = (
+            0
+            if executor.lacks_connection
+            or executor.may_have_unread_ends(now.boot_s)
+            else executor.stored_end_number
+        )
         cell.orders.append(
             _orders.RenewalOrder(
                 executor=executor.listing.id,
                 lease_until_ms=until_ms,
-                # The ends of a new incarnation are numbered from 1 again and
-                # must not be acknowledged unseen.
-                acknowledged=(
-                    0
-                    if executor.lacks_connection
-                    or executor.may_have_unread_ends(now.boot_s)
-                    else executor.stored_end_number
-                ),
+                acknowledged=acknowledged,
                 wait_ms=wait_ms,
+                is_for_one_incarnation=(
+                    executor.keeps_connections
+                    and (until_ms is not None or acknowledged > 0)
+                ),
             )
         )
 
@@ -169,6 +174,11 @@
             return
         executor.renewal_sent_s = None
         executor.lacks_connection = True
+        executor.unsent_renewals += 1
+        if not executor.keeps_connections:
+            self._cell.note(
+                "executor.closes-connections", executor=executor.listing.id
+            )
         executor.next_renewal_s = now.boot_s
 
     def handle_failure(
@@ -222,6 +232,8 @@
             # The incarnation that answered is not the present one.
             executor.next_renewal_s = now.boot_s
             return
+        if order.is_for_one_incarnation:
+            executor.unsent_renewals = 0
         self._record_contact(executor, report, now)
         for end in report.unacknowledged_ends:
             if end.list_position > executor.processed_end_number:
--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -22,9 +22,10 @@
 from basiljunction.transport.jobs import _http_calls
 
 MAX_CHECKS = 3
-"""Most connections that are opened for one call.
+"""Most checks for one call.
 
-Other calls may take a connection that was opened for this one.
+Other calls may take a connection that was opened for this one, or the executor
+may close it.
 """
 
 MAX_CHECK_SHARE = 0.5
@@ -83,7 +84,8 @@
 
     If none is open and free, a new one is opened by a request for the
     executor's runs, which changes nothing. The call follows if the answer is
-    from the incarnation that the scheduler knows.
+    from the incarnation that the scheduler knows. If no connection stays open
+    so long, the call opens one itself, right after such an answer.
 
     Args:
         calls: HTTP client for the calls.
@@ -155,11 +157,7 @@
         """Sends a call on a known connection, or checks the executor."""
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
-            if (
-                reply.lacked_connection
-                and attempts.checks_left > 0
-                and not self.is_closed
-            ):
+            if reply.lacked_connection and not self.is_closed:
                 checked.on_held()
                 self._check(checked, attempts.after_check())
             else:
@@ -171,10 +169,15 @@
             checked.on_reply(_unsent("no longer in order"))
         else:
             left_s = attempts.ends_s - self._clock().boot_s
+            guard = (
+                self._guard_known_incarnation(checked.executor)
+                if attempts.checks_left > 0
+                else None
+            )
             self._calls.send(
                 dataclasses.replace(checked.call, timeout_s=max(0.0, left_s)),
                 handle_reply,
-                self._guard_known_incarnation(checked.executor),
+                guard,
             )
 
     def _check(self, checked: CheckedCall, attempts: "_Attempts") -> None:
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -53,8 +53,8 @@
             )
         ]
     )
+    rig.run_until(lambda: rig.count_answering() == 1, limit_s=_WAIT_S)
     rig.count_answers_for(0.3)
-    assert rig.count_answering() == 1
     yield rig
     rig.close()
 
@@ -286,6 +286,28 @@
         assert rig.list_runs() == []
 
 
+class TestExecutorThatClosesConnections:
+    """Its tasks start and go on, though no connection stays open."""
+
+    def test_its_lease_is_renewed(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.setattr(
+            platform_standin._ExecutorHandler, "protocol_version", "HTTP/1.0"
+        )
+        rig.submit(build.accepted_job(_LASTING, payload="lasts"))
+        rig.run_until(lambda: bool(platform.starts), limit_s=_WAIT_S)
+        lease_s = rig.scheduler.cell.times.lease_s
+        rig.run_until(lambda: False, limit_s=lease_s + 1.0)
+        (executor,) = platform.executors
+        assert len(platform.starts) == 1
+        assert len(executor.running) == 1
+        assert executor.lease_ms > executor.clock_ms() + 1000 * lease_s / 2
+
+
 class TestGuard:
     """A connection is known for what has answered on it."""
 
