Check an executor once for all calls that wait for a connection to it

Callers saw: eight or more starts for one executor in a pass hardly began. All but a few were given up as UNHEALTHY, the executor was avoided for a second, and the same happened again.

Cause: each call without a connection opened one of its own by a check. Over the limit of 8 to an address, libcurl closes an idle connection for a new one: the known one that the check before had just opened, before its start was sent on it. That start lacked a connection again and needed another check. The time of a check was half of what was left, so that it became too short to be answered.

Change: one check is in flight for an executor. Calls that lack a connection wait for it, or for a call in flight to end, oldest first and within their own time. A check is made only while it can't close a known connection. A refused check answers all that wait, as each would have had that answer.

--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -27,10 +27,15 @@
 Other calls may take a connection that was opened for this one.
 """
 
+RENEWAL_CONNECTIONS = 1
+"""Connections to an executor that its lease renewals take."""
+
 MAX_CHECK_SHARE = 0.5
-"""Longest time of a check as a share of what is left for the call, 0 to 1.
+"""Longest time of a check as a share of the time for the call, 0 to 1.
 
-The rest is left for the call itself.
+The rest is left for the call itself. What is left when the check begins doesn't
+count: other calls wait for its answer, too, and an executor without an answer
+is avoided.
 """
 
 _log = structlog.get_logger()
@@ -78,12 +83,44 @@
         return _Attempts(self.ends_s, self.checks_left - 1)
 
 
+@dataclasses.dataclass(slots=True)
+class _Line:
+    """The calls to one executor.
+
+    Attributes:
+        waiting: Calls that found no connection, and what is left for each.
+        in_flight_count: Number of calls that the client has, without checks.
+        is_checking: Whether a check is in flight.
+    """
+
+    waiting: collections.deque[tuple[CheckedCall, _Attempts]] = (
+        dataclasses.field(default_factory=collections.deque)
+    )
+    in_flight_count: int = 0
+    is_checking: bool = False
+
+    @property
+    def may_check(self) -> bool:
+        """Whether a connection may be opened for the calls that wait.
+
+        Beyond the limit of the client, a new connection would close one that
+        is known, and the calls that it was opened for would lack it again.
+        """
+        busy_count = self.in_flight_count + RENEWAL_CONNECTIONS
+        return (
+            bool(self.waiting)
+            and not self.is_checking
+            and busy_count < _http_calls.MAX_CONNECTIONS_PER_HOST
+        )
+
+
 class CheckedCalls:
     """Sends calls on connections on which an executor has named itself.
 
     If none is open and free, a new one is opened by a request for the
     executor's runs, which changes nothing. The call follows if the answer is
-    from the incarnation that the scheduler knows.
+    from the incarnation that the scheduler knows. One such check is in flight
+    for an executor; calls wait for it and for those that are in flight.
 
     Args:
         calls: HTTP client for the calls.
@@ -106,15 +143,20 @@
         self._scheduler = scheduler
         self._clock = clock
         self._connections = _CheckedConnections(2 * calls.max_connections)
+        self._line_by_executor: dict[str, _Line] = {}
 
     def send(self, checked: CheckedCall) -> None:
         """Sends a call, after a check of the executor if it needs one."""
-        self._send(
-            checked,
-            _Attempts(
-                self._clock().boot_s + checked.call.timeout_s, MAX_CHECKS
-            ),
+        attempts = _Attempts(
+            self._clock().boot_s + checked.call.timeout_s, MAX_CHECKS
         )
+        line = self._line_by_executor.setdefault(checked.executor, _Line())
+        if line.waiting:
+            checked.on_held()
+            line.waiting.append((checked, attempts))
+        else:
+            self._send(line, checked, attempts)
+            self._drop_idle_line(checked.executor)
 
     def make_renewal_guard(
         self, order: _orders.RenewalOrder
@@ -151,40 +193,86 @@
             self._connections, executor_id, executor.clock.restarts
         )
 
-    def _send(self, checked: CheckedCall, attempts: "_Attempts") -> None:
-        """Sends a call on a known connection, or checks the executor."""
+    def _send(
+        self, line: _Line, checked: CheckedCall, attempts: _Attempts
+    ) -> bool:
+        """Sends a call on a known connection, or lets it wait for one.
+
+        Returns:
+            Whether the client has it; else it was answered.
+        """
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
+            line.in_flight_count -= 1
             if (
                 reply.lacked_connection
                 and attempts.checks_left > 0
                 and not self.is_closed
             ):
                 checked.on_held()
-                self._check(checked, attempts.after_check())
+                line.waiting.append((checked, attempts))
             else:
                 checked.on_reply(reply)
+                if not reply.lacked_connection:
+                    self._send_next(line)
+            self._check(line)
+            self._drop_idle_line(checked.executor)
 
+        left_s = attempts.ends_s - self._clock().boot_s
         if checked.executor not in self._scheduler.cell.executor_by_id:
             checked.on_reply(_unsent("executor is no longer known"))
+        elif left_s <= 0.0:
+            checked.on_reply(_unsent("no connection became free in time"))
         elif not checked.confirm():
             checked.on_reply(_unsent("no longer in order"))
         else:
-            left_s = attempts.ends_s - self._clock().boot_s
+            line.in_flight_count += 1
             self._calls.send(
-                dataclasses.replace(checked.call, timeout_s=max(0.0, left_s)),
+                dataclasses.replace(checked.call, timeout_s=left_s),
                 handle_reply,
                 self._guard_known_incarnation(checked.executor),
             )
+            return True
+        return False
+
+    def _send_next(self, line: _Line, *, after_check: bool = False) -> None:
+        """Sends the first call that waits, as a connection is free for it."""
+        if self.is_closed:
+            self._refuse_waiting(line, _unsent("term has ended"))
+        is_sent = False
+        while line.waiting and not is_sent:
+            checked, attempts = line.waiting.popleft()
+            is_sent = self._send(
+                line,
+                checked,
+                attempts.after_check() if after_check else attempts,
+            )
 
-    def _check(self, checked: CheckedCall, attempts: "_Attempts") -> None:
-        """Opens a connection to an executor and asks who it is."""
+    def _refuse_waiting(self, line: _Line, reply: _http_call.HttpReply) -> None:
+        """Answers all calls that wait."""
+        refused = line.waiting
+        line.waiting = collections.deque()
+        for checked, _ in refused:
+            checked.on_reply(reply)
+
+    def _drop_idle_line(self, executor_id: str) -> None:
+        """Forgets the calls to an executor once there are none."""
+        line = self._line_by_executor.get(executor_id)
+        if line is not None and not (
+            line.waiting or line.in_flight_count or line.is_checking
+        ):
+            del self._line_by_executor[executor_id]
+
+    def _check(self, line: _Line) -> None:
+        """Opens a connection and asks who answers, if calls wait for one."""
+        if not line.may_check:
+            return
+        checked, _ = line.waiting[0]
         executor = self._scheduler.cell.executor_by_id.get(checked.executor)
         if executor is None:
-            checked.on_reply(_unsent("executor is no longer known"))
+            self._refuse_waiting(line, _unsent("executor is no longer known"))
             return
         known = executor.clock
-        left_s = attempts.ends_s - self._clock().boot_s
         order = _orders.RenewalOrder(
             executor=checked.executor,
             lease_until_ms=None,
@@ -194,23 +282,29 @@
         guard = IncarnationGuard(self._connections, checked.executor)
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
+            line.is_checking = False
             if self.is_closed:
-                checked.on_reply(_unsent("term has ended"))
+                self._refuse_waiting(line, _unsent("term has ended"))
             elif not reply.is_success:
-                checked.on_reply(
-                    dataclasses.replace(reply, may_have_been_sent=False)
+                self._refuse_waiting(
+                    line, dataclasses.replace(reply, may_have_been_sent=False)
                 )
             elif self._is_known_incarnation(guard, known, reply):
-                self._send(checked, attempts)
+                self._send_next(line, after_check=True)
             else:
-                checked.on_reply(_unsent("another incarnation answered"))
+                self._refuse_waiting(
+                    line, _unsent("another incarnation answered")
+                )
+            self._check(line)
+            self._drop_idle_line(checked.executor)
 
         call = _executor_calls.make_renewal_call(
             checked.address,
             checked.token,
             order,
-            timeout_s=max(0.0, left_s) * MAX_CHECK_SHARE,
+            timeout_s=checked.call.timeout_s * MAX_CHECK_SHARE,
         )
+        line.is_checking = True
         self._calls.send(
             dataclasses.replace(call, needs_new_connection=True),
             handle_reply,
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import time
 from typing import Any
 
 import pytest
@@ -9,6 +10,7 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _renewals
 from basiljunction.transport.jobs import _checked_calls
+from basiljunction.transport.jobs import _http_calls
 import cutting_proxy
 import order_rig
 import platform_standin
@@ -205,6 +207,53 @@
         assert len(platform.starts) == 20
         assert len(rig.list_runs()) == 20
 
+    @pytest.mark.parametrize("count", [8, 20])
+    def test_those_for_one_executor_open_no_more_connections_than_it_needs(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        proxy: cutting_proxy.CuttingProxy,
+        monkeypatch: pytest.MonkeyPatch,
+        count: int,
+    ) -> None:
+        """A check closed the connection that the one before had opened.
+
+        The starts that it was opened for then lacked it, and all were given up,
+        over and over.
+        """
+        monkeypatch.setattr(
+            platform_standin.Executor,
+            "receive",
+            lambda *_: time.sleep(0.02),
+        )
+        connections: list[object] = []
+        connect = proxy._connect
+
+        def record(near: Any) -> Any:
+            connections.append(near)
+            return connect(near)
+
+        monkeypatch.setattr(proxy, "_connect", record)
+        results: list[_orders.StartResult] = []
+        handle = rig.scheduler.handle_start_answer
+
+        def handle_and_record(
+            order: _orders.StartOrder,
+            result: _orders.StartResult,
+            *rest: Any,
+            **options: Any,
+        ) -> None:
+            results.append(result)
+            handle(order, result, *rest, **options)
+
+        monkeypatch.setattr(
+            rig.scheduler, "handle_start_answer", handle_and_record
+        )
+        self._submit_wide(rig, count)
+        rig.run_until(lambda: len(results) >= count, limit_s=_WAIT_S)
+        assert results == [_orders.StartResult.STARTED] * count
+        assert len(connections) <= _http_calls.MAX_CONNECTIONS_PER_HOST
+
     def test_it_has_no_deadline_and_acknowledges_nothing(
         self,
         rig: order_rig.OrderRig,
@@ -235,12 +284,11 @@
         check = _checked_calls.CheckedCalls._check
 
         def record(
-            calls: _checked_calls.CheckedCalls,
-            checked: _checked_calls.CheckedCall,
-            attempts: Any,
+            calls: _checked_calls.CheckedCalls, line: _checked_calls._Line
         ) -> None:
-            checks.append(checked)
-            check(calls, checked, attempts)
+            if line.may_check:
+                checks.append(line.waiting[0][0])
+            check(calls, line)
 
         monkeypatch.setattr(_checked_calls.CheckedCalls, "_check", record)
         rig.submit(
