Let the rig's executors list their runs before they get starts

Cause: the rig ordered starts in the pass that sent the first renewals. Since a start needs an executor that has listed its runs, so it was a matter of milliseconds which came first. The scheduler never orders such starts.

Change: the rig waits for the first answers. Bounds and results are unchanged.

--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -179,6 +179,10 @@
             build.executor_entry(f"i-{number}", address=address)
             for number, address in enumerate(executors.addresses)
         )
+        # Only executors that have listed their runs get starts.
+        rig.run_until(
+            lambda: rig.count_answering() == START_COUNT, limit_s=ANSWER_LIMIT_S
+        )
         executors.uplink.bytes_per_s = NARROW_LINK_BYTES_PER_S
         yield executors
         executors.close()
