Count a start as held until a connection is found for it

Callers could see: a task blamed for a crash before its start was sent; and a start sent to an executor that drains, or has become too small, since it was ordered.

Cause: a start counted as sent when libcurl got it, but libcurl may keep it until a connection is free (8 to an address). A restart noticed meanwhile was put down to it. And after a check, up to half of the start's time later, only its run was looked at, not the executor: the list is checked for orders that aren't sent yet (_recheck_start_orders), but not for those that wait in CheckedCalls.

Change: the start is held from the moment that it is handed on, until the guard admits a connection for it. A held start is confirmed only if its executor still takes tasks and isn't overbooked, as one that waited for its batch.

The rig said all along that starts are held before they are sent; it now asks again after a check, as the sender does.

--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -343,19 +343,32 @@
         if run is not None:
             run.is_start_held = True
 
-    def confirm_start(self, order: _orders.StartOrder) -> bool:
-        """Returns whether a start is still in order; it counts as sent then.
+    def confirm_start(self, order: _orders.StartOrder, now: _time.Now) -> bool:
+        """Returns whether a start is still in order, just before it is sent.
 
         It is not if its run is to be stopped, or if its executor has restarted
-        since it was ordered.
+        since it was ordered. One that was held is not either if its executor
+        accepts no new tasks any more, or has become too small.
         """
-        _, run = self.cell.find_executor_and_run(
+        executor, run = self.cell.find_executor_and_run(
             order.executor, order.task, order.run
         )
-        if run is None or run.phase is not _runs.RunPhase.ORDERED:
+        if executor is None or run is None:
             return False
-        run.is_start_held = False
-        return True
+        if run.phase is not _runs.RunPhase.ORDERED:
+            return False
+        return not run.is_start_held or (
+            self.cell.is_usable(executor, now.boot_s)
+            and not executor.is_overbooked
+        )
+
+    def note_start_sent(self, order: _orders.StartOrder) -> None:
+        """Notes that a start is being sent on a connection."""
+        _, run = self.cell.find_executor_and_run(
+            order.executor, order.task, order.run
+        )
+        if run is not None:
+            run.is_start_held = False
 
     def handle_start_answer(
         self,
--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -52,7 +52,8 @@
         call: The call. Its timeout includes the checks.
         on_reply: Called once with the reply; for a call that was not sent, with
             the refusal of a check, or with a reply without a status.
-        on_held: Called if the call has to wait for a check.
+        on_held: Called as the call waits for a connection.
+        on_sent: Called just before it is sent on a connection.
         confirm: Returns whether the call is still to be sent; called just
             before each attempt.
     """
@@ -63,6 +64,7 @@
     call: _http_call.HttpCall
     on_reply: _http_calls.ReplyCallback
     on_held: Callable[[], None] = lambda: None
+    on_sent: Callable[[], None] = lambda: None
     confirm: Callable[[], bool] = lambda: True
 
 
@@ -186,11 +188,16 @@
                 guard.executor, guard.connection, executor.clock.restarts
             )
 
-    def _guard_known_incarnation(self, executor_id: str) -> "IncarnationGuard":
+    def _guard_known_incarnation(
+        self, executor_id: str, on_admitted: Callable[[], None] = lambda: None
+    ) -> "IncarnationGuard":
         """Returns a guard that admits the known incarnation of an executor."""
         executor = self._scheduler.cell.executor_by_id[executor_id]
         return IncarnationGuard(
-            self._connections, executor_id, executor.clock.restarts
+            self._connections,
+            executor_id,
+            executor.clock.restarts,
+            on_admitted,
         )
 
     def _send(
@@ -209,7 +216,6 @@
                 and attempts.checks_left > 0
                 and not self.is_closed
             ):
-                checked.on_held()
                 line.waiting.append((checked, attempts))
             else:
                 checked.on_reply(reply)
@@ -227,10 +233,14 @@
             checked.on_reply(_unsent("no longer in order"))
         else:
             line.in_flight_count += 1
+            # The client may have to wait for a connection, too.
+            checked.on_held()
             self._calls.send(
                 dataclasses.replace(checked.call, timeout_s=left_s),
                 handle_reply,
-                self._guard_known_incarnation(checked.executor),
+                self._guard_known_incarnation(
+                    checked.executor, checked.on_sent
+                ),
             )
             return True
         return False
@@ -397,6 +407,7 @@
         executor: Id of the executor.
         restarts: Number of restarts of the executor after which the incarnation
             began; None to admit any, and to open a connection if need be.
+        on_admitted: Called when a connection is admitted.
 
     Attributes:
         executor: Id of the executor.
@@ -408,12 +419,14 @@
         connections: _CheckedConnections,
         executor: str,
         restarts: int | None = None,
+        on_admitted: Callable[[], None] = lambda: None,
     ) -> None:
         self.executor = executor
         self.connection: _http_calls.Connection | None = None
         self.may_open = restarts is None
         self._connections = connections
         self._restarts = restarts
+        self._on_admitted = on_admitted
 
     def admits(self, connection: _http_calls.Connection) -> bool:
         """Returns whether the call may be sent on a connection.
@@ -427,6 +440,7 @@
         ):
             return False
         self.connection = connection
+        self._on_admitted()
         return True
 
 
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -241,7 +241,12 @@
             self._scheduler.hold_start(order)
 
         def confirm() -> bool:
-            return not self.is_closed and self._scheduler.confirm_start(order)
+            return not self.is_closed and self._scheduler.confirm_start(
+                order, self._clock()
+            )
+
+        def note_sent() -> None:
+            self._scheduler.note_start_sent(order)
 
         self._checked_calls.send(
             _checked_calls.CheckedCall(
@@ -251,6 +256,7 @@
                 call=dataclasses.replace(call, timeout_s=timeout_s),
                 on_reply=handle_reply,
                 on_held=hold,
+                on_sent=note_sent,
                 confirm=confirm,
             )
         )
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -985,9 +985,9 @@
     def _send_order(self, order: _orders.ExecutorOrder) -> None:
         """Sends an order to an executor; it may get lost or delayed."""
         executor = self.executor_by_id[order.executor]
-        if isinstance(
-            order, _orders.StartOrder
-        ) and not self.scheduler.confirm_start(order):
+        if isinstance(order, _orders.StartOrder) and not self._confirm_start(
+            order
+        ):
             self._report_unsent(order, _orders.StartResult.NOT_SENT)
             return
         known = self._known_clock(order.executor)
@@ -1039,6 +1039,14 @@
             )
         self._process_notes()
 
+    def _confirm_start(self, order: _orders.StartOrder) -> bool:
+        """Returns whether a start is still in order; it counts as sent then."""
+        now = build.clock_readings_at(self.now_s)
+        if not self.scheduler.confirm_start(order, now):
+            return False
+        self.scheduler.note_start_sent(order)
+        return True
+
     def _is_delayed(
         self,
         executor: SimulatedExecutor,
@@ -1083,8 +1091,12 @@
         if isinstance(order, _orders.StartOrder):
             self.scheduler.hold_start(order)
         refusal = self._check_incarnation(executor, token)
-        if refusal is None and isinstance(order, _orders.StartOrder):
-            self.scheduler.confirm_start(order)
+        if (
+            refusal is None
+            and isinstance(order, _orders.StartOrder)
+            and not self._confirm_start(order)
+        ):
+            refusal = _orders.StartResult.NOT_SENT
         if refusal is not None:
             self._report_unsent(order, refusal)
         return refusal is None
--- a/tests/coordination/scheduling/test_capacity_changes.py
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -1,10 +1,12 @@
 """Tests that starts keep to an executor's capacity while it changes."""
 
+import dataclasses
 import random
 
 import pytest
 
 from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _orders
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 import cell_rig
@@ -207,6 +209,52 @@
         assert _count_starts(rig, _JOB_ID) == 2
 
 
+class TestExecutorChangesWhileAHeldStartIsChecked:
+    """A start that waits for a connection is sent only if it still may be."""
+
+    def _hold_starts(
+        self, rig: cell_rig.CellRig, monkeypatch: pytest.MonkeyPatch
+    ) -> list[_orders.StartOrder]:
+        """Returns four starts that are held."""
+        held: list[_orders.StartOrder] = []
+        send_order = rig._send_order
+
+        def hold(order: _orders.ExecutorOrder) -> None:
+            if isinstance(order, _orders.StartOrder):
+                held.append(order)
+                rig.scheduler.hold_start(order)
+            else:
+                send_order(order)
+
+        monkeypatch.setattr(rig, "_send_order", hold)
+        rig.submit(_lasting_job(4))
+        rig.run(0.3)
+        assert len(held) == 4
+        return held
+
+    def test_none_is_sent_to_one_that_drains(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        rig = cell_rig.CellRig()
+        held = self._hold_starts(rig, monkeypatch)
+        now = build.clock_readings_at(rig.now_s)
+        assert rig.scheduler.confirm_start(held[0], now)
+        state = rig.scheduler.cell.executor_by_id["e1"]
+        rig.scheduler.set_executors(
+            [dataclasses.replace(state.listing, is_draining=True)], now
+        )
+        assert not rig.scheduler.confirm_start(held[0], now)
+
+    def test_none_is_sent_to_one_that_has_become_too_small(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        rig = cell_rig.CellRig()
+        held = self._hold_starts(rig, monkeypatch)
+        rig.resize_executor("e1", _HALF)
+        now = build.clock_readings_at(rig.now_s)
+        assert not rig.scheduler.confirm_start(held[0], now)
+
+
 class TestRestartUnderTheSameIdWithLessCapacity:
     """The capacity of an earlier incarnation does not count for a later one."""
 
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -9,6 +9,9 @@
 
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _renewals
+from basiljunction.protocol import _http_call
+from basiljunction.state.workload import _executor
+from basiljunction.transport import _clock
 from basiljunction.transport.jobs import _checked_calls
 from basiljunction.transport.jobs import _http_calls
 import cutting_proxy
@@ -55,6 +58,7 @@
             )
         ]
     )
+    rig.run_until(lambda: rig.count_answering() == 1, limit_s=_WAIT_S)
     rig.count_answers_for(0.3)
     assert rig.count_answering() == 1
     yield rig
@@ -182,6 +186,45 @@
         assert len(platform.starts) == 1
 
 
+class TestStartThatWaitsForAConnection:
+    """A start has not been sent while the client waits for a connection."""
+
+    def test_its_task_is_not_blamed_for_a_crash_noticed_meanwhile(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        waiting: list[_http_call.HttpCall] = []
+        send = rig._calls.send
+
+        def send_or_wait(call: _http_call.HttpCall, *rest: Any) -> None:
+            if call.url.endswith("/run-start"):
+                waiting.append(call)
+            else:
+                send(call, *rest)
+
+        monkeypatch.setattr(rig._calls, "send", send_or_wait)
+        job = build.accepted_job(_LASTING, payload="lasts")
+        rig.submit(job)
+        rig.run_until(lambda: bool(waiting), limit_s=_WAIT_S)
+        assert len(waiting) == 1
+        executor_id = platform.executors[0].id
+        rig.scheduler.handle_incarnation_check(
+            executor_id,
+            rig.scheduler.cell.executor_by_id[executor_id].clock,
+            _executor.LeaseRenewalReply(
+                clock_ms=10,
+                started_wall_ms=2,
+                active_runs=(),
+                unacknowledged_ends=(),
+            ),
+            _clock.SystemClock().now(),
+        )
+        progress = rig.scheduler.cell.job_by_id[job.id].progress
+        assert not progress.crashes_by_position
+
+
 class TestCheck:
     """A check changes nothing at the executor, and its price is bounded."""
 
