Forget a checked connection whoever opens another one between its ports

Cause: known connections were kept by executor and ports, and one that a call may have opened was forgotten for the executor of that call only. An address can go to another executor and back; a connection opened by a call to that one, between the ports of a closed one, then counted as known for the first one's incarnation.

Evidence: by reading and the new test; not seen in a play.

Change: connections are kept by their ports, with the one executor and incarnation that answered last.

--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -353,8 +353,8 @@
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._restarts_by_connection: collections.OrderedDict[
-            tuple[str, _http_calls.Connection], int
+        self._incarnation_by_connection: collections.OrderedDict[
+            _http_calls.Connection, tuple[str, int]
         ] = collections.OrderedDict()
 
     def record(
@@ -371,16 +371,17 @@
             restarts: Number of restarts of the executor that are known with
                 this answer.
         """
-        self._restarts_by_connection[executor_id, connection] = restarts
-        self._restarts_by_connection.move_to_end((executor_id, connection))
-        if len(self._restarts_by_connection) > self._limit:
-            self._restarts_by_connection.popitem(last=False)
+        self._incarnation_by_connection[connection] = (executor_id, restarts)
+        self._incarnation_by_connection.move_to_end(connection)
+        if len(self._incarnation_by_connection) > self._limit:
+            self._incarnation_by_connection.popitem(last=False)
 
-    def forget(
-        self, executor_id: str, connection: _http_calls.Connection
-    ) -> None:
-        """Forgets a connection, or an earlier one between the same ports."""
-        self._restarts_by_connection.pop((executor_id, connection), None)
+    def forget(self, connection: _http_calls.Connection) -> None:
+        """Forgets a connection, or an earlier one between the same ports.
+
+        The executor that answered on that one may be another one.
+        """
+        self._incarnation_by_connection.pop(connection, None)
 
     def is_known(
         self,
@@ -392,10 +393,10 @@
 
         A connection that is asked for is dropped later than others.
         """
-        key = (executor_id, connection)
-        if self._restarts_by_connection.get(key) != restarts:
+        known = self._incarnation_by_connection.get(connection)
+        if known != (executor_id, restarts):
             return False
-        self._restarts_by_connection.move_to_end(key)
+        self._incarnation_by_connection.move_to_end(connection)
         return True
 
 
@@ -434,7 +435,7 @@
         One that may be new is not known until an answer has come on it.
         """
         if self._restarts is None:
-            self._connections.forget(self.executor, connection)
+            self._connections.forget(connection)
         elif not self._connections.is_known(
             self.executor, connection, self._restarts
         ):
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -410,6 +410,16 @@
         assert opening.admits(("10.0.0.1", 1, 1))
         assert not connections.is_known("e1", ("10.0.0.1", 1, 1), 1)
 
+    def test_one_between_the_ports_of_another_executors_is_forgotten_too(
+        self,
+    ) -> None:
+        """An address goes from one executor to another and back."""
+        connections = _checked_calls._CheckedConnections(limit=2)
+        connections.record("e1", ("10.0.0.1", 1, 1), restarts=0)
+        opening = _checked_calls.IncarnationGuard(connections, "e2")
+        assert opening.admits(("10.0.0.1", 1, 1))
+        assert not connections.is_known("e1", ("10.0.0.1", 1, 1), 0)
+
     def test_the_one_used_least_recently_is_dropped_over_the_limit(
         self,
     ) -> None:
