Record an approval for the incarnation that it was asked for

A ticket is valid during one life of an executor; an answer was recorded for the life known when it arrived, up to seconds after the request. If the executor had restarted meanwhile, its tasks were sent with the ticket of the life before: a start rejected, which is priced, and a retry.

Evidence: the new test, on the rig: one start is refused for its ticket.

Change: the request notes which incarnation it is for.

--- a/src/basiljunction/coordination/scheduling/_approvals.py
+++ b/src/basiljunction/coordination/scheduling/_approvals.py
@@ -60,6 +60,9 @@
         approval_by_executor: Approvals by executor id, also expired ones.
         request_sent_s: Time at which the request in flight was sent; None if
             none is in flight.
+        asked_started_ms_by_executor: Start time of the incarnation for which
+            each executor was last named in a request, in milliseconds since
+            the Unix epoch.
         next_request_s: Time before which no request is sent.
     """
 
@@ -68,6 +71,9 @@
         default_factory=dict
     )
     request_sent_s: float | None = None
+    asked_started_ms_by_executor: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     next_request_s: float = 0.0
 
 
@@ -141,20 +147,23 @@
             return None
         if self._count_in_flight() >= MAX_REQUESTS_IN_FLIGHT:
             return None
-        unapproved_ids = [
-            each.listing.id
+        unapproved = [
+            each
             for each in candidates
             if not self.approval_token(key, each, now_s)
             and (
                 each.listing.id not in step_approvals.decided_executors
                 or each.listing.id in step_approvals.approval_by_executor
             )
-        ]
-        if not unapproved_ids:
+        ][:MAX_EXECUTORS_PER_REQUEST]
+        if not unapproved:
             return None
         step_approvals.request_sent_s = now_s
+        step_approvals.asked_started_ms_by_executor.update(
+            (each.listing.id, each.started_wall_ms) for each in unapproved
+        )
         return _orders.ApprovalOrder(
-            *key, tuple(unapproved_ids[:MAX_EXECUTORS_PER_REQUEST])
+            *key, tuple(each.listing.id for each in unapproved)
         )
 
     def _count_in_flight(self) -> int:
@@ -168,18 +177,18 @@
         self,
         order: _orders.ApprovalOrder,
         token_by_executor: Mapping[str, str],
-        started_ms_by_executor: Mapping[str, int],
         *,
         validity_s: float,
         now_s: float,
     ) -> None:
         """Records the policy's answer to an approval request.
 
+        An approval is for the incarnation that was known when it was asked for;
+        the executor may have restarted since.
+
         Args:
             order: The request.
             token_by_executor: Tokens of the approved executors by id.
-            started_ms_by_executor: Start time of the present incarnation of
-                each known executor, in milliseconds since the Unix epoch.
             validity_s: Validity of the approvals in seconds, counted from the
                 sending of the request.
             now_s: Current time in seconds.
@@ -200,7 +209,7 @@
             step_approvals.approval_by_executor[executor] = _ExecutorApproval(
                 token,
                 sent_s + validity_s - VALIDITY_MARGIN_S,
-                started_ms_by_executor.get(executor, 0),
+                step_approvals.asked_started_ms_by_executor.get(executor, 0),
             )
 
     def record_failure(
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -500,10 +500,6 @@
         cell.approvals.record_answer(
             order,
             proof_by_executor,
-            {
-                key: each.started_wall_ms
-                for key, each in cell.executor_by_id.items()
-            },
             validity_s=job.queue.approval.validity_s,
             now_s=now.boot_s,
         )
--- a/tests/coordination/scheduling/test_approvals.py
+++ b/tests/coordination/scheduling/test_approvals.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from basiljunction.coordination.scheduling import _orders
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -111,6 +112,29 @@
         assert len(rig.starts) == 2
         assert rig.not_approved_count == 0
 
+    def test_a_proof_for_the_former_incarnation_is_not_sent_to_the_next(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The executor restarts between the request and its answer."""
+        rig = _make_rig(1, approved={"e0"})
+        requests: list[_orders.ApprovalOrder] = []
+        monkeypatch.setattr(rig, "_queue_approval_request", requests.append)
+        rig.submit(_make_job(build.step_spec(runs_until_cancelled=True)))
+        rig.run(0.2)
+        assert len(requests) == 1
+        rig.executor_by_id["e0"].restart()
+        rig.run(1)
+        state = rig.scheduler.cell.executor_by_id["e0"]
+        assert state.started_wall_ms == rig.executor_by_id["e0"].born_ms
+        rig.scheduler.handle_approval_answer(
+            requests[0],
+            {"e0": "for the former incarnation"},
+            build.clock_readings_at(rig.now_s),
+        )
+        rig.run(0.5)
+        assert rig.not_approved_count == 0
+        assert len(requests) == 2
+
     def test_a_proof_that_is_not_accepted_is_replaced(self) -> None:
         rig = _make_rig(1, approved={"e0"})
         rig.submit(_make_job(build.step_spec(count=8)))
