--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -28,10 +28,15 @@
 may close it.
 """
 
+RENEWAL_CONNECTIONS = 1
+"""Connections to an executor that its lease renewals take."""
+
 MAX_CHECK_SHARE = 0.5
-"""Longest time of a check as a share of what is left for the call, 0 to 1.
+"""Longest time of a check as a share of the time for the call, 0 to 1.
 
-The rest is left for the call itself.
+The rest is left for the call itself. What is left when the check begins doesn't
+count: other calls wait for its answer, too, and an executor without an answer
+is avoided.
 """
 
 _log = structlog.get_logger()
@@ -48,7 +53,8 @@
         call: The call. Its timeout includes the checks.
         on_reply: Called once with the reply; for a call that was not sent, with
             the refusal of a check, or with a reply without a status.
-        on_held: Called if the call has to wait for a check.
+        on_held: Called as the call waits for a connection.
+        on_sent: Called just before it is sent on a connection.
         confirm: Returns whether the call is still to be sent; called just
             before each attempt.
     """
@@ -59,6 +65,7 @@
     call: _http_call.HttpCall
     on_reply: _http_calls.ReplyCallback
     on_held: Callable[[], None] = lambda: None
+    on_sent: Callable[[], None] = lambda: None
     confirm: Callable[[], bool] = lambda: True
 
 
@@ -79,6 +86,37 @@
         return _Attempts(self.ends_s, self.checks_left - 1)
 
 
+@dataclasses.dataclass(slots=True)
+class _Line:
+    """The calls to one executor.
+
+    Attributes:
+        waiting: Calls that found no connection, and what is left for each.
+        in_flight_count: Number of calls that the client has, without checks.
+        is_checking: Whether a check is in flight.
+    """
+
+    waiting: collections.deque[tuple[CheckedCall, _Attempts]] = (
+        dataclasses.field(default_factory=collections.deque)
+    )
+    in_flight_count: int = 0
+    is_checking: bool = False
+
+    @property
+    def may_check(self) -> bool:
+        """Whether a connection may be opened for the calls that wait.
+
+        Beyond the limit of the client, a new connection would close one that
+        is known, and the calls that it was opened for would lack it again.
+        """
+        busy_count = self.in_flight_count + RENEWAL_CONNECTIONS
+        return (
+            bool(self.waiting)
+            and not self.is_checking
+            and busy_count < _http_calls.MAX_CONNECTIONS_PER_HOST
+        )
+
+
 class CheckedCalls:
     """Sends calls on connections on which an executor has named itself.
 
@@ -87,6 +125,9 @@
     from the incarnation that the scheduler knows. If no connection stays open
     so long, the call opens one itself, right after such an answer.
 
+    One check is in flight for an executor; calls wait for it and for those that
+    are in flight.
+
     Args:
         calls: HTTP client for the calls.
         scheduler: The scheduler, which compares incarnations.
@@ -108,15 +149,20 @@
         self._scheduler = scheduler
         self._clock = clock
         self._connections = _CheckedConnections(2 * calls.max_connections)
+        self._line_by_executor: dict[str, _Line] = {}
 
     def send(self, checked: CheckedCall) -> None:
         """Sends a call, after a check of the executor if it needs one."""
-        self._send(
-            checked,
-            _Attempts(
-                self._clock().boot_s + checked.call.timeout_s, MAX_CHECKS
-            ),
+        attempts = _Attempts(
+            self._clock().boot_s + checked.call.timeout_s, MAX_CHECKS
         )
+        line = self._line_by_executor.setdefault(checked.executor, _Line())
+        if line.waiting:
+            checked.on_held()
+            line.waiting.append((checked, attempts))
+        else:
+            self._send(line, checked, attempts)
+            self._drop_idle_line(checked.executor)
 
     def make_renewal_guard(
         self, order: _orders.RenewalOrder
@@ -125,9 +171,15 @@
 
         One that suits any incarnation may open a connection.
         """
-        if order.is_for_one_incarnation:
-            return self._guard_known_incarnation(order.executor)
-        return IncarnationGuard(self._connections, order.executor)
+        return IncarnationGuard(
+            self._connections,
+            order.executor,
+            (
+                self._known_restarts(order.executor)
+                if order.is_for_one_incarnation
+                else None
+            ),
+        )
 
     def record_answer(
         self, guard: "IncarnationGuard", report: _executor.LeaseRenewalReply
@@ -146,48 +198,105 @@
                 guard.executor, guard.connection, executor.clock.restarts
             )
 
-    def _guard_known_incarnation(self, executor_id: str) -> "IncarnationGuard":
-        """Returns a guard that admits the known incarnation of an executor."""
-        executor = self._scheduler.cell.executor_by_id[executor_id]
+    def _make_guard(
+        self, checked: CheckedCall, attempts: _Attempts
+    ) -> "IncarnationGuard":
+        """Returns the guard of a call.
+
+        After the last check, the call may open a connection.
+        """
         return IncarnationGuard(
-            self._connections, executor_id, executor.clock.restarts
+            self._connections,
+            checked.executor,
+            (
+                self._known_restarts(checked.executor)
+                if attempts.checks_left > 0
+                else None
+            ),
+            checked.on_sent,
         )
 
-    def _send(self, checked: CheckedCall, attempts: "_Attempts") -> None:
-        """Sends a call on a known connection, or checks the executor."""
+    def _known_restarts(self, executor_id: str) -> int:
+        """Returns the number of restarts of an executor that are known."""
+        return self._scheduler.cell.executor_by_id[executor_id].clock.restarts
+
+    def _send(
+        self, line: _Line, checked: CheckedCall, attempts: _Attempts
+    ) -> bool:
+        """Sends a call on a known connection, or lets it wait for one.
+
+        Returns:
+            Whether the client has it; else it was answered.
+        """
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
+            line.in_flight_count -= 1
             if reply.lacked_connection and not self.is_closed:
-                checked.on_held()
-                self._check(checked, attempts.after_check())
+                line.waiting.append((checked, attempts))
             else:
                 checked.on_reply(reply)
+                if not reply.lacked_connection:
+                    self._send_next(line)
+            self._check(line)
+            self._drop_idle_line(checked.executor)
 
+        left_s = attempts.ends_s - self._clock().boot_s
         if checked.executor not in self._scheduler.cell.executor_by_id:
             checked.on_reply(_unsent("executor is no longer known"))
+        elif left_s <= 0.0:
+            checked.on_reply(_unsent("no connection became free in time"))
         elif not checked.confirm():
             checked.on_reply(_unsent("no longer in order"))
         else:
-            left_s = attempts.ends_s - self._clock().boot_s
-            guard = (
-                self._guard_known_incarnation(checked.executor)
-                if attempts.checks_left > 0
-                else None
-            )
+            line.in_flight_count += 1
+            # The client may have to wait for a connection, too.
+            checked.on_held()
             self._calls.send(
-                dataclasses.replace(checked.call, timeout_s=max(0.0, left_s)),
+                dataclasses.replace(checked.call, timeout_s=left_s),
                 handle_reply,
-                guard,
+                self._make_guard(checked, attempts),
             )
+            return True
+        return False
+
+    def _send_next(self, line: _Line, *, after_check: bool = False) -> None:
+        """Sends the first call that waits, as a connection is free for it."""
+        if self.is_closed:
+            self._refuse_waiting(line, _unsent("term has ended"))
+        is_sent = False
+        while line.waiting and not is_sent:
+            checked, attempts = line.waiting.popleft()
+            is_sent = self._send(
+                line,
+                checked,
+                attempts.after_check() if after_check else attempts,
+            )
+
+    def _refuse_waiting(self, line: _Line, reply: _http_call.HttpReply) -> None:
+        """Answers all calls that wait."""
+        refused = line.waiting
+        line.waiting = collections.deque()
+        for checked, _ in refused:
+            checked.on_reply(reply)
+
+    def _drop_idle_line(self, executor_id: str) -> None:
+        """Forgets the calls to an executor once there are none."""
+        line = self._line_by_executor.get(executor_id)
+        if line is not None and not (
+            line.waiting or line.in_flight_count or line.is_checking
+        ):
+            del self._line_by_executor[executor_id]
 
-    def _check(self, checked: CheckedCall, attempts: "_Attempts") -> None:
-        """Opens a connection to an executor and asks who it is."""
+    def _check(self, line: _Line) -> None:
+        """Opens a connection and asks who answers, if calls wait for one."""
+        if not line.may_check:
+            return
+        checked, _ = line.waiting[0]
         executor = self._scheduler.cell.executor_by_id.get(checked.executor)
         if executor is None:
-            checked.on_reply(_unsent("executor is no longer known"))
+            self._refuse_waiting(line, _unsent("executor is no longer known"))
             return
         known = executor.clock
-        left_s = attempts.ends_s - self._clock().boot_s
         order = _orders.RenewalOrder(
             executor=checked.executor,
             lease_until_ms=None,
@@ -197,23 +306,29 @@
         guard = IncarnationGuard(self._connections, checked.executor)
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
+            line.is_checking = False
             if self.is_closed:
-                checked.on_reply(_unsent("term has ended"))
+                self._refuse_waiting(line, _unsent("term has ended"))
             elif not reply.is_success:
-                checked.on_reply(
-                    dataclasses.replace(reply, may_have_been_sent=False)
+                self._refuse_waiting(
+                    line, dataclasses.replace(reply, may_have_been_sent=False)
                 )
             elif self._is_known_incarnation(guard, known, reply):
-                self._send(checked, attempts)
+                self._send_next(line, after_check=True)
             else:
-                checked.on_reply(_unsent("another incarnation answered"))
+                self._refuse_waiting(
+                    line, _unsent("another incarnation answered")
+                )
+            self._check(line)
+            self._drop_idle_line(checked.executor)
 
         call = _executor_calls.make_renewal_call(
             checked.address,
             checked.token,
             order,
-            timeout_s=max(0.0, left_s) * MAX_CHECK_SHARE,
+            timeout_s=checked.call.timeout_s * MAX_CHECK_SHARE,
         )
+        line.is_checking = True
         self._calls.send(
             dataclasses.replace(call, needs_new_connection=True),
             handle_reply,
@@ -252,8 +367,8 @@
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._restarts_by_connection: collections.OrderedDict[
-            tuple[str, _http_calls.Connection], int
+        self._incarnation_by_connection: collections.OrderedDict[
+            _http_calls.Connection, tuple[str, int]
         ] = collections.OrderedDict()
 
     def record(
@@ -270,16 +385,17 @@
             restarts: Number of restarts of the executor that are known with
                 this answer.
         """
-        self._restarts_by_connection[executor_id, connection] = restarts
-        self._restarts_by_connection.move_to_end((executor_id, connection))
-        if len(self._restarts_by_connection) > self._limit:
-            self._restarts_by_connection.popitem(last=False)
+        self._incarnation_by_connection[connection] = (executor_id, restarts)
+        self._incarnation_by_connection.move_to_end(connection)
+        if len(self._incarnation_by_connection) > self._limit:
+            self._incarnation_by_connection.popitem(last=False)
 
-    def forget(
-        self, executor_id: str, connection: _http_calls.Connection
-    ) -> None:
-        """Forgets a connection, or an earlier one between the same ports."""
-        self._restarts_by_connection.pop((executor_id, connection), None)
+    def forget(self, connection: _http_calls.Connection) -> None:
+        """Forgets a connection, or an earlier one between the same ports.
+
+        The executor that answered on that one may be another one.
+        """
+        self._incarnation_by_connection.pop(connection, None)
 
     def is_known(
         self,
@@ -291,10 +407,10 @@
 
         A connection that is asked for is dropped later than others.
         """
-        key = (executor_id, connection)
-        if self._restarts_by_connection.get(key) != restarts:
+        known = self._incarnation_by_connection.get(connection)
+        if known != (executor_id, restarts):
             return False
-        self._restarts_by_connection.move_to_end(key)
+        self._incarnation_by_connection.move_to_end(connection)
         return True
 
 
@@ -306,6 +422,7 @@
         executor: Id of the executor.
         restarts: Number of restarts of the executor after which the incarnation
             began; None to admit any, and to open a connection if need be.
+        on_admitted: Called when a connection is admitted.
 
     Attributes:
         executor: Id of the executor.
@@ -317,12 +434,14 @@
         connections: _CheckedConnections,
         executor: str,
         restarts: int | None = None,
+        on_admitted: Callable[[], None] = lambda: None,
     ) -> None:
         self.executor = executor
         self.connection: _http_calls.Connection | None = None
         self.may_open = restarts is None
         self._connections = connections
         self._restarts = restarts
+        self._on_admitted = on_admitted
 
     def admits(self, connection: _http_calls.Connection) -> bool:
         """Returns whether the call may be sent on a connection.
@@ -330,12 +449,13 @@
         One that may be new is not known until an answer has come on it.
         """
         if self._restarts is None:
-            self._connections.forget(self.executor, connection)
+            self._connections.forget(connection)
         elif not self._connections.is_known(
             self.executor, connection, self._restarts
         ):
             return False
         self.connection = connection
+        self._on_admitted()
         return True
 
 
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -2,13 +2,18 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import time
 from typing import Any
 
 import pytest
 
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _renewals
+from basiljunction.protocol import _http_call
+from basiljunction.state.workload import _executor
+from basiljunction.transport import _clock
 from basiljunction.transport.jobs import _checked_calls
+from basiljunction.transport.jobs import _http_calls
 import cutting_proxy
 import order_rig
 import platform_standin
@@ -180,6 +185,45 @@
         assert len(platform.starts) == 1
 
 
+class TestStartThatWaitsForAConnection:
+    """A start has not been sent while the client waits for a connection."""
+
+    def test_its_task_is_not_blamed_for_a_crash_noticed_meanwhile(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        waiting: list[_http_call.HttpCall] = []
+        send = rig._calls.send
+
+        def send_or_wait(call: _http_call.HttpCall, *rest: Any) -> None:
+            if call.url.endswith("/run-start"):
+                waiting.append(call)
+            else:
+                send(call, *rest)
+
+        monkeypatch.setattr(rig._calls, "send", send_or_wait)
+        job = build.accepted_job(_LASTING, payload="lasts")
+        rig.submit(job)
+        rig.run_until(lambda: bool(waiting), limit_s=_WAIT_S)
+        assert len(waiting) == 1
+        executor_id = platform.executors[0].id
+        rig.scheduler.handle_incarnation_check(
+            executor_id,
+            rig.scheduler.cell.executor_by_id[executor_id].clock,
+            _executor.LeaseRenewalReply(
+                clock_ms=10,
+                started_wall_ms=2,
+                active_runs=(),
+                unacknowledged_ends=(),
+            ),
+            _clock.SystemClock().now(),
+        )
+        progress = rig.scheduler.cell.job_by_id[job.id].progress
+        assert not progress.crashes_by_position
+
+
 class TestCheck:
     """A check changes nothing at the executor, and its price is bounded."""
 
@@ -205,6 +249,53 @@
         assert len(platform.starts) == 20
         assert len(rig.list_runs()) == 20
 
+    @pytest.mark.parametrize("count", [8, 20])
+    def test_those_for_one_executor_open_no_more_connections_than_it_needs(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        proxy: cutting_proxy.CuttingProxy,
+        monkeypatch: pytest.MonkeyPatch,
+        count: int,
+    ) -> None:
+        """A check closed the connection that the one before had opened.
+
+        The starts that it was opened for then lacked it, and all were given up,
+        over and over.
+        """
+        monkeypatch.setattr(
+            platform_standin.Executor,
+            "receive",
+            lambda *_: time.sleep(0.02),
+        )
+        connections: list[object] = []
+        connect = proxy._connect
+
+        def record(near: Any) -> Any:
+            connections.append(near)
+            return connect(near)
+
+        monkeypatch.setattr(proxy, "_connect", record)
+        results: list[_orders.StartResult] = []
+        handle = rig.scheduler.handle_start_answer
+
+        def handle_and_record(
+            order: _orders.StartOrder,
+            result: _orders.StartResult,
+            *rest: Any,
+            **options: Any,
+        ) -> None:
+            results.append(result)
+            handle(order, result, *rest, **options)
+
+        monkeypatch.setattr(
+            rig.scheduler, "handle_start_answer", handle_and_record
+        )
+        self._submit_wide(rig, count)
+        rig.run_until(lambda: len(results) >= count, limit_s=_WAIT_S)
+        assert results == [_orders.StartResult.STARTED] * count
+        assert len(connections) <= _http_calls.MAX_CONNECTIONS_PER_HOST
+
     def test_it_has_no_deadline_and_acknowledges_nothing(
         self,
         rig: order_rig.OrderRig,
@@ -235,12 +326,11 @@
         check = _checked_calls.CheckedCalls._check
 
         def record(
-            calls: _checked_calls.CheckedCalls,
-            checked: _checked_calls.CheckedCall,
-            attempts: Any,
+            calls: _checked_calls.CheckedCalls, line: _checked_calls._Line
         ) -> None:
-            checks.append(checked)
-            check(calls, checked, attempts)
+            if line.may_check:
+                checks.append(line.waiting[0][0])
+            check(calls, line)
 
         monkeypatch.setattr(_checked_calls.CheckedCalls, "_check", record)
         rig.submit(
@@ -341,6 +431,16 @@
         assert opening.admits(("10.0.0.1", 1, 1))
         assert not connections.is_known("e1", ("10.0.0.1", 1, 1), 1)
 
+    def test_one_between_the_ports_of_another_executors_is_forgotten_too(
+        self,
+    ) -> None:
+        """An address goes from one executor to another and back."""
+        connections = _checked_calls._CheckedConnections(limit=2)
+        connections.record("e1", ("10.0.0.1", 1, 1), restarts=0)
+        opening = _checked_calls.IncarnationGuard(connections, "e2")
+        assert opening.admits(("10.0.0.1", 1, 1))
+        assert not connections.is_known("e1", ("10.0.0.1", 1, 1), 0)
+
     def test_the_one_used_least_recently_is_dropped_over_the_limit(
         self,
     ) -> None:
