Receive signals through a socket, so that none is lost before a wait

What callers saw: an instance that got SIGTERM within a millisecond of instance.started went on serving until SIGKILL. It stayed ready, kept its term and took jobs; requests in progress at SIGKILL had no answer.

Cause: the main thread waited for an event that the signal's handler sets. The interpreter runs handlers between two instructions of the main thread. A signal that arrives after the last of them and before the thread sleeps in the lock is only noted: the handler runs when the wait ends, which it never does. And a handler that interrupts the thread inside Event.wait waits for the lock that this thread holds. A signal shortly after another can meet both, too.

Change: the interpreter's C handler writes the signal's number into a socket (set_wakeup_fd), and the main thread reads it. No handler does anything in Python. Entry instances had the same wait, found by reading; no run showed it. A reload and a shutdown that come together are carried out in this order, as before.

--- a/src/basiljunction/transport/_daemon.py
+++ b/src/basiljunction/transport/_daemon.py
@@ -1,6 +1,7 @@
 """Builds the tasks of one entry instance, connects them, and runs them."""
 
 from concurrent import futures
+import contextlib
 import random
 import signal
 import threading
@@ -27,6 +28,7 @@
 from basiljunction.transport import _peer_links
 from basiljunction.transport import _routes
 from basiljunction.transport import _routes_context
+from basiljunction.transport import _signals
 from basiljunction.transport import _state_task
 from basiljunction.transport import _task_backend
 from basiljunction.transport import _urgent_task
@@ -98,7 +100,7 @@
         self._settings = settings
         self._clock = clock
         self._rng = random.Random()
-        self._drain_requested = threading.Event()
+        self._signals = _signals.SignalInbox()
         self._hand_over_finished = threading.Event()
         self._exit_detail = ""
         self._metrics = _metrics.Metrics(settings.instance)
@@ -154,7 +156,7 @@
         _log.info(
             "daemon.started", http=address, peers=self._peer_links.address
         )
-        self._drain_requested.wait()
+        self._signals.receive()
         graceful = self._drain_and_wait()
         self._server.stop()
         for task in reversed(tasks):
@@ -164,9 +166,12 @@
         _log.info("daemon.stopped", graceful=graceful)
         return 0 if graceful else 1
 
-    def request_drain(self, *_signal: object) -> None:
-        """Asks the instance to drain and exit; usable as a signal handler."""
-        self._drain_requested.set()
+    def watch_signals(self) -> contextlib.AbstractContextManager[None]:
+        """Has signals request a drain inside the context.
+
+        Only for the main thread.
+        """
+        return self._signals.watch(signal.SIGTERM, signal.SIGINT)
 
     def _drain_and_wait(self) -> bool:
         """Hands over owned machines, then waits for requests in flight to end.
@@ -200,7 +205,7 @@
         """
         _log.info("daemon.left", detail=detail)
         self._hand_over_finished.set()
-        self._drain_requested.set()
+        self._signals.put(signal.SIGTERM)
 
     def _make_state_task(self) -> _state_task.StateTask:
         """Returns the state task, set up from the instance's settings."""
@@ -313,6 +318,5 @@
         The exit code: 0 after a complete drain, 1 if the drain timed out.
     """
     daemon = InstanceDaemon(settings, _clock.SystemClock())
-    signal.signal(signal.SIGTERM, daemon.request_drain)
-    signal.signal(signal.SIGINT, daemon.request_drain)
-    return daemon.run()
+    with daemon.watch_signals():
+        return daemon.run()
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -1,6 +1,8 @@
 """Process of one job scheduler instance: its servers, task and signals."""
 
+from collections.abc import Collection
 from concurrent import futures
+import contextlib
 import pathlib
 import random
 import signal
@@ -16,6 +18,7 @@
 from basiljunction.transport import _clock
 from basiljunction.transport import _http_server
 from basiljunction.transport import _metrics
+from basiljunction.transport import _signals
 from basiljunction.transport.jobs import _answer_limit
 from basiljunction.transport.jobs import _apps
 from basiljunction.transport.jobs import _cell_task
@@ -97,8 +100,7 @@
         self._task_end: futures.Future[None] | None = None
         self._settings_path = settings_path
         self._shutdown_event = threading.Event()
-        self._reload_event = threading.Event()
-        self._wake_event = threading.Event()
+        self._signals = _signals.SignalInbox()
         self._has_task_failed = False
         metrics = _metrics.Metrics(settings.name)
         connections = _connection_limits.divide_descriptors(
@@ -166,14 +168,24 @@
             server.start(self._pool)
         _log.info("instance.started", zone=self._settings.zone)
         while not self._shutdown_event.is_set():
-            self._wake_event.wait()
-            self._wake_event.clear()
-            if self._reload_event.is_set():
-                self._reload_event.clear()
-                self._reload_settings()
+            self._handle_signals(self._signals.receive())
         self._shut_down()
         return int(self._has_task_failed)
 
+    def watch_signals(self) -> contextlib.AbstractContextManager[None]:
+        """Has signals request a shutdown or a reload inside the context.
+
+        Only for the main thread.
+        """
+        return self._signals.watch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+    def _handle_signals(self, numbers: Collection[int]) -> None:
+        """Reloads the settings and begins the shutdown, as signals request."""
+        if signal.SIGHUP in numbers:
+            self._reload_settings()
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            self._shutdown_event.set()
+
     def _note_task_end(self, task: "futures.Future[None]") -> None:
         """Ends the process if the cell task's thread ended with an error.
 
@@ -205,14 +217,9 @@
         self._settings = newest
 
     def request_shutdown(self) -> None:
-        """Requests that the instance shut down; safe in a signal handler."""
+        """Requests that the instance shut down; thread-safe."""
         self._shutdown_event.set()
-        self._wake_event.set()
-
-    def request_settings_reload(self) -> None:
-        """Requests a reload of the settings file; safe in a signal handler."""
-        self._reload_event.set()
-        self._wake_event.set()
+        self._signals.put(signal.SIGTERM)
 
     def _is_ready(self) -> bool:
         """Returns whether the instance accepts new connections."""
@@ -319,7 +326,5 @@
     """
     settings = platform_settings.load_settings(settings_path)
     daemon = Daemon(settings, _clock.SystemClock(), settings_path, metrics_port)
-    signal.signal(signal.SIGTERM, lambda *_: daemon.request_shutdown())
-    signal.signal(signal.SIGINT, lambda *_: daemon.request_shutdown())
-    signal.signal(signal.SIGHUP, lambda *_: daemon.request_settings_reload())
-    return daemon.run()
+    with daemon.watch_signals():
+        return daemon.run()
--- a/tests/instance_process.py
+++ b/tests/instance_process.py
@@ -1,5 +1,6 @@
 """Instances of the job scheduler as real processes on loopback."""
 
+from collections.abc import Sequence
 import http.client
 import json
 import os
@@ -44,6 +45,7 @@
         platform: The platform that it uses.
         number: Number of the instance, which names it.
         grace_s: Time from SIGTERM to SIGKILL in its settings, in seconds.
+        program: Arguments of the interpreter that runs it.
 
     Attributes:
         name: Name of the instance.
@@ -59,6 +61,7 @@
         number: int,
         *,
         grace_s: float = GRACE_S,
+        program: Sequence[str] = ("-m", "basiljunction", "platform"),
     ) -> None:
         self.name = f"front-{number}"
         ports = _ports.reserve_free_ports(4)
@@ -69,6 +72,7 @@
             self.metrics_port,
         ) = ports
         self._grace_s = grace_s
+        self._program = program
         self.settings_path = folder / f"{self.name}.conf"
         self.log_path = folder / f"{self.name}.log"
         self.write_settings(platform)
@@ -77,8 +81,8 @@
     def start(self) -> None:
         """Starts a process of the instance; an earlier one has ended."""
         with self.log_path.open("ab") as log_file:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "basiljunction", "platform"],
+            self.process = subprocess.Popen(  # noqa: S603 - this project's own code
+                [sys.executable, *self._program],
                 env=os.environ
                 | {
                     "BASILJUNCTION_CONFIG": str(self.settings_path),
