End the process of an instance without the interpreter's own end

What was seen: beside other work, processes that had written instance.stopped were still there at SIGKILL, so that the test of the late requests fails in its last line, too. No request was cut by it.

Cause: after its last line, a process waits for every thread that is left and frees all objects: some 0.2 s at load 12, up to 3.1 s at load 25, of the second that the stop leaves. If the cell task does not end, the process waits for its thread until SIGKILL.

Change: the command flushes its log and ends the process with os._exit. All requests are answered and the connections are closed then.

--- a/src/basiljunction/cli/_platform.py
+++ b/src/basiljunction/cli/_platform.py
@@ -1,6 +1,7 @@
 """The ``platform`` command: runs an instance on the users' platform."""
 
 import importlib
+import os
 import pathlib
 import sys
 import typing
@@ -64,4 +65,7 @@
     except OSError as error:
         click.echo(f"cannot listen: {error}", err=True)
         sys.exit(_exit_codes.ExitCode.FAILED)
-    sys.exit(code)
+    # The interpreter would wait for every thread and free all objects, which
+    # takes seconds of the grace period on a busy host and changes nothing.
+    stream.flush()
+    os._exit(code)
