Store the bounds of silent executors anew while they hold

Callers saw: lasting tasks without a run for 9 s and more (LOST) while their executors left by plan and schedulers followed each other.

Cause: the stored bound of an executor's runs relates to the renewal in which its silence was first noticed. An instance that started after that renewal has read only later ones, and waits the whole time from the first of them on. Each of them in a series of schedulers made the wait longer.

Change: a record relates all bounds to the newest renewal of its own term, and is stored again each second as long as one of them holds.

Result: TestInstancesThatStartedSince fails without the change, 9.5 s and more without the runs. The price is one write a second to the store while an executor is waited for.

--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -14,6 +14,13 @@
 CHECK_INTERVAL_S = 0.25
 """Interval between two checks which executors are silent, in seconds."""
 
+REFRESH_INTERVAL_S = 1.0
+"""Interval in which bounds that still hold are stored anew, in seconds.
+
+An instance waits from the oldest renewal that it has read on. One that started
+since would wait longer than those that have read the renewal of a bound.
+"""
+
 FIRST_CHECK_DELAY_S = 0.5
 """Time from the start of a scheduler to its first check, in seconds; executors
 that are in order answer within it."""
@@ -36,6 +43,7 @@
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
         self._next_check_s = 0.0
+        self._next_refresh_s = 0.0
         self._newest: _records.SilentExecutorsRecord | None = None
 
     def restore(
@@ -90,10 +98,19 @@
             not cell.silent_executors_changed
             and self._newest.has_stored_executors
             == self._has_stored_executors()
+            and not self._is_refresh_due(now_s)
         ):
             return None
         return self._make_record()
 
+    def _is_refresh_due(self, now_s: float) -> bool:
+        """Returns whether a bound that still holds is to be stored anew."""
+        return now_s >= self._next_refresh_s and any(
+            executor.silent_bound is not None
+            and executor.runs_end_by_s() > now_s
+            for executor in self._cell.executor_by_id.values()
+        )
+
     def _has_stored_executors(self) -> bool:
         """Returns whether the store knows the executors of lasting tasks."""
         cell = self._cell
@@ -111,12 +128,18 @@
         )
 
     def _make_record(self) -> _records.SilentExecutorsRecord:
-        """Returns a record of all silent executors and freezes their leases."""
+        """Returns a record of all silent executors and freezes their leases.
+
+        Their bounds relate to the newest renewal of this term from then on.
+        """
         cell = self._cell
         cell.silent_executors_changed = False
+        self._next_refresh_s = cell.last_tick_s + REFRESH_INTERVAL_S
         bound_by_executor = {}
         for executor_id, executor in cell.executor_by_id.items():
             if executor.silent_bound is not None:
+                if cell.is_term_confirmed:
+                    executor.silent_bound = self._bound_runs(executor)
                 bound_by_executor[executor_id] = executor.silent_bound
                 executor.is_lease_frozen = True
         self._newest = _records.SilentExecutorsRecord(
--- a/tests/coordination/scheduling/test_silent_executors.py
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -383,6 +383,27 @@
             assert rig.now_s - lost_s < _MAX_GAP_S
 
 
+class TestInstancesThatStartedSince:
+    """An instance that has not read the renewal of a bound waits no longer."""
+
+    @pytest.mark.parametrize("is_resignation", [False, True])
+    def test_take_overs_by_them_do_not_add_up(
+        self, *, is_resignation: bool
+    ) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        _lose_executor(rig)
+        lost_s = rig.now_s
+        rig.run(_NOTICE_S)
+        while rig.count_lasting_runs() < 6:
+            rig.history.clear()
+            rig.run(1.5)
+            assert rig.now_s - lost_s < _MAX_GAP_S
+            if is_resignation:
+                rig.resign()
+            else:
+                rig.take_over()
+
+
 class TestEarlierVersions:
     """A scheduler of an earlier version stores no executors of tasks."""
 
