Let the soak's clients use file descriptors beyond 1023

Cause: clients asked select() whether an idle connection was closed, which refuses descriptors from 1024 on.

Change: they ask poll(), as they do elsewhere.

Result: the new test fails with that ValueError without the change.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -83,9 +83,11 @@
     @property
     def is_closed_by_peer(self) -> bool:
         """Whether the process has closed the idle connection, or said so."""
-        return self._http.sock is None or bool(
-            select.select([self._watch], [], [], 0)[0]
-        )
+        if self._http.sock is None:
+            return True
+        poll = select.poll()
+        poll.register(self._watch, select.POLLIN)
+        return bool(poll.poll(0))
 
     def request(
         self, method: str, path: str, body: dict[str, Any] | None
--- a/tests/soak/test_clients.py
+++ b/tests/soak/test_clients.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent import futures
+import contextlib
 import socket
 import time
 
@@ -10,6 +11,9 @@
 from soak import clients as soak_clients
 from soak import instances as soak_instances
 
+_SELECT_LIMIT = 1024
+"""Number of the lowest file descriptor that select() refuses."""
+
 
 class _FakeInstance(soak_instances.SoakInstance):
     """An instance without a process, on a port of the test."""
@@ -74,3 +78,20 @@
         served.result()
         connection.close()
     assert answer.ending is ending
+
+
+def test_a_connection_beyond_the_limit_of_select_is_not_an_error() -> None:
+    """Each executor and connection of a soak has file descriptors."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        contextlib.ExitStack() as others,
+    ):
+        for _ in range(_SELECT_LIMIT):
+            others.enter_context(listener.dup())
+        instance = _FakeInstance(listener.getsockname()[1])
+        connection = soak_clients.Connection(instance)
+        peer, _ = listener.accept()
+        assert not connection.is_closed_by_peer
+        peer.close()
+        assert connection.is_closed_by_peer
+        connection.close()
