Order no more in the rig of lost starts than an executor has room for

Cause: the rig adds up to 12 runs of a whole step each to an executor, by hand, which then is overbooked.

Change: the runs are small. Counts and bounds are unchanged.

--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -221,7 +221,8 @@
                     task=task,
                     number=run + number,
                     executor=executor_id,
-                    step=build.step_spec(),
+                    # As small as the scheduler needs to place all of them.
+                    step=build.step_spec(size=_job_spec.Resources(10, 1, 0)),
                     phase=_runs.RunPhase.ORDERED,
                     phase_since_s=0.0,
                 )
