List what breaks if connections to executors don't last

Callers would see: no task starts on an executor that closes connections after each answer, its lease is never extended, and it is asked as often as the loop turns.

Cause: a renewal with a deadline needs an open checked connection; one that finds none is repeated at once without a deadline, and the next one finds none again. The same where connections are closed for others, as there are fewer than executors.

--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -436,3 +436,34 @@
             scheduler.handle_clock("e1", clock, 5, now, sent_s=0.3)
         scheduler.handle_fence(renewal, now)
         assert scheduler.cell.is_fenced is not is_restart_known
+
+
+class TestConnectionsThatDoNotLast:
+    """An executor whose connections end after each answer isn't asked often."""
+
+    def test_it_is_asked_no_more_often_than_its_renewals_are_due(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        rig = cell_rig.CellRig()
+        rig.holds_renewals = True
+        rig.run(1)
+        sent: list[_orders.ExecutorOrder] = []
+
+        def is_connected(
+            _executor: object, _token: int, order: _orders.ExecutorOrder
+        ) -> bool:
+            if (
+                isinstance(order, _orders.RenewalOrder)
+                and order.is_for_one_incarnation
+            ):
+                rig.scheduler.handle_unsent_renewal(
+                    order, build.clock_readings_at(rig.now_s)
+                )
+                return False
+            sent.append(order)
+            return True
+
+        monkeypatch.setattr(rig, "_is_connected", is_connected)
+        rig.run(20)
+        # The first one after a lack isn't held back.
+        assert len(sent) <= 20 / _limits.RENEWAL_WAIT_S + 2
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -377,6 +377,46 @@
         assert rig.list_runs() == []
 
 
+class TestConnectionsThatEndAfterEachAnswer:
+    """An executor may close a connection once it has answered on it."""
+
+    @pytest.fixture(autouse=True)
+    def _close_connections(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Lets the executor close each connection after an answer."""
+        send_reply = platform_standin._ExecutorHandler.send_reply
+
+        def send_reply_and_close(
+            handler: platform_standin._ExecutorHandler, status: int, body: bytes
+        ) -> None:
+            send_reply(handler, status, body)
+            handler.close_connection = True
+
+        monkeypatch.setattr(
+            platform_standin._ExecutorHandler,
+            "send_reply",
+            send_reply_and_close,
+        )
+
+    def test_its_lease_is_extended(
+        self,
+        rig: order_rig.OrderRig,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        recorder = _Recorder(1, monkeypatch)
+        rig.run_until(
+            lambda: any("DeadlineMs" in body for _, body in recorder.calls),
+            limit_s=_WAIT_S,
+        )
+        assert any("DeadlineMs" in body for _, body in recorder.calls)
+
+    def test_a_task_starts_on_it(
+        self, rig: order_rig.OrderRig, platform: platform_standin.Platform
+    ) -> None:
+        rig.submit(build.accepted_job(_LASTING, payload="lasts"))
+        rig.run_until(lambda: bool(platform.starts), limit_s=_WAIT_S)
+        assert len(platform.starts) == 1
+
+
 class TestGuard:
     """A connection is known for what has answered on it."""
 
