--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -383,18 +383,18 @@
     @pytest.fixture(autouse=True)
     def _close_connections(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Lets the executor close each connection after an answer."""
-        send_reply = platform_standin._ExecutorHandler.send_reply
+        send_response = platform_standin._ExecutorHandler.send_response
 
-        def send_reply_and_close(
-            handler: platform_standin._ExecutorHandler, status: int, body: bytes
+        def send_response_and_close(
+            handler: platform_standin._ExecutorHandler, status: int
         ) -> None:
-            send_reply(handler, status, body)
-            handler.close_connection = True
+            send_response(handler, status)
+            handler.send_header("Connection", "close")
 
         monkeypatch.setattr(
             platform_standin._ExecutorHandler,
-            "send_reply",
-            send_reply_and_close,
+            "send_response",
+            send_response_and_close,
         )
 
     def test_its_lease_is_extended(
