--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -75,6 +75,8 @@
             open connection was free.
         unsent_renewals: Number of lease renewals in a row that were not sent
             for that reason; those in between that open one are left out.
+        opens_connections_until_s: Time until which each of its lease renewals
+            may open a connection, as none lasts until the next one.
         next_renewal_s: Time at which the next lease renewal is due.
         avoid_until_s: Time before which no task is placed on it.
         is_suspect: Whether it was slow lately and no task has run at normal
@@ -144,6 +146,7 @@
     renewal_failures: int = 0
     lacks_connection: bool = False
     unsent_renewals: int = 0
+    opens_connections_until_s: float = 0.0
     next_renewal_s: float = 0.0
     avoid_until_s: float = 0.0
     is_suspect: bool = False
@@ -347,13 +350,20 @@
             return True
         return self.listing.born_ms == self.started_wall_ms
 
-    @property
-    def keeps_connections(self) -> bool:
-        """Whether it keeps connections open between two calls, as far as known.
+    def record_unsent_renewal(self, now_s: float) -> None:
+        """Notes that a renewal found no open connection; the next opens one.
 
-        Else its renewals have to open one each.
+        After several, connections to it are taken not to last for a while.
         """
-        return self.unsent_renewals < _limits.MAX_UNSENT_RENEWALS
+        self.renewal_sent_s = None
+        self.next_renewal_s = now_s
+        self.lacks_connection = True
+        self.unsent_renewals += 1
+        if self.unsent_renewals < _limits.MAX_UNSENT_RENEWALS:
+            return
+        self.unsent_renewals = 0
+        self.lacks_connection = False
+        self.opens_connections_until_s = now_s + _limits.UNLASTING_CONNECTIONS_S
 
     def is_same_incarnation(self, report: _executor.LeaseRenewalReply) -> bool:
         """Returns whether an answer is from the incarnation listed last."""
@@ -414,6 +424,7 @@
         self.is_suspect = False
         self.next_renewal_s = now_s
         self.unsent_renewals = 0
+        self.opens_connections_until_s = 0.0
 
     def record_fence(self, clock_ms: int, longest_lease_s: float) -> None:
         """Notes that orders for the incarnation before are barred from now on.
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -22,9 +22,13 @@
 """Delay before a lease renewal that got no answer is repeated, in seconds;
 several tries fit into a lease."""
 
-MAX_UNSENT_RENEWALS = 5
-"""Lease renewals in a row without an open connection after which an executor is
-taken to close its connections after each answer."""
+MAX_UNSENT_RENEWALS = 2
+"""Lease renewals in a row without an open connection after which connections to
+an executor are taken not to last."""
+
+UNLASTING_CONNECTIONS_S = 10.0
+"""Time for which connections to an executor are taken not to last, in seconds:
+the longest lease, within which its runs would lapse without a renewal."""
 
 STOP_RETRY_S = 0.4
 """Delay before a stop order without an answer is repeated, in seconds."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -96,7 +96,7 @@
                 acknowledged=acknowledged,
                 wait_ms=wait_ms,
                 is_for_one_incarnation=(
-                    executor.keeps_connections
+                    now.boot_s >= executor.opens_connections_until_s
                     and (until_ms is not None or acknowledged > 0)
                 ),
             )
@@ -172,14 +172,11 @@
         executor = self._cell.executor_by_id.get(order.executor)
         if executor is None:
             return
-        executor.renewal_sent_s = None
-        executor.lacks_connection = True
-        executor.unsent_renewals += 1
-        if not executor.keeps_connections:
+        executor.record_unsent_renewal(now.boot_s)
+        if now.boot_s < executor.opens_connections_until_s:
             self._cell.note(
-                "executor.closes-connections", executor=executor.listing.id
+                "executor.connections-end", executor=executor.listing.id
             )
-        executor.next_renewal_s = now.boot_s
 
     def handle_failure(
         self,
--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -81,6 +81,10 @@
         Returns:
             Whether it is the incarnation that has listed its runs last.
         """
+        # A start time that is missing tells nothing, its clock does.
+        self.handle_clock(
+            executor_id, known, report.clock_ms, now, sent_s=known.read_s
+        )
         executor = self._cell.executor_by_id.get(executor_id)
         if executor is None or not executor.has_listed_runs:
             return False
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -376,18 +376,50 @@
         assert rig.list_runs() == []
 
 
-class TestExecutorThatClosesConnections:
-    """Its tasks start and go on, though no connection stays open."""
+class TestConnectionsThatEndAfterEachAnswer:
+    """An executor may close a connection once it has answered on it."""
 
-    def test_its_lease_is_renewed(
+    @pytest.fixture(autouse=True)
+    def _close_connections(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Lets the executor close each connection after an answer."""
+        send_response = platform_standin._ExecutorHandler.send_response
+
+        def send_response_and_close(
+            handler: platform_standin._ExecutorHandler, status: int
+        ) -> None:
+            send_response(handler, status)
+            handler.send_header("Connection", "close")
+
+        monkeypatch.setattr(
+            platform_standin._ExecutorHandler,
+            "send_response",
+            send_response_and_close,
+        )
+
+    def test_its_lease_is_extended(
         self,
         rig: order_rig.OrderRig,
-        platform: platform_standin.Platform,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        monkeypatch.setattr(
-            platform_standin._ExecutorHandler, "protocol_version", "HTTP/1.0"
+        recorder = _Recorder(1, monkeypatch)
+        rig.run_until(
+            lambda: any("DeadlineMs" in body for _, body in recorder.calls),
+            limit_s=_WAIT_S,
         )
+        assert any("DeadlineMs" in body for _, body in recorder.calls)
+
+    def test_a_task_starts_on_it(
+        self, rig: order_rig.OrderRig, platform: platform_standin.Platform
+    ) -> None:
+        rig.submit(build.accepted_job(_LASTING, payload="lasts"))
+        rig.run_until(lambda: bool(platform.starts), limit_s=_WAIT_S)
+        assert len(platform.starts) == 1
+
+    def test_its_run_does_not_lapse(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+    ) -> None:
         rig.submit(build.accepted_job(_LASTING, payload="lasts"))
         rig.run_until(lambda: bool(platform.starts), limit_s=_WAIT_S)
         lease_s = rig.scheduler.cell.times.lease_s
