Put no crash down to an isolated start that was not begun

Callers could see: a job failed as crashing its executors, though its task had not begun on the last of them. Found by the review of the checked connections. Cause: an isolated start is recorded as an attempt before it is sent; the record stayed if the start was refused or not sent. A later scheduler that found another incarnation there put the crash down to it, twice is enough to give the job up. Starts that are not sent make this more frequent. Evidence: test_no_attempt_is_left_of_it fails without the change. Change: a start that will never run withdraws its attempt; earlier crashes of the task stay.

--- a/src/basiljunction/coordination/scheduling/_crashes.py
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -342,11 +342,35 @@
         crashes = job.progress.crashes_by_position.get(place)
         if crashes is None:
             return
-        settled = dataclasses.replace(crashes, attempt_executor="")
-        if run.step.runs_until_cancelled or settled == _progress.TaskCrashes():
+        if run.step.runs_until_cancelled:
+            crashes = _progress.TaskCrashes()
+        self._end_attempt(job, place, crashes)
+
+    def withdraw_attempt(self, run: _runs.Run) -> None:
+        """Records that an isolated run was not begun.
+
+        A crash of its executor is not put down to it; those before still are.
+        """
+        job = self._cell.find_job(run.task)
+        if job is None or not run.is_isolated:
+            return
+        place = _cell_state.place_in_job(run.task)
+        crashes = job.progress.crashes_by_position.get(place)
+        if crashes is not None:
+            self._end_attempt(job, place, crashes)
+
+    def _end_attempt(
+        self,
+        job: _jobs.Job,
+        place: _progress.TaskPosition,
+        crashes: _progress.TaskCrashes,
+    ) -> None:
+        """Records the crashes of a task without an isolated start."""
+        ended = dataclasses.replace(crashes, attempt_executor="")
+        if ended == _progress.TaskCrashes():
             del job.progress.crashes_by_position[place]
         else:
-            job.progress.crashes_by_position[place] = settled
+            job.progress.crashes_by_position[place] = ended
         self._cell.mark_progress_dirty(job)
 
 
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -409,6 +409,7 @@
                     reason=result.value,
                     for_s=avoid_s,
                 )
+            self._crashes.withdraw_attempt(run)
             self.cell.release_run(
                 state, run, now, delay_s=_limits.RENEWAL_DELAY_S
             )
--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -191,6 +191,24 @@
         assert len(rig.crashes_by_task[_CULPRIT]) == 2
 
 
+class TestIsolatedStartThatWasNotBegun:
+    """A later crash of the executor is not put down to it."""
+
+    def test_no_attempt_is_left_of_it(self) -> None:
+        rig = _make_rig(3)
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        _run_until_crashes(rig, _CULPRIT, 1)
+        executors = rig.executor_by_id.values()
+        for each in executors:
+            each.refuses_for_capacity = True
+        rig.run_until(lambda: any(each.refused_count for each in executors), 9)
+        job = rig.scheduler.cell.job_by_id[_CULPRIT_JOB_ID]
+        (crashes,) = job.progress.crashes_by_position.values()
+        assert len(crashes.shared_executors + crashes.isolated_executors) == 1
+        assert crashes.attempt_executor == ""
+
+
 class TestExecutorsThatStayAway:
     """An executor that is lost with its listing counts as well."""
 
