--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -19,6 +19,7 @@
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
 from basiljunction.state.workload import _executor
+from basiljunction.transport.jobs import _checked_connections
 from basiljunction.transport.jobs import _http_calls
 
 MAX_CHECKS = 3
@@ -148,7 +149,9 @@
         self._calls = calls
         self._scheduler = scheduler
         self._clock = clock
-        self._connections = _CheckedConnections(2 * calls.max_connections)
+        self._connections = _checked_connections.CheckedConnections(
+            2 * calls.max_connections
+        )
         self._line_by_executor: dict[str, _Line] = {}
 
     def send(self, checked: CheckedCall) -> None:
@@ -166,12 +169,12 @@
 
     def make_renewal_guard(
         self, order: _orders.RenewalOrder
-    ) -> "IncarnationGuard":
+    ) -> _checked_connections.IncarnationGuard:
         """Returns the guard of a lease renewal.
 
         One that suits any incarnation may open a connection.
         """
-        return IncarnationGuard(
+        return _checked_connections.IncarnationGuard(
             self._connections,
             order.executor,
             (
@@ -182,7 +185,9 @@
         )
 
     def record_answer(
-        self, guard: "IncarnationGuard", report: _executor.LeaseRenewalReply
+        self,
+        guard: _checked_connections.IncarnationGuard,
+        report: _executor.LeaseRenewalReply,
     ) -> None:
         """Records whose answer to a renewal came on a connection.
 
@@ -200,12 +205,12 @@
 
     def _make_guard(
         self, checked: CheckedCall, attempts: _Attempts
-    ) -> "IncarnationGuard":
+    ) -> _checked_connections.IncarnationGuard:
         """Returns the guard of a call.
 
         After the last check, the call may open a connection.
         """
-        return IncarnationGuard(
+        return _checked_connections.IncarnationGuard(
             self._connections,
             checked.executor,
             (
@@ -303,7 +308,9 @@
             acknowledged=0,
             wait_ms=0,
         )
-        guard = IncarnationGuard(self._connections, checked.executor)
+        guard = _checked_connections.IncarnationGuard(
+            self._connections, checked.executor
+        )
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             line.is_checking = False
@@ -337,7 +344,7 @@
 
     def _is_known_incarnation(
         self,
-        guard: "IncarnationGuard",
+        guard: _checked_connections.IncarnationGuard,
         known: _executors.ClockReading,
         reply: _http_call.HttpReply,
     ) -> bool:
@@ -356,109 +363,6 @@
         return is_known
 
 
-class _CheckedConnections:
-    """Connections on which an incarnation of an executor has named itself.
-
-    Args:
-        limit: Most connections that are remembered. Closed ones are not told
-            from open ones; a call that misses one that was dropped needs
-            another check.
-    """
-
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._incarnation_by_connection: collections.OrderedDict[
-            _http_calls.Connection, tuple[str, int]
-        ] = collections.OrderedDict()
-
-    def record(
-        self,
-        executor_id: str,
-        connection: _http_calls.Connection,
-        restarts: int,
-    ) -> None:
-        """Records whose answer came on a connection.
-
-        Args:
-            executor_id: Id of the executor.
-            connection: The connection.
-            restarts: Number of restarts of the executor that are known with
-                this answer.
-        """
-        self._incarnation_by_connection[connection] = (executor_id, restarts)
-        self._incarnation_by_connection.move_to_end(connection)
-        if len(self._incarnation_by_connection) > self._limit:
-            self._incarnation_by_connection.popitem(last=False)
-
-    def forget(self, connection: _http_calls.Connection) -> None:
-        """Forgets a connection, or an earlier one between the same ports.
-
-        The executor that answered on that one may be another one.
-        """
-        self._incarnation_by_connection.pop(connection, None)
-
-    def is_known(
-        self,
-        executor_id: str,
-        connection: _http_calls.Connection,
-        restarts: int,
-    ) -> bool:
-        """Returns whether the incarnation after some restarts answered on it.
-
-        A connection that is asked for is dropped later than others.
-        """
-        known = self._incarnation_by_connection.get(connection)
-        if known != (executor_id, restarts):
-            return False
-        self._incarnation_by_connection.move_to_end(connection)
-        return True
-
-
-class IncarnationGuard(_http_calls.ConnectionGuard):
-    """Admits connections to one incarnation of an executor, or opens one.
-
-    Args:
-        connections: Connections to known incarnations.
-        executor: Id of the executor.
-        restarts: Number of restarts of the executor after which the incarnation
-            began; None to admit any, and to open a connection if need be.
-        on_admitted: Called when a connection is admitted.
-
-    Attributes:
-        executor: Id of the executor.
-        connection: The connection that was admitted last; None before.
-    """
-
-    def __init__(
-        self,
-        connections: _CheckedConnections,
-        executor: str,
-        restarts: int | None = None,
-        on_admitted: Callable[[], None] = lambda: None,
-    ) -> None:
-        self.executor = executor
-        self.connection: _http_calls.Connection | None = None
-        self.may_open = restarts is None
-        self._connections = connections
-        self._restarts = restarts
-        self._on_admitted = on_admitted
-
-    def admits(self, connection: _http_calls.Connection) -> bool:
-        """Returns whether the call may be sent on a connection.
-
-        One that may be new is not known until an answer has come on it.
-        """
-        if self._restarts is None:
-            self._connections.forget(connection)
-        elif not self._connections.is_known(
-            self.executor, connection, self._restarts
-        ):
-            return False
-        self.connection = connection
-        self._on_admitted()
-        return True
-
-
 def _unsent(reason: str) -> _http_call.HttpReply:
     """Returns the reply to a call that no known connection suits any more."""
     return _http_call.HttpReply(
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -14,6 +14,7 @@
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
 from basiljunction.transport.jobs import _checked_calls
+from basiljunction.transport.jobs import _checked_connections
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _renewal_patience
 from basiljunction.transport.jobs import _unsent_bodies
@@ -362,7 +363,7 @@
         self,
         order: _orders.RenewalOrder,
         reply: _http_call.HttpReply,
-        guard: _checked_calls.IncarnationGuard,
+        guard: _checked_connections.IncarnationGuard,
     ) -> None:
         """Passes an executor's report, or the failure, to the scheduler."""
         now = self._clock()
--- a/tests/coordination/scheduling/test_mixed_incarnations.py
+++ b/tests/coordination/scheduling/test_mixed_incarnations.py
@@ -1,5 +1,7 @@
 """Tests that what belongs to one incarnation is not applied to another."""
 
+import pytest
+
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.state.workload import _executor
@@ -44,8 +46,12 @@
     The ends of the next incarnation are numbered from 1 again.
     """
 
-    def test_a_task_that_is_done_there_does_not_start_again(self) -> None:
+    @pytest.mark.parametrize("checks", [True, False])
+    def test_a_task_that_is_done_there_does_not_start_again(
+        self, *, checks: bool
+    ) -> None:
         rig = cell_rig.CellRig()
+        rig.checks_incarnations = checks
         executor = rig.executor_by_id["e1"]
         rig.run(10)
         rig.run_time_s = 0.2
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -352,6 +352,36 @@
         assert [executor for _, executor, _ in rig.starts] == ["e1", "e2"]
 
 
+class TestCheckOfAYoungIncarnation:
+    """A clock that shows more than before may be of another incarnation."""
+
+    def _check(self, *, born_ms: int, clock_ms: int) -> tuple[bool, int]:
+        """Returns whether an executor is known, and its known restarts."""
+        scheduler = _start_scheduler()
+        executor = scheduler.cell.executor_by_id["e1"]
+        is_known = scheduler.handle_incarnation_check(
+            "e1",
+            executor.clock,
+            _executor.LeaseRenewalReply(
+                clock_ms=clock_ms,
+                started_wall_ms=born_ms,
+                active_runs=(),
+                unacknowledged_ends=(),
+            ),
+            build.clock_readings_at(0.9),
+        )
+        return is_known, executor.clock.restarts
+
+    def test_the_one_that_listed_its_runs_is_known(self) -> None:
+        assert self._check(born_ms=1, clock_ms=900) == (True, 0)
+
+    def test_one_with_another_start_time_is_not(self) -> None:
+        assert self._check(born_ms=2, clock_ms=500) == (False, 1)
+
+    def test_one_whose_clock_went_back_is_not(self) -> None:
+        assert self._check(born_ms=1, clock_ms=50) == (False, 1)
+
+
 class TestLeaseBeyondTheWaitOfTheNextScheduler:
     """A scheduler that has lost its store grants no lease that ends too late.
 
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -452,6 +452,12 @@
         monkeypatch.setattr(
             _renewals.LeaseRenewals, "_send_renewal", lambda *_: None
         )
+        # A start then finds a connection that is open and free.
+        states = rig.scheduler.cell.executor_by_id.values()
+        rig.run_until(
+            lambda: all(each.renewal_sent_s is None for each in states),
+            limit_s=2.0,
+        )
         for each in cut_platform.executors:
             each.born_s += 60.0
         rig.submit(
@@ -459,9 +465,8 @@
                 build.step_spec(runs_until_cancelled=True), payload="lasts"
             )
         )
-        executors = rig.scheduler.cell.executor_by_id.values()
         rig.run_until(
-            lambda: any(each.clock.restarts for each in executors), limit_s=2.0
+            lambda: any(each.clock.restarts for each in states), limit_s=2.0
         )
         (run,) = rig.list_runs()
         executor = rig.scheduler.cell.executor_by_id[run.executor]
