--- a/src/basiljunction/coordination/scheduling/_evacuation.py
+++ b/src/basiljunction/coordination/scheduling/_evacuation.py
@@ -20,6 +20,10 @@
 """Interval between searches for runs to move, in seconds: a twentieth of the
 least time for which executors drain."""
 
+NOTE_INTERVAL_S = 1.0
+"""Interval between log entries about lasting runs that cannot be moved yet, in
+seconds."""
+
 
 class Evacuation:
     """Stops runs on draining executors so that their tasks start elsewhere.
@@ -36,6 +40,7 @@
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
         self._next_search_s = float("-inf")
+        self._next_note_s = float("-inf")
 
     def tick(self, now: _time.Now) -> None:
         """Stops the runs that are to be moved now.
@@ -91,20 +96,58 @@
 
         Tasks that wait or whose run is being stopped come first.
         """
-        candidates = [
+        lasting = [
             (executor, run)
             for executor in draining
             for run in executor.run_by_key.values()
-            if run.step.runs_until_cancelled and self._is_movable(run)
+            if run.step.runs_until_cancelled
+            and run.phase is not _runs.RunPhase.STOPPING
         ]
-        if not candidates:
+        candidates = [each for each in lasting if self._is_movable(each[1])]
+        moved = 0
+        if candidates:
+            room = _Room(self._cell, now.boot_s)
+            for step, task in self._lasting_tasks_without_run():
+                room.take(step, task)
+            for executor, run in candidates:
+                if room.take(run.step, run.task):
+                    self._stop_run(executor, run, now)
+                    moved += 1
+        if moved < len(lasting):
+            self._note_staying_runs(
+                draining,
+                now,
+                no_room=len(candidates) - moved,
+                not_movable=len(lasting) - len(candidates),
+            )
+
+    def _note_staying_runs(
+        self,
+        draining: list[_executors.ExecutorState],
+        now: _time.Now,
+        *,
+        no_room: int,
+        not_movable: int,
+    ) -> None:
+        """Logs at intervals how many lasting runs stay for now, and why.
+
+        Args:
+            draining: The executors that drain.
+            now: The time.
+            no_room: Runs without room elsewhere.
+            not_movable: Runs that are not at work, are gang members, or whose
+                task may have a run that is not listed.
+        """
+        if now.boot_s < self._next_note_s:
             return
-        room = _Room(self._cell, now.boot_s)
-        for step, task in self._lasting_tasks_without_run():
-            room.take(step, task)
-        for executor, run in candidates:
-            if room.take(run.step, run.task):
-                self._stop_run(executor, run, now)
+        self._next_note_s = now.boot_s + NOTE_INTERVAL_S
+        self._cell.note(
+            "executor.evacuation-waits",
+            executors=len(draining),
+            first=draining[0].listing.id,
+            no_room=no_room,
+            not_movable=not_movable,
+        )
 
     def _is_movable(self, run: _runs.Run) -> bool:
         """Returns whether a run is at work and its task could start again."""
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -338,6 +338,21 @@
             jobs=len(cell.job_by_id),
             executors=len(cell.executor_by_id),
             took_s=round(now.boot_s - self._started_boot_s, 3),
+            earlier_term_ended_s_ago=round(
+                now.boot_s - self._earlier_terms_ended_s, 3
+            ),
+            is_run_length_told=self._longest_inherited_run_s is not None,
+            longest_wait_s=round(
+                max(
+                    (
+                        each.inherited_until_s - now.boot_s
+                        for each in cell.executor_by_id.values()
+                        if each.inherited_until_s is not None
+                    ),
+                    default=0.0,
+                ),
+                3,
+            ),
         )
 
     def _update_executors(
--- a/tests/coordination/scheduling/test_evacuation.py
+++ b/tests/coordination/scheduling/test_evacuation.py
@@ -228,6 +228,20 @@
         rig.run(4.9)
         assert rig.count_lasting_runs() == 8
 
+    def test_runs_that_stay_are_noted_each_second(self) -> None:
+        rig = _make_rig(2)
+        _submit_lasting(rig, 8)
+        notes = _collect_notes(rig, "executor.evacuation-waits")
+        rig.drain_executor("e0", 5.0)
+        rig.run(1.9)
+        assert len(notes) == 2
+        assert notes[0].value_by_field == {
+            "executors": 1,
+            "first": "e0",
+            "no_room": 4,
+            "not_movable": 0,
+        }
+
     def test_as_many_are_moved_as_fit(self) -> None:
         """What is being moved already takes room as well."""
         rig = _make_rig(2)
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -228,6 +228,7 @@
         self,
         platform: platform_standin.Platform,
         instances: list[instance_rig.Instance],
+        logs: list[Any],
     ) -> None:
         lost = instance_rig.Instance(platform, "front-1")
         instance_rig.submit_until_accepted(lost, _JOB_PATH)
@@ -240,6 +241,10 @@
         times = _limits.LeaseTimes()
         earlier_runs_until_s = lost_s + times.max_run_after_term_s
         assert term.longest_run_s > times.lease_s * 1.02
+        recovered = _events(logs, "term.recovered")[-1]
+        assert not recovered["is_run_length_told"]
+        assert recovered["earlier_term_ended_s_ago"] > 0
+        assert recovered["longest_wait_s"] > times.lease_s * 1.02
         # The last renewal may have been written up to an interval before.
         assert (
             time.monotonic() + term.longest_run_s
