Show that tasks wait too long for an executor that is lost beside its scheduler

An executor is lost up to 1.5 s before, or up to 0.6 s after, its scheduler ends without a resignation; its lasting tasks have no run for 10.5 s and more, 9 s are allowed. No change of logic.

--- a/tests/coordination/scheduling/test_silent_executors.py
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -20,6 +20,13 @@
 """Time after the end of a lasting task's run by which it has to run again if
 there is capacity, in seconds: 6 s, and 3 s without a run after that."""
 
+_RECOVERY_S = 0.6
+"""Time from the end of a scheduler to the first step of the next, in
+seconds."""
+
+_SHORT_TERM_S = 0.4
+"""Time for which a scheduler that is lost soon is at work, in seconds."""
+
 _NOTICE_S = 2.0
 """Time in which a silence is noticed and stored, in seconds."""
 
@@ -99,6 +106,35 @@
         assert rig.count_lasting_runs() == 6
 
 
+class TestLossBesideTheEndOfAScheduler:
+    """Each task has a run again in time, whenever its executor is lost."""
+
+    @pytest.mark.parametrize("further_terms", [0, 1, 2])
+    @pytest.mark.parametrize("loss_s", [-1.5, -1.0, -0.5, 0.0, 0.3, 0.6])
+    def test_lasting_tasks_run_again_in_time(
+        self, loss_s: float, further_terms: int
+    ) -> None:
+        """The loss is so long after the end of the scheduler, or before it."""
+        rig = _make_rig_with_lasting_tasks()
+        rig.holds_renewals = True
+        rig.run(3.3)
+        lost_s = rig.now_s
+        if loss_s < 0:
+            _lose_executor(rig)
+            rig.run(-loss_s)
+        else:
+            lost_s += loss_s
+            rig.executor_by_id["e0"].exits_s = lost_s
+        rig.take_over(_RECOVERY_S)
+        for _ in range(further_terms):
+            rig.run(_SHORT_TERM_S)
+            rig.take_over(_RECOVERY_S)
+        assert not rig.executor_by_id["e0"].is_up
+        while rig.count_lasting_runs() < 6:
+            assert rig.now_s - lost_s < _MAX_GAP_S
+            rig.step()
+
+
 class TestLeases:
     """The lease of an executor whose bound may be stored stays as it is."""
 
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -28,6 +28,9 @@
 """Time after the end of a lasting task's run by which it has to run again if
 there is capacity, in seconds: 6 s, and 3 s without a run after that."""
 
+_SETTLED_S = 6.0
+"""Age of instances that know the terms of the last seconds, in seconds."""
+
 
 @pytest.fixture
 def platform() -> Iterator[platform_standin.Platform]:
@@ -289,6 +292,38 @@
         assert time.monotonic() - lost_s < _MAX_LASTING_GAP_S
 
 
+class TestLossBesideTheEndOfAScheduler:
+    """An executor that is lost beside its scheduler holds no task up."""
+
+    @pytest.mark.parametrize("lost_before_s", [0.0, 0.5, 1.2])
+    def test_a_lasting_task_runs_again_in_time(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        lost_before_s: float,
+    ) -> None:
+        """The scheduler ends without resigning, so long after the loss."""
+        platform.add_executor()
+        instances += [
+            instance_rig.Instance(platform, f"front-{number}")
+            for number in range(3)
+        ]
+        instance_rig.submit_until_accepted(
+            instances[0], _JOB_PATH, instance_rig.LASTING_JOB
+        )
+        instance_rig.wait_until(lambda: platform.starts)
+        time.sleep(_SETTLED_S)
+        lost = next(each for each in platform.executors if each.running)
+        lost.httpd.shutdown()
+        lost_s = time.monotonic()
+        time.sleep(lost_before_s)
+        leader = next(each for each in instances if each.task.is_scheduling())
+        instances.remove(leader)
+        leader.close()
+        instance_rig.wait_until(lambda: len(platform.starts) > 1)
+        assert time.monotonic() - lost_s < _MAX_LASTING_GAP_S
+
+
 class TestReports:
     """A term that answers no calls says what it waits for."""
 
