Grant leases without the store only while no instance could take over

Cause: an executor that is lost beside its scheduler has no stored bound, so the next scheduler waits for the longest lease that there can be: the last confirmation of the store, 5 s for which leases were granted without one, and a lease of 5 s on a slow clock. Those first 5 s are meant for an outage of the store, in which nobody takes over; they were spent, and waited for, also without one.

Now a scheduler grants leases for 1.5 s after the last confirmation, and up to 5 s only while each other registered instance has reported within 2 s that it lacks the store. An instance remembers when it reported last. If it schedules next, it knows from that alone by when the last lease was granted: no message has to have arrived, and no clocks are compared. One that registered less than 5 s before may not have been asked and counts with the longer time, as it does after a scheduler of an earlier build, whose records don't say for how long it grants leases. Instances that don't answer for 10 s are taken off the list; one that still lives registers again.

Tests that stated the longer wait in general state it now for what it is needed for: after an outage, an earlier build, a new instance.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -7,6 +7,8 @@
 
 _SCHEDULING = "src/basiljunction/coordination/scheduling"
 _TESTS = "tests/coordination/scheduling"
+_LEADERSHIP = "src/basiljunction/coordination/leadership"
+_LEADERSHIP_TESTS = "tests/coordination/leadership"
 _TRANSPORT = "src/basiljunction/transport/jobs"
 _TRANSPORT_TESTS = "tests/transport/jobs"
 
@@ -226,7 +228,7 @@
         f"{_SCHEDULING}/_scheduler.py",
         "longest_inherited_run_s = cell.times.max_run_after_term_s",
         "longest_inherited_run_s = 5.0",
-        f"{_TESTS}/test_lasting.py",
+        f"{_TESTS}/test_silent_executors.py",
     ),
     _mutation(
         "wait-for-a-lost-executor-begins-anew",
@@ -312,10 +314,42 @@
         "leases-without-confirmed-term",
         "one scheduler",
         f"{_SCHEDULING}/_scheduler.py",
-        "now.boot_s - confirmed_s < cell.times.max_unconfirmed_s",
-        "confirmed_s < now.boot_s + 1",
+        "now.boot_s < _lease_grants.grants_end_s(",
+        "confirmed_s < _lease_grants.grants_end_s(",
         f"{_TESTS}/test_scheduler.py",
     ),
+    _mutation(
+        "leases-granted-long-without-reports",
+        "lasting tasks run",
+        f"{_LEADERSHIP}/_lease_grants.py",
+        "        confirmed_s + UNREPORTED_GRANT_S,\n",
+        "        confirmed_s + MAX_GRANT_S,\n",
+        f"{_LEADERSHIP_TESTS}/test_lease_grants.py",
+    ),
+    _mutation(
+        "own-outage-reports-forgotten",
+        "one run",
+        f"{_LEADERSHIP}/_lease_grants.py",
+        "                self._last_report_s + REPORT_VALIDITY_S,\n",
+        "",
+        f"{_LEADERSHIP_TESTS}/test_lease_grants.py",
+    ),
+    _mutation(
+        "schedulers-that-asked-nobody-forgotten",
+        "one run",
+        f"{_LEADERSHIP}/_lease_grants.py",
+        "                self.registered_s + MAX_GRANT_S,\n",
+        "",
+        f"{_LEADERSHIP_TESTS}/test_lease_grants.py",
+    ),
+    _mutation(
+        "report-to-a-scheduler-that-was-replaced",
+        "one run",
+        f"{_TRANSPORT}/_cell_task.py",
+        "            term.epoch > epoch or self._terms.election.is_leader\n",
+        "            False\n",
+        f"{_TRANSPORT_TESTS}/test_cell_task.py",
+    ),
     _mutation(
         "term-open-at-once",
         "one scheduler",
--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -19,6 +19,7 @@
 import enum
 import random
 
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _ranking
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.state.workload import _leadership
@@ -355,6 +356,7 @@
                 given_up_terms=(
                     0 if self.term is None else self.term.given_up_terms
                 ),
+                unreported_grant_s=_lease_grants.UNREPORTED_GRANT_S,
             ),
             now_s,
         )
--- /dev/null
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -0,0 +1,132 @@
+"""Until when a scheduler grants leases, and what the next one knows of it.
+
+A later scheduler waits for runs that it cannot see until the last lease that
+an earlier one granted has expired. So a scheduler grants leases only for a
+short time after the store last confirmed its term. While the store is away,
+nobody can begin another term, and running work should go on: a scheduler then
+grants leases as long as every registered instance reports that it cannot reach
+the store either. An instance that schedules later knows from its own reports
+by when the last lease had been granted.
+"""
+
+from collections.abc import Iterable
+
+from basiljunction.state.workload import _leadership
+
+UNREPORTED_GRANT_S = 1.5
+"""Time after the store last confirmed a term for which leases are granted
+without reports, in seconds; others may claim the next term soon after it."""
+
+MAX_GRANT_S = 5.0
+"""Longest time after the store last confirmed a term for which leases are
+granted, in seconds."""
+
+REPORT_VALIDITY_S = 2.0
+"""Time for which a report of an outage holds, in seconds.
+
+An instance that restarts, or some questions that get no answer, fit into it.
+"""
+
+
+def grants_end_s(confirmed_s: float, reported_until_s: float) -> float:
+    """Returns the time until which a scheduler may grant leases, in seconds.
+
+    Args:
+        confirmed_s: Sending time of the newest record of its term that the
+            store confirmed.
+        reported_until_s: Time until which the outage reports of all other
+            registered instances hold.
+    """
+    return max(
+        confirmed_s + UNREPORTED_GRANT_S,
+        min(confirmed_s + MAX_GRANT_S, reported_until_s),
+    )
+
+
+class OutageReports:
+    """The reports of other instances that they cannot reach the store.
+
+    An instance that schedules keeps them.
+    """
+
+    def __init__(self) -> None:
+        self._asked_s_by_member: dict[str, float] = {}
+
+    def record(self, member: str, asked_s: float) -> None:
+        """Records that an instance reported an outage.
+
+        Args:
+            member: Name of the instance.
+            asked_s: When it was asked, in seconds; it answered later.
+        """
+        earlier_s = self._asked_s_by_member.get(member, float("-inf"))
+        self._asked_s_by_member[member] = max(earlier_s, asked_s)
+
+    def valid_until_s(self, members: Iterable[str]) -> float:
+        """Returns the time until which the reports of all members hold.
+
+        Args:
+            members: Names of all other registered instances.
+
+        Returns:
+            The time in seconds; -inf if one has never reported, infinite if
+            there is no other instance.
+        """
+        return min(
+            (
+                self._asked_s_by_member.get(each, float("-inf"))
+                + REPORT_VALIDITY_S
+                for each in members
+            ),
+            default=float("inf"),
+        )
+
+    def find_missing(self, members: Iterable[str], now_s: float) -> list[str]:
+        """Returns the members whose reports do not hold now."""
+        return [each for each in members if self.valid_until_s([each]) <= now_s]
+
+
+class GrantHistory:
+    """What an instance knows of the leases that other schedulers granted.
+
+    Args:
+        started_s: When this process started, in seconds; it has reported
+            nothing, and the one before nothing later.
+
+    Attributes:
+        registered_s: When this instance read its own registration; None if the
+            store has none. Schedulers whose term was confirmed later ask it
+            for reports.
+    """
+
+    def __init__(self, started_s: float) -> None:
+        self.registered_s: float | None = None
+        self._last_report_s = started_s
+
+    def record_report(self, now_s: float) -> None:
+        """Records that this instance reports an outage to a scheduler now."""
+        self._last_report_s = now_s
+
+    def last_grant_by_s(
+        self, newest: _leadership.Term, written_s: float
+    ) -> float:
+        """Returns by when earlier schedulers had granted their last lease.
+
+        It holds if this instance has begun the term after that record.
+
+        Args:
+            newest: Newest record of the term before.
+            written_s: When that record had been written, in seconds.
+        """
+        latest_s = written_s + MAX_GRANT_S
+        if self.registered_s is None:
+            return latest_s
+        return min(
+            latest_s,
+            max(
+                written_s + newest.unreported_grant_s,
+                self._last_report_s + REPORT_VALIDITY_S,
+                # Earlier terms may not have known this instance.
+                self.registered_s + MAX_GRANT_S,
+            ),
+        )
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from basiljunction.coordination.leadership import _lease_grants
+
 MAX_CLOCK_SLOWNESS = 1.02
 """Factor by which an executor's clock may run slow; the executors' contract
 states it."""
@@ -110,9 +112,6 @@
         lease_s: Length of a lease; at most `longest_lease_s`.
         longest_lease_s: Longest lease that executors grant; they shorten longer
             ones.
-        max_unconfirmed_s: Time after the store last confirmed this scheduler's
-            term for which leases are still renewed. It bounds how long the next
-            scheduler has to wait.
         finished_job_retention_s: Time for which the state of a finished job is
             kept.
         stop_timeout_s: Longest time that an executor needs to stop a run.
@@ -120,11 +119,16 @@
 
     lease_s: float = 5.0
     longest_lease_s: float = 10.0
-    max_unconfirmed_s: float = 5.0
     finished_job_retention_s: float = 120.0
     stop_timeout_s: float = 0.9
 
+    @property
+    def max_run_after_grant_s(self) -> float:
+        """Longest time for which a run may go on after its last lease."""
+        return self.lease_s * MAX_CLOCK_SLOWNESS
+
     @property
     def max_run_after_term_s(self) -> float:
         """Longest time for which a run may outlive its scheduler's term."""
-        return (self.max_unconfirmed_s + self.lease_s) * MAX_CLOCK_SLOWNESS
+        longest_s = _lease_grants.MAX_GRANT_S + self.lease_s
+        return longest_s * MAX_CLOCK_SLOWNESS
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 import itertools
 
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _crashes
@@ -590,7 +591,12 @@
     # Time and output.
 
     def run_timed_work(
-        self, now: _time.Now, *, confirmed_s: float, confirmed_beat: int
+        self,
+        now: _time.Now,
+        *,
+        confirmed_s: float,
+        confirmed_beat: int,
+        outage_reported_until_s: float = float("-inf"),
     ) -> None:
         """Runs the timed work: renewals, stops, moves, clean-up and placement.
 
@@ -599,12 +605,14 @@
             confirmed_s: Sending time of the newest record of this scheduler's
                 term that the store confirmed, on the steady clock.
             confirmed_beat: Number of the renewal that wrote it.
+            outage_reported_until_s: Time until which the reports of all other
+                instances hold that they cannot reach the store.
         """
         cell = self.cell
         cell.confirmed_s = confirmed_s
         cell.confirmed_beat = confirmed_beat
-        cell.is_term_confirmed = (
-            now.boot_s - confirmed_s < cell.times.max_unconfirmed_s
+        cell.is_term_confirmed = now.boot_s < _lease_grants.grants_end_s(
+            confirmed_s, outage_reported_until_s
         )
         cell.measure_tick_gap(now.boot_s)
         self._renewals.tick(now)
--- a/src/basiljunction/protocol/_peer_calls.py
+++ b/src/basiljunction/protocol/_peer_calls.py
@@ -28,6 +28,7 @@
         jobId=call.job_id,
         job=call.encoded_job,
         configurationVersion=call.configuration_version,
+        epoch=call.epoch,
     )
     encoded: bytes = message.to_bytes_packed()
     return encoded
@@ -47,6 +48,7 @@
             job_id=message.jobId,
             encoded_job=bytes(message.job),
             configuration_version=message.configurationVersion,
+            epoch=message.epoch,
         )
     except (capnp.KjException, ValueError) as error:
         raise _errors.DecodeError("peer call", str(error)) from error
@@ -70,6 +72,7 @@
         leaderAddress=leader_address,
         leaderEpoch=leader_epoch,
         termStage=reply.term_stage,
+        lacksStore=reply.lacks_store,
     )
     encoded: bytes = message.to_bytes_packed()
     return encoded
@@ -91,6 +94,7 @@
             leader_address=message.leaderAddress,
             leader_epoch=message.leaderEpoch,
             term_stage=message.termStage,
+            lacks_store=message.lacksStore,
         )
     except (capnp.KjException, ValueError) as error:
         raise _errors.DecodeError("peer reply", str(error)) from error
--- a/src/basiljunction/protocol/peer_calls.capnp
+++ b/src/basiljunction/protocol/peer_calls.capnp
@@ -11,6 +11,7 @@
   jobId @2 :Text;
   job @3 :Data;
   configurationVersion @4 :Int64;
+  epoch @5 :Int64;
 }
 
 struct PeerReply {
@@ -20,4 +21,5 @@
   leaderAddress @3 :Text;
   leaderEpoch @4 :Int64;
   termStage @5 :Text;
+  lacksStore @6 :Bool;
 }
--- a/src/basiljunction/state/workload/_client_calls.py
+++ b/src/basiljunction/state/workload/_client_calls.py
@@ -7,10 +7,11 @@
 
 
 class CallKind(enum.Enum):
-    """Operation that a client requests.
+    """Operation that a client or another instance requests.
 
     SUBMIT and CANCEL act on a job, STATE returns a job's state, WAITING the
-    number of a queue's waiting jobs and LEADER the scheduler's address.
+    number of a queue's waiting jobs, LEADER the scheduler's address and OUTAGE
+    whether the instance lacks the store.
     """
 
     SUBMIT = "submit"
@@ -18,6 +19,12 @@
     CANCEL = "cancel"
     WAITING = "waiting"
     LEADER = "leader"
+    OUTAGE = "outage"
+
+    @property
+    def is_of_instance(self) -> bool:
+        """Whether the call is about the instance that receives it."""
+        return self in (CallKind.LEADER, CallKind.OUTAGE)
 
     @property
     def changes_state(self) -> bool:
@@ -79,6 +86,7 @@
         encoded_job: The encoded job of a submission.
         configuration_version: Version of the configuration that routed the
             call.
+        epoch: Epoch of the term of the scheduler that asks for an outage.
     """
 
     kind: CallKind
@@ -86,6 +94,7 @@
     job_id: str = ""
     encoded_job: bytes = b""
     configuration_version: int = 0
+    epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,6 +111,8 @@
         leader_epoch: Epoch of that scheduler's term.
         term_stage: Stage of the term that the answering instance holds without
             answering calls; empty if it holds none.
+        lacks_store: Whether the instance reports that it cannot reach the
+            store, so that the scheduler that asked may grant leases.
     """
 
     outcome: CallOutcome
@@ -110,3 +121,4 @@
     leader_address: str = ""
     leader_epoch: int = 0
     term_stage: str = ""
+    lacks_store: bool = False
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -22,6 +22,9 @@
         longest_run_s: Longest time for which any run may go on after this
             record was written, in seconds; 0 if that is not known. Known if
             the scheduler had stopped before it resigned.
+        unreported_grant_s: Time after this record for which its scheduler
+            grants leases without outage reports, in seconds. The default is
+            that of builds which ask for no reports.
     """
 
     epoch: int
@@ -32,6 +35,7 @@
     is_resigned: bool = False
     given_up_terms: int = 0
     longest_run_s: float = 0.0
+    unreported_grant_s: float = 5.0
 
     def is_held_by(self, instance: str, incarnation: int) -> bool:
         """Returns whether this run of the instance's process holds the term."""
--- a/src/basiljunction/transport/jobs/_apps.py
+++ b/src/basiljunction/transport/jobs/_apps.py
@@ -50,7 +50,11 @@
 _Reply = _client_calls.ClientReply
 
 _UNLIMITED_KINDS = frozenset(
-    {_client_calls.CallKind.CANCEL, _client_calls.CallKind.LEADER}
+    {
+        _client_calls.CallKind.CANCEL,
+        _client_calls.CallKind.LEADER,
+        _client_calls.CallKind.OUTAGE,
+    }
 )
 """Kinds of call that may occupy every thread of a server."""
 
@@ -63,8 +67,8 @@
 class CallSlots:
     """Limits how many threads of a server calls may occupy while they wait.
 
-    Cancels and questions for the leader may use every thread: submissions that
-    wait for the store or for a scheduler must not delay them.
+    Cancels and questions of other instances may use every thread: submissions
+    that wait for the store or for a scheduler must not delay them.
 
     Args:
         count: Most other calls that wait at the same time.
--- a/src/basiljunction/transport/jobs/_call_router.py
+++ b/src/basiljunction/transport/jobs/_call_router.py
@@ -148,6 +148,15 @@
         """Returns the stage of the held term; empty if none is held."""
         return ""
 
+    def report_outage(self, epoch: int) -> bool:
+        """Returns whether this instance reports that it lacks the store.
+
+        Args:
+            epoch: Epoch of the term of the scheduler that asks.
+        """
+        del epoch
+        return False
+
     @abc.abstractmethod
     def report_unreachable_leader(self, epoch: int) -> None:
         """Reports that no connection to a scheduler could be made.
@@ -269,7 +278,7 @@
         wait_s_by_kind = {
             kind.value: 0.0
             for kind in _client_calls.CallKind
-            if kind is not _client_calls.CallKind.LEADER
+            if not kind.is_of_instance
         }
         for pending in self._pending:
             kind = pending.call.kind.value
@@ -321,6 +330,14 @@
         if pending.call.kind is _client_calls.CallKind.LEADER:
             pending.set_reply(self._leader_reply())
             return
+        if pending.call.kind is _client_calls.CallKind.OUTAGE:
+            lacks_store = self._local.report_outage(pending.call.epoch)
+            pending.set_reply(
+                _client_calls.ClientReply(
+                    _Outcome.FOUND, lacks_store=lacks_store
+                )
+            )
+            return
         if self._local.is_scheduling():
             pending.next_try_boot_s = None
             pending.waits_for = "store"
@@ -374,7 +391,7 @@
             return
         question = _client_calls.ClientCall(_client_calls.CallKind.WAITING, "")
         self._calls.send(
-            _build_peer_call(
+            build_peer_call(
                 probe.leader[0],
                 question,
                 FIRST_TIMEOUT_S,
@@ -457,7 +474,7 @@
 
         call = _client_calls.ClientCall(_client_calls.CallKind.LEADER, "")
         self._calls.send(
-            _build_peer_call(peer, call, PEER_TIMEOUT_S), handle_reply
+            build_peer_call(peer, call, PEER_TIMEOUT_S), handle_reply
         )
 
     def _must_hold_back(self, pending: PendingCall, address: str) -> bool:
@@ -487,7 +504,7 @@
                 self._job_bytes_in_flight / _call_pace.SLOW_LINK_BYTES_PER_S
             )
         timeout_s = min(longest_s, max(MIN_PEER_TIMEOUT_S, left_s))
-        call = _build_peer_call(
+        call = build_peer_call(
             address,
             pending.call,
             timeout_s,
@@ -555,7 +572,7 @@
         pending.set_reply(answer)
 
 
-def _build_peer_call(
+def build_peer_call(
     address: str,
     call: _client_calls.ClientCall,
     timeout_s: float,
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -14,7 +14,9 @@
 import structlog
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _term_progress
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.protocol import _instance_settings
 from basiljunction.state import _time
 from basiljunction.state.workload import _client_calls
@@ -27,6 +29,7 @@
 from basiljunction.transport.jobs import _feeds
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _leader_session
+from basiljunction.transport.jobs import _member_watch
 from basiljunction.transport.jobs import _term_keeper
 from basiljunction.transport.jobs import _term_report
 
@@ -124,6 +127,10 @@
             metrics, max_connections=max_connections
         )
         incarnation = int(clock.now().wall_s * 1000)
+        self._grants = _lease_grants.GrantHistory(clock.now().boot_s)
+        self._members = _member_watch.MemberWatch(
+            calls=self._calls, clock=clock.now
+        )
         self._terms = _term_keeper.TermFeed(
             calls=self._calls,
             address=settings.store.address,
@@ -135,6 +142,7 @@
                 rng=rng,
                 provision=settings.provision,
             ),
+            grants=self._grants,
             member=settings.name,
             member_address=settings.peer_listen,
             provision=settings.provision,
@@ -265,18 +273,45 @@
         self._send_due_term_write(now)
         self._apply_newest_term()
         self._ask_peer_for_leader(now)
+        outage_reported_until_s = self._watch_members(now)
         if self._session is not None:
             election = self._terms.election
             self._session.run_timed_work(
                 now,
                 confirmed_s=election.last_confirmed_s,
                 confirmed_beat=election.last_confirmed_beat,
+                outage_reported_until_s=outage_reported_until_s,
             )
             if self._session.is_superseded:
                 self._end_session("fenced")
         self._watch_term(now)
         self._router.process_pending_calls(now)
 
+    def _watch_members(self, now: _time.Now) -> float:
+        """Asks the other instances while this one holds the term.
+
+        Returns:
+            Time until which all of them report that they lack the store.
+        """
+        election = self._terms.election
+        if not election.is_leader or election.term is None:
+            return float("-inf")
+        others = self._terms.other_members()
+        self._members.tick(
+            now,
+            epoch=election.term.epoch,
+            confirmed_s=election.last_confirmed_s,
+            address_by_member=others,
+        )
+        self._members.log_grants(
+            now,
+            confirmed_s=election.last_confirmed_s,
+            address_by_member=others,
+        )
+        if election.is_confirmed(now.boot_s):
+            self._terms.remove_members(self._members.find_gone(now))
+        return self._members.reported_until_s(others)
+
     def _send_due_term_write(self, now: _time.Now) -> None:
         """Sends the term write that is due.
 
@@ -381,6 +416,24 @@
         progress = self._term_progress()
         return "" if progress is None else progress.stage.value
 
+    def report_outage(self, epoch: int) -> bool:
+        """Returns whether this instance reports that it lacks the store.
+
+        The scheduler that asks may then grant leases for some time, which this
+        instance takes into account if it schedules later. So it reports nothing
+        to the scheduler of a term that it knows to have ended.
+        """
+        term = self._terms.election.term
+        if term is not None and (
+            term.epoch > epoch or self._terms.election.is_leader
+        ):
+            return False
+        now = self._clock.now()
+        if not self._terms.lacks_store(now):
+            return False
+        self._grants.record_report(now.boot_s)
+        return True
+
     def report_unreachable_leader(self, epoch: int) -> None:
         """Notifies the election that the scheduler of a term is unreachable."""
         self._terms.election.expire_unreachable_leader(
@@ -494,9 +547,14 @@
         In seconds; None if that is not known.
         """
         predecessor = self._predecessor(epoch)
-        if predecessor is None or not predecessor.is_resigned:
+        ended_s = self._earlier_terms_ended_s(epoch)
+        if predecessor is None or ended_s is None:
             return None
-        return predecessor.longest_run_s or None
+        if predecessor.is_resigned and predecessor.longest_run_s:
+            return predecessor.longest_run_s
+        last_grant_s = self._grants.last_grant_by_s(predecessor, ended_s)
+        times = _limits.LeaseTimes()
+        return last_grant_s - ended_s + times.max_run_after_grant_s
 
     def _end_session(self, reason: str) -> None:
         """Ends the session of the current term, if any, and logs the reason."""
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -202,7 +202,12 @@
         self._scheduler.set_configuration(configuration)
 
     def run_timed_work(
-        self, now: _time.Now, *, confirmed_s: float, confirmed_beat: int
+        self,
+        now: _time.Now,
+        *,
+        confirmed_s: float,
+        confirmed_beat: int,
+        outage_reported_until_s: float,
     ) -> None:
         """Recovers the term, then runs a scheduling pass and stores results.
 
@@ -211,6 +216,8 @@
             confirmed_s: Boot time at which the newest record of the term that
                 the store confirmed was sent, in seconds.
             confirmed_beat: Number of the renewal that wrote it.
+            outage_reported_until_s: Time until which the reports of all other
+                instances hold that they cannot reach the store.
         """
         if self.is_superseded:
             return
@@ -221,7 +228,10 @@
         if not self._has_executor_list:
             return
         self._scheduler.run_timed_work(
-            now, confirmed_s=confirmed_s, confirmed_beat=confirmed_beat
+            now,
+            confirmed_s=confirmed_s,
+            confirmed_beat=confirmed_beat,
+            outage_reported_until_s=outage_reported_until_s,
         )
         self._sender.send_collected_orders()
         self._metrics.observe_pass_duration(self._clock().boot_s - now.boot_s)
@@ -332,6 +342,9 @@
         )
         self._has_recovered = True
         cell = self._scheduler.cell
+        longest_s = self._longest_inherited_run_s
+        if longest_s is None:
+            longest_s = cell.times.max_run_after_term_s
         _log.info(
             "term.recovered",
             epoch=self.epoch,
@@ -341,7 +354,7 @@
             earlier_term_ended_s_ago=round(
                 now.boot_s - self._earlier_terms_ended_s, 3
             ),
-            is_run_length_told=self._longest_inherited_run_s is not None,
+            longest_inherited_run_s=round(longest_s, 3),
             longest_wait_s=round(
                 max(
                     (
--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -9,6 +9,7 @@
 import structlog
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.platform import _store
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
@@ -24,6 +25,10 @@
 It is below the silence after which another instance may claim the term.
 """
 
+OVERDUE_READ_S = _feeds.READ_WAIT_S + 0.2
+"""Time since the last complete read after which this instance lacks the store,
+in seconds; reads end sooner, even without a new record."""
+
 REGISTRATION_INTERVAL_S = 0.5
 """Time from the answer to a registration until it is repeated unless it was
 read back, in seconds."""
@@ -43,6 +48,7 @@
         address: Address of the store.
         clock: Returns the current time.
         election: Decides which terms to write.
+        grants: Is told since when this instance is registered.
         member: Name of this instance.
         member_address: Address at which other instances reach this one.
         provision: Link and processor of this instance.
@@ -61,6 +67,7 @@
         address: str,
         clock: Callable[[], _time.Now],
         election: _election.Election,
+        grants: _lease_grants.GrantHistory,
         member: str,
         member_address: str,
         provision: _provision.Provision = _provision.UNKNOWN,
@@ -72,6 +79,7 @@
             wait_s=_feeds.READ_WAIT_S,
         )
         self.election = election
+        self._grants = grants
         self.address_by_member: dict[str, str] = {}
         self.provision_by_member: dict[str, _provision.Provision] = {}
         self.is_store_unreachable = False
@@ -132,9 +140,57 @@
                 newest = _job_records.decode_term(record.value)
             except _errors.DecodeError as error:
                 _log.warning("term.malformed", error=str(error))
+        self._update_registration(now_s)
         self.election.update_provisions(self.provision_by_member)
         self.election.apply_read(newest, end_offset, now_s)
 
+    def _update_registration(self, now_s: float) -> None:
+        """Records since when the store has the registration."""
+        registered = self.address_by_member.get(self._member)
+        if registered != self._member_address:
+            self._grants.registered_s = None
+        elif self._grants.registered_s is None:
+            self._grants.registered_s = now_s
+
+    def lacks_store(self, now: _time.Now) -> bool:
+        """Returns whether this instance cannot read the store now."""
+        if self.is_store_unreachable or self._last_read_s is None:
+            return True
+        return now.boot_s - self._last_read_s > OVERDUE_READ_S
+
+    def other_members(self) -> dict[str, str]:
+        """Returns the address of each other registered instance by name."""
+        return {
+            name: address
+            for name, address in self.address_by_member.items()
+            if name != self._member
+        }
+
+    def remove_members(self, names: Iterable[str]) -> None:
+        """Removes instances that are gone from the store.
+
+        One that is not gone finds its registration missing and repeats it.
+        """
+        records = tuple(
+            _job_records.KeyedRecord(prefix + name, b"")
+            for name in names
+            for prefix in (_store.MEMBER_PREFIX, _store.PROVISION_PREFIX)
+        )
+        if not records or self._is_registering:
+            return
+        self._is_registering = True
+        self._calls.send(
+            _store.make_append_call(
+                self.address,
+                _store.TERM_TOPIC,
+                0,
+                records,
+                timeout_s=WRITE_TIMEOUT_S,
+            ),
+            self._handle_registration_reply,
+        )
+        _log.info("members.removed", members=sorted(names))
+
     def handle_read_failure(self) -> None:
         """Marks the store as unreachable and notifies the election."""
         self.is_store_unreachable = True
@@ -151,6 +207,7 @@
         self.address = address
         self.address_by_member.clear()
         self.provision_by_member.clear()
+        self._grants.registered_s = None
         self._next_registration_s = 0.0
         self._last_read_s = None
         self.election.reset_after_store_move(incarnation)
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -13,6 +13,7 @@
 import dataclasses
 import random
 
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _limits
@@ -23,6 +24,7 @@
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 import workload_builders as build
@@ -490,6 +492,8 @@
         confirmed_s: Virtual time at which its term was last confirmed.
         beat: Number of the renewal that confirmed it.
         ends_s: Virtual time at which it stops.
+        reported_until_s: Virtual time until which other instances had reported
+            an outage when the next one took over.
     """
 
     scheduler: _scheduler.Scheduler
@@ -498,6 +502,14 @@
     confirmed_s: float
     beat: int
     ends_s: float
+    reported_until_s: float
+
+
+def _make_grant_history() -> _lease_grants.GrantHistory:
+    """Returns the history of an instance that has been there for long."""
+    grants = _lease_grants.GrantHistory(float("-inf"))
+    grants.registered_s = float("-inf")
+    return grants
 
 
 class CellRig:
@@ -558,11 +570,16 @@
         current_scheduler: The current scheduler while one of these is at work;
             None otherwise.
         history: When the records of the terms were read.
+        grants: What the instances know of granted leases; all have been there
+            for long, and report an outage while the store is not up.
+        reported_until_s: Virtual time until which these reports hold.
         next_drain_report_s: Time at which draining executors report next.
         next_heartbeat_s: Time at which a restarted executor reports; None if
             none has restarted since the last listing.
     """
 
+    reported_until_s = float("-inf")
+
     def __init__(
         self,
         *entries: _executor.ListedExecutor,
@@ -626,6 +643,7 @@
         self.earlier_terms: list[EarlierTerm] = []
         self.current_scheduler: _scheduler.Scheduler | None = None
         self.history = _term_history.TermHistory()
+        self.grants = _make_grant_history()
         self.next_drain_report_s = 0.0
         self.next_heartbeat_s: float | None = None
         self.scheduler = self._start_scheduler()
@@ -645,6 +663,8 @@
         self.epoch += 1
         self.scheduler = build.scheduler(*self.queues, epoch=self.epoch)
         begun_s = self.now_s
+        if longest_inherited_run_s is None:
+            longest_inherited_run_s = self._longest_run_after_term_s()
         self.term_beat = 0
         self.history.record(self.epoch, self.term_beat, self.now_s)
         self._pass_recovery_time(recovery_s)
@@ -665,6 +685,19 @@
         self.list_executors()
         return self.scheduler
 
+    def _longest_run_after_term_s(self) -> float:
+        """Returns how long runs go on, as no scheduler told it, in seconds."""
+        last_record = _leadership.Term(
+            self.epoch,
+            "front-1",
+            1,
+            "",
+            unreported_grant_s=_lease_grants.UNREPORTED_GRANT_S,
+        )
+        last_grant_s = self.grants.last_grant_by_s(last_record, self.now_s)
+        times = _limits.LeaseTimes()
+        return last_grant_s - self.now_s + times.max_run_after_grant_s
+
     def _pass_recovery_time(self, seconds: float) -> None:
         """Lets virtual time pass while no scheduler is at work."""
         for _ in range(round(seconds / STEP_S)):
@@ -713,6 +746,7 @@
                 confirmed_s=self.term_confirmed_s,
                 beat=self.term_beat,
                 ends_s=self.now_s + earlier_goes_on_s,
+                reported_until_s=self.reported_until_s,
             )
         )
         self.held_renewals = []
@@ -732,6 +766,7 @@
                     build.clock_readings_at(self.now_s),
                     confirmed_s=term.confirmed_s,
                     confirmed_beat=term.beat,
+                    outage_reported_until_s=term.reported_until_s,
                 )
                 for order in self._take_orders():
                     if not isinstance(order, _orders.ApprovalOrder):
@@ -856,6 +891,9 @@
             self.term_confirmed_s = self.now_s
             self.term_beat += 1
             self.history.record(self.epoch, self.term_beat, self.now_s)
+        else:
+            self.grants.record_report(self.now_s)
+            self.reported_until_s = self.now_s + _lease_grants.REPORT_VALIDITY_S
         self._run_earlier_terms()
         self._answer_held_renewals()
         now = build.clock_readings_at(self.now_s)
@@ -863,6 +901,7 @@
             now,
             confirmed_s=self.term_confirmed_s,
             confirmed_beat=self.term_beat,
+            outage_reported_until_s=self.reported_until_s,
         )
         self._answer_due_approval_requests()
         for order in self._take_orders():
--- /dev/null
+++ b/tests/coordination/leadership/test_lease_grants.py
@@ -0,0 +1,90 @@
+"""Tests of the time until which a scheduler grants leases."""
+
+import pytest
+
+from basiljunction.coordination.leadership import _lease_grants
+from basiljunction.state.workload import _leadership
+
+_NEVER = float("-inf")
+
+
+def _term(**changes: float) -> _leadership.Term:
+    """Returns the last record of a term whose scheduler asks for reports."""
+    grant_s = changes.get("unreported_grant_s", 1.5)
+    return _leadership.Term(3, "front-1", 1, "", unreported_grant_s=grant_s)
+
+
+def _history(
+    *, started_s: float = 0.0, registered_s: float | None = 1.0
+) -> _lease_grants.GrantHistory:
+    """Returns the history of an instance."""
+    history = _lease_grants.GrantHistory(started_s)
+    history.registered_s = registered_s
+    return history
+
+
+class TestGrantsEnd:
+    """A scheduler goes on in an outage while all others report it."""
+
+    @pytest.mark.parametrize(
+        ("reported_until_s", "end_s"),
+        [(_NEVER, 101.5), (101.0, 101.5), (103.0, 103.0), (120.0, 105.0)],
+    )
+    def test_reports_extend_it_up_to_a_limit(
+        self, reported_until_s: float, end_s: float
+    ) -> None:
+        assert _lease_grants.grants_end_s(100.0, reported_until_s) == end_s
+
+
+class TestOutageReports:
+    """The reports of all members hold as long as the oldest."""
+
+    def test_a_member_that_never_reported_is_missing(self) -> None:
+        reports = _lease_grants.OutageReports()
+        reports.record("a", 10.0)
+        assert reports.valid_until_s(["a", "b"]) == _NEVER
+        assert reports.find_missing(["a", "b"], 11.0) == ["b"]
+
+    def test_they_count_from_the_question(self) -> None:
+        reports = _lease_grants.OutageReports()
+        reports.record("a", 10.0)
+        reports.record("b", 11.0)
+        reports.record("a", 9.0)
+        assert reports.valid_until_s(["a", "b"]) == 12.0
+        assert reports.find_missing(["a", "b"], 12.0) == ["a"]
+
+    def test_a_sole_instance_needs_none(self) -> None:
+        reports = _lease_grants.OutageReports()
+        assert reports.valid_until_s([]) == float("inf")
+
+
+class TestGrantHistory:
+    """An instance knows by when others granted their last lease."""
+
+    def test_without_a_report_it_is_soon_after_the_last_record(self) -> None:
+        history = _history()
+        assert history.last_grant_by_s(_term(), 100.0) == 101.5
+
+    def test_a_report_lets_it_be_later(self) -> None:
+        history = _history()
+        history.record_report(101.0)
+        assert history.last_grant_by_s(_term(), 100.0) == 103.0
+        history.record_report(104.0)
+        assert history.last_grant_by_s(_term(), 100.0) == 105.0
+
+    def test_a_process_before_this_one_may_have_reported(self) -> None:
+        history = _history(started_s=101.0, registered_s=None)
+        assert history.last_grant_by_s(_term(), 100.0) == 105.0
+        history.registered_s = 0.0
+        assert history.last_grant_by_s(_term(), 100.0) == 103.0
+
+    def test_an_instance_that_was_unknown_was_not_asked(self) -> None:
+        history = _history(registered_s=99.0)
+        assert history.last_grant_by_s(_term(), 100.0) == 104.0
+        history.registered_s = 95.0
+        assert history.last_grant_by_s(_term(), 100.0) == 101.5
+
+    def test_a_scheduler_of_an_earlier_build_asks_nobody(self) -> None:
+        term = _term(unreported_grant_s=5.0)
+        assert _history().last_grant_by_s(term, 100.0) == 105.0
+        assert _leadership.Term(3, "a", 1, "").unreported_grant_s == 5.0
--- a/tests/coordination/scheduling/test_inherited_runs.py
+++ b/tests/coordination/scheduling/test_inherited_runs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _summary
@@ -31,7 +32,10 @@
 
     def test_a_wait_is_logged_each_second_until_it_expires(self) -> None:
         rig, notes = _take_over_from_lost_executor()
-        longest_s = _limits.LeaseTimes().max_run_after_term_s
+        longest_s = (
+            _lease_grants.UNREPORTED_GRANT_S
+            + _limits.LeaseTimes().max_run_after_grant_s
+        )
         rig.run(longest_s + 1)
         waits = [each for each in notes if each.event == "recovery.waiting"]
         assert len(waits) == int(longest_s)
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _orders
@@ -237,9 +238,33 @@
         assert rig.count_lasting_runs() == 4
 
     def test_its_tasks_wait_for_that_time(self) -> None:
+        """The last lease may have been granted without a confirmation."""
         rig = self._take_over_from_lost_executor(2.0)
         start_count = len(rig.starts)
-        rig.run(8.0)
+        longest_s = (
+            _lease_grants.UNREPORTED_GRANT_S
+            + _limits.LeaseTimes().max_run_after_grant_s
+        )
+        rig.run(longest_s - 2.0)
+        assert len(rig.starts) == start_count
+
+    def test_an_outage_before_its_loss_lengthens_that_time(self) -> None:
+        """Leases were granted for as long as other instances reported it."""
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.run(1)
+        _submit_lasting(rig, count=4)
+        rig.run(1)
+        rig.store_is_up = False
+        rig.run(4)
+        rig.executor_by_id["e1"].is_answering = False
+        rig.take_over()
+        start_count = len(rig.starts)
+        rig.run(
+            _lease_grants.REPORT_VALIDITY_S
+            + _limits.LeaseTimes().max_run_after_grant_s
+        )
         assert len(rig.starts) == start_count
 
 
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -8,9 +8,11 @@
 import pytest
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.platform import _store
 from basiljunction.protocol import _instance_settings
 from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _leadership
 from basiljunction.transport import _clock
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _cell_task
@@ -32,11 +34,8 @@
     platform.close()
 
 
-@pytest.fixture
-def weak_task(
-    platform: platform_standin.Platform,
-) -> Iterator[_cell_task.CellTask]:
-    """The task of a poorly provided instance, which runs."""
+def _make_task(platform: platform_standin.Platform) -> _cell_task.CellTask:
+    """Returns the task of a poorly provided instance, which does not run."""
     settings = _instance_settings.InstanceSettings(
         name="a",
         zone="zone-a",
@@ -50,13 +49,21 @@
         heartbeat_s=0.5,
         provision=election_rig.WEAK,
     )
-    task = _cell_task.CellTask(
+    return _cell_task.CellTask(
         settings=settings,
         clock=_clock.SystemClock(),
         rng=random.Random(1),
         metrics=_metrics.Metrics("a"),
         max_connections=100,
     )
+
+
+@pytest.fixture
+def weak_task(
+    platform: platform_standin.Platform,
+) -> Iterator[_cell_task.CellTask]:
+    """The task of a poorly provided instance, which runs."""
+    task = _make_task(platform)
     with futures.ThreadPoolExecutor(1) as pool:
         task.start(pool)
         yield task
@@ -79,3 +86,48 @@
         assert time.monotonic() - begin_s > _election.SETTLING_TIME_S + 0.6
         registered = topic.newest_by_key["provision.a"][1]
         assert _job_records.decode_provision(registered) == election_rig.WEAK
+
+
+class TestOutageReports:
+    """Only the newest scheduler is told that the store cannot be reached."""
+
+    def test_a_scheduler_that_was_replaced_gets_none(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        task = _make_task(platform)
+        assert task.report_outage(4)
+        election = task._terms.election
+        election.apply_read(_leadership.Term(5, "b", 1, "b:1"), 1, 0.0)
+        assert not task.report_outage(4)
+        assert task.report_outage(5)
+
+    def test_an_instance_that_holds_the_term_reports_none(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        task = _make_task(platform)
+        election = task._terms.election
+        election.role = _election.ElectionRole.LEADER
+        election.term = _leadership.Term(5, "a", 1, "a:1")
+        assert not task.report_outage(5)
+
+    def test_an_instance_that_reads_the_store_reports_none(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        task = _make_task(platform)
+        task._terms.apply_records((), is_whole=False, end_offset=1)
+        assert not task.report_outage(5)
+        task._terms.handle_read_failure()
+        assert task.report_outage(5)
+
+    def test_a_report_lengthens_what_is_known_of_grants(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        task = _make_task(platform)
+        task._grants.registered_s = float("-inf")
+        term = _leadership.Term(5, "b", 1, "b:1", unreported_grant_s=1.5)
+        assert task.report_outage(5)
+        now_s = task._clock.now().boot_s
+        last_grant_s = task._grants.last_grant_by_s(term, now_s - 1.0)
+        assert last_grant_s == pytest.approx(
+            now_s + _lease_grants.REPORT_VALIDITY_S, abs=0.5
+        )
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -8,6 +8,7 @@
 import pytest
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.platform import _store
 from basiljunction.protocol import _job_records
@@ -245,7 +246,7 @@
         earlier_runs_until_s = lost_s + times.max_run_after_term_s
         assert term.longest_run_s > times.lease_s * 1.02
         recovered = _events(logs, "term.recovered")[-1]
-        assert not recovered["is_run_length_told"]
+        assert recovered["longest_inherited_run_s"] > times.lease_s * 1.02
         assert recovered["earlier_term_ended_s_ago"] > 0
         assert recovered["longest_wait_s"] > times.lease_s * 1.02
         # The last renewal may have been written up to an interval before.
@@ -324,6 +325,57 @@
         assert time.monotonic() - lost_s < _MAX_LASTING_GAP_S
 
 
+class TestOutage:
+    """In an outage of the store, leases are renewed while nobody takes over."""
+
+    def _start_instances(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+    ) -> list[instance_rig.Instance]:
+        """Starts three instances and a job; returns those that follow."""
+        instances += [
+            instance_rig.Instance(platform, f"front-{number}")
+            for number in range(3)
+        ]
+        instance_rig.submit_until_accepted(
+            instances[0], _JOB_PATH, instance_rig.LASTING_JOB
+        )
+        instance_rig.wait_until(lambda: platform.starts)
+        return [each for each in instances if not each.task.is_scheduling()]
+
+    def test_they_are_while_every_instance_lacks_the_store(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+    ) -> None:
+        self._start_instances(platform, instances)
+        platform.is_down = True
+        time.sleep(_lease_grants.MAX_GRANT_S - 1.0)
+        lease_ms = platform.executors[0].lease_ms
+        time.sleep(0.7)
+        assert platform.executors[0].lease_ms > lease_ms
+
+    def test_they_are_not_for_long_if_an_instance_does_not_answer(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+        logs: list[Any],
+    ) -> None:
+        """It may reach the store and take over."""
+        gone = self._start_instances(platform, instances)[0]
+        instances.remove(gone)
+        gone.close()
+        platform.is_down = True
+        instance_rig.wait_until(lambda: _events(logs, "term.grants-paused"))
+        time.sleep(0.3)
+        lease_ms = platform.executors[0].lease_ms
+        time.sleep(1.5)
+        assert platform.executors[0].lease_ms == lease_ms
+        (paused,) = _events(logs, "term.grants-paused")
+        assert paused["first"] == [gone.name]
+
+
 class TestReports:
     """A term that answers no calls says what it waits for."""
 
--- /dev/null
+++ b/tests/transport/jobs/test_member_watch.py
@@ -0,0 +1,159 @@
+"""Tests of the questions of a scheduler to the other instances."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from basiljunction.coordination.leadership import _lease_grants
+from basiljunction.protocol import _http_call
+from basiljunction.protocol import _peer_calls
+from basiljunction.state.workload import _client_calls
+from basiljunction.transport.jobs import _member_watch
+import workload_builders as build
+
+_ADDRESS_BY_MEMBER = {"b": "b:1", "c": "c:1"}
+
+_TICK_S = 0.1
+
+
+class _Peers:
+    """Other instances, and the client that calls them, in virtual time.
+
+    Attributes:
+        absent: Addresses of instances that do not answer.
+        lacking: Addresses of instances that report an outage.
+        asked: Addresses of the instances that were asked, in order.
+    """
+
+    def __init__(self) -> None:
+        self.absent: set[str] = set()
+        self.lacking: set[str] = set()
+        self.asked: list[str] = []
+
+    def send(
+        self,
+        call: _http_call.HttpCall,
+        on_reply: Callable[[_http_call.HttpReply], None],
+    ) -> None:
+        """Answers a question at once."""
+        address = call.url.removeprefix("http://").removesuffix("/calls")
+        assert call.body is not None
+        question = _peer_calls.decode_call(call.body)
+        assert question.kind is _client_calls.CallKind.OUTAGE
+        assert question.epoch == 4
+        self.asked.append(address)
+        if address in self.absent:
+            on_reply(_http_call.HttpReply(0, error_text="timed out"))
+            return
+        reply = _client_calls.ClientReply(
+            _client_calls.CallOutcome.FOUND,
+            lacks_store=address in self.lacking,
+        )
+        on_reply(
+            _http_call.HttpReply(200, _peer_calls.encode_reply(reply, "", 0))
+        )
+
+
+class _Scheduler:
+    """An instance that holds a term."""
+
+    def __init__(self) -> None:
+        self.peers = _Peers()
+        self.now_s = 100.0
+        self.confirmed_s = self.now_s
+        client: Any = self.peers
+        self.watch = _member_watch.MemberWatch(
+            calls=client, clock=lambda: build.clock_readings_at(self.now_s)
+        )
+
+    def run(self, seconds: float, *, is_store_up: bool) -> None:
+        """Ticks for some time."""
+        for _ in range(round(seconds / _TICK_S)):
+            self.now_s += _TICK_S
+            if is_store_up:
+                self.confirmed_s = self.now_s
+            now = build.clock_readings_at(self.now_s)
+            self.watch.tick(
+                now,
+                epoch=4,
+                confirmed_s=self.confirmed_s,
+                address_by_member=_ADDRESS_BY_MEMBER,
+            )
+            self.watch.log_grants(
+                now,
+                confirmed_s=self.confirmed_s,
+                address_by_member=_ADDRESS_BY_MEMBER,
+            )
+
+    def may_grant(self) -> bool:
+        """Returns whether it may grant leases now."""
+        return self.now_s < _lease_grants.grants_end_s(
+            self.confirmed_s, self.watch.reported_until_s(_ADDRESS_BY_MEMBER)
+        )
+
+
+def _events(logs: list[Any], name: str) -> list[Any]:
+    """Returns the log entries of an event."""
+    return [each for each in logs if each["event"] == name]
+
+
+class TestOutage:
+    """Leases are granted in an outage that all instances report."""
+
+    def test_they_are_granted_while_all_report_it(
+        self, logs: list[Any]
+    ) -> None:
+        scheduler = _Scheduler()
+        scheduler.run(3.0, is_store_up=True)
+        scheduler.peers.lacking |= {"b:1", "c:1"}
+        scheduler.run(_lease_grants.MAX_GRANT_S - 0.2, is_store_up=False)
+        assert scheduler.may_grant()
+        assert not _events(logs, "term.grants-paused")
+        scheduler.run(0.4, is_store_up=False)
+        assert not scheduler.may_grant()
+
+    @pytest.mark.parametrize("is_absent", [False, True])
+    def test_they_are_not_if_one_reaches_the_store_or_is_gone(
+        self, is_absent: bool, logs: list[Any]
+    ) -> None:
+        scheduler = _Scheduler()
+        scheduler.run(3.0, is_store_up=True)
+        scheduler.peers.lacking.add("b:1")
+        if is_absent:
+            scheduler.peers.absent.add("c:1")
+        scheduler.run(_lease_grants.UNREPORTED_GRANT_S - 0.2, is_store_up=False)
+        assert scheduler.may_grant()
+        scheduler.run(0.4, is_store_up=False)
+        assert not scheduler.may_grant()
+        (paused,) = _events(logs, "term.grants-paused")
+        assert paused["first"] == ["c"]
+        scheduler.run(0.1, is_store_up=True)
+        assert _events(logs, "term.grants-resumed")
+
+
+class TestPresence:
+    """Instances that are gone for good are found, and only these."""
+
+    def test_questions_are_few_while_the_store_confirms_the_term(self) -> None:
+        scheduler = _Scheduler()
+        scheduler.run(10.0, is_store_up=True)
+        assert 8 <= len(scheduler.peers.asked) <= 10
+
+    def test_one_that_has_not_answered_for_long_is_gone(self) -> None:
+        scheduler = _Scheduler()
+        scheduler.peers.absent.add("c:1")
+        scheduler.run(_member_watch.MAX_SILENCE_S - 0.5, is_store_up=True)
+        now = build.clock_readings_at(scheduler.now_s)
+        assert scheduler.watch.find_gone(now) == []
+        scheduler.run(1.0, is_store_up=True)
+        now = build.clock_readings_at(scheduler.now_s)
+        assert scheduler.watch.find_gone(now) == ["c"]
+
+    def test_none_is_if_no_instance_answers(self) -> None:
+        """The scheduler itself may be cut off."""
+        scheduler = _Scheduler()
+        scheduler.peers.absent |= {"b:1", "c:1"}
+        scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
+        now = build.clock_readings_at(scheduler.now_s)
+        assert scheduler.watch.find_gone(now) == []
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -12,6 +12,7 @@
 from structlog import testing
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.platform import _store
 from basiljunction.protocol import _http_call
 from basiljunction.protocol import _job_records
@@ -156,6 +157,7 @@
             address="store:1",
             clock=lambda: build.clock_readings_at(self.now_s),
             election=self.election,
+            grants=_lease_grants.GrantHistory(0.0),
             member="a",
             member_address="a:1",
             provision=provision,
