Store bounds of all executors that have not answered before a lease is extended

Cause: a new scheduler stored by when runs on silent executors end only half a second after its start, and a record of the scheduler before the last one counted for nothing, as the last one might have extended leases. Each early loss began the wait anew.

Now the first record has a bound of every inherited executor that has not answered yet, and no lease is extended before it is stored, so that the newest record holds whoever wrote it. Builds that don't keep to this are told by the term's record.

TestFirstRecord fails without it.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -242,10 +242,27 @@
         "bound-of-an-earlier-scheduler-counts",
         "one run",
         f"{_SCHEDULING}/_silent_executors.py",
-        "if record.epoch != self._cell.epoch - 1:",
+        "if record.epoch < unbounded_epoch:",
         "if record.epoch < 0:",
         f"{_TESTS}/test_silent_executors.py",
     ),
+    _mutation(
+        "leases-extended-before-the-first-record",
+        "one run",
+        f"{_SCHEDULING}/_scheduler.py",
+        "        state.is_lease_frozen = True\n",
+        "",
+        f"{_TESTS}/test_silent_executors.py",
+    ),
+    _mutation(
+        "first-record-without-bounds",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_silent_executors.py",
+        "executor.silent_bound = self._bound_runs(executor)\n"
+        "            return",
+        "pass\n            return",
+        f"{_TESTS}/test_silent_executors.py",
+    ),
     _mutation(
         "lease-extended-beside-a-stored-bound",
         "one run",
--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -357,6 +357,11 @@
                     0 if self.term is None else self.term.given_up_terms
                 ),
                 unreported_grant_s=_lease_grants.UNREPORTED_GRANT_S,
+                bounded_since_epoch=(
+                    epoch
+                    if self.term is None
+                    else self.term.bounded_since_epoch or epoch
+                ),
             ),
             now_s,
         )
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -74,6 +74,7 @@
         earlier_terms_ended_s: float,
         history: _term_history.TermHistory,
         longest_inherited_run_s: float | None = None,
+        bounded_since_epoch: int = 0,
     ) -> None:
         """Rebuilds jobs and executors from the records of earlier terms.
 
@@ -89,6 +90,9 @@
             longest_inherited_run_s: Longest time for which runs of earlier
                 terms may go on after that, in seconds; None if the scheduler
                 before may have gone on without a confirmation.
+            bounded_since_epoch: First epoch from which on all schedulers before
+                this one store bounds of silent executors before they extend
+                leases; 0 if the last one need not have.
         """
         cell = self.cell
         if longest_inherited_run_s is None:
@@ -100,7 +104,11 @@
         )
         stored = tuple(records)
         self._restore_jobs(stored, now)
-        self._restore_executors(stored, inherited_until_s, history)
+        silent = self._restore_executors(stored, inherited_until_s)
+        if silent is not None:
+            self._silent_executors.restore(
+                silent, history, bounded_since_epoch=bounded_since_epoch
+            )
         cell.has_inherited_runs = bool(cell.executor_by_id)
         self._crashes.restore()
         self.set_configuration(cell.configuration)
@@ -132,9 +140,12 @@
         self,
         records: Iterable[_records.Record],
         inherited_until_s: float,
-        history: _term_history.TermHistory,
-    ) -> None:
-        """Rebuilds what earlier terms knew of executors from the records."""
+    ) -> _records.SilentExecutorsRecord | None:
+        """Rebuilds what earlier terms knew of executors from the records.
+
+        Returns:
+            The newest record of silent executors; None if there is none.
+        """
         silent: _records.SilentExecutorsRecord | None = None
         for record in records:
             if isinstance(record, _records.ExecutorRosterRecord):
@@ -146,8 +157,7 @@
                 self.cell.sharing.restore_learned(record)
             elif isinstance(record, _records.SilentExecutorsRecord):
                 silent = record
-        if silent is not None:
-            self._silent_executors.restore(silent, history)
+        return silent
 
     def _add_inherited_executor(
         self, roster_entry: _executor.ListedExecutor, until_s: float
@@ -157,6 +167,7 @@
             listing=roster_entry, is_listed=False, is_roster_stored=True
         )
         state.inherited_until_s = until_s
+        state.is_lease_frozen = True
         self.cell.executor_by_id[roster_entry.id] = state
 
     def longest_run_s(self, now: _time.Now) -> float:
--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -1,7 +1,9 @@
 """Tells later schedulers until when runs on silent executors go on.
 
 An executor that is lost holds up a scheduler until its lease has expired. The
-store keeps that time, so that a series of schedulers waits for it once.
+store keeps that time, so that a series of schedulers waits for it once. A
+scheduler extends no lease before it has stored its first such record, so that
+the newest record holds whoever wrote it.
 """
 
 from basiljunction.coordination.leadership import _term_history
@@ -25,6 +27,7 @@
 """Time from the start of a scheduler to its first check, in seconds; executors
 that are in order answer within it."""
 
+
 MIN_RENEWAL_FAILURES = 2
 """Consecutive renewals without an answer that make an executor silent; a single
 one may be lost."""
@@ -42,6 +45,7 @@
 
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
+        self._is_first_stored = False
         self._next_check_s = 0.0
         self._next_refresh_s = 0.0
         self._newest: _records.SilentExecutorsRecord | None = None
@@ -50,18 +54,25 @@
         self,
         record: _records.SilentExecutorsRecord,
         history: _term_history.TermHistory,
+        *,
+        bounded_since_epoch: int,
     ) -> None:
         """Shortens the waits for executors that were silent before this term.
 
-        A record of another scheduler than the last one says nothing, because
-        a scheduler after it may have extended the leases.
+        A record says nothing if a scheduler after it may have extended leases
+        without storing one of its own.
 
         Args:
             record: The newest record in the store.
             history: Tells when the records that the bounds relate to were
                 written.
+            bounded_since_epoch: First epoch from which on all schedulers before
+                this one store a record first; 0 if the last one need not.
         """
-        if record.epoch != self._cell.epoch - 1:
+        unbounded_epoch = bounded_since_epoch - 1
+        if not bounded_since_epoch:
+            unbounded_epoch = self._cell.epoch - 1
+        if record.epoch < unbounded_epoch:
             return
         self._cell.knows_inherited_executors = record.has_stored_executors
         for executor_id, bound in record.bound_by_executor.items():
@@ -79,19 +90,24 @@
     def next_record(self) -> _records.SilentExecutorsRecord | None:
         """Returns the record to store with the next batch, or None.
 
-        The first one repeats what the scheduler before knew, as this one may
-        be lost before it knows more.
+        The first one has a bound of every inherited executor that has not
+        answered yet, as this scheduler may be lost before it knows more.
         """
         cell = self._cell
         now_s = cell.last_tick_s
         if self._newest is None:
             self._next_check_s = now_s + FIRST_CHECK_DELAY_S
+            for executor in cell.executor_by_id.values():
+                if executor.inherited_until_s is not None and (
+                    executor.silent_bound is None
+                ):
+                    executor.silent_bound = self._bound_runs(executor)
             return self._make_record()
         if now_s < self._next_check_s or not cell.is_term_confirmed:
             return None
         self._next_check_s = now_s + CHECK_INTERVAL_S
         for executor in cell.executor_by_id.values():
-            if executor.silent_bound is None and _is_silent(executor, now_s):
+            if executor.silent_bound is None and self._is_silent(executor):
                 executor.silent_bound = self._bound_runs(executor)
                 cell.silent_executors_changed = True
         if (
@@ -103,6 +119,18 @@
             return None
         return self._make_record()
 
+    def _is_silent(self, executor: _executors.ExecutorState) -> bool:
+        """Returns whether an executor may have runs and does not answer."""
+        cell = self._cell
+        if executor.is_vacated:
+            return False
+        if executor.last_answer_s is None:
+            return executor.inherited_until_s is not None
+        if executor.renewal_failures < MIN_RENEWAL_FAILURES:
+            return False
+        silent_s = cell.last_tick_s - executor.last_answer_s
+        return silent_s >= _limits.CONTACT_TIMEOUT_S
+
     def _is_refresh_due(self, now_s: float) -> bool:
         """Returns whether a bound that still holds is to be stored anew."""
         return now_s >= self._next_refresh_s and any(
@@ -145,7 +173,7 @@
         self._newest = _records.SilentExecutorsRecord(
             cell.epoch, bound_by_executor, self._has_stored_executors()
         )
-        if bound_by_executor:
+        if bound_by_executor and self._is_first_stored:
             cell.note(
                 "executors.silent",
                 executors=len(bound_by_executor),
@@ -159,20 +187,10 @@
         Args:
             record: The record, which is now the newest in the store.
         """
+        self._is_first_stored = True
         for executor_id, executor in self._cell.executor_by_id.items():
             if (
                 executor.silent_bound is None
                 and executor_id not in record.bound_by_executor
             ):
                 executor.is_lease_frozen = False
-
-
-def _is_silent(executor: _executors.ExecutorState, now_s: float) -> bool:
-    """Returns whether an executor may have runs and does not answer."""
-    if executor.is_vacated:
-        return False
-    if executor.last_answer_s is None:
-        return executor.inherited_until_s is not None
-    if executor.renewal_failures < MIN_RENEWAL_FAILURES:
-        return False
-    return now_s - executor.last_answer_s >= _limits.CONTACT_TIMEOUT_S
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -25,6 +25,9 @@
         unreported_grant_s: Time after this record for which its scheduler
             grants leases without outage reports, in seconds. The default is
             that of builds which ask for no reports.
+        bounded_since_epoch: First epoch from which on, up to this term, all
+            schedulers store bounds of silent executors before they extend
+            leases; 0 for a build that does not.
     """
 
     epoch: int
@@ -36,6 +39,7 @@
     given_up_terms: int = 0
     longest_run_s: float = 0.0
     unreported_grant_s: float = 5.0
+    bounded_since_epoch: int = 0
 
     def is_held_by(self, instance: str, incarnation: int) -> bool:
         """Returns whether this run of the instance's process holds the term."""
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -506,6 +506,7 @@
         configuration = self._configurations.newest_configuration
         if configuration is None or epoch <= self._ended_epoch:
             return
+        predecessor = self._predecessor(epoch)
         self._session = _leader_session.LeaderSession(
             calls=self._calls,
             settings=self._settings,
@@ -516,6 +517,9 @@
             history=self._terms.election.history,
             earlier_terms_ended_s=self._earlier_terms_ended_s(epoch),
             longest_inherited_run_s=self._longest_inherited_run_s(epoch),
+            bounded_since_epoch=(
+                0 if predecessor is None else predecessor.bounded_since_epoch
+            ),
         )
         _log.info("term.begun", epoch=epoch)
 
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -53,6 +53,9 @@
         longest_inherited_run_s: Longest time for which runs of earlier terms
             may go on after that, in seconds; None if the scheduler before may
             have gone on without a confirmation.
+        bounded_since_epoch: First epoch from which on all schedulers before
+            this one store bounds of silent executors before they extend
+            leases; 0 if the last one need not have.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         history: _term_history.TermHistory,
         earlier_terms_ended_s: float | None = None,
         longest_inherited_run_s: float | None = None,
+        bounded_since_epoch: int = 0,
     ) -> None:
         self._metrics = _cell_metrics.CellMetrics(metrics)
         self.epoch = epoch
@@ -112,6 +116,7 @@
         self._has_executor_list = False
         self._has_warned_of_too_many = False
         self._longest_inherited_run_s = longest_inherited_run_s
+        self._bounded_since_epoch = bounded_since_epoch
         self._history = history
         self._started_boot_s = clock().boot_s
         self._earlier_terms_ended_s = (
@@ -339,6 +344,7 @@
             earlier_terms_ended_s=self._earlier_terms_ended_s,
             history=self._history,
             longest_inherited_run_s=self._longest_inherited_run_s,
+            bounded_since_epoch=self._bounded_since_epoch,
         )
         self._has_recovered = True
         cell = self._scheduler.cell
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -573,12 +573,15 @@
         grants: What the instances know of granted leases; all have been there
             for long, and report an outage while the store is not up.
         reported_until_s: Virtual time until which these reports hold.
+        bounded_since_epoch: First epoch whose scheduler is not of an earlier
+            version, which extends leases before it has stored a record.
         next_drain_report_s: Time at which draining executors report next.
         next_heartbeat_s: Time at which a restarted executor reports; None if
             none has restarted since the last listing.
     """
 
     reported_until_s = float("-inf")
+    bounded_since_epoch = 1
 
     def __init__(
         self,
@@ -678,6 +681,11 @@
             earlier_terms_ended_s=begun_s,
             history=self.history,
             longest_inherited_run_s=longest_inherited_run_s,
+            bounded_since_epoch=(
+                self.bounded_since_epoch
+                if self.bounded_since_epoch < self.epoch
+                else 0
+            ),
         )
         self.term_confirmed_s = self.now_s
         self.term_beat += 1
