Store the bound of an executor as soon as its answer is overdue

Cause: an executor counted as silent only after two renewals had failed; one that hangs takes up to 1.8 s for the first and 0.8 s for the second, while 1.4 s without an answer already keep new tasks off it. Now the same condition decides both, with the same allowance for a scheduler that is late itself. A bound costs one record and, once the executor answers, one more before its lease is extended.

Evidence: TestNoticeOfSilence fails without it.

--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -9,7 +9,6 @@
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
-from basiljunction.coordination.scheduling import _limits
 from basiljunction.state.workload import _records
 from basiljunction.state.workload import _run_bound
 
@@ -28,11 +27,6 @@
 that are in order answer within it."""
 
 
-MIN_RENEWAL_FAILURES = 2
-"""Consecutive renewals without an answer that make an executor silent; a single
-one may be lost."""
-
-
 class SilentExecutors:
     """Keeps the stored bounds of runs on silent executors up to date.
 
@@ -126,10 +120,7 @@
             return False
         if executor.last_answer_s is None:
             return executor.inherited_until_s is not None
-        if executor.renewal_failures < MIN_RENEWAL_FAILURES:
-            return False
-        silent_s = cell.last_tick_s - executor.last_answer_s
-        return silent_s >= _limits.CONTACT_TIMEOUT_S
+        return not cell.is_in_contact(executor, cell.last_tick_s)
 
     def _is_refresh_due(self, now_s: float) -> bool:
         """Returns whether a bound that still holds is to be stored anew."""
--- a/tests/coordination/scheduling/test_silent_executors.py
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -150,6 +150,21 @@
         assert "e1" in record.bound_by_executor
 
 
+class TestNoticeOfSilence:
+    """A silence is stored as soon as an answer is overdue."""
+
+    def test_a_renewal_that_hangs_does_not_put_it_off(self) -> None:
+        rig = _make_rig_with_lasting_tasks()
+        state = rig.scheduler.cell.executor_by_id["e0"]
+        rig.executor_by_id["e0"].is_answering = False
+        # No answer and no failure of this renewal arrives.
+        state.renewal_sent_s = rig.now_s
+        rig.run(_limits.CONTACT_TIMEOUT_S + _silent_executors.CHECK_INTERVAL_S)
+        assert state.renewal_failures == 0
+        rig.run(0.1)
+        assert list(_read_record(rig).bound_by_executor) == ["e0"]
+
+
 class TestLossBesideTheEndOfAScheduler:
     """Each task has a run again in time, whenever its executor is lost."""
 
