Don't wait for executors that have never answered a scheduler

Cause: the roster named every listed executor, so each scheduler waited for runs on an executor to which no order had ever been sent; a start needs an answer first.

Now an executor joins the roster with its first answer to a scheduler, and one whose inherited runs have certainly ended leaves it until it answers. Two tests set up the roster by hand; they let the executor answer first now and check the same.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -540,15 +540,19 @@
         )
         return min(known, default=0.0)
 
-    def is_empty_for_good(self, now_s: float) -> bool:
-        """Returns whether it runs nothing and gets no more tasks.
+    def needs_no_wait(self, now_s: float) -> bool:
+        """Returns whether it runs nothing and gets no tasks as it is.
 
-        It is no longer listed and its lease has expired, or it drains, has
-        answered that nothing runs on it and the ends of its runs are stored.
+        It has not answered this scheduler and no earlier run is left, as before
+        its first task, or is no longer listed and its lease has expired, or
+        drains, has answered that nothing runs on it and the ends of its runs
+        are stored.
         """
+        if self.last_answer_s is None:
+            return self.inherited_until_s is None
         if not self.is_listed:
             return self.has_certainly_no_runs(now_s)
-        if not self.listing.is_draining or self.last_answer_s is None:
+        if not self.listing.is_draining:
             return False
         if self.run_by_key or self.inherited_until_s is not None:
             return False
--- a/src/basiljunction/coordination/scheduling/_inherited_runs.py
+++ b/src/basiljunction/coordination/scheduling/_inherited_runs.py
@@ -49,13 +49,13 @@
             cell.needs_placing = True
 
     def _update_roster(self, now: _time.Now) -> None:
-        """Leaves executors out of the roster while they are empty for good.
+        """Leaves executors out of the roster while they certainly run nothing.
 
         No bound of their runs is stored from then on either.
         """
         cell = self._cell
         for executor in cell.executor_by_id.values():
-            is_vacated = executor.is_empty_for_good(now.boot_s)
+            is_vacated = executor.needs_no_wait(now.boot_s)
             if is_vacated == executor.is_vacated:
                 continue
             executor.is_vacated = is_vacated
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -230,12 +230,12 @@
                 # Under its id this term may have had orders of any generation.
                 state = _executors.ExecutorState(
                     listing=entry,
+                    is_vacated=True,
                     next_renewal_s=now.boot_s,
                     generation=cell.order_generation,
                 )
                 state.update_listing(entry, now.boot_s)
                 cell.executor_by_id[executor_id] = state
-                cell.roster_changed = True
         self._recheck_start_orders(now)
         cell.needs_placing = True
 
--- a/tests/coordination/scheduling/test_capacity_changes.py
+++ b/tests/coordination/scheduling/test_capacity_changes.py
@@ -175,6 +175,7 @@
     def _hold_starts(self, count: int) -> cell_rig.CellRig:
         """Returns a rig with starts that wait for an unavailable store."""
         rig = cell_rig.CellRig()
+        rig.run(0.2)
         rig.submit(_lasting_job(count))
         rig.step()
         rig.store_is_up = False
--- a/tests/coordination/scheduling/test_inherited_runs.py
+++ b/tests/coordination/scheduling/test_inherited_runs.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
@@ -27,6 +29,39 @@
     return rig, notes
 
 
+class TestExecutorThatNeverAnswered:
+    """No order was sent to it, so that nobody waits for runs on it."""
+
+    @pytest.mark.parametrize("take_overs", [1, 3])
+    def test_tasks_of_inherited_jobs_do_not_wait_for_it(
+        self, take_overs: int
+    ) -> None:
+        rig = cell_rig.CellRig(
+            *(build.executor_entry(name) for name in ("e0", "e1", "silent"))
+        )
+        rig.executor_by_id["silent"].is_answering = False
+        rig.run(2)
+        rig.submit(build.accepted_job(build.step_spec(count=20)))
+        rig.run(0.5)
+        for _ in range(take_overs):
+            rig.take_over(recovery_s=0.3)
+            rig.run(0.5)
+        rig.run(3)
+        assert len(rig.done_tasks) == 20
+
+    def test_it_gets_tasks_once_it_answers(self) -> None:
+        rig = cell_rig.CellRig(build.executor_entry("e0"))
+        rig.executor_by_id["e0"].is_answering = False
+        rig.run(2)
+        rig.submit(build.accepted_job(build.step_spec(count=1)))
+        rig.run(1)
+        assert _read_roster_ids(rig) == set()
+        rig.executor_by_id["e0"].is_answering = True
+        rig.run(0.5)
+        assert rig.starts
+        assert _read_roster_ids(rig) == {"e0"}
+
+
 class TestReports:
     """The log tells for which executors tasks wait, and until when."""
 
--- a/tests/coordination/scheduling/test_lasting.py
+++ b/tests/coordination/scheduling/test_lasting.py
@@ -387,7 +387,6 @@
             [build.executor_entry()], build.clock_readings_at(0.0)
         )
         executor = scheduler.cell.executor_by_id["e1"]
-        executor.is_roster_stored = True
         answers: list[tuple[float, _orders.RenewalOrder]] = []
         accepting: list[bool] = []
         for tick in range(1, 200):
@@ -404,6 +403,7 @@
             scheduler.run_timed_work(
                 now, confirmed_s=now.boot_s, confirmed_beat=tick
             )
+            executor.is_roster_stored = True
             accepting.append(scheduler.cell.is_usable(executor, now.boot_s))
             leaves_s = now.boot_s + tick_s
             answers += [
