Count with the longest lease of a restarted executor after a lost scheduler

Callers could see: a task that runs twice (TWICE). An incarnation that is younger than 25 s may have been granted the longest lease, 10 s, by a deadline on the clock of the one before. A scheduler that is lost tells nobody; the next one waited 10.5 s from the last renewal on, which covered most of it by chance.

Now a restart is stored with the roster before a task starts on the new incarnation, and forgotten once no late order is left; the next scheduler waits 5.1 s longer for an executor that has restarted, unless its predecessor told how long runs go on. TestLongLeaseOfALostScheduler fails without the change (mutation noticed).

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -66,8 +66,8 @@
         "lease-of-restarted-executor-taken-for-short",
         "one run",
         f"{_SCHEDULING}/_executors.py",
-        "if self.has_restarted and age_s < (",
-        "if not self.has_restarted and age_s < (",
+        "if self.has_restarted and _is_young(report.clock_ms, times):",
+        "if not self.has_restarted and _is_young(report.clock_ms, times):",
         f"{_TESTS}/test_restarted_executors.py",
     ),
     _mutation(
@@ -343,6 +343,14 @@
         "        confirmed_s + MAX_GRANT_S,\n",
         f"{_LEADERSHIP_TESTS}/test_lease_grants.py",
     ),
+    _mutation(
+        "long-lease-after-a-restart-not-waited-for",
+        "one run",
+        f"{_SCHEDULING}/_scheduler.py",
+        "restarted_excess_s if roster_entry.has_restarted else 0",
+        "0",
+        f"{_TESTS}/test_restarted_executors.py",
+    ),
     _mutation(
         "own-outage-reports-forgotten",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -457,17 +457,26 @@
         ):
             self.has_restarted = True
         lease_s = times.lease_s
-        age_s = report.clock_ms / 1000
-        # Deadlines on the clock of the incarnation before arrive until the last
-        # late order, and what they granted ends a longest lease later.
-        if self.has_restarted and age_s < (
-            _limits.MAX_ORDER_DELAY_S + times.longest_lease_s
-        ):
+        if self.has_restarted and _is_young(report.clock_ms, times):
             lease_s = times.longest_lease_s
         elif not report.active_runs:
             return
         self.lease_until_ms = report.clock_ms + int(lease_s * 1000)
 
+    def forget_old_restart(self, times: _limits.LeaseTimes) -> bool:
+        """Forgets a restart of which no order and no lease can be left.
+
+        Args:
+            times: Lengths of leases.
+
+        Returns:
+            Whether it forgot one.
+        """
+        if not self.has_restarted or _is_young(self.clock.clock_ms, times):
+            return False
+        self.has_restarted = False
+        return True
+
     def extend_lease(self, now_s: float, lease_s: float) -> int:
         """Records a new lease and returns its end on the executor's clock.
 
@@ -599,6 +608,20 @@
         self.consecutive_failures = 0
 
 
+def _is_young(clock_ms: int, times: _limits.LeaseTimes) -> bool:
+    """Returns whether orders for an incarnation before may have an effect.
+
+    Deadlines on the clock of the incarnation before arrive until the last late
+    order, and what they granted ends a longest lease later.
+
+    Args:
+        clock_ms: Reading of the executor's clock, in milliseconds.
+        times: Lengths of leases.
+    """
+    longest_s = _limits.MAX_ORDER_DELAY_S + times.longest_lease_s
+    return clock_ms / 1000 < longest_s
+
+
 def end_of_lease_s(begun_s: float, lease_s: float) -> float:
     """Returns the time at which a lease has certainly expired, in seconds.
 
--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -127,6 +127,15 @@
         """Longest time for which a run may go on after its last lease."""
         return self.lease_s * MAX_CLOCK_SLOWNESS
 
+    @property
+    def max_restarted_excess_s(self) -> float:
+        """Longest time for which runs of a restarted executor go on beyond it.
+
+        A deadline on the clock of an earlier incarnation grants the longest
+        lease.
+        """
+        return (self.longest_lease_s - self.lease_s) * MAX_CLOCK_SLOWNESS
+
     @property
     def max_run_after_term_s(self) -> float:
         """Longest time for which a run may outlive its scheduler's term."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -289,6 +289,8 @@
         executor.last_answer_s = now.boot_s
         executor.has_listed_runs = True
         executor.record_clock(report.clock_ms, now.boot_s)
+        if executor.forget_old_restart(cell.times):
+            cell.roster_changed = True
         executor.lease_until_ms = min(
             executor.lease_until_ms,
             report.clock_ms + int(longest_lease_s * 1000),
--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -182,6 +182,9 @@
         crash = self._crashes.find_crash(executor)
         executor.record_restart(now.boot_s, clock_ms=clock_ms, lease_s=lease_s)
         self._cell.begin_order_generation(executor)
+        # A successor has to know of the restart before a task starts there.
+        executor.is_roster_stored = False
+        self._cell.roster_changed = True
         for run in list(executor.run_by_key.values()):
             self._cell.note(
                 "task.life-ended",
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -74,6 +74,7 @@
         earlier_terms_ended_s: float,
         history: _term_history.TermHistory,
         longest_inherited_run_s: float | None = None,
+        knows_longest_leases: bool = False,
         bounded_since_epoch: int = 0,
     ) -> None:
         """Rebuilds jobs and executors from the records of earlier terms.
@@ -90,6 +91,8 @@
             longest_inherited_run_s: Longest time for which runs of earlier
                 terms may go on after that, in seconds; None if the scheduler
                 before may have gone on without a confirmation.
+            knows_longest_leases: Whether that time counts the leases of
+                executors that have restarted, as the scheduler before told it.
             bounded_since_epoch: First epoch from which on all schedulers before
                 this one store bounds of silent executors before they extend
                 leases; 0 if the last one need not have.
@@ -104,7 +107,12 @@
         )
         stored = tuple(records)
         self._restore_jobs(stored, now)
-        silent = self._restore_executors(stored, inherited_until_s)
+        restarted_excess_s = (
+            0.0 if knows_longest_leases else cell.times.max_restarted_excess_s
+        )
+        silent = self._restore_executors(
+            stored, inherited_until_s, restarted_excess_s
+        )
         if silent is not None:
             self._silent_executors.restore(
                 silent, history, bounded_since_epoch=bounded_since_epoch
@@ -140,6 +148,7 @@
         self,
         records: Iterable[_records.Record],
         inherited_until_s: float,
+        restarted_excess_s: float,
     ) -> _records.SilentExecutorsRecord | None:
         """Rebuilds what earlier terms knew of executors from the records.
 
@@ -150,8 +159,11 @@
         for record in records:
             if isinstance(record, _records.ExecutorRosterRecord):
                 for roster_entry in record.executors:
+                    excess_s = (
+                        restarted_excess_s if roster_entry.has_restarted else 0
+                    )
                     self._add_inherited_executor(
-                        roster_entry, inherited_until_s
+                        roster_entry, inherited_until_s + excess_s
                     )
             elif isinstance(record, _records.LearnedHeadroomRecord):
                 self.cell.sharing.restore_learned(record)
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -517,6 +517,9 @@
             history=self._terms.election.history,
             earlier_terms_ended_s=self._earlier_terms_ended_s(epoch),
             longest_inherited_run_s=self._longest_inherited_run_s(epoch),
+            knows_longest_leases=(
+                predecessor is not None and predecessor.longest_run_s > 0
+            ),
             bounded_since_epoch=(
                 0 if predecessor is None else predecessor.bounded_since_epoch
             ),
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -53,6 +53,8 @@
         longest_inherited_run_s: Longest time for which runs of earlier terms
             may go on after that, in seconds; None if the scheduler before may
             have gone on without a confirmation.
+        knows_longest_leases: Whether the scheduler before told that time, and
+            so counted leases of executors that have restarted.
         bounded_since_epoch: First epoch from which on all schedulers before
             this one store bounds of silent executors before they extend
             leases; 0 if the last one need not have.
@@ -70,6 +72,7 @@
         history: _term_history.TermHistory,
         earlier_terms_ended_s: float | None = None,
         longest_inherited_run_s: float | None = None,
+        knows_longest_leases: bool = False,
         bounded_since_epoch: int = 0,
     ) -> None:
         self._metrics = _cell_metrics.CellMetrics(metrics)
@@ -116,6 +119,7 @@
         self._has_executor_list = False
         self._has_warned_of_too_many = False
         self._longest_inherited_run_s = longest_inherited_run_s
+        self._knows_longest_leases = knows_longest_leases
         self._bounded_since_epoch = bounded_since_epoch
         self._history = history
         self._started_boot_s = clock().boot_s
@@ -344,6 +348,7 @@
             earlier_terms_ended_s=self._earlier_terms_ended_s,
             history=self._history,
             longest_inherited_run_s=self._longest_inherited_run_s,
+            knows_longest_leases=self._knows_longest_leases,
             bounded_since_epoch=self._bounded_since_epoch,
         )
         self._has_recovered = True
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -666,6 +666,7 @@
         self.epoch += 1
         self.scheduler = build.scheduler(*self.queues, epoch=self.epoch)
         begun_s = self.now_s
+        knows_longest_leases = longest_inherited_run_s is not None
         if longest_inherited_run_s is None:
             longest_inherited_run_s = self._longest_run_after_term_s()
         self.term_beat = 0
@@ -681,6 +682,7 @@
             earlier_terms_ended_s=begun_s,
             history=self.history,
             longest_inherited_run_s=longest_inherited_run_s,
+            knows_longest_leases=knows_longest_leases,
             bounded_since_epoch=(
                 self.bounded_since_epoch
                 if self.bounded_since_epoch < self.epoch
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -6,6 +6,7 @@
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
+from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _records
@@ -404,6 +405,63 @@
         assert lease_ends_s <= rig.term_confirmed_s + longest_s
 
 
+class TestLongLeaseOfALostScheduler:
+    """The next scheduler counts with the longest lease after a restart."""
+
+    def _lose_after_restart(self, age_s: float) -> cell_rig.CellRig:
+        """Returns a rig after the loss of e1, which had restarted, and a term.
+
+        Args:
+            age_s: Age of the incarnation of e1, in seconds.
+        """
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.run(1)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=8, runs_until_cancelled=True),
+                in_queue=build.queue("watch"),
+            )
+        )
+        rig.run(1)
+        rig.executor_by_id["e1"].restart()
+        rig.run(age_s)
+        assert rig.executor_by_id["e1"].run_by_key
+        rig.executor_by_id["e1"].is_answering = False
+        rig.take_over()
+        rig.run(1)
+        return rig
+
+    @pytest.mark.parametrize(("age_s", "is_long"), [(3.0, True), (30.0, False)])
+    def test_it_is_waited_for_while_late_orders_may_arrive(
+        self, age_s: float, is_long: bool
+    ) -> None:
+        rig = self._lose_after_restart(age_s)
+        until_s = rig.scheduler.cell.executor_by_id["e1"].inherited_until_s
+        assert until_s is not None
+        longest_s = _limits.LeaseTimes().longest_lease_s
+        assert (until_s - rig.now_s + 1 > longest_s) == is_long
+
+    def test_the_restart_is_stored_before_a_task_starts(self) -> None:
+        rig = cell_rig.CellRig(build.executor_entry("e1"))
+        rig.run(1)
+        rig.store_is_up = False
+        rig.executor_by_id["e1"].restart()
+        rig.run(0.5)
+        state = rig.scheduler.cell.executor_by_id["e1"]
+        assert state.has_restarted
+        assert not state.is_roster_stored
+        rig.store_is_up = True
+        rig.run(0.2)
+        assert state.is_roster_stored
+        record = _job_records.decode_record(
+            _job_records.KeyedRecord("roster", rig.store["roster"])
+        )
+        assert isinstance(record, _records.ExecutorRosterRecord)
+        assert record.executors[0].has_restarted
+
+
 class TestLateOrdersForTheIncarnationBefore:
     """An order that is carried out late means nothing to the next incarnation.
 
