Let a term tell how long the one before it may grant leases

Cause: the first records of a term of this build said that leases are granted for 1.5 s after them. The scheduler of an earlier build, which it had replaced, may grant them for 5 s after its last confirmation. If the new term ended at once, the third scheduler assumed 103.5 s where leases were granted until 105.0 s.

Evidence: test_lease_grants.py::TestGrantHistory:: test_a_term_right_after_one_of_an_earlier_build_tells_it failed before and passes.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -147,6 +147,7 @@
         self._last_written_term: _leadership.Term | None = None
         self._write_sent_s = 0.0
         self._first_sent_s = 0.0
+        self._claimed_s = 0.0
         self._given_up_epoch = 0
         self._answered_epoch = 0
 
@@ -347,6 +348,7 @@
         epoch = 1 if self.term is None else self.term.epoch + 1
         self.role = ElectionRole.CLAIMING
         self.predecessor = self.term
+        self._claimed_s = now_s
         return self._begin_write(
             _leadership.Term(
                 epoch,
@@ -356,7 +358,10 @@
                 given_up_terms=(
                     0 if self.term is None else self.term.given_up_terms
                 ),
-                unreported_grant_s=_lease_grants.UNREPORTED_GRANT_S,
+                unreported_grant_s=max(
+                    _lease_grants.UNREPORTED_GRANT_S,
+                    0.0 if self.term is None else self.term.unreported_grant_s,
+                ),
                 bounded_since_epoch=(
                     epoch
                     if self.term is None
@@ -375,6 +380,10 @@
             given_up_terms = 0
         elif is_given_up:
             given_up_terms += 1
+        unreported_grant_s = self.term.unreported_grant_s
+        if now_s >= self._claimed_s + _lease_grants.MAX_GRANT_S:
+            # The term before grants no more leases.
+            unreported_grant_s = _lease_grants.UNREPORTED_GRANT_S
         return self._begin_write(
             dataclasses.replace(
                 self.term,
@@ -382,6 +391,7 @@
                 is_resigned=self.is_resigning or is_given_up,
                 longest_run_s=self._longest_run_s,
                 given_up_terms=given_up_terms,
+                unreported_grant_s=unreported_grant_s,
             ),
             now_s,
         )
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -22,9 +22,9 @@
         longest_run_s: Longest time for which any run may go on after this
             record was written, in seconds; 0 if that is not known. Known if
             the scheduler had stopped before it resigned.
-        unreported_grant_s: Time after this record for which its scheduler
-            grants leases without outage reports, in seconds. The default is
-            that of builds which ask for no reports.
+        unreported_grant_s: Time after this record for which its scheduler, or
+            one shortly before, grants leases without outage reports, in
+            seconds. The default is that of builds which ask for no reports.
         bounded_since_epoch: First epoch from which on, up to this term, all
             schedulers store bounds of silent executors before they extend
             leases; 0 for a build that does not.
--- a/tests/coordination/leadership/test_lease_grants.py
+++ b/tests/coordination/leadership/test_lease_grants.py
@@ -1,7 +1,10 @@
 """Tests of the time until which a scheduler grants leases."""
 
+import random
+
 import pytest
 
+from basiljunction.coordination.leadership import _election
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.state.workload import _leadership
 
@@ -88,3 +91,35 @@
         term = _term(unreported_grant_s=5.0)
         assert _history().last_grant_by_s(term, 100.0) == 105.0
         assert _leadership.Term(3, "a", 1, "").unreported_grant_s == 5.0
+
+    def test_a_term_right_after_one_of_an_earlier_build_tells_it(self) -> None:
+        """The scheduler of the earlier build may still grant leases."""
+        election = _election.Election(
+            instance="b",
+            incarnation=1,
+            address="b:1",
+            rng=random.Random(1),
+        )
+        election.apply_read(_leadership.Term(3, "a", 1, "a:1"), 1, 100.0)
+        claim = election.next_term_write(102.0)
+        assert claim is not None
+        last_grant_s = _history().last_grant_by_s(claim.term, 102.0)
+        assert last_grant_s >= 100.0 + _lease_grants.MAX_GRANT_S
+
+    def test_a_term_that_has_outlasted_the_earlier_build_does_not(
+        self,
+    ) -> None:
+        """Else each later scheduler would wait for longer than need be."""
+        election = _election.Election(
+            instance="b",
+            incarnation=1,
+            address="b:1",
+            rng=random.Random(1),
+        )
+        election.apply_read(_leadership.Term(3, "a", 1, "a:1"), 1, 100.0)
+        assert election.next_term_write(102.0) is not None
+        election.record_write_success(2, 102.0)
+        renewal = election.next_term_write(102.0 + _lease_grants.MAX_GRANT_S)
+        assert renewal is not None
+        last_grant_s = _history().last_grant_by_s(renewal.term, 107.0)
+        assert last_grant_s == 107.0 + _lease_grants.UNREPORTED_GRANT_S
