Notice that the own registration was removed from a store's newest records

Cause: an instance that had been taken off the list while it could not read, and whose feed began again with the newest record of each key, kept its registration in mind, since a removed key leaves no record there. It never registered again, no scheduler asked it for reports, and it counted with the shorter time in which leases are granted.

Evidence: test_term_keeper.py::TestRegistration:: test_a_removal_that_the_store_has_forgotten_is_noticed failed before and passes.

--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -121,11 +121,15 @@
         self,
         records: Iterable[_job_records.KeyedRecord],
         *,
-        is_whole: bool,  # noqa: ARG002 - the newest record counts either way
+        is_whole: bool,
         end_offset: int,
     ) -> None:
         """Passes the newest term to the election and updates the members."""
         now_s = self.current_time().boot_s
+        if is_whole:
+            # The removal of a member leaves no record to be read.
+            self.address_by_member.clear()
+            self.provision_by_member.clear()
         self._last_read_s = now_s
         self.is_store_unreachable = False
         newest = None
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -46,12 +46,14 @@
         answers_reads: Whether reads end; otherwise they stay open as if their
             answers arrived byte by byte.
         topic: The term topic.
+        first_offset: Offset of the first record that is still kept.
         appended_keys: Keys of the records of each stored append.
         judge_write: Decides about each append by its body.
     """
 
     def __init__(self) -> None:
         self.topic = platform_standin.Topic()
+        self.first_offset = 0
         self.appended_keys: list[list[str]] = []
         self.judge_write: _FailsWrite = lambda _: (True, True)
         self.answers_reads = True
@@ -127,7 +129,10 @@
         return _http_call.HttpReply(200, json.dumps(answer).encode())
 
     def _read(self, begin: int) -> _http_call.HttpReply:
-        """Returns the records from an offset on."""
+        """Returns the records from an offset on, if they are still kept."""
+        if begin < self.first_offset:
+            answer = {"FirstOffset": self.first_offset}
+            return _http_call.HttpReply(410, json.dumps(answer).encode())
         records = self.topic.records
         body = struct.pack(">QQ", len(records), 0) + b"".join(
             struct.pack(">I", len(each)) + each for each in records[begin:]
@@ -152,12 +157,13 @@
             rng=random.Random(1),
             provision=provision,
         )
+        self.grants = _lease_grants.GrantHistory(0.0)
         self.feed = _term_keeper.TermFeed(
             calls=store,
             address="store:1",
             clock=lambda: build.clock_readings_at(self.now_s),
             election=self.election,
-            grants=_lease_grants.GrantHistory(0.0),
+            grants=self.grants,
             member="a",
             member_address="a:1",
             provision=provision,
@@ -281,6 +287,27 @@
         instance.run_for(2.0)
         assert instance.election.relative_provision == 1.0
 
+    def test_a_removal_that_the_store_has_forgotten_is_noticed(
+        self, store: _StoreClient
+    ) -> None:
+        """Else no scheduler ever asks this instance whether it may go on."""
+        instance = _Instance(store)
+        instance.run_until_leader(FIRST_CLAIM_LIMIT_S)
+        instance.election.resign()
+        instance.run_for(1.0)
+        store.answers_reads = False
+        instance.run_for(1.0)
+        store.put("member.a", b"")
+        store.put("provision.a", b"")
+        _renew_term(store, beat=1)
+        store.first_offset = len(store.topic.records)
+        store.answers_reads = True
+        instance.run_for(2.0)
+        assert store.topic.newest_by_key["member.a"][1] == b"a:1"
+        grants = instance.grants
+        assert grants.registered_s is not None
+        assert grants.registered_s > instance.now_s - 2.0
+
     def test_a_new_store_gets_a_registration_of_its_own(
         self, store: _StoreClient
     ) -> None:
