Repeat a removal of members that failed no sooner than a registration

Cause: the scheduler repeated a removal that the store had refused with each tick (20 times in 1 s in the test), while the store refused calls.

Evidence: test_term_keeper.py::TestRegistration:: test_a_removal_that_fails_is_not_repeated_at_once failed before and passes.

--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -30,8 +30,8 @@
 in seconds; reads end sooner, even without a new record."""
 
 REGISTRATION_INTERVAL_S = 0.5
-"""Time from the answer to a registration until it is repeated unless it was
-read back, in seconds."""
+"""Time from the answer to a registration or a removal until it is repeated
+unless it was read back, in seconds."""
 
 _log = structlog.get_logger()
 
@@ -182,6 +182,8 @@
         )
         if not records or self._is_registering:
             return
+        if self.current_time().boot_s < self._next_registration_s:
+            return
         self._is_registering = True
         self._calls.send(
             _store.make_append_call(
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -308,6 +308,26 @@
         assert grants.registered_s is not None
         assert grants.registered_s > instance.now_s - 2.0
 
+    def test_a_removal_that_fails_is_not_repeated_at_once(
+        self, store: _StoreClient
+    ) -> None:
+        """A store that refuses calls refuses more of them then."""
+        instance = _Instance(store)
+        instance.run_until_leader(FIRST_CLAIM_LIMIT_S)
+        removals: list[bytes] = []
+
+        def refuse_removal(body: bytes) -> tuple[bool, bool]:
+            if not _is_registration(body):
+                return True, True
+            removals.append(body)
+            return False, True
+
+        store.judge_write = refuse_removal
+        for _ in range(round(1.0 / TICK_S)):
+            instance.feed.remove_members(["b"])
+            instance.run_for(TICK_S)
+        assert 1 <= len(removals) <= 3
+
     def test_a_new_store_gets_a_registration_of_its_own(
         self, store: _StoreClient
     ) -> None:
