Claim an expired term although reads fail now and then

Cause: each failed read began the 1.8 s without a renewal anew. Now a gap of up to 1.2 s between two successful reads does not count, and only a longer one begins the time anew, as the scheduler may have missed its renewals in the same outage.

Evidence: test_single_failed_reads_do_not_put_a_claim_off_for_ever and test_a_gap_in_the_reads_does_not_count_as_silence fail without it.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -32,6 +32,11 @@
 """Time without a renewal after which other instances may claim the next term,
 in seconds; three renewals are missing by then."""
 
+MAX_READ_GAP_S = 2 * RENEWAL_INTERVAL_S
+"""Longest time between two successful reads, with a failed one between them,
+that does not begin the wait for a renewal anew, in seconds; an outage of that
+length costs the scheduler two renewals at most."""
+
 MAX_CLAIM_JITTER_S = 0.4
 """Upper bound of the random delay before a claim, in seconds; most candidates
 then read another's claim before they write their own."""
@@ -142,6 +147,8 @@
         self._longest_run_s = 0.0
         self._end_offset: int | None = None
         self._renewal_seen_s: float | None = None
+        self._read_s: float | None = None
+        self._failed_since_s: float | None = None
         self._next_write_s = 0.0
         self._write_in_flight: TermWrite | None = None
         self._last_written_term: _leadership.Term | None = None
@@ -186,6 +193,8 @@
         self._incarnation = incarnation
         self._end_offset = None
         self._renewal_seen_s = None
+        self._read_s = None
+        self._failed_since_s = None
         self._write_in_flight = None
         self._last_written_term = None
         self._next_write_s = 0.0
@@ -273,6 +282,8 @@
         if self._end_offset is not None and end_offset < self._end_offset:
             return
         self._end_offset = end_offset
+        self._end_read_gap(now_s)
+        self._read_s = now_s
         if self._renewal_seen_s is None:
             self._renewal_seen_s = now_s
         if term is None:
@@ -321,14 +332,31 @@
             return
         if self._renewal_seen_s is None or self.term.instance == self._instance:
             return
+        if self._failed_since_s is not None:
+            return
         self._renewal_seen_s = min(self._renewal_seen_s, now_s - TERM_EXPIRY_S)
 
     def record_read_failure(self) -> None:
-        """Restarts the wait for the term's expiry after a failed read.
+        """Stops the wait for the term's expiry until the next read.
 
         While reads fail, missing renewals say nothing about the leader.
         """
-        self._renewal_seen_s = None
+        if self._failed_since_s is None:
+            self._failed_since_s = self._read_s
+
+    def _end_read_gap(self, now_s: float) -> None:
+        """Goes on with the wait for the term's expiry after failed reads.
+
+        The time without a successful read does not count. If it was long, the
+        wait begins anew, as the leader may have missed several renewals.
+        """
+        failed_since_s, self._failed_since_s = self._failed_since_s, None
+        if failed_since_s is None or self._renewal_seen_s is None:
+            return
+        gap_s = now_s - failed_since_s
+        self._renewal_seen_s = (
+            self._renewal_seen_s + gap_s if gap_s <= MAX_READ_GAP_S else now_s
+        )
 
     def next_term_write(self, now_s: float) -> TermWrite | None:
         """Returns the claim, renewal or resignation to send now, or None.
@@ -425,7 +453,7 @@
 
         None if the store was not read since the last failure.
         """
-        if self._renewal_seen_s is None:
+        if self._renewal_seen_s is None or self._failed_since_s is not None:
             return None
         if self.term is None or self.term.is_resigned:
             return self._renewal_seen_s
--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -150,6 +150,28 @@
         assert election.next_term_write(11.0) is None
         assert election.next_term_write(12.0) is not None
 
+    def test_single_failed_reads_do_not_put_a_claim_off_for_ever(self) -> None:
+        election = _make_election("a")
+        now_s = 0.0
+        election.apply_read(_make_term("b", 3), 5, now_s)
+        while election.next_term_write(now_s) is None:
+            assert now_s < 3 * _election.TERM_EXPIRY_S
+            election.apply_read(None, 5, now_s + 1.0)
+            election.record_read_failure()
+            assert election.next_term_write(now_s + 1.5) is None
+            now_s += 1.7
+            election.apply_read(None, 5, now_s)
+
+    def test_a_gap_in_the_reads_does_not_count_as_silence(self) -> None:
+        election = _make_election("a")
+        election.apply_read(_make_term("b", 3), 5, 0.0)
+        election.apply_read(None, 5, 0.5)
+        election.record_read_failure()
+        election.apply_read(None, 5, 0.5 + _election.MAX_READ_GAP_S)
+        open_s = _election.TERM_EXPIRY_S + _election.MAX_READ_GAP_S
+        assert election.next_term_write(open_s - 0.1) is None
+        assert election.next_term_write(open_s + 0.1) is not None
+
     def test_a_resigned_term_is_claimed_at_once(self) -> None:
         election = _make_election("a")
         resigned = _leadership.Term(3, "b", 1, "b:1", 9, is_resigned=True)
