--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -324,6 +324,34 @@
         instance_rig.wait_until(lambda: len(platform.starts) > 1)
         assert time.monotonic() - lost_s < _MAX_LASTING_GAP_S
 
+    def test_a_lasting_task_does_if_the_scheduler_starts_again(
+        self,
+        platform: platform_standin.Platform,
+        instances: list[instance_rig.Instance],
+    ) -> None:
+        """It claims the next term as soon as it has read its own."""
+        platform.add_executor()
+        instances += [
+            instance_rig.Instance(platform, f"front-{number}")
+            for number in range(3)
+        ]
+        instance_rig.submit_until_accepted(
+            instances[0], _JOB_PATH, instance_rig.LASTING_JOB
+        )
+        instance_rig.wait_until(lambda: platform.starts)
+        time.sleep(_SETTLED_S)
+        lost = next(each for each in platform.executors if each.running)
+        leader = next(each for each in instances if each.task.is_scheduling())
+        lost.httpd.shutdown()
+        lost_s = time.monotonic()
+        instances.remove(leader)
+        leader.close()
+        restarted = instance_rig.Instance(platform, leader.name)
+        instances.append(restarted)
+        instance_rig.wait_until(lambda: len(platform.starts) > 1)
+        assert restarted.task.is_scheduling()
+        assert time.monotonic() - lost_s < _MAX_LASTING_GAP_S
+
 
 class TestOutage:
     """In an outage of the store, leases are renewed while nobody takes over."""
