Keep instances of an earlier build on the list of members

Cause: they answer 400, as they don't know the question whether they lack the store. That counted as no answer, so that they were taken off the list every 10 s.

Evidence: test_member_watch.py::TestPresence::test_one_of_an_earlier_build_is_not failed before and passes.

--- a/src/basiljunction/transport/jobs/_member_watch.py
+++ b/src/basiljunction/transport/jobs/_member_watch.py
@@ -34,6 +34,9 @@
 """Time without an answer after which an instance counts as gone, in seconds;
 longer than a restart takes."""
 
+UNKNOWN_STATUS = 400
+"""Status of an answer of an earlier build, which does not know the question."""
+
 MAX_LOGGED_MEMBERS = 5
 """Most instances that a log entry names."""
 
@@ -190,11 +193,14 @@
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
             member.is_asked = False
-            member.has_timed_out = not reply.is_success
-            if not reply.is_success:
+            is_known = reply.is_success or reply.status == UNKNOWN_STATUS
+            member.has_timed_out = not is_known
+            if not is_known:
                 return
             member.seen_s = self._clock().boot_s
             member.has_answered = True
+            if not reply.is_success:
+                return
             try:
                 answer = _peer_calls.decode_reply(reply.body)
             except _errors.DecodeError as error:
--- a/tests/transport/jobs/test_member_watch.py
+++ b/tests/transport/jobs/test_member_watch.py
@@ -23,12 +23,15 @@
     Attributes:
         absent: Addresses of instances that do not answer.
         lacking: Addresses of instances that report an outage.
+        earlier: Addresses of instances of a build that does not know the
+            question.
         asked: Addresses of the instances that were asked, in order.
     """
 
     def __init__(self) -> None:
         self.absent: set[str] = set()
         self.lacking: set[str] = set()
+        self.earlier: set[str] = set()
         self.asked: list[str] = []
 
     def send(
@@ -46,6 +49,9 @@
         if address in self.absent:
             on_reply(_http_call.HttpReply(0, error_text="timed out"))
             return
+        if address in self.earlier:
+            on_reply(_http_call.HttpReply(400))
+            return
         reply = _client_calls.ClientReply(
             _client_calls.CallOutcome.FOUND,
             lacks_store=address in self.lacking,
@@ -157,3 +163,11 @@
         scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
         now = build.clock_readings_at(scheduler.now_s)
         assert scheduler.watch.find_gone(now) == []
+
+    def test_one_of_an_earlier_build_is_not(self) -> None:
+        """It answers that it does not know the question."""
+        scheduler = _Scheduler()
+        scheduler.peers.earlier.add("c:1")
+        scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
+        now = build.clock_readings_at(scheduler.now_s)
+        assert scheduler.watch.find_gone(now) == []
