Take no members off the list as the scheduler's own link comes back

Cause: after 10 s without any answer, the first one showed that the link works, and all members that had not answered yet counted as gone at that moment.

Evidence: test_member_watch.py::TestPresence:: test_none_is_once_the_scheduler_is_no_longer_cut_off failed before and passes.

--- a/src/basiljunction/transport/jobs/_member_watch.py
+++ b/src/basiljunction/transport/jobs/_member_watch.py
@@ -172,6 +172,21 @@
             first=missing[:MAX_LOGGED_MEMBERS],
         )
 
+    def _note_answer(self, member: _Member) -> None:
+        """Records that an instance has answered.
+
+        While none answered, this instance may have been cut off, so the silence
+        of the others counts from now on.
+        """
+        now_s = self._clock().boot_s
+        others = self._member_by_name.values()
+        newest_s = max((each.seen_s for each in others), default=now_s)
+        if now_s - newest_s > PRESENCE_INTERVAL_S + 2 * QUESTION_TIMEOUT_S:
+            for each in others:
+                each.seen_s = now_s
+        member.seen_s = now_s
+        member.has_answered = True
+
     def _ask(
         self,
         name: str,
@@ -197,8 +212,7 @@
             member.has_timed_out = not is_known
             if not is_known:
                 return
-            member.seen_s = self._clock().boot_s
-            member.has_answered = True
+            self._note_answer(member)
             if not reply.is_success:
                 return
             try:
--- a/tests/transport/jobs/test_member_watch.py
+++ b/tests/transport/jobs/test_member_watch.py
@@ -171,3 +171,14 @@
         scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
         now = build.clock_readings_at(scheduler.now_s)
         assert scheduler.watch.find_gone(now) == []
+
+    def test_none_is_once_the_scheduler_is_no_longer_cut_off(self) -> None:
+        """Instances answer one after the other then."""
+        scheduler = _Scheduler()
+        scheduler.run(3.0, is_store_up=True)
+        scheduler.peers.absent |= {"b:1", "c:1"}
+        scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
+        scheduler.peers.absent.remove("b:1")
+        scheduler.run(_member_watch.PRESENCE_INTERVAL_S, is_store_up=True)
+        now = build.clock_readings_at(scheduler.now_s)
+        assert scheduler.watch.find_gone(now) == []
