Fail a call that cannot be put into a request, rather than the pass that sends it

Callers saw that no task started while one entry of the list of executors had an id that no HTTP header can carry ("i-é", or one with a null byte).

Cause: pycurl raises for such a header or URL, so HttpClient.send raised in the middle of a scheduling pass. The orders behind that one had been taken and were lost; renewals among them counted as in flight for ever, so the other executors were never asked for their runs. Addresses of members and terms in the store take the same way.

Change: HttpClient.send takes each call; one that libcurl refuses fails in the next poll as a call that was not sent.

--- a/src/basiljunction/transport/jobs/_http_calls.py
+++ b/src/basiljunction/transport/jobs/_http_calls.py
@@ -182,6 +182,8 @@
         self._watched_by_handle: dict[pycurl.Curl, _CallInFlight] = {}
         self._next_silence_check_s = float("inf")
         self._idle_handles: list[pycurl.Curl] = []
+        # Calls that cannot be put into a request, and why.
+        self._unsendable: list[tuple[_CallInFlight, str]] = []
         self._timer_ms = -1
 
     def send(
@@ -192,6 +194,10 @@
     ) -> None:
         """Starts a call; `poll` later passes the reply to `on_reply`.
 
+        One that libcurl does not take, as for a character in a header that
+        cannot be sent, fails like one that is not sent. The caller's loop must
+        not end for it, as other calls may follow.
+
         Args:
             call: The call.
             on_reply: Called once with the reply.
@@ -206,7 +212,13 @@
         in_flight = _CallInFlight(
             on_reply, body, call, guard, now_s, now_s, call.silence_limit_s
         )
-        _configure_handle(handle, call)
+        try:
+            _configure_handle(handle, call)
+        except (ValueError, pycurl.error) as error:
+            handle.reset()
+            self._idle_handles.append(handle)
+            self._unsendable.append((in_flight, f"cannot be sent: {error}"))
+            return
         handle.setopt(pycurl.PREREQFUNCTION, in_flight.check_before_sending)
         if guard is not None and not guard.may_open:
             handle.setopt(
@@ -246,9 +258,9 @@
         Args:
             wait_s: Longest wait, in seconds.
         """
-        timer_s = wait_s
+        timer_s = 0.0 if self._unsendable else wait_s
         if self._timer_ms >= 0:
-            timer_s = min(wait_s, self._timer_ms / 1000)
+            timer_s = min(timer_s, self._timer_ms / 1000)
         silence_left_s = self._next_silence_check_s - time.monotonic()
         events = self._selector.select(max(0.0, min(timer_s, silence_left_s)))
         is_timer_due = not events
@@ -266,6 +278,7 @@
             self._timer_ms = -1
             self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
         self._complete_finished_calls()
+        self._fail_unsendable_calls()
         # After the sockets were read: what arrived while the process was busy
         # ends the silence.
         if time.monotonic() >= self._next_silence_check_s:
@@ -277,6 +290,7 @@
             self._multi.remove_handle(handle)
         self._call_by_handle.clear()
         self._watched_by_handle.clear()
+        self._unsendable.clear()
         self._multi.close()
         self._selector.close()
         self._wake_receiver.close()
@@ -326,6 +340,18 @@
             if not remaining:
                 return
 
+    def _fail_unsendable_calls(self) -> None:
+        """Fails the calls that could not be put into a request."""
+        unsendable, self._unsendable = self._unsendable, []
+        for call, fault in unsendable:
+            self._metrics.count(
+                "outgoing_calls", operation=call.call.operation, status="none"
+            )
+            reply = _http_call.HttpReply(
+                status=0, error_text=fault, may_have_been_sent=False
+            )
+            _pass_reply(call, reply)
+
     def _give_up_silent_calls(self) -> None:
         """Fails the calls whose limit on silence is exceeded."""
         now_s = time.monotonic()
@@ -353,11 +379,7 @@
         fault: str = "",
         code: int = 0,
     ) -> None:
-        """Records the metrics of a call and passes on its reply.
-
-        An exception of the callback is logged, so that other calls that have
-        ended get their replies and the caller's loop goes on.
-        """
+        """Records the metrics of a call and passes on its reply."""
         call = self._call_by_handle.pop(handle)
         self._watched_by_handle.pop(handle, None)
         took_s = time.monotonic() - call.started_s
@@ -390,15 +412,24 @@
             ),
             lacked_connection=lacked_connection,
         )
-        try:
-            call.on_reply(reply)
-        except Exception as error:  # noqa: BLE001 - must not end the task
-            _log.exception(
-                "call.reply-error",
-                operation=call.call.operation,
-                status=status,
-                error=repr(error),
-            )
+        _pass_reply(call, reply)
+
+
+def _pass_reply(call: _CallInFlight, reply: _http_call.HttpReply) -> None:
+    """Passes a reply to the callback of its call.
+
+    An exception of the callback is logged, so that other calls that have ended
+    get their replies and the caller's loop goes on.
+    """
+    try:
+        call.on_reply(reply)
+    except Exception as error:  # noqa: BLE001 - must not end the task
+        _log.exception(
+            "call.reply-error",
+            operation=call.call.operation,
+            status=reply.status,
+            error=repr(error),
+        )
 
 
 def _configure_handle(handle: pycurl.Curl, call: _http_call.HttpCall) -> None:
--- a/tests/transport/jobs/test_http_calls.py
+++ b/tests/transport/jobs/test_http_calls.py
@@ -312,6 +312,59 @@
         assert len(replies) == len(servers)
 
 
+class TestUnsendableCalls:
+    """A call that cannot be put into a request fails; it raises nothing."""
+
+    @pytest.mark.parametrize(
+        ("url", "header"),
+        [
+            ("http://127.0.0.1:1/", "Expect-Instance: i-\u00e9"),
+            ("http://127.0.0.1:1/", "Expect-Instance: i-\0"),
+            ("http://127.0.0.1:1/", "Expect-Instance: i-\udcff"),
+            ("http://\u00e9:1/", "A: b"),
+            ("http://127.0.0.1:1\0/", "A: b"),
+            ("http://127.0.0.1:99999/", "A: b"),
+            ("http://...:1/", "A: b"),
+        ],
+    )
+    def test_the_calls_behind_it_are_sent(self, url: str, header: str) -> None:
+        server = resetting_server.ResettingServer(later_status=200)
+        calls = _http_calls.HttpClient(
+            _metrics.Metrics("front-1"), max_connections=4
+        )
+        refused: list[_http_call.HttpReply] = []
+        answered: list[_http_call.HttpReply] = []
+        calls.send(
+            _http_call.HttpCall("GET", url, b"", (header,)), refused.append
+        )
+        assert refused == []
+        calls.send(_http_call.HttpCall("GET", server.url), answered.append)
+        deadline_s = time.monotonic() + 4.0
+        while not (refused and answered) and time.monotonic() < deadline_s:
+            calls.poll(0.05)
+        calls.close()
+        server.close()
+        assert [each.status for each in refused] == [0]
+        assert refused[0].error_text
+        assert not refused[0].may_have_been_sent
+        assert [each.status for each in answered] == [200]
+
+    def test_its_reply_does_not_wait_for_an_event(self) -> None:
+        calls = _http_calls.HttpClient(
+            _metrics.Metrics("front-1"), max_connections=4
+        )
+        replies: list[_http_call.HttpReply] = []
+        calls.send(
+            _http_call.HttpCall("GET", "http://\u00e9:1/"), replies.append
+        )
+        begin_s = time.monotonic()
+        calls.poll(SILENCE_LIMIT_S)
+        took_s = time.monotonic() - begin_s
+        calls.close()
+        assert len(replies) == 1
+        assert took_s < SILENCE_LIMIT_S
+
+
 class TestRepeatedRequests:
     """A request that was read is not sent again behind the caller's back.
 
--- /dev/null
+++ b/tests/transport/jobs/test_odd_entries.py
@@ -0,0 +1,91 @@
+"""Tests of an instance beside odd entries in the list of executors."""
+
+from collections.abc import Iterator
+import json
+from typing import Any
+
+import pytest
+import structlog
+
+from basiljunction.transport import _task
+from basiljunction.transport.jobs import _http_calls
+import instance_rig
+import platform_standin
+
+
+def _entry(**fields: object) -> bytes:
+    """Returns the entry of an executor with other values in some fields."""
+    return json.dumps(
+        {
+            "Service": "coder",
+            "Address": "127.0.0.1:1",
+            "Zone": "zone-a",
+            "State": "ready",
+            "Capacity": {"Cpu": 4000, "MemMb": 8000, "Gpu": 0},
+            "Labels": ["a", "r1"],
+            "born": 1,
+            **fields,
+        }
+    ).encode()
+
+
+def _write(platform: platform_standin.Platform, key: str, value: bytes) -> None:
+    """Writes an entry into the list of executors as another writer does."""
+    name = key.encode()
+    with platform.lock:
+        platform.topics["keyed.servers"].append_record(
+            bytes((len(name),)) + name + value
+        )
+
+
+@pytest.fixture
+def errors(monkeypatch: pytest.MonkeyPatch) -> list[Any]:
+    """Errors that the instance's loop logs."""
+    log = structlog.testing.CapturingLogger()
+    monkeypatch.setattr(_task, "_log", log)
+    monkeypatch.setattr(_http_calls, "_log", log)
+    return log.calls
+
+
+@pytest.fixture
+def platform() -> Iterator[platform_standin.Platform]:
+    """A platform with two executors and a queue."""
+    platform = platform_standin.Platform(2)
+    platform.configure(1, "/queue/")
+    yield platform
+    platform.close()
+
+
+def _run_job(instance: instance_rig.Instance, number: int) -> None:
+    """Submits a job and waits until it is completed."""
+    path = f"/queue/{number:016x}"
+    instance_rig.submit_until_accepted(instance, path)
+    instance_rig.wait_until(
+        lambda: instance.call("GET", path) == (200, '{"State":"completed"}')
+    )
+
+
+def _run_beside(
+    platform: platform_standin.Platform, key: str, value: bytes
+) -> None:
+    """Runs a job beside an entry that is there before, and one beside a new."""
+    _write(platform, key, value)
+    instance = instance_rig.Instance(platform)
+    _run_job(instance, 1)
+    _write(platform, key, value)
+    _run_job(instance, 2)
+    instance.close()
+
+
+class TestOddEntries:
+    """An odd entry doesn't keep the instance from the other executors."""
+
+    @pytest.mark.parametrize("key", ["i-\u00e9", "i-\u03b1", "i-\0"])
+    def test_jobs_run_beside_an_id_that_no_header_can_carry(
+        self,
+        platform: platform_standin.Platform,
+        errors: list[Any],
+        key: str,
+    ) -> None:
+        _run_beside(platform, key, _entry())
+        assert errors == []
