Take no executor from an entry whose address or id cannot be called

Cause: any digits and dots passed as an address (port 0 or 99999, 999.0.0.1), and any text as an id, also one with a line break, which adds a header line to each order. Such an entry was stored in the roster like an executor, so that the next scheduler waited for its lease to expire.

Change: the address has to be an IPv4 address with a port from 1 to 65535, and the id has to be printable ASCII.

--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -3,6 +3,9 @@
 Also parses the platform's list of executors.
 """
 
+import ipaddress
+import re
+from typing import Annotated
 from typing import Any
 
 import pydantic
@@ -29,6 +32,15 @@
 _INSTANCE_HEADER = "Expect-Instance"
 """Header with the executor id; any other executor rejects the call."""
 
+_HEADER_VALUE = re.compile("[!-~]([ -~]*[!-~])?")
+"""Pattern of an executor id, which every order carries in a header.
+
+Blanks at the ends of a header's value don't count.
+"""
+
+_MAX_PORT = 65_535
+"""Highest port of an address."""
+
 _OTHER_INCARNATION_STATUS = 421
 """HTTP status of an executor that is not the expected incarnation."""
 
@@ -307,6 +319,19 @@
     )
 
 
+def _check_address(address: str) -> str:
+    """Returns an ``ip:port`` to which a connection can be opened.
+
+    Raises:
+        ValueError: The text is not such an address.
+    """
+    ip, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(ip)
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"{port} is not a port from 1 to {_MAX_PORT}")
+    return address
+
+
 class _Capacity(pydantic.BaseModel):
     """Total resources of an executor, with the platform's field names.
 
@@ -342,7 +367,11 @@
     model_config = pydantic.ConfigDict(strict=True)
 
     Service: str
-    Address: str = pydantic.Field(pattern=r"^[0-9.]+:[0-9]+$")
+    Address: Annotated[
+        str,
+        pydantic.Field(pattern=r"^[0-9.]+:[0-9]{1,5}$"),
+        pydantic.AfterValidator(_check_address),
+    ]
     Zone: str
     State: str = pydantic.Field(pattern="^(ready|draining)$")
     Capacity: _Capacity
@@ -361,6 +390,10 @@
     Raises:
         DecodeError: The record does not describe a usable executor.
     """
+    if _HEADER_VALUE.fullmatch(record.key) is None:
+        raise _errors.DecodeError(
+            "executor entry", f"no header can carry the id {record.key!r}"
+        )
     try:
         report = _Entry.model_validate_json(record.value)
     except ValueError as error:
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -310,6 +310,25 @@
             _store.parse_page(_http_call.HttpReply(200, whole[:-cut]), 0)
 
 
+def _parse_entry(
+    key: str = "i-1", /, **fields: object
+) -> _executor.ListedExecutor:
+    """Parses the entry of an executor with other values in some fields."""
+    entry = {
+        "Service": "s",
+        "Address": "10.0.0.1:80",
+        "Zone": "z",
+        "State": "ready",
+        "Capacity": {"Cpu": 4000, "MemMb": 8000, "Gpu": 1},
+        "Labels": ["a", "r1"],
+        "born": 7,
+        **fields,
+    }
+    return _executors.parse_listed_executor(
+        _job_records.KeyedRecord(key, json.dumps(entry).encode())
+    )
+
+
 class TestExecutors:
     """Malformed executor entries are errors; reports and replies decode."""
 
@@ -334,6 +353,64 @@
                 _job_records.KeyedRecord("i-1", value)
             )
 
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.1:99999",
+            "10.0.0.1:" + "9" * 5000,
+            "10.0.0.1:",
+            "10.0.0.1:80\n",
+            "10.0.0.1: 80",
+            "10.0.0.1:+80",
+            "10.0.0.1:\u0664\u0662",
+            "10.0.0.1:80/x",
+            "10.0.0.256:80",
+            "999.0.0.1:80",
+            "10.0.1:80",
+            "167772161:80",
+            "...:80",
+            ":80",
+            "80",
+            "",
+        ],
+    )
+    def test_an_address_that_cannot_be_called_is_an_error(
+        self, address: str
+    ) -> None:
+        with pytest.raises(_errors.DecodeError):
+            _parse_entry(Address=address)
+
+    @pytest.mark.parametrize("address", ["10.0.0.1:1", "255.255.255.255:65535"])
+    def test_the_first_and_the_last_address_are_kept(
+        self, address: str
+    ) -> None:
+        assert _parse_entry(Address=address).address == address
+
+    @pytest.mark.parametrize(
+        "key",
+        [
+            "",
+            " ",
+            "i-1 ",
+            "i-1\n",
+            "i-1\r\nExpect-Instance: i-0",
+            "i-\0",
+            "i-\x7f",
+            "i-\u00e9",
+            "i-\udcff",
+            "\ufffd",
+        ],
+    )
+    def test_an_id_that_no_header_can_carry_is_an_error(self, key: str) -> None:
+        with pytest.raises(_errors.DecodeError):
+            _parse_entry(key)
+
+    @pytest.mark.parametrize("key", ["i-1", "0", "A_b.c:d/e ~!", "i" * 255])
+    def test_any_other_id_is_kept(self, key: str) -> None:
+        assert _parse_entry(key).id == key
+
     @pytest.mark.parametrize(
         ("fields", "left_s"),
         [
