Ask an executor again whose list of runs has a number too large or a malformed task id

Callers saw an executor drop out for good after one such answer: no renewal followed, so its lease and its runs lapsed and it got no task until the next change of scheduler.

Cause: int(1e400), float(10**400) and 5.split() raise OverflowError and AttributeError, which were not taken for a decoding error. The HTTP client logged them, and the renewal counted as in flight for ever. Clocks of any size, NaN and negative numbers of tasks went on to the scheduler.

Change: pydantic models describe the answers of executors: integers from 0 to 2**53, finite numbers, strings. Any other answer is one that cannot be read (executor.torn); columns that are not known are skipped as before.

--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -7,6 +7,7 @@
 import re
 from typing import Annotated
 from typing import Any
+from typing import NamedTuple
 
 import pydantic
 import pydantic_core
@@ -38,6 +39,9 @@
 Blanks at the ends of a header's value don't count.
 """
 
+_MAX_COUNT = 1 << 53
+"""Highest number that an executor may report."""
+
 _MAX_PORT = 65_535
 """Highest port of an address."""
 
@@ -63,6 +67,102 @@
 }
 
 
+_Text = Annotated[str, pydantic.Strict()]
+"""A JSON string."""
+
+_Count = Annotated[int, pydantic.Field(strict=True, ge=0, le=_MAX_COUNT)]
+"""A JSON integer that counts something."""
+
+_Measure = Annotated[float, pydantic.Field(strict=True, allow_inf_nan=False)]
+"""A JSON number that is finite."""
+
+
+def _drop_later_columns(row: object) -> object:
+    """Returns a row of a list of runs without columns that are not known."""
+    return row[:_RUN_COLUMNS] if isinstance(row, list) else row
+
+
+_RUN_COLUMNS = 5
+"""Columns that are known of a row in a list of runs."""
+
+
+class _ActiveRunRow(NamedTuple):
+    """One row of an executor's list of active runs.
+
+    Attributes:
+        task: Task id in its wire format.
+        run_number: Number of the run.
+        checkpoint: Newest checkpoint; empty if there is none.
+        progress_percent: Progress in percent.
+        reported_value: Tail latency or CPU in use; 0 if it is not reported.
+    """
+
+    task: _Text
+    run_number: _Count
+    checkpoint: _Text
+    progress_percent: _Measure
+    reported_value: _Measure = 0.0
+
+
+class _EndedRunRow(NamedTuple):
+    """One row of an executor's list of ended runs.
+
+    Attributes:
+        list_position: Position in the list, from 1.
+        task: Task id in its wire format.
+        run_number: Number of the run.
+        kind: Way in which the run ended.
+        checkpoint: Newest checkpoint; empty if there is none.
+    """
+
+    list_position: _Count
+    task: _Text
+    run_number: _Count
+    kind: _Text
+    checkpoint: _Text = ""
+
+
+class _RenewalReply(pydantic.BaseModel):
+    """An executor's answer to a renewal, with the platform's field names.
+
+    Attributes:
+        ClockMs: Reading of its clock, in milliseconds.
+        born: Start of its incarnation, in milliseconds since the Unix epoch;
+            0 if unknown.
+        Running: Its active runs.
+        Ended: Its ended runs that are not acknowledged.
+    """
+
+    ClockMs: _Count
+    born: _Count = 0
+    Running: Annotated[
+        list[
+            Annotated[
+                _ActiveRunRow, pydantic.BeforeValidator(_drop_later_columns)
+            ]
+        ],
+        pydantic.FailFast(),
+    ]
+    Ended: Annotated[
+        list[
+            Annotated[
+                _EndedRunRow, pydantic.BeforeValidator(_drop_later_columns)
+            ]
+        ],
+        pydantic.FailFast(),
+    ]
+
+
+class _ClockReply(pydantic.BaseModel):
+    """What any answer of an executor tells, with the platform's field names.
+
+    Attributes:
+        ClockMs: Reading of its clock, in milliseconds.
+    """
+
+    ClockMs: _Count
+
+
 def format_task_id(task: _job_spec.TaskId) -> str:
     """Returns a task id in its wire format: job.occurrence.step.index."""
     return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
@@ -75,7 +175,11 @@
         ValueError: The text is not a task id.
     """
     job, occurrence, step, index = name.split(".")
-    return _job_spec.TaskId(job, int(occurrence), int(step), int(index))
+    task = _job_spec.TaskId(job, int(occurrence), int(step), int(index))
+    for number in (task.occurrence, task.step, task.index):
+        if not 0 <= number <= _MAX_COUNT:
+            raise ValueError(f"task id {name} has a number out of range")
+    return task
 
 
 def make_start_call(
@@ -122,8 +226,10 @@
     """
     if not reply.has_complete_reply or is_other_incarnation(reply):
         return None
-    clock_ms = reply.parse_json_object().get("ClockMs")
-    return clock_ms if type(clock_ms) is int and clock_ms >= 0 else None
+    try:
+        return _ClockReply.model_validate_json(reply.body).ClockMs
+    except ValueError:
+        return None
 
 
 def make_stop_call(
@@ -251,20 +357,16 @@
     Raises:
         DecodeError: The answer is malformed.
     """
-    answer = reply.parse_json_object()
     try:
+        answer = _RenewalReply.model_validate_json(reply.body)
         return _executor.LeaseRenewalReply(
-            clock_ms=int(answer["ClockMs"]),
-            started_wall_ms=int(answer.get("born", 0)),
-            active_runs=tuple(
-                _parse_active_run(row) for row in answer["Running"]
-            ),
-            unacknowledged_ends=tuple(
-                _parse_ended_run(row) for row in answer["Ended"]
-            ),
+            clock_ms=answer.ClockMs,
+            started_wall_ms=answer.born,
+            active_runs=tuple(map(_convert_active_run, answer.Running)),
+            unacknowledged_ends=tuple(map(_convert_ended_run, answer.Ended)),
         )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        raise _errors.DecodeError("list of runs", repr(error)) from error
+    except ValueError as error:
+        raise _errors.DecodeError("list of runs", str(error)) from error
 
 
 def encode_renewal_reply(reply: _executor.LeaseRenewalReply) -> bytes:
@@ -297,25 +399,19 @@
     )
 
 
-def _parse_active_run(row: list[Any]) -> _executor.ActiveRunReport:
-    """Parses one row of an executor's list of active runs."""
-    return _executor.ActiveRunReport(
-        task=parse_task_id(row[0]),
-        run_number=int(row[1]),
-        checkpoint=str(row[2]),
-        progress_percent=float(row[3]),
-        reported_value=float(row[4]) if len(row) > 4 else 0.0,
-    )
+def _convert_active_run(row: _ActiveRunRow) -> _executor.ActiveRunReport:
+    """Converts a row of an executor's list of active runs."""
+    return _executor.ActiveRunReport(parse_task_id(row.task), *row[1:])
 
 
-def _parse_ended_run(row: list[Any]) -> _executor.EndedRunReport:
-    """Parses one row of an executor's list of ended runs."""
+def _convert_ended_run(row: _EndedRunRow) -> _executor.EndedRunReport:
+    """Converts a row of an executor's list of ended runs."""
     return _executor.EndedRunReport(
-        list_position=int(row[0]),
-        task=parse_task_id(row[1]),
-        run_number=int(row[2]),
-        kind=_executor.RunEndKind(row[3]),
-        checkpoint=str(row[4]) if len(row) > 4 else "",
+        list_position=row.list_position,
+        task=parse_task_id(row.task),
+        run_number=row.run_number,
+        kind=_executor.RunEndKind(row.kind),
+        checkpoint=row.checkpoint,
     )
 
 
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -462,6 +462,52 @@
         )
         assert _executors.parse_renewal_reply(reply) == report
 
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            b'"ClockMs":1e400',
+            b'"ClockMs":' + b"9" * 400,
+            b'"ClockMs":-1',
+            b'"ClockMs":true',
+            b'"ClockMs":5,"born":1e400',
+            b'"ClockMs":5,"born":' + b"9" * 400,
+            b'"ClockMs":5,"Running":5',
+            b'"ClockMs":5,"Running":[5]',
+            b'"ClockMs":5,"Running":[{}]',
+            b'"ClockMs":5,"Running":[[5,1,"",0]]',
+            b'"ClockMs":5,"Running":[["a1.0.1.2",1e400,"",0]]',
+            b'"ClockMs":5,"Running":[["a1.0.1.2",1,null,0]]',
+            b'"ClockMs":5,"Running":[["a1.0.1.2",1,"",NaN]]',
+            b'"ClockMs":5,"Running":[["a1.0.1.2",1,"",Infinity]]',
+            b'"ClockMs":5,"Running":[["a1.0.1.2",1,"",1e400]]',
+            b'"ClockMs":5,"Running":[["a1.0.1.2",1,"",' + b"9" * 400 + b"]]",
+            b'"ClockMs":5,"Running":[["a1.0.1.2",1,"",0,1e400]]',
+            b'"ClockMs":5,"Running":[["a1.0.-1.2",1,"",0]]',
+            b'"ClockMs":5,"Running":[["a1.0.1.' + b"9" * 400 + b'",1,"",0]]',
+            b'"ClockMs":5,"Running":[["a1.0.1",1,"",0]]',
+            b'"ClockMs":5,"Running":' + b"[" * 100_000 + b"]" * 100_000,
+            b'"ClockMs":5,"Ended":[[1e400,"a1.0.1.2",1,"done",""]]',
+            b'"ClockMs":5,"Ended":[[1,5,1,"done",""]]',
+            b'"ClockMs":5,"Ended":[[1,"a1.0.1.2",1,["done"],""]]',
+            b'"ClockMs":5,"Ended":[[1,"a1.0.1.2",1,"odd",""]]',
+        ],
+        ids=lambda fields: fields[:44].decode(),
+    )
+    def test_an_odd_list_of_runs_is_an_error(self, fields: bytes) -> None:
+        body = b'{"Running":[],"Ended":[],' + fields + b"}"
+        with pytest.raises(_errors.DecodeError) as caught:
+            _executors.parse_renewal_reply(_http_call.HttpReply(200, body))
+        assert len(str(caught.value)) < 1000
+
+    def test_columns_that_are_not_known_yet_are_skipped(self) -> None:
+        body = (
+            b'{"ClockMs":5,"Running":[["a1.0.1.17",2,"c",41,12.5,"x"]],'
+            b'"Ended":[[58,"a1.0.1.9",1,"done","",{}]],"Other":1}'
+        )
+        report = _executors.parse_renewal_reply(_http_call.HttpReply(200, body))
+        assert report.active_runs[0].reported_value == 12.5
+        assert report.unacknowledged_ends[0].list_position == 58
+
     @pytest.mark.parametrize(
         ("status", "body", "result"),
         [
@@ -491,6 +537,8 @@
             (421, b'{"ClockMs":100}', None),
             (200, b'{"ClockMs":-1}', None),
             (200, b'{"ClockMs":true}', None),
+            (200, b'{"ClockMs":1e400}', None),
+            (200, b'{"ClockMs":' + b"9" * 400 + b"}", None),
             (200, b'{"ClockMs":"7"}', None),
             (200, b"{}", None),
             (503, b"busy", None),
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -120,6 +120,53 @@
         assert executor.renewal_failures == 1
 
 
+class _OddOnceExecutor(platform_standin.Executor):
+    """An executor whose first list of runs has odd fields.
+
+    Attributes:
+        odd_fields: The fields; empty once they were sent.
+    """
+
+    odd_fields: dict[str, Any]
+
+    def answer(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
+        """Carries out a call and returns its status and body."""
+        status, answer = super().answer(path, body)
+        odd_fields, self.odd_fields = self.odd_fields, {}
+        return status, answer | odd_fields
+
+
+class TestOddAnswers:
+    """An executor whose answer can't be read is asked again."""
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"ClockMs": float("inf")},
+            {"ClockMs": int("9" * 400)},
+            {"born": float("inf")},
+            {"Running": [[5, 1, "", 0]]},
+            {"Running": [["a1.0.1.2", 1, "", int("9" * 400)]]},
+            {"Ended": [[float("inf"), "a1.0.1.2", 1, "done", ""]]},
+        ],
+    )
+    def test_the_executor_is_usable_soon(
+        self, rig: order_rig.OrderRig, fields: dict[str, Any]
+    ) -> None:
+        platform = platform_standin.Platform(executors=0)
+        executor = _OddOnceExecutor(platform, 0)
+        executor.odd_fields = fields
+        platform.executors.append(executor)
+        address = executor.describe()["Address"]
+        rig.list_executors([build.executor_entry(executor.id, address=address)])
+        rig.run_until(lambda: rig.count_answering() == 1, limit_s=2.0)
+        platform.close()
+        assert not executor.odd_fields
+        assert rig.count_answering() == 1
+        state = rig.scheduler.cell.executor_by_id[executor.id]
+        assert state.clock.clock_ms < 10_000
+
+
 class TestFullLink:
     """Answers that queue on the scheduler's own link are waited for."""
 
