Take no executor from an entry whose names would fill the record of all executors

Callers saw that no task started, and no job was stored, once one entry had labels of 261,844 bytes.

Cause: all known executors are stored in one record, and the store takes none of more than RecordBytes (262,144).

Change: Service, Zone and each label have at most 128 characters, and there are at most 16 labels; the largest entry takes less than a sixteenth of the record. The tests' store refuses records that are too large.

--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -42,6 +42,15 @@
 _MAX_COUNT = 1 << 53
 """Highest number that an executor may report."""
 
+_MAX_NAME_CHARS = 128
+"""Longest name in an entry of the list of executors, in characters.
+
+All known executors are stored in one record, which an entry must not fill.
+"""
+
+_MAX_LABELS = 16
+"""Most labels of an executor, which has two; stored like its names."""
+
 _MAX_PORT = 65_535
 """Highest port of an address."""
 
@@ -428,6 +437,10 @@
     return address
 
 
+_Name = Annotated[str, pydantic.Field(max_length=_MAX_NAME_CHARS)]
+"""A name in an entry of the list of executors."""
+
+
 class _Capacity(pydantic.BaseModel):
     """Total resources of an executor, with the platform's field names.
 
@@ -462,16 +475,16 @@
 
     model_config = pydantic.ConfigDict(strict=True)
 
-    Service: str
+    Service: _Name
     Address: Annotated[
         str,
         pydantic.Field(pattern=r"^[0-9.]+:[0-9]{1,5}$"),
         pydantic.AfterValidator(_check_address),
     ]
-    Zone: str
+    Zone: _Name
     State: str = pydantic.Field(pattern="^(ready|draining)$")
     Capacity: _Capacity
-    Labels: list[str] = []
+    Labels: Annotated[list[_Name], pydantic.Field(max_length=_MAX_LABELS)] = []
     born: int = pydantic.Field(default=0, ge=0)
     RemainingMs: float | None = pydantic.Field(
         default=None, allow_inf_nan=False
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -21,12 +21,16 @@
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _provision
+from basiljunction.state.workload import _records
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _http_calls
 import resetting_server
 
 _ROOT = pathlib.Path(basiljunction.__file__).parent
 
+MAX_RECORD_BYTES = 262_144
+"""Largest record of the store in `_SETTINGS_TEXT`, in bytes."""
+
 _SETTINGS_TEXT = """\
 NodeName=front-a-1
 Zone=zone-a
@@ -407,6 +411,33 @@
         with pytest.raises(_errors.DecodeError):
             _parse_entry(key)
 
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"Labels": ["x" * 1000] * 250},
+            {"Labels": ["x"] * 17},
+            {"Labels": ["x" * 129]},
+            {"Service": "x" * 129},
+            {"Zone": "x" * 129},
+        ],
+        ids=lambda fields: str(fields)[:30],
+    )
+    def test_names_that_would_fill_the_stored_list_are_an_error(
+        self, fields: dict[str, object]
+    ) -> None:
+        with pytest.raises(_errors.DecodeError):
+            _parse_entry(**fields)
+
+    def test_the_largest_entry_leaves_room_in_the_stored_list(self) -> None:
+        name = "\0" * 128
+        entry = _parse_entry(
+            "i" * 255, Service=name, Zone=name, Labels=[name] * 16
+        )
+        (record,) = _job_records.encode_record(
+            _records.ExecutorRosterRecord((entry,))
+        )
+        assert len(record.value) < MAX_RECORD_BYTES / 16
+
     @pytest.mark.parametrize("key", ["i-1", "0", "A_b.c:d/e ~!", "i" * 255])
     def test_any_other_id_is_kept(self, key: str) -> None:
         assert _parse_entry(key).id == key
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -37,6 +37,9 @@
 MAX_PAGE_BYTES = 1_000_000
 """Size of a page of the newest records above which it ends, in bytes."""
 
+MAX_RECORD_BYTES = 262_144
+"""Size of the largest record that the store takes, in bytes."""
+
 RECEIVE_BYTES = 8192
 """Size of a piece of a body that a narrow link carries at once, in bytes."""
 
@@ -490,6 +493,9 @@
                 time.sleep(POLL_INTERVAL_S)
             self.close_connection = True
             return
+        if any(len(each) > MAX_RECORD_BYTES for each in split_records(body)):
+            self.send_reply(400, b"{}")
+            return
         with self.owner.lock:
             self.owner.append_sizes.append(len(body))
             status, answer = append_to_topic(
--- a/tests/transport/jobs/test_odd_entries.py
+++ b/tests/transport/jobs/test_odd_entries.py
@@ -71,10 +71,12 @@
     """Runs a job beside an entry that is there before, and one beside a new."""
     _write(platform, key, value)
     instance = instance_rig.Instance(platform)
-    _run_job(instance, 1)
-    _write(platform, key, value)
-    _run_job(instance, 2)
-    instance.close()
+    try:
+        _run_job(instance, 1)
+        _write(platform, key, value)
+        _run_job(instance, 2)
+    finally:
+        instance.close()
 
 
 class TestOddEntries:
@@ -89,3 +91,11 @@
     ) -> None:
         _run_beside(platform, key, _entry())
         assert errors == []
+
+    def test_jobs_run_beside_labels_that_fill_the_largest_record(
+        self, platform: platform_standin.Platform, errors: list[Any]
+    ) -> None:
+        value = _entry(Labels=["x" * (platform_standin.MAX_RECORD_BYTES - 300)])
+        assert len(value) < platform_standin.MAX_RECORD_BYTES
+        _run_beside(platform, "i-odd", value)
+        assert errors == []
