Refuse a job whose record the store does not take

Callers got no answer to any submission after one job with a text of 262 KB in its steps; nothing was stored any more.

Cause: the largest body (MaxBodyBytes, 262,144) and the largest record (RecordBytes) are the same, and the record of a job of 262,045 bytes has 262,328.

Test failed before: 504 instead of 400 for such a job.

--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -293,10 +293,20 @@
     )
 
 
-def _encode_record_frame(record: _job_records.KeyedRecord) -> bytes:
-    """Encodes a record for an append: length, key length, key and value."""
+def record_bytes(record: _job_records.KeyedRecord) -> int:
+    """Returns the size of a record, of which the store limits the largest."""
+    return len(_encode_record(record))
+
+
+def _encode_record(record: _job_records.KeyedRecord) -> bytes:
+    """Encodes a record: key length, key and value."""
     key = record.key.encode()
-    content = bytes((len(key),)) + key + record.value
+    return bytes((len(key),)) + key + record.value
+
+
+def _encode_record_frame(record: _job_records.KeyedRecord) -> bytes:
+    """Encodes a record for an append: length and record."""
+    content = _encode_record(record)
     return _RECORD_LENGTH.pack(len(content)) + content
 
 
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -12,6 +12,7 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.coordination.scheduling import _summary
+from basiljunction.platform import _store
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _instance_settings
 from basiljunction.protocol import _job_records
@@ -19,6 +20,7 @@
 from basiljunction.state.workload import _client_calls
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
+from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _call_router
@@ -92,6 +94,7 @@
             configuration=configuration,
         )
         self._max_connections = calls.max_connections
+        self._max_record_bytes = settings.store.max_record_bytes
         self._journal = _journal.Journal(
             calls=calls,
             settings=settings.store,
@@ -293,6 +296,15 @@
             _log.warning("job.malformed", error=str(error))
             pending.set_reply(_Reply(_Outcome.MALFORMED))
             return
+        if not self._fits_record(accepted, len(pending.call.encoded_job)):
+            _log.info(
+                "job.rejected",
+                epoch=self.epoch,
+                job=accepted.id,
+                reason="record-too-large",
+            )
+            pending.set_reply(_Reply(_Outcome.MALFORMED))
+            return
         if self._journal.is_append_overdue(now) and (
             accepted.id not in self._scheduler.cell.job_by_id
         ):
@@ -323,6 +335,25 @@
             )
             pending.set_reply(_Reply(_Outcome(result.value)))
 
+    def _fits_record(
+        self, accepted: _progress.AcceptedJob, encoded_bytes: int
+    ) -> bool:
+        """Returns whether the store takes the record of a job.
+
+        It would refuse a larger one each time, and all records behind it.
+
+        Args:
+            accepted: The job.
+            encoded_bytes: Size of the job as another instance sends it, in
+                bytes; the record leaves out what has its default.
+        """
+        if encoded_bytes < self._max_record_bytes // 2:
+            return True
+        return all(
+            _store.record_bytes(each) <= self._max_record_bytes
+            for each in _job_records.encode_record(_records.JobRecord(accepted))
+        )
+
     def _cancel_job(self, pending: _call_router.PendingCall) -> None:
         """Cancels the job of a call; the call waits until it is stored."""
         job_id = pending.call.job_id
--- a/tests/transport/jobs/test_odd_entries.py
+++ b/tests/transport/jobs/test_odd_entries.py
@@ -99,3 +99,22 @@
         assert len(value) < platform_standin.MAX_RECORD_BYTES
         _run_beside(platform, "i-odd", value)
         assert errors == []
+
+
+class TestLargeJobs:
+    """A job whose record the store does not take holds no other job up."""
+
+    def test_it_is_refused_and_the_next_one_runs(
+        self, platform: platform_standin.Platform, errors: list[Any]
+    ) -> None:
+        step = {"Count": 1, "Cpu": 100, "MemMb": 100, "Image": "x" * 261_900}
+        body = json.dumps({"Spec": "x", "Steps": [step]})
+        instance = instance_rig.Instance(platform)
+        try:
+            _run_job(instance, 1)
+            status, _ = instance.call("POST", f"/queue/{2:016x}", body)
+            assert status == 400
+            _run_job(instance, 3)
+        finally:
+            instance.close()
+        assert errors == []
