Read the other records of a page with a key that is not Unicode text

Nobody saw this yet; found by reading. An instance whose store spells such a key as a lone surrogate, or as bytes that are not UTF-8, would know no executor at all.

Cause: the JSON parser refuses the whole page for one such string, and the feed reads it again for ever. A read from an offset has skipped such records all along. A value that is not ASCII raised another error than DecodeError, which the feed did not handle.

Change: such a page is parsed again by the standard library, and records whose key is not text are left out; the next page follows the last key that is. A value that cannot be read stays an error, as the store writes it and the page may be torn.

--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -5,11 +5,14 @@
 """
 
 import base64
-import binascii
 import dataclasses
+import json
 import struct
+from typing import Any
 import urllib.parse
 
+import pydantic_core
+
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.protocol import _job_records
@@ -268,10 +271,12 @@
 def parse_newest_page(reply: _http_call.HttpReply) -> NewestRecordPage:
     """Parses a page of the newest records by key.
 
+    Records whose key is not Unicode text are left out, as in `parse_page`.
+
     Raises:
         DecodeError: The answer is malformed.
     """
-    answer = reply.parse_json_object()
+    answer = _parse_lenient_json(reply.body)
     items = answer.get("items")
     end = _int_or_none(answer.get("EndOffset"))
     if not isinstance(items, list) or end is None:
@@ -279,20 +284,50 @@
     records = []
     for item in items:
         try:
-            value = base64.b64decode(item["Value"], validate=True)
-            records.append(
-                _job_records.KeyedRecord(
-                    str(item["Key"]), value, _int_or_none(item.get("Offset"))
-                )
-            )
-        except (KeyError, TypeError, binascii.Error) as error:
+            key, text = item["Key"], item["Value"]
+            value = base64.b64decode(text, validate=True)
+            offset = _int_or_none(item.get("Offset"))
+        except (KeyError, TypeError, ValueError) as error:
             raise _errors.DecodeError("newest record", str(error)) from error
-    more = bool(answer.get("HasMore")) and bool(records)
+        if isinstance(key, str) and _is_unicode(key):
+            records.append(_job_records.KeyedRecord(key, value, offset))
+    more = bool(answer.get("HasMore")) and bool(items)
+    if more and not records:
+        raise _errors.DecodeError("newest records", "no key is Unicode text")
     return NewestRecordPage(
         end, tuple(records), records[-1].key if more else None
     )
 
 
+def _parse_lenient_json(body: bytes) -> dict[str, Any]:
+    """Returns a JSON object, of which strings may not be Unicode text.
+
+    The usual parser refuses all of an object with such a string.
+
+    Raises:
+        DecodeError: The body is not a JSON object.
+    """
+    try:
+        try:
+            value = pydantic_core.from_json(body)
+        except ValueError:
+            value = json.loads(body.decode(errors="surrogateescape"))
+    except (ValueError, RecursionError) as error:
+        raise _errors.DecodeError("newest records", repr(error)) from error
+    if not isinstance(value, dict):
+        raise _errors.DecodeError("newest records", "not a JSON object")
+    return value
+
+
+def _is_unicode(text: str) -> bool:
+    """Returns whether a text has no half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def record_bytes(record: _job_records.KeyedRecord) -> int:
     """Returns the size of a record, of which the store limits the largest."""
     return len(_encode_record(record))
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -314,6 +314,58 @@
             _store.parse_page(_http_call.HttpReply(200, whole[:-cut]), 0)
 
 
+class TestNewestRecords:
+    """A key that is not text hides no other record of its page."""
+
+    _ITEMS = b'{"Key":"a","Value":"eA=="},{"Key":%s,"Value":"eQ=="}'
+
+    @pytest.mark.parametrize(
+        "key",
+        [
+            b'"\\ud800"',
+            b'"\\udcff"',
+            b'"\xff"',
+            b'"\xed\xa0\x80"',
+            b"null",
+            b"5",
+        ],
+    )
+    @pytest.mark.parametrize("has_more", [False, True])
+    def test_the_other_records_are_read(
+        self, key: bytes, has_more: bool
+    ) -> None:
+        body = (
+            b'{"items":['
+            + self._ITEMS % key
+            + b'],"EndOffset":7,"HasMore":'
+            + (b"true}" if has_more else b"false}")
+        )
+        page = _store.parse_newest_page(_http_call.HttpReply(200, body))
+        assert page == _store.NewestRecordPage(
+            7, (_job_records.KeyedRecord("a", b"x"),), "a" if has_more else None
+        )
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"[]",
+            b"[" * 100_000 + b"]" * 100_000,
+            b'{"items":[' + b"[" * 100_000 + b"]" * 100_000 + b"]}",
+            b'{"items":[],"EndOffset":1e400}',
+            b'{"items":[5],"EndOffset":7}',
+            b'{"items":[{"Key":"a","Value":"\xc3\xa9"}],"EndOffset":7}',
+            b'{"items":[{"Key":"a","Value":"*"}],"EndOffset":7}',
+            b'{"items":[{"Key":"a","Value":5}],"EndOffset":7}',
+            b'{"items":[{"Key":5,"Value":""}],"EndOffset":7,"HasMore":true}',
+        ],
+        ids=lambda body: body[:50].decode(),
+    )
+    def test_a_torn_page_is_an_error(self, body: bytes) -> None:
+        with pytest.raises(_errors.DecodeError):
+            _store.parse_newest_page(_http_call.HttpReply(200, body))
+
+
 def _parse_entry(
     key: str = "i-1", /, **fields: object
 ) -> _executor.ListedExecutor:
