Skip a stored record with a number too large

Nobody saw this yet; found by reading. A record of a job's progress with such a number, as another writer may leave in keyed.jobs, would keep each new scheduler from recovering: the page would be read again for ever.

Cause: float(10**400) and int(1e400) raise OverflowError, which decode_record did not turn into a DecodeError.

Tests failed before: 2 of 4 such records raised OverflowError.

--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -139,7 +139,13 @@
             )
         if record.key == _SILENT_KEY:
             return _silent_adapter.validate_python(document)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         what = f"record {record.key}"
         raise _errors.DecodeError(what, str(error)) from error
     raise _errors.DecodeError(
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -119,6 +119,28 @@
             with pytest.raises(_errors.DecodeError):
                 _job_records.decode_record(_job_records.KeyedRecord(key, value))
 
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            '"finished":0,"done":[[1e400,0,0]]',
+            '"finished":0,"done":[[NaN,0,0]]',
+            '"finished":' + "9" * 400 + ',"done":[]',
+            '"finished":' + "9" * 5000 + ',"done":[]',
+        ],
+        ids=lambda fields: fields[:35],
+    )
+    def test_a_number_too_large_is_an_error_of_the_codec(
+        self, fields: str
+    ) -> None:
+        value = (
+            '{"v":2,"d":{"state":"running","failed_runs":[],"checkpoints":[],'
+            f"{fields}}}}}"
+        )
+        with pytest.raises(_errors.DecodeError):
+            _job_records.decode_record(
+                _job_records.KeyedRecord("p.a1", value.encode())
+            )
+
     def test_a_damaged_record_is_an_error_or_whole(self) -> None:
         (keyed,) = _job_records.encode_record(
             _records.JobRecord(build.accepted_job())
