Take no executor from an entry with a number out of range

But such a capacity lets every job pass that fits no real executor, and was stored in the roster for good.

Cause: capacity and start had no upper bound, and the time left none but finite.

Change: as for jobs, whole numbers are from 0 to 2**53, and the time left is within 2**53 ms.

Tests failed before: 10 of 59 numbers were taken.

--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -40,7 +40,8 @@
 """
 
 _MAX_COUNT = 1 << 53
-"""Highest number that an executor may report."""
+"""Highest number that an executor may report, the last that a float holds
+exactly with all before it."""
 
 _MAX_NAME_CHARS = 128
 """Longest name in an entry of the list of executors, in characters.
@@ -452,9 +453,9 @@
 
     model_config = pydantic.ConfigDict(strict=True)
 
-    Cpu: int = pydantic.Field(ge=0)
-    MemMb: int = pydantic.Field(ge=0)
-    Gpu: int = pydantic.Field(default=0, ge=0)
+    Cpu: _Count
+    MemMb: _Count
+    Gpu: _Count = 0
 
 
 class _Entry(pydantic.BaseModel):
@@ -485,9 +486,9 @@
     State: str = pydantic.Field(pattern="^(ready|draining)$")
     Capacity: _Capacity
     Labels: Annotated[list[_Name], pydantic.Field(max_length=_MAX_LABELS)] = []
-    born: int = pydantic.Field(default=0, ge=0)
+    born: _Count = 0
     RemainingMs: float | None = pydantic.Field(
-        default=None, allow_inf_nan=False
+        default=None, ge=-_MAX_COUNT, le=_MAX_COUNT
     )
 
 
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -385,6 +385,22 @@
     )
 
 
+def _parse_entry_text(fields: dict[str, object], number: str) -> None:
+    """Parses an entry with a number, as JSON, for the text `number`."""
+    entry = {
+        "Service": "s",
+        "Address": "10.0.0.1:80",
+        "Zone": "z",
+        "State": "ready",
+        "Capacity": {"Cpu": 1, "MemMb": 1},
+        **fields,
+    }
+    text = json.dumps(entry).replace('"number"', number)
+    _executors.parse_listed_executor(
+        _job_records.KeyedRecord("i-1", text.encode())
+    )
+
+
 class TestExecutors:
     """Malformed executor entries are errors; reports and replies decode."""
 
@@ -463,6 +479,48 @@
         with pytest.raises(_errors.DecodeError):
             _parse_entry(key)
 
+    @pytest.mark.parametrize(
+        "number",
+        [
+            "1e400",
+            "1e308",
+            "1.5",
+            "4e3",
+            "NaN",
+            "Infinity",
+            "-1",
+            "true",
+            "null",
+            '"4"',
+            str((1 << 53) + 1),
+            "9" * 400,
+            "9" * 5000,
+        ],
+        ids=lambda number: number[:20],
+    )
+    @pytest.mark.parametrize("field", ["Cpu", "MemMb", "Gpu", "born"])
+    def test_a_number_that_counts_nothing_is_an_error(
+        self, field: str, number: str
+    ) -> None:
+        fields: dict[str, object] = {"born": "number"}
+        if field != "born":
+            fields = {"Capacity": {"Cpu": 1, "MemMb": 1, field: "number"}}
+        with pytest.raises(_errors.DecodeError):
+            _parse_entry_text(fields, number)
+
+    @pytest.mark.parametrize(
+        "number",
+        ["1e400", "1e308", "-1e308", "NaN", "Infinity", "true", "9" * 400],
+        ids=lambda number: number[:20],
+    )
+    def test_a_time_left_out_of_range_is_an_error(self, number: str) -> None:
+        fields: dict[str, object] = {
+            "State": "draining",
+            "RemainingMs": "number",
+        }
+        with pytest.raises(_errors.DecodeError):
+            _parse_entry_text(fields, number)
+
     @pytest.mark.parametrize(
         "fields",
         [
