--- a/src/basiljunction/coordination/scheduling/_silent_executors.py
+++ b/src/basiljunction/coordination/scheduling/_silent_executors.py
@@ -40,6 +40,7 @@
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
         self._is_first_stored = False
+        self._has_checked = False
         self._next_check_s = 0.0
         self._next_refresh_s = 0.0
         self._newest: _records.SilentExecutorsRecord | None = None
@@ -97,8 +98,13 @@
                 ):
                     executor.silent_bound = self._bound_runs(executor)
             return self._make_record()
-        if now_s < self._next_check_s or not cell.is_term_confirmed:
+        if not cell.is_term_confirmed:
             return None
+        if now_s < self._next_check_s:
+            # Right after its start, all leases wait for this.
+            is_awaited = not self._has_checked and cell.silent_executors_changed
+            return self._make_record() if is_awaited else None
+        self._has_checked = True
         self._next_check_s = now_s + CHECK_INTERVAL_S
         for executor in cell.executor_by_id.values():
             if executor.silent_bound is None and self._is_silent(executor):
--- a/tests/coordination/scheduling/test_silent_executors.py
+++ b/tests/coordination/scheduling/test_silent_executors.py
@@ -125,6 +125,22 @@
             )
         )
 
+    def test_leases_are_extended_as_soon_as_executors_answer(self) -> None:
+        """Their answers come after the first record was made."""
+        rig = _make_rig_with_lasting_tasks()
+        rig.take_over()
+        for executor in rig.executor_by_id.values():
+            executor.is_answering = False
+        rig.step()
+        assert len(_read_record(rig).bound_by_executor) == 3
+        for executor in rig.executor_by_id.values():
+            executor.is_answering = True
+        rig.run(_limits.RENEWAL_RETRY_S + 2 * cell_rig.STEP_S)
+        assert all(
+            rig.scheduler.cell.is_usable(each, rig.now_s)
+            for each in rig.scheduler.cell.executor_by_id.values()
+        )
+
     def test_a_term_that_stored_none_does_not_begin_a_wait_anew(self) -> None:
         rig = _make_rig_with_lasting_tasks()
         _lose_executor(rig)
