Show that odd entries end no run, no feed and no task of an instance

Entries nested 100,000 deep, of another type, with bytes that are no text, with a surrogate, a null byte, numbers too large or a port out of range: jobs run beside each, read from the newest records and from an offset, and no error is logged by the loop. An odd value under the id of an executor ends no run of it. No change of logic.

--- a/tests/transport/jobs/test_odd_entries.py
+++ b/tests/transport/jobs/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import json
+import time
 from typing import Any
 
 import pytest
@@ -12,6 +13,9 @@
 import instance_rig
 import platform_standin
 
+HUGE_INTEGER = int("9" * 400)
+"""Integer that no floating-point number can hold."""
+
 
 def _entry(**fields: object) -> bytes:
     """Returns the entry of an executor with other values in some fields."""
@@ -92,6 +96,63 @@
         _run_beside(platform, key, _entry())
         assert errors == []
 
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"[" * 100_000 + b"]" * 100_000,
+            _entry()[:-1]
+            + b',"x":'
+            + b'{"a":' * 100_000
+            + b"1"
+            + b"}" * 100_001,
+            b"{}",
+            b"[]",
+            b'"x"',
+            b"\xff\x00",
+            _entry(Address="127.0.0.1:99999"),
+            _entry(Address="127.0.0.1:0"),
+            _entry(Zone="\ud800"),
+            _entry(Labels=["\0"]),
+            _entry(Service=""),
+            _entry(born=HUGE_INTEGER),
+            _entry(Capacity={"Cpu": HUGE_INTEGER, "MemMb": 1}),
+            _entry(Capacity={"Cpu": 1 << 53, "MemMb": 1 << 53, "Gpu": 1 << 53}),
+            _entry(State="draining", RemainingMs=-float(1 << 53)),
+        ],
+        ids=lambda value: value[:70].decode("latin-1"),
+    )
+    def test_jobs_run_beside_an_odd_value(
+        self,
+        platform: platform_standin.Platform,
+        errors: list[Any],
+        value: bytes,
+    ) -> None:
+        _run_beside(platform, "i-odd", value)
+        assert errors == []
+
+    def test_an_odd_value_under_the_id_of_an_executor_ends_no_run(
+        self, platform: platform_standin.Platform, errors: list[Any]
+    ) -> None:
+        path = f"/queue/{1:016x}"
+        instance = instance_rig.Instance(platform)
+        try:
+            instance_rig.submit_until_accepted(
+                instance, path, instance_rig.LASTING_JOB
+            )
+            instance_rig.wait_until(lambda: len(platform.starts) == 1)
+            for executor in platform.executors:
+                executor.sends_heartbeats = False
+                _write(platform, executor.id, b"[" * 100_000)
+            time.sleep(1.0)
+            for executor in platform.executors:
+                executor.sends_heartbeats = True
+            _run_job(instance, 2)
+            assert instance.call("GET", path)[1] == '{"State":"running"}'
+        finally:
+            instance.close()
+        assert len(platform.starts) == 2
+        assert errors == []
+
     def test_jobs_run_beside_labels_that_fill_the_largest_record(
         self, platform: platform_standin.Platform, errors: list[Any]
     ) -> None:
