Read the bounds of the deployment's rules and refuse those that are no time

Cause: only the bounds that steer the program were read, and a malformed one was reported without its value and range.

Now 15 bounds are read in seconds by the product's names; those that only sums need may be missing. One that is negative or no number ends the start with one line that names key, value and range.

--- a/src/basiljunction/platform/_settings.py
+++ b/src/basiljunction/platform/_settings.py
@@ -1,6 +1,7 @@
 """Reads the platform's settings file: lines of the form ``a.b=value``."""
 
 from collections.abc import Mapping
+import math
 import os
 import pathlib
 
@@ -10,6 +11,32 @@
 SETTINGS_PATH_VARIABLE = "BASILJUNCTION_CONFIG"
 """Environment variable that holds the path of the settings file."""
 
+KEY_BY_BOUND = {
+    "answer_cut_s": "Bounds.LossSlackMs",
+    "answer_s": "Bounds.AckTimeoutMs",
+    "cancel_s": "Bounds.cancel_ms",
+    "configuration_s": "Bounds.ConfigApplyMs",
+    "contact_s": "Bounds.ContactMs",
+    "drain_s": "Bounds.DrainMs",
+    "finish_s": "Bounds.finish_s",
+    "gang_s": "Bounds.GangTimeoutMs",
+    "grace_s": "Bounds.GraceS",
+    "lease_s": "Bounds.MaxHoldMs",
+    "notice_s": "Bounds.NoticeMs",
+    "over_target_s": "Bounds.HarmMs",
+    "recovery_s": "Bounds.RecoveryS",
+    "stop_s": "Bounds.StopTimeoutMs",
+    "visible_s": "Bounds.visible_ms",
+}
+"""Setting that holds each bound which the sums of waits are compared with."""
+
+MAX_BOUND_S = 86_400.0
+"""Longest bound that is taken for one, in seconds; a longer one is a mistake in
+its unit."""
+
+MAX_QUOTED_CHARS = 40
+"""Most characters of a malformed value that an error quotes."""
+
 
 class SettingsError(ValueError):
     """A setting is missing or malformed.
@@ -17,13 +44,17 @@
     Args:
         key: Name of the setting or environment variable.
         expected: Description of a valid value.
+        value: The malformed value; None leaves it out of the message.
 
     Attributes:
         key: Name of the setting or environment variable.
     """
 
-    def __init__(self, key: str, expected: str) -> None:
-        super().__init__(f"setting {key}: expected {expected}")
+    def __init__(
+        self, key: str, expected: str, value: str | None = None
+    ) -> None:
+        found = "" if value is None else f", got {value[:MAX_QUOTED_CHARS]!r}"
+        super().__init__(f"setting {key}: expected {expected}{found}")
         self.key = key
 
 
@@ -66,6 +97,11 @@
     values = _SettingValues(text)
     ip = values.require_text("Ip")
     port = values.first_port("InternalPorts")
+    bound_s_by_name = {
+        name: values.require_bound_s(key)
+        for name, key in KEY_BY_BOUND.items()
+        if values.has(key)
+    }
     return _instance_settings.InstanceSettings(
         name=values.require_text("NodeName"),
         zone=values.require_text("Zone"),
@@ -82,20 +118,47 @@
             ),
         ),
         bounds=_instance_settings.DeploymentTimeLimits(
-            grace_s=values.require_number("Bounds.GraceS"),
-            longest_lease_s=values.require_number("Bounds.MaxHoldMs") / 1000,
-            finished_job_visible_s=values.require_number("Bounds.status_s"),
-            gang_timeout_s=values.require_number("Bounds.GangTimeoutMs") / 1000,
-            stop_timeout_s=values.require_number("Bounds.StopTimeoutMs") / 1000,
-            max_over_target_s=values.require_number("Bounds.HarmMs") / 1000,
+            grace_s=values.require_bound_s("Bounds.GraceS"),
+            longest_lease_s=values.require_bound_s("Bounds.MaxHoldMs"),
+            finished_job_visible_s=values.require_bound_s("Bounds.status_s"),
+            gang_timeout_s=values.require_bound_s("Bounds.GangTimeoutMs"),
+            stop_timeout_s=values.require_bound_s("Bounds.StopTimeoutMs"),
+            max_over_target_s=values.require_bound_s("Bounds.HarmMs"),
         ),
         heartbeat_s=values.require_number("HeartbeatMs") / 1000,
         policy_address=values.optional_address("Advice"),
         provision=_parse_provision(values),
         max_open_files=values.optional_count("Limits.MaxFds"),
+        bound_s_by_name={
+            name: bound_s
+            for name, bound_s in bound_s_by_name.items()
+            if _is_in_range(bound_s)
+        },
+        bounds_out_of_range=tuple(
+            values.describe_bound(KEY_BY_BOUND[name])
+            for name, bound_s in bound_s_by_name.items()
+            if not _is_in_range(bound_s)
+        ),
     )
 
 
+def _is_in_range(bound_s: float) -> bool:
+    """Returns whether a bound can be compared with sums of waits."""
+    return 0 < bound_s <= MAX_BOUND_S
+
+
+def _describe_bound_range(name: str) -> str:
+    """Returns the values that a bound may have, in the unit of its setting."""
+    unit = "ms" if _is_in_ms(name) else "s"
+    longest = MAX_BOUND_S * (1000 if _is_in_ms(name) else 1)
+    return f"more than 0 and at most {longest:.0f} {unit}"
+
+
+def _is_in_ms(name: str) -> bool:
+    """Returns whether a bound is given in milliseconds instead of seconds."""
+    return name.lower().endswith("ms")
+
+
 def _parse_provision(values: "_SettingValues") -> _provision.Provision:
     """Returns link and processor of this instance, as far as they are set.
 
@@ -126,6 +189,10 @@
             if separator:
                 self._value_by_name[name.strip()] = value.strip()
 
+    def has(self, name: str) -> bool:
+        """Returns whether a setting has a value."""
+        return bool(self._value_by_name.get(name))
+
     def require_text(self, name: str) -> str:
         """Returns a setting as text.
 
@@ -151,6 +218,29 @@
             raise SettingsError(name, "a finite number of at least 0")
         return value
 
+    def require_bound_s(self, name: str) -> float:
+        """Returns a bound in seconds, which may be 0 or absurdly long.
+
+        Raises:
+            SettingsError: It is missing, no number, negative or infinite.
+        """
+        text = self.require_text(name)
+        try:
+            value = float(text)
+        except ValueError:
+            value = math.nan
+        if not 0 <= value < math.inf:
+            raise SettingsError(name, _describe_bound_range(name), text)
+        return value / 1000 if _is_in_ms(name) else value
+
+    def describe_bound(self, name: str) -> _instance_settings.BoundOutOfRange:
+        """Returns the name, value and range of a bound that is out of range."""
+        return _instance_settings.BoundOutOfRange(
+            setting=name,
+            value=self.require_text(name)[:MAX_QUOTED_CHARS],
+            expected=_describe_bound_range(name),
+        )
+
     def optional_limit(self, name: str) -> float | None:
         """Returns a limit, or None if it is absent or 0, which is no limit.
 
--- a/src/basiljunction/protocol/_instance_settings.py
+++ b/src/basiljunction/protocol/_instance_settings.py
@@ -1,5 +1,6 @@
 """Settings of one instance of the job scheduler, as read at start-up."""
 
+from collections.abc import Mapping
 import dataclasses
 
 from basiljunction.state.workload import _provision
@@ -48,6 +49,21 @@
     max_over_target_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BoundOutOfRange:
+    """A bound that can be read and that no sum of waits is compared with.
+
+    Attributes:
+        setting: Name of the setting.
+        value: Its value as given.
+        expected: The values that it may have.
+    """
+
+    setting: str
+    value: str
+    expected: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceSettings:
     """Settings of one instance of the job scheduler.
@@ -66,6 +82,9 @@
         provision: Link and processor of this instance, as far as known.
         max_open_files: File descriptors of this process; None if the system's
             own limit holds.
+        bound_s_by_name: Bounds of the deployment's rules, in seconds, as far
+            as they are set; the sums of our waits are compared with them.
+        bounds_out_of_range: Bounds that are zero or absurdly long.
     """
 
     name: str
@@ -79,3 +98,7 @@
     policy_address: str = ""
     provision: _provision.Provision = _provision.UNKNOWN
     max_open_files: int | None = None
+    bound_s_by_name: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    bounds_out_of_range: tuple[BoundOutOfRange, ...] = ()
