--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SEED ?= 20261203
 
-.PHONY: setup test processes format lint types demo openapi faults binary mutations capacity fault-seeds soak sequences
+.PHONY: setup test processes format lint types demo openapi faults binary mutations capacity fault-seeds soak sequences budgets
 
 setup: $(STAMP)
 
@@ -41,6 +41,9 @@
 openapi: setup
 	$(BIN)/basiljunction reference docs/reference
 
+budgets: setup
+	$(BIN)/python scripts/time_budgets.py
+
 FAULT_PROCESSES ?= 8
 
 faults: setup
