Log at start which bounds of the settings can't be kept to

Cause: an instance took any bound and said nothing where its own waits add up to more.

Now each such bound is one line at start (`settings.bound-not-kept`) with the bound and what its chain would take; a bound out of range is one line with its value and range. The instance goes on.

Evidence: tests/cli/test_platform.py runs the program with bounds that are too short, out of range and unreadable.

--- a/src/basiljunction/cli/_platform.py
+++ b/src/basiljunction/cli/_platform.py
@@ -59,6 +59,10 @@
         instance=settings.name,
         stream=typing.cast(typing.TextIO, stream),
     )
+    chains = importlib.import_module(
+        "basiljunction.transport.jobs._budget_chains"
+    )
+    chains.report_unkept_bounds(settings)
     daemon = importlib.import_module("basiljunction.transport.jobs._daemon")
     try:
         code = daemon.run(settings_file, metrics_port)
