--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 
+import budget_mutations
 import mutations
 import platform_mutations
 
@@ -89,7 +90,11 @@
     """
     chosen = [
         each
-        for each in (*mutations.MUTATIONS, *platform_mutations.MUTATIONS)
+        for each in (
+            *mutations.MUTATIONS,
+            *platform_mutations.MUTATIONS,
+            *budget_mutations.MUTATIONS,
+        )
         if not sys.argv[1:] or str(each.name) in sys.argv[1:]
     ]
     unnoticed_count = 0
