Sum the wait for a restarted executor that is lost beside its scheduler

An instance that has just started counts as known by now if a term of several renewals began after its registration; the entry says so.

--- a/scripts/budget_mutations.py
+++ b/scripts/budget_mutations.py
@@ -44,7 +44,11 @@
         ("STOP_RETRY_S = 0.4", "STOP_RETRY_S = 0.6"),
         ("TASK_RESTART_DELAY_S = 0.1", "TASK_RESTART_DELAY_S = 0.15"),
         ("UNSTORED_RENEWAL_DELAY_S = 0.5", "UNSTORED_RENEWAL_DELAY_S = 0.75"),
-        ("lease_s: float = 5.0", "lease_s: float = 7.5"),
+        ("    lease_s: float = 5.0", "    lease_s: float = 7.5"),
+        (
+            "    longest_lease_s: float = 10.0",
+            "    longest_lease_s: float = 15.0",
+        ),
     ),
     "coordination/scheduling/_placer.py": (
         ("MAX_STARTS_PER_PASS = 40", "MAX_STARTS_PER_PASS = 60"),
@@ -133,7 +137,7 @@
 def _name_constant(text: str) -> str:
     """Returns the name in the text of a constant, with dashes."""
     name = text.partition(" = ")[0].partition(":")[0]
-    return name.lower().strip("_").replace("_", "-")
+    return name.strip().lower().strip("_").replace("_", "-")
 
 
 MUTATIONS = tuple(
--- a/src/basiljunction/transport/jobs/_task_budgets.py
+++ b/src/basiljunction/transport/jobs/_task_budgets.py
@@ -82,7 +82,8 @@
 def lose_scheduler_to_new_instance(settings: _Settings) -> _Budget:
     """Returns that budget if the next scheduler has just registered.
 
-    Such an instance cannot know whether leases were granted without the store.
+    Such an instance cannot know whether leases were granted without the store,
+    unless a term of several renewals began after its registration.
     """
     return _make_budget(
         settings,
@@ -99,6 +100,36 @@
     )
 
 
+def lose_restarted_executor_and_scheduler(settings: _Settings) -> _Budget:
+    """Returns that budget if the executor has restarted under its id.
+
+    A deadline on the clock of the incarnation before may have granted it the
+    longest lease.
+    """
+    return _make_budget(
+        settings,
+        "a lasting task runs again after an executor that has restarted and its"
+        " scheduler are lost",
+        _time_budgets.Bound(fixed_s=LASTING_TASK_BOUND_S),
+        (
+            *_lose_scheduler_unstored(settings),
+            _constant("leases go on", _lease_grants, "UNREPORTED_GRANT_S"),
+            *_chain_waits.await_lease(),
+            _Wait(
+                "a longest lease in place of it",
+                _limits.LeaseTimes().max_restarted_excess_s,
+                (
+                    _time_budgets.source(_limits, "LeaseTimes.longest_lease_s"),
+                    _time_budgets.source(_limits, "LeaseTimes.lease_s"),
+                    _time_budgets.source(_limits, "MAX_CLOCK_SLOWNESS"),
+                ),
+            ),
+            *_chain_waits.place(settings),
+        ),
+        (_chain_waits.lost_append(), _chain_waits.unanswered_check()),
+    )
+
+
 def _lose_scheduler_unstored(settings: _Settings) -> tuple[_Wait, ...]:
     """Returns the waits from the loss of an executor to that of its scheduler.
 
