Start the deployed program without the other design's modules

Cause: the sums of the waits took the largest job from the other design, whose module needs json5, which the deployment does not install; no test looked at that.

--- a/scripts/budget_mutations.py
+++ b/scripts/budget_mutations.py
@@ -67,8 +67,8 @@
     "platform/_clients.py": (
         ("MAX_PAYLOAD_BYTES = 4000", "MAX_PAYLOAD_BYTES = 6_000"),
     ),
-    "protocol/_job_document.py": (
-        ("MAX_TASKS_PER_JOB = 2000", "MAX_TASKS_PER_JOB = 3_000"),
+    "state/workload/_job_spec.py": (
+        ("MAX_TASKS_PER_JOB = 100_000", "MAX_TASKS_PER_JOB = 150_000"),
     ),
     "transport/_http_connection.py": (
         ("ARRIVED_READ_S = 0.05", "ARRIVED_READ_S = 0.075"),
--- a/src/basiljunction/transport/jobs/_task_budgets.py
+++ b/src/basiljunction/transport/jobs/_task_budgets.py
@@ -13,7 +13,7 @@
 from basiljunction.coordination.scheduling import _sharing
 from basiljunction.platform import _clients
 from basiljunction.protocol import _instance_settings
-from basiljunction.protocol import _job_document
+from basiljunction.state.workload import _job_spec
 from basiljunction.transport.jobs import _chain_waits
 from basiljunction.transport.jobs import _order_sender
 from basiljunction.transport.jobs import _time_budgets
@@ -276,7 +276,7 @@
 
 def assemble_gang(settings: _Settings) -> _Budget:
     """Returns the budget of the starts of a gang."""
-    size = _job_document.MAX_TASKS_PER_JOB * _clients.MAX_PAYLOAD_BYTES
+    size = _job_spec.MAX_TASKS_PER_JOB * _clients.MAX_PAYLOAD_BYTES
     return _make_budget(
         settings,
         "all members of a gang have started",
@@ -287,7 +287,7 @@
                 "the starts of the largest job",
                 size,
                 settings,
-                _time_budgets.source(_job_document, "MAX_TASKS_PER_JOB"),
+                _time_budgets.source(_job_spec, "MAX_TASKS_PER_JOB"),
                 _time_budgets.source(_clients, "MAX_PAYLOAD_BYTES"),
             ),
             *_chain_waits.order(),
