--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -96,7 +96,19 @@
     ) -> None:
         task = _make_task(platform)
         election = task._terms.election
-        election.apply_read(_leadership.Term(5, "b", 1, "b:1"), 1, 0.0)
+        election.apply_read(_leadership.Term(4, "c", 1, "c:1"), 1, 0.0)
+        assert task.report_outage(4)
+        election.apply_read(_leadership.Term(5, "b", 1, "b:1"), 2, 0.0)
+        assert not task.report_outage(4)
+        assert task.report_outage(5)
+
+    def test_an_instance_that_may_have_forgotten_its_own_term_reports_none(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        task = _make_task(platform)
+        assert not task.report_outage(4)
+        own = _leadership.Term(5, "a", 0, "a:1")
+        task._terms.election.apply_read(own, 1, 0.0)
         assert not task.report_outage(4)
         assert task.report_outage(5)
 
