Check in random sequences that nothing waits too long once faults have ceased

The rig's checks saw only starts that break a rule, not what waits. Sequences may have calm spells, in which all faults cease, and series of schedulers that end after 0.4 to 1.2 s each. Without the new options, the sequences of all seeds are as before.

--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -75,6 +75,18 @@
     show_default=True,
     help="Share of the batches that are confirmed late or never.",
 )
+@click.option(
+    "--series/--no-series",
+    default=False,
+    show_default=True,
+    help="Schedulers end in series, each after 0.4 to 1.2 s.",
+)
+@click.option(
+    "--calm/--no-calm",
+    default=False,
+    show_default=True,
+    help="All faults cease from time to time.",
+)
 @click.option("--show/--brief", default=True, help="Print the last steps.")
 def main(
     *,
@@ -90,6 +102,8 @@
     refusals: bool,
     overlaps: bool,
     late_confirmed: float,
+    series: bool,
+    calm: bool,
     show: bool,
 ) -> None:
     """Play random sequences; exit with 1 if one breaks a rule."""
@@ -103,6 +117,8 @@
         has_refusals=refusals,
         has_overlaps=overlaps,
         late_confirmed_share=late_confirmed,
+        has_series=series,
+        has_calm_spells=calm,
     )
     began_s = time.monotonic()
     start_count = 0
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -550,6 +550,7 @@
             has known it at any time, by job id.
         spec_by_job: Specification of each submitted job, by job id.
         cancelled_s_by_job: Virtual time at which a cancel was stored.
+        last_loss_s: Virtual time at which an answer was last lost.
         refused_jobs: Ids of the jobs that the scheduler refused.
         stored_jobs: Ids of the jobs that are stored.
         failures: Run numbers whose failure was acknowledged, by task.
@@ -582,6 +583,7 @@
 
     reported_until_s = float("-inf")
     bounded_since_epoch = 1
+    last_loss_s = float("-inf")
 
     def __init__(
         self,
@@ -1075,6 +1077,7 @@
             return
         if self.rng.random() < self.lost_share:
             answer = None
+            self.last_loss_s = self.now_s
         self._deliver_answer(order, answer)
         if answer is not None and not isinstance(order, _orders.RenewalOrder):
             self.scheduler.handle_clock(
@@ -1182,6 +1185,7 @@
         if executor.has_fenced_renewal:
             return _orders.StartResult.FENCED
         if self.rng.random() < self.lost_share:
+            self.last_loss_s = self.now_s
             return _orders.StartResult.UNHEALTHY
         executor.connected_born_ms_by_epoch[self.epoch] = executor.born_ms
         is_known = self.scheduler.handle_incarnation_check(
--- a/tests/coordination/scheduling/test_random_sequences.py
+++ b/tests/coordination/scheduling/test_random_sequences.py
@@ -9,6 +9,7 @@
 import pytest
 
 import restart_sequences
+import sequence_actions
 
 _SEED_COUNT = 40
 
@@ -21,6 +22,10 @@
     late_confirmed_share=0.2,
 )
 
+_CALM_SEED_COUNT = 20
+
+_WITH_CALM = restart_sequences.Mix(has_series=True, has_calm_spells=True)
+
 _OVERLAPPING = restart_sequences.Mix(has_overlaps=True)
 _PLAIN = restart_sequences.Mix(has_varied_jobs=False)
 _PLAIN_WITHOUT_RESTARTS = restart_sequences.Mix(
@@ -55,6 +60,16 @@
     return outcome
 
 
+def _count_take_overs(sequences: list[restart_sequences.Sequence]) -> int:
+    """Returns how often a scheduler takes over."""
+    return sum(
+        isinstance(action, sequence_actions.TakeOver)
+        for sequence in sequences
+        for step in sequence.steps
+        for action in step.actions
+    )
+
+
 class TestRuleBrokenByFaultsInSequence:
     """Faults that do no harm one by one break no rule together either."""
 
@@ -71,6 +86,15 @@
         _play(seed, _WIDE, checks=checks)
 
 
+class TestWaitAfterFaults:
+    """Once all faults have ceased, nothing waits beyond its bound."""
+
+    @_WITH_AND_WITHOUT_CHECKS
+    @pytest.mark.parametrize("seed", range(1, _CALM_SEED_COUNT + 1))
+    def test_no_bound_is_broken(self, seed: int, *, checks: bool) -> None:
+        _play(seed, _WITH_CALM, checks=checks)
+
+
 class TestSecondRunBesideLeaseOfOldClock:
     """A deadline on the old clock reaches a restarted executor.
 
@@ -151,6 +175,26 @@
             "SetRefusal",
         }
 
+    def test_calm_and_series_of_schedulers_are_drawn(self) -> None:
+        sequences = [
+            restart_sequences.draw_sequence(seed, _WITH_CALM)
+            for seed in range(1, _CALM_SEED_COUNT + 1)
+        ]
+        calm_count = sum(
+            action == sequence_actions.SetNoise()
+            for sequence in sequences
+            for step in sequence.steps
+            for action in step.actions
+        )
+        assert calm_count > _CALM_SEED_COUNT / 2
+        plain = dataclasses.replace(_WITH_CALM, has_series=False)
+        assert _count_take_overs(sequences) > 1.5 * _count_take_overs(
+            [
+                restart_sequences.draw_sequence(each.seed, plain)
+                for each in sequences
+            ]
+        )
+
     def test_tasks_start(self) -> None:
         assert _play(2).start_count > 20
 
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -9,6 +9,7 @@
 
 import cell_rig
 import sequence_actions
+import sequence_watch
 import workload_builders as build
 
 _SEED_FACTOR = 7919
@@ -23,8 +24,19 @@
 _OVERLAPS_S = (0.0, 0.5, 2.0, 5.0)
 _REFUSAL_LENGTHS_S = (0.3, 1.0, 3.0)
 _STORE_PAUSES_S = (0.3, 1.0)
+_SERIES_LENGTHS = (2, 4, 7)
+_SERIES_GAPS_S = (0.4, 0.8, 1.2)
 _MAX_JOBS = 40
 
+_CALM_S = (
+    cell_rig.LONGEST_DELAY_S
+    + sequence_watch.GRACE_S
+    + sequence_watch.LOST_S
+    + sequence_watch.CALM_BEFORE_S
+)
+"""Length of a calm spell, in seconds: the last late order and then all bounds
+fit into it."""
+
 _PRINTED_STEPS = 14
 """Number of the last steps that describe a sequence that failed."""
 
@@ -155,6 +167,8 @@
             late or never.
         checks_incarnations: Whether orders reach only the incarnation that the
             scheduler knows.
+        has_series: Whether schedulers end in series, each after 0.4 to 1.2 s.
+        has_calm_spells: Whether all faults cease from time to time.
     """
 
     duration_s: float = 40.0
@@ -167,6 +181,8 @@
     has_overlaps: bool = False
     late_confirmed_share: float = 0.0
     checks_incarnations: bool = True
+    has_series: bool = False
+    has_calm_spells: bool = False
 
 
 class _Drawing:
@@ -188,6 +204,8 @@
         self._refusing: set[str] = set()
         self._is_store_up = True
         self._job_count = 0
+        self._noise = sequence_actions.SetNoise()
+        self._calm_until_s = 0.0
 
     def draw(self) -> Sequence:
         """Returns the sequence."""
@@ -208,6 +226,11 @@
         if self._mix.has_varied_jobs:
             fail_share = rng.choice([0.0, 0.1])
             faults = dataclasses.replace(faults, fail_share=fail_share)
+        self._noise = sequence_actions.SetNoise(
+            faults.delayed_share,
+            faults.lost_share,
+            faults.late_confirmed_share,
+        )
         self._pass_time(_FIRST_RUN_S)
         steps = []
         while self._now_s < self._mix.duration_s:
@@ -236,12 +259,44 @@
             (0.60, self._draw_cancel),
             (0.66, self._draw_refusal),
         ):
+            if share < limit and not self._is_allowed(draw_action):
+                break
             drawn = draw_action(name) if share < limit else None
             if drawn is not None:
                 actions.append(drawn)
                 break
+        if self._mix.has_series and 0.66 <= share < 0.69:
+            self._plan_series()
+        if self._mix.has_calm_spells and 0.69 <= share < 0.73:
+            actions += self._begin_calm_spell()
         return Step(pause_s, tuple(actions))
 
+    def _is_allowed(self, draw_action: object) -> bool:
+        """Returns whether an action may happen now; no fault does in calm."""
+        return self._now_s >= self._calm_until_s or draw_action in (
+            self._draw_submit,
+            self._draw_cancel,
+        )
+
+    def _plan_series(self) -> None:
+        """Plans a series of schedulers that each end soon."""
+        if self._now_s < self._calm_until_s:
+            return
+        at_s = self._now_s
+        for _ in range(self._rng.choice(_SERIES_LENGTHS)):
+            self._returns.append((at_s, sequence_actions.TakeOver()))
+            at_s += self._rng.choice(_SERIES_GAPS_S)
+
+    def _begin_calm_spell(self) -> list[sequence_actions.Action]:
+        """Returns what ends all faults; the shares return with the spell."""
+        if self._now_s < self._calm_until_s:
+            return []
+        self._calm_until_s = self._now_s + _CALM_S
+        self._returns = [(self._now_s, action) for _, action in self._returns]
+        ends = self._take_due_returns()
+        self._returns.append((self._calm_until_s, self._noise))
+        return [*ends, sequence_actions.SetNoise()]
+
     def _take_due_returns(self) -> list[sequence_actions.Action]:
         """Returns what is over by now of the cuts and pauses."""
         due = [action for at_s, action in self._returns if at_s <= self._now_s]
@@ -251,7 +306,7 @@
                 self._cut_off.discard(action.executor)
             elif isinstance(action, sequence_actions.SetRefusal):
                 self._refusing.discard(action.executor)
-            else:
+            elif isinstance(action, sequence_actions.SetStore):
                 self._is_store_up = True
         return due
 
@@ -358,15 +413,20 @@
     """Plays a sequence until its end or until it breaks a rule."""
     rig = make_rig(sequence)
     rig.run(_FIRST_RUN_S)
+    watch = sequence_watch.CalmWatch(rig)
     played: list[Step] = []
     fault = ""
     try:
         for step in sequence.steps:
             played.append(Step(step.pause_s))
-            rig.run(step.pause_s)
+            for _ in range(round(step.pause_s / cell_rig.STEP_S)):
+                rig.step()
+                watch.check()
             played[-1] = step
             for action in step.actions:
                 action.apply(rig)
+                if isinstance(action, sequence_actions.Cancel):
+                    watch.note_cancel(action.job_id)
     except AssertionError as error:
         fault = str(error)
     return Outcome(
--- a/tests/sequence_actions.py
+++ b/tests/sequence_actions.py
@@ -66,8 +66,13 @@
 
     number: int
 
+    @property
+    def job_id(self) -> str:
+        """Id of the job."""
+        return _job_id(self.number)
+
     def apply(self, rig: cell_rig.CellRig) -> None:
-        rig.cancel(_job_id(self.number))
+        rig.cancel(self.job_id)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -176,5 +181,25 @@
         rig.executor_by_id[self.executor].refuses_for_capacity = self.refuses
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetNoise(Action):
+    """Orders begin or cease to be late or to lose their answers.
+
+    Attributes:
+        delayed_share: Share of the orders that are delayed from now on.
+        lost_share: Share of the orders whose answer is lost.
+        late_confirmed_share: Share of the batches that are confirmed late.
+    """
+
+    delayed_share: float = 0.0
+    lost_share: float = 0.0
+    late_confirmed_share: float = 0.0
+
+    def apply(self, rig: cell_rig.CellRig) -> None:
+        rig.delayed_share = self.delayed_share
+        rig.lost_share = self.lost_share
+        rig.late_confirmed_share = self.late_confirmed_share
+
+
 def _job_id(number: int) -> str:
     return f"{number:016x}"
