Count a registration anew once the newest records are read anew

An instance that was taken off the list and registered again between two reads of the newest records kept the time of its first registration, although a scheduler in between had not known it. Such a read now begins that time anew; if the registration stands before a long term's record, it counts as known as before.

Evidence: test_a_removal_is_noticed_by_a_read_of_the_newest_records; by reading for the second registration.

--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -134,12 +134,14 @@
     ) -> None:
         """Passes the newest term to the election and updates the members."""
         now_s = self.current_time().boot_s
+        self._last_read_s = now_s
+        self.is_store_unreachable = False
         if is_whole:
-            # The removal of a member leaves no record to be read.
+            # Removed instances are not listed. This one may have been removed
+            # and registered again since the read before.
             self.address_by_member.clear()
             self.provision_by_member.clear()
-        self._last_read_s = now_s
-        self.is_store_unreachable = False
+            self._grants.registered_s = None
         newest = None
         term_offset: int | None = None
         for record in records:
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -259,6 +259,20 @@
         ]
         assert registrations == [["member.a", "provision.a"]]
 
+    def test_a_removal_is_noticed_by_a_read_of_the_newest_records(
+        self, store: _StoreClient
+    ) -> None:
+        instance = _Instance(store)
+        instance.run_for(5.0)
+        store.put("member.a", b"")
+        # As after an answer that was cut short.
+        instance.feed.restart()
+        instance.run_for(2.0)
+        registrations = [
+            keys for keys in store.appended_keys if "member.a" in keys
+        ]
+        assert len(registrations) == 2
+
     def test_older_builds_read_a_plain_address(
         self, store: _StoreClient
     ) -> None:
