--- a/src/basiljunction/platform/_executors.py
+++ b/src/basiljunction/platform/_executors.py
@@ -1,10 +1,5 @@
-"""Builds calls to executors and the policy, and parses their answers.
+"""Builds calls to executors and the policy, and parses their answers."""
 
-Also parses the platform's list of executors.
-"""
-
-import ipaddress
-import re
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
@@ -13,9 +8,9 @@
 import pydantic_core
 
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.platform import _reported_values
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
-from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 
@@ -33,28 +28,6 @@
 _INSTANCE_HEADER = "Expect-Instance"
 """Header with the executor id; any other executor rejects the call."""
 
-_HEADER_VALUE = re.compile("[!-~]([ -~]*[!-~])?")
-"""Pattern of an executor id, which every order carries in a header.
-
-Blanks at the ends of a header's value don't count.
-"""
-
-_MAX_COUNT = 1 << 53
-"""Highest number that an executor may report, the last that a float holds
-exactly with all before it."""
-
-_MAX_NAME_CHARS = 128
-"""Longest name in an entry of the list of executors, in characters.
-
-All known executors are stored in one record, which an entry must not fill.
-"""
-
-_MAX_LABELS = 16
-"""Most labels of an executor, which has two; stored like its names."""
-
-_MAX_PORT = 65_535
-"""Highest port of an address."""
-
 _OTHER_INCARNATION_STATUS = 421
 """HTTP status of an executor that is not the expected incarnation."""
 
@@ -77,16 +50,6 @@
 }
 
 
-_Text = Annotated[str, pydantic.Strict()]
-"""A JSON string."""
-
-_Count = Annotated[int, pydantic.Field(strict=True, ge=0, le=_MAX_COUNT)]
-"""A JSON integer that counts something."""
-
-_Measure = Annotated[float, pydantic.Field(strict=True, allow_inf_nan=False)]
-"""A JSON number that is finite."""
-
-
 def _drop_later_columns(row: object) -> object:
     """Returns a row of a list of runs without columns that are not known."""
     return row[:_RUN_COLUMNS] if isinstance(row, list) else row
@@ -107,11 +70,11 @@
         reported_value: Tail latency or CPU in use; 0 if it is not reported.
     """
 
-    task: _Text
-    run_number: _Count
-    checkpoint: _Text
-    progress_percent: _Measure
-    reported_value: _Measure = 0.0
+    task: _reported_values.Text
+    run_number: _reported_values.Count
+    checkpoint: _reported_values.Text
+    progress_percent: _reported_values.Measure
+    reported_value: _reported_values.Measure = 0.0
 
 
 class _EndedRunRow(NamedTuple):
@@ -125,11 +88,11 @@
         checkpoint: Newest checkpoint; empty if there is none.
     """
 
-    list_position: _Count
-    task: _Text
-    run_number: _Count
-    kind: _Text
-    checkpoint: _Text = ""
+    list_position: _reported_values.Count
+    task: _reported_values.Text
+    run_number: _reported_values.Count
+    kind: _reported_values.Text
+    checkpoint: _reported_values.Text = ""
 
 
 class _RenewalReply(pydantic.BaseModel):
@@ -143,8 +106,8 @@
         Ended: Its ended runs that are not acknowledged.
     """
 
-    ClockMs: _Count
-    born: _Count = 0
+    ClockMs: _reported_values.Count
+    born: _reported_values.Count = 0
     Running: Annotated[
         list[
             Annotated[
@@ -170,7 +133,7 @@
         ClockMs: Reading of its clock, in milliseconds.
     """
 
-    ClockMs: _Count
+    ClockMs: _reported_values.Count
 
 
 def format_task_id(task: _job_spec.TaskId) -> str:
@@ -187,7 +150,7 @@
     job, occurrence, step, index = name.split(".")
     task = _job_spec.TaskId(job, int(occurrence), int(step), int(index))
     for number in (task.occurrence, task.step, task.index):
-        if not 0 <= number <= _MAX_COUNT:
+        if not 0 <= number <= _reported_values.MAX_COUNT:
             raise ValueError(f"task id {name} has a number out of range")
     return task
 
@@ -425,108 +388,6 @@
     )
 
 
-def _check_address(address: str) -> str:
-    """Returns an ``ip:port`` to which a connection can be opened.
-
-    Raises:
-        ValueError: The text is not such an address.
-    """
-    ip, _, port = address.rpartition(":")
-    ipaddress.IPv4Address(ip)
-    if not 0 < int(port) <= _MAX_PORT:
-        raise ValueError(f"{port} is not a port from 1 to {_MAX_PORT}")
-    return address
-
-
-_Name = Annotated[str, pydantic.Field(max_length=_MAX_NAME_CHARS)]
-"""A name in an entry of the list of executors."""
-
-
-class _Capacity(pydantic.BaseModel):
-    """Total resources of an executor, with the platform's field names.
-
-    Attributes:
-        Cpu: CPU, in millicores.
-        MemMb: Memory, in MB.
-        Gpu: Number of accelerators.
-    """
-
-    model_config = pydantic.ConfigDict(strict=True)
-
-    Cpu: _Count
-    MemMb: _Count
-    Gpu: _Count = 0
-
-
-class _Entry(pydantic.BaseModel):
-    """An executor in the platform's list, with the platform's field names.
-
-    Attributes:
-        Service: Service that the executor belongs to.
-        Address: ``ip:port`` that accepts orders.
-        Zone: Availability zone.
-        State: ``ready``, or ``draining`` if it accepts no new tasks.
-        Capacity: Its total resources.
-        Labels: Its kind and its rack.
-        born: Start of this incarnation, in milliseconds since the Unix
-            epoch; 0 if unknown.
-        RemainingMs: Least time until it exits, in milliseconds, while it
-            drains.
-    """
-
-    model_config = pydantic.ConfigDict(strict=True)
-
-    Service: _Name
-    Address: Annotated[
-        str,
-        pydantic.Field(pattern=r"^[0-9.]+:[0-9]{1,5}$"),
-        pydantic.AfterValidator(_check_address),
-    ]
-    Zone: _Name
-    State: str = pydantic.Field(pattern="^(ready|draining)$")
-    Capacity: _Capacity
-    Labels: Annotated[list[_Name], pydantic.Field(max_length=_MAX_LABELS)] = []
-    born: _Count = 0
-    RemainingMs: float | None = pydantic.Field(
-        default=None, ge=-_MAX_COUNT, le=_MAX_COUNT
-    )
-
-
-def parse_listed_executor(
-    record: _job_records.KeyedRecord,
-) -> _executor.ListedExecutor:
-    """Parses a record of the platform's list of executors.
-
-    Raises:
-        DecodeError: The record does not describe a usable executor.
-    """
-    if _HEADER_VALUE.fullmatch(record.key) is None:
-        raise _errors.DecodeError(
-            "executor entry", f"no header can carry the id {record.key!r}"
-        )
-    try:
-        report = _Entry.model_validate_json(record.value)
-    except ValueError as error:
-        raise _errors.DecodeError("executor entry", str(error)) from error
-    is_draining = report.State == "draining"
-    drain_left_s = None
-    if is_draining and report.RemainingMs is not None:
-        drain_left_s = max(0.0, report.RemainingMs / 1000)
-    return _executor.ListedExecutor(
-        id=record.key,
-        service=report.Service,
-        address=report.Address,
-        zone=report.Zone,
-        is_draining=is_draining,
-        capacity=_job_spec.Resources(
-            report.Capacity.Cpu, report.Capacity.MemMb, report.Capacity.Gpu
-        ),
-        labels=tuple(report.Labels),
-        born_ms=report.born,
-        drain_left_s=drain_left_s,
-    )
-
-
 def _make_post_call(
     address: str,
     path: str,
--- a/src/basiljunction/transport/jobs/_feeds.py
+++ b/src/basiljunction/transport/jobs/_feeds.py
@@ -7,7 +7,7 @@
 import structlog
 
 from basiljunction.platform import _clients
-from basiljunction.platform import _executors
+from basiljunction.platform import _executor_list
 from basiljunction.platform import _store
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
@@ -363,7 +363,7 @@
                 continue
             try:
                 self._executor_by_id[record.key] = (
-                    _executors.parse_listed_executor(record)
+                    _executor_list.parse_listed_executor(record)
                 )
             except _errors.DecodeError as error:
                 self._log_malformed(record.key, error)
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -11,6 +11,7 @@
 import basiljunction
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.platform import _clients
+from basiljunction.platform import _executor_list
 from basiljunction.platform import _executors
 from basiljunction.platform import _settings
 from basiljunction.platform import _store
@@ -380,7 +381,7 @@
         "born": 7,
         **fields,
     }
-    return _executors.parse_listed_executor(
+    return _executor_list.parse_listed_executor(
         _job_records.KeyedRecord(key, json.dumps(entry).encode())
     )
 
@@ -396,7 +397,7 @@
         **fields,
     }
     text = json.dumps(entry).replace('"number"', number)
-    _executors.parse_listed_executor(
+    _executor_list.parse_listed_executor(
         _job_records.KeyedRecord("i-1", text.encode())
     )
 
@@ -421,7 +422,7 @@
     )
     def test_an_unreadable_entry_is_an_error(self, value: bytes) -> None:
         with pytest.raises(_errors.DecodeError):
-            _executors.parse_listed_executor(
+            _executor_list.parse_listed_executor(
                 _job_records.KeyedRecord("i-1", value)
             )
 
@@ -566,7 +567,7 @@
     def test_the_time_left_of_a_drain_is_decoded(
         self, fields: bytes, left_s: float | None
     ) -> None:
-        entry = _executors.parse_listed_executor(
+        entry = _executor_list.parse_listed_executor(
             _job_records.KeyedRecord(
                 "i-1",
                 b'{"Service":"s","Address":"1.1.1.1:1","Zone":"z",'
--- a/tests/transport/jobs/test_order_sender.py
+++ b/tests/transport/jobs/test_order_sender.py
@@ -12,7 +12,7 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _renewals
 from basiljunction.coordination.scheduling import _runs
-from basiljunction.platform import _executors
+from basiljunction.platform import _executor_list
 from basiljunction.protocol import _job_records
 from basiljunction.state import _time
 from basiljunction.state.workload import _job_spec
@@ -96,7 +96,7 @@
     ) -> None:
         platform.executor_bytes_per_s = NARROW_LINK_BYTES_PER_S
         rig.list_executors(
-            _executors.parse_listed_executor(
+            _executor_list.parse_listed_executor(
                 _job_records.KeyedRecord(
                     each.id, pydantic_core.to_json(each.describe())
                 )
