--- a/src/basiljunction/coordination/leadership/_lease_grants.py
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -7,6 +7,12 @@
 grants leases as long as every registered instance reports that it cannot reach
 the store either. An instance that schedules later knows from its own reports
 by when the last lease had been granted.
+
+A scheduler asks every instance that was registered before its last confirmed
+record: that write succeeds only if the scheduler has read all records before
+it. Schedulers of earlier terms may go on as well while they cannot reach the
+store. They ask an instance, too, unless it registered after their last
+confirmation, and that is no later than the newest term's record.
 """
 
 from collections.abc import Iterable
@@ -112,7 +118,10 @@
     ) -> float:
         """Returns by when earlier schedulers had granted their last lease.
 
-        It holds if this instance has begun the term after that record.
+        Those that asked this instance had its report, or granted leases for a
+        short time only; those that did not know it stop soon after it has
+        registered. It holds if this instance has begun the term after that
+        record.
 
         Args:
             newest: Newest record of the term before.
--- a/src/basiljunction/transport/jobs/_member_watch.py
+++ b/src/basiljunction/transport/jobs/_member_watch.py
@@ -1,4 +1,9 @@
-"""Asks the other instances whether they are there and lack the store."""
+"""Asks the other instances whether they are there and lack the store.
+
+An instance that is gone for good reports nothing, so that no leases could be
+granted in an outage. It is found while the store answers, to be taken off the
+list.
+"""
 
 from collections.abc import Callable
 from collections.abc import Mapping
