--- a/src/basiljunction/coordination/leadership/_lease_grants.py
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -28,10 +28,8 @@
 granted, in seconds."""
 
 REPORT_VALIDITY_S = 2.0
-"""Time for which a report of an outage holds, in seconds.
-
-An instance that restarts, or some questions that get no answer, fit into it.
-"""
+"""Time for which a report of an outage holds, in seconds; some questions that
+get no answer fit into it."""
 
 
 def grants_end_s(confirmed_s: float, reported_until_s: float) -> float:
