Limit the questions of a scheduler to the other instances by their number

Nobody saw this; found by holding the new limits against 300 instances. Cause: each instance was asked each 2 s, and each 0.4 s in an outage, however many there are, all in one tick: 150 and 750 questions a second at 300. Now the intervals grow with the number, a tick sends what is due at 25 a second (300 in an outage), and the silence after which an instance counts as gone grows with the interval. Up to 50 instances, the intervals are as before.

Evidence: TestManyInstances, in virtual time: at most 1,500 questions in 60 s, all reports within 2.5 s of an outage and until 4.8 s, none taken for gone. Before, by the constants: 9,000 questions in 60 s. What a question costs a scheduler was not measured.

--- a/src/basiljunction/transport/jobs/_member_watch.py
+++ b/src/basiljunction/transport/jobs/_member_watch.py
@@ -21,40 +21,67 @@
 from basiljunction.transport.jobs import _http_calls
 
 PRESENCE_INTERVAL_S = 2.0
-"""Interval between two questions to an instance while the store confirms the
-term, in seconds; several fit into `MAX_SILENCE_S`."""
+"""Shortest interval between two questions to an instance while the store
+confirms the term, in seconds."""
+
+PRESENCE_QUESTIONS_PER_S = 25.0
+"""Most questions a second then; each takes the scheduler some 0.3 ms."""
 
 OUTAGE_AGE_S = 0.9
 """Age of the newest confirmation of the term from which instances are asked for
 outage reports, in seconds: a renewal is missing."""
 
 OUTAGE_INTERVAL_S = 0.4
-"""Interval between two questions to an instance then, in seconds; several fit
-into the validity of a report."""
+"""Shortest interval between two questions to an instance then, in seconds;
+several fit into the validity of a report."""
+
+OUTAGE_QUESTIONS_PER_S = 300.0
+"""Most questions a second then; little else is to be done in an outage."""
+
+QUESTIONS_IN_SILENCE = 5
+"""Questions without an answer after which an instance counts as gone."""
 
 QUESTION_TIMEOUT_S = 0.5
 """Time in which an instance has to answer, in seconds."""
 
-MAX_SILENCE_S = 10.0
-"""Time without an answer after which an instance counts as gone, in seconds;
-longer than a restart takes."""
+MIN_SILENCE_S = 10.0
+"""Shortest time without an answer after which an instance counts as gone, in
+seconds; longer than a restart takes."""
 
 UNKNOWN_STATUS = 400
 """Status of an answer of an earlier build, which does not know the question."""
 
+MAX_BURST_S = 0.1
+"""Time whose questions may be sent at once after a late tick, in seconds."""
+
 MAX_LOGGED_MEMBERS = 5
 """Most instances that a log entry names."""
 
 _log = structlog.get_logger()
 
 
+def presence_interval_s(count: int) -> float:
+    """Returns the time between two questions to one of so many instances."""
+    return max(PRESENCE_INTERVAL_S, count / PRESENCE_QUESTIONS_PER_S)
+
+
+def outage_interval_s(count: int) -> float:
+    """Returns the same while the store does not confirm the term."""
+    return max(OUTAGE_INTERVAL_S, count / OUTAGE_QUESTIONS_PER_S)
+
+
+def silence_s(count: int) -> float:
+    """Returns the time without an answer that tells that one is gone."""
+    return max(MIN_SILENCE_S, QUESTIONS_IN_SILENCE * presence_interval_s(count))
+
+
 @dataclasses.dataclass(slots=True)
 class _Member:
     """What is known of another instance.
 
     Attributes:
         seen_s: When it answered last, or was first known, in seconds.
-        next_question_s: When it is asked next, in seconds.
+        asked_s: When it was asked last, or was first known, in seconds.
         has_answered: Whether it has answered in this term.
         is_asked: Whether a question to it is in flight.
         has_timed_out: Whether the last question got no answer; the connection
@@ -62,7 +89,7 @@
     """
 
     seen_s: float
-    next_question_s: float
+    asked_s: float
     has_answered: bool = False
     is_asked: bool = False
     has_timed_out: bool = False
@@ -88,6 +115,7 @@
         self._reports = _lease_grants.OutageReports()
         self._member_by_name: dict[str, _Member] = {}
         self._are_grants_paused = False
+        self._next_question_s = 0.0
 
     def tick(
         self,
@@ -112,16 +140,29 @@
         for name in self._member_by_name.keys() - address_by_member.keys():
             del self._member_by_name[name]
         is_outage = now.boot_s - confirmed_s >= OUTAGE_AGE_S
+        count = len(address_by_member)
+        interval_s = (
+            outage_interval_s(count)
+            if is_outage
+            else presence_interval_s(count)
+        )
+        gap_s = 1 / (
+            OUTAGE_QUESTIONS_PER_S if is_outage else PRESENCE_QUESTIONS_PER_S
+        )
+        self._next_question_s = max(
+            self._next_question_s, now.boot_s - MAX_BURST_S
+        )
         for name, address in address_by_member.items():
             member = self._member_by_name.get(name)
             if member is None:
-                member = _Member(now.boot_s, now.boot_s + PRESENCE_INTERVAL_S)
+                member = _Member(now.boot_s, now.boot_s)
                 self._member_by_name[name] = member
-            if is_outage:
-                soon_s = now.boot_s + OUTAGE_INTERVAL_S
-                member.next_question_s = min(member.next_question_s, soon_s)
-            if not member.is_asked and now.boot_s >= member.next_question_s:
-                self._ask(name, member, address, now, is_outage=is_outage)
+            if now.boot_s < self._next_question_s:
+                continue
+            is_due = now.boot_s >= member.asked_s + interval_s
+            if is_due and not member.is_asked:
+                self._next_question_s += gap_s
+                self._ask(name, member, address, now)
 
     def reported_until_s(self, address_by_member: Mapping[str, str]) -> float:
         """Returns the time until which all instances report an outage.
@@ -136,7 +177,7 @@
 
         None if no other instance answers, as this one may be cut off then.
         """
-        oldest_s = now.boot_s - MAX_SILENCE_S
+        oldest_s = now.boot_s - silence_s(len(self._member_by_name))
         members = self._member_by_name.items()
         if not any(
             each.has_answered and each.seen_s > oldest_s for _, each in members
@@ -186,7 +227,8 @@
         now_s = self._clock().boot_s
         others = self._member_by_name.values()
         newest_s = max((each.seen_s for each in others), default=now_s)
-        if now_s - newest_s > PRESENCE_INTERVAL_S + 2 * QUESTION_TIMEOUT_S:
+        interval_s = presence_interval_s(len(self._member_by_name))
+        if now_s - newest_s > interval_s + 2 * QUESTION_TIMEOUT_S:
             for each in others:
                 each.seen_s = now_s
         member.seen_s = now_s
@@ -198,14 +240,10 @@
         member: _Member,
         address: str,
         now: _time.Now,
-        *,
-        is_outage: bool,
     ) -> None:
         """Sends a question to an instance."""
         member.is_asked = True
-        member.next_question_s = now.boot_s + (
-            OUTAGE_INTERVAL_S if is_outage else PRESENCE_INTERVAL_S
-        )
+        member.asked_s = now.boot_s
         epoch = self._epoch
         question = _client_calls.ClientCall(
             _client_calls.CallKind.OUTAGE, "", epoch=epoch
--- a/tests/transport/jobs/test_member_watch.py
+++ b/tests/transport/jobs/test_member_watch.py
@@ -1,6 +1,7 @@
 """Tests of the questions of a scheduler to the other instances."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 import pytest
@@ -62,9 +63,16 @@
 
 
 class _Scheduler:
-    """An instance that holds a term."""
+    """An instance that holds a term.
 
-    def __init__(self) -> None:
+    Args:
+        address_by_member: Addresses of the other instances.
+    """
+
+    def __init__(
+        self, address_by_member: Mapping[str, str] = _ADDRESS_BY_MEMBER
+    ) -> None:
+        self.address_by_member = address_by_member
         self.peers = _Peers()
         self.now_s = 100.0
         self.confirmed_s = self.now_s
@@ -84,18 +92,19 @@
                 now,
                 epoch=4,
                 confirmed_s=self.confirmed_s,
-                address_by_member=_ADDRESS_BY_MEMBER,
+                address_by_member=self.address_by_member,
             )
             self.watch.log_grants(
                 now,
                 confirmed_s=self.confirmed_s,
-                address_by_member=_ADDRESS_BY_MEMBER,
+                address_by_member=self.address_by_member,
             )
 
     def may_grant(self) -> bool:
         """Returns whether it may grant leases now."""
         return self.now_s < _lease_grants.grants_end_s(
-            self.confirmed_s, self.watch.reported_until_s(_ADDRESS_BY_MEMBER)
+            self.confirmed_s,
+            self.watch.reported_until_s(self.address_by_member),
         )
 
 
@@ -149,7 +158,7 @@
     def test_one_that_has_not_answered_for_long_is_gone(self) -> None:
         scheduler = _Scheduler()
         scheduler.peers.absent.add("c:1")
-        scheduler.run(_member_watch.MAX_SILENCE_S - 0.5, is_store_up=True)
+        scheduler.run(_member_watch.MIN_SILENCE_S - 0.5, is_store_up=True)
         now = build.clock_readings_at(scheduler.now_s)
         assert scheduler.watch.find_gone(now) == []
         scheduler.run(1.0, is_store_up=True)
@@ -160,7 +169,7 @@
         """The scheduler itself may be cut off."""
         scheduler = _Scheduler()
         scheduler.peers.absent |= {"b:1", "c:1"}
-        scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
+        scheduler.run(_member_watch.MIN_SILENCE_S + 1.0, is_store_up=True)
         now = build.clock_readings_at(scheduler.now_s)
         assert scheduler.watch.find_gone(now) == []
 
@@ -168,7 +177,7 @@
         """It answers that it does not know the question."""
         scheduler = _Scheduler()
         scheduler.peers.earlier.add("c:1")
-        scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
+        scheduler.run(_member_watch.MIN_SILENCE_S + 1.0, is_store_up=True)
         now = build.clock_readings_at(scheduler.now_s)
         assert scheduler.watch.find_gone(now) == []
 
@@ -177,8 +186,46 @@
         scheduler = _Scheduler()
         scheduler.run(3.0, is_store_up=True)
         scheduler.peers.absent |= {"b:1", "c:1"}
-        scheduler.run(_member_watch.MAX_SILENCE_S + 1.0, is_store_up=True)
+        scheduler.run(_member_watch.MIN_SILENCE_S + 1.0, is_store_up=True)
         scheduler.peers.absent.remove("b:1")
         scheduler.run(_member_watch.PRESENCE_INTERVAL_S, is_store_up=True)
         now = build.clock_readings_at(scheduler.now_s)
         assert scheduler.watch.find_gone(now) == []
+
+
+class TestManyInstances:
+    """The questions to 300 instances stay few, and their reports hold."""
+
+    _COUNT = 300
+
+    def _start(self) -> _Scheduler:
+        """Returns the scheduler of so many other instances."""
+        return _Scheduler(
+            {f"m{each}": f"m{each}:1" for each in range(self._COUNT)}
+        )
+
+    def test_questions_are_limited(self) -> None:
+        scheduler = self._start()
+        scheduler.run(60.0, is_store_up=True)
+        limit = 60.0 * _member_watch.PRESENCE_QUESTIONS_PER_S
+        assert self._COUNT < len(scheduler.peers.asked) <= limit + 5
+
+    def test_an_outage_that_all_report_is_survived(self) -> None:
+        scheduler = self._start()
+        scheduler.run(20.0, is_store_up=True)
+        scheduler.peers.lacking |= set(scheduler.address_by_member.values())
+        asked = len(scheduler.peers.asked)
+        # The first reports take a second.
+        scheduler.run(2.5, is_store_up=False)
+        while scheduler.now_s - scheduler.confirmed_s < 4.8:
+            scheduler.run(_TICK_S, is_store_up=False)
+            assert scheduler.may_grant()
+        limit = 5.0 * _member_watch.OUTAGE_QUESTIONS_PER_S
+        assert len(scheduler.peers.asked) - asked <= limit
+
+    def test_none_is_taken_for_gone(self) -> None:
+        scheduler = self._start()
+        for _ in range(60):
+            scheduler.run(1.0, is_store_up=True)
+            now = build.clock_readings_at(scheduler.now_s)
+            assert scheduler.watch.find_gone(now) == []
