--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -141,6 +141,14 @@
         election.expire_unreachable_leader(3, 0.4)
         assert election.next_term_write(1.0) is None
 
+    def test_nor_once_the_store_is_read_again(self) -> None:
+        election = _make_election("a")
+        election.apply_read(_make_term("b", 3), 5, 0.0)
+        election.record_read_failure()
+        election.expire_unreachable_leader(3, 0.4)
+        election.apply_read(None, 5, 0.6)
+        assert election.next_term_write(_election.TERM_EXPIRY_S) is None
+
     def test_silence_counts_anew_after_an_outage_of_the_store(self) -> None:
         election = _make_election("a")
         election.apply_read(_make_term("b", 3), 5, 0.0)
