--- a/src/basiljunction/coordination/leadership/_lease_grants.py
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -16,6 +16,8 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
+import enum
 
 from basiljunction.state.workload import _leadership
 
@@ -90,6 +92,36 @@
         return [each for each in members if self.valid_until_s([each]) <= now_s]
 
 
+class GrantLimit(enum.Enum):
+    """What the time of the last lease of earlier schedulers follows from.
+
+    Attributes:
+        TERM: Nobody may have reported an outage, so leases ended soon after the
+            last record of the term before.
+        REPORT: This instance, or its process before, may have reported one.
+        REGISTRATION: Earlier schedulers may not have known this instance.
+        LONGEST: Nothing is known but the longest time.
+    """
+
+    TERM = "term"
+    REPORT = "report"
+    REGISTRATION = "registration"
+    LONGEST = "longest"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LastGrant:
+    """By when earlier schedulers had granted their last lease.
+
+    Attributes:
+        by_s: The time, in seconds.
+        limit: What it follows from.
+    """
+
+    by_s: float
+    limit: GrantLimit
+
+
 class GrantHistory:
     """What an instance knows of the leases that other schedulers granted.
 
@@ -111,9 +143,9 @@
         """Records that this instance reports an outage to a scheduler now."""
         self._last_report_s = now_s
 
-    def last_grant_by_s(
+    def find_last_grant(
         self, newest: _leadership.Term, written_s: float
-    ) -> float:
+    ) -> LastGrant:
         """Returns by when earlier schedulers had granted their last lease.
 
         Those that asked this instance had its report, or granted leases for a
@@ -125,15 +157,16 @@
             newest: Newest record of the term before.
             written_s: When that record had been written, in seconds.
         """
-        latest_s = written_s + MAX_GRANT_S
+        longest = LastGrant(written_s + MAX_GRANT_S, GrantLimit.LONGEST)
         if self.registered_s is None:
-            return latest_s
-        return min(
-            latest_s,
-            max(
-                written_s + newest.unreported_grant_s,
-                self._last_report_s + REPORT_VALIDITY_S,
-                # Earlier terms may not have known this instance.
-                self.registered_s + MAX_GRANT_S,
+            return longest
+        known = max(
+            LastGrant(written_s + newest.unreported_grant_s, GrantLimit.TERM),
+            LastGrant(
+                self._last_report_s + REPORT_VALIDITY_S, GrantLimit.REPORT
             ),
+            # Earlier terms may not have known this instance.
+            LastGrant(self.registered_s + MAX_GRANT_S, GrantLimit.REGISTRATION),
+            key=lambda each: each.by_s,
         )
+        return min(longest, known, key=lambda each: each.by_s)
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -525,7 +525,7 @@
                 0 if predecessor is None else predecessor.bounded_since_epoch
             ),
         )
-        _log.info("term.begun", epoch=epoch)
+        self._log_inherited_wait(epoch)
 
     def _predecessor(self, epoch: int) -> _leadership.Term | None:
         """Returns the last record of the term before; None if not known.
@@ -560,9 +560,29 @@
             return None
         if predecessor.is_resigned and predecessor.longest_run_s:
             return predecessor.longest_run_s
-        last_grant_s = self._grants.last_grant_by_s(predecessor, ended_s)
+        last_grant = self._grants.find_last_grant(predecessor, ended_s)
         times = _limits.LeaseTimes()
-        return last_grant_s - ended_s + times.max_run_after_grant_s
+        return last_grant.by_s - ended_s + times.max_run_after_grant_s
+
+    def _log_inherited_wait(self, epoch: int) -> None:
+        """Logs that a term begins, and what its longest wait follows from."""
+        predecessor = self._predecessor(epoch)
+        ended_s = self._earlier_terms_ended_s(epoch)
+        if predecessor is None or ended_s is None:
+            _log.info("term.begun", epoch=epoch, leases_after="unknown")
+            return
+        if predecessor.is_resigned and predecessor.longest_run_s:
+            _log.info("term.begun", epoch=epoch, leases_after="resignation")
+            return
+        last_grant = self._grants.find_last_grant(predecessor, ended_s)
+        _log.info(
+            "term.begun",
+            epoch=epoch,
+            leases_after=last_grant.limit.value,
+            granted_for_s=round(last_grant.by_s - ended_s, 3),
+            predecessor=predecessor.instance,
+            predecessor_beat=predecessor.beat,
+        )
 
     def _end_session(self, reason: str) -> None:
         """Ends the session of the current term, if any, and logs the reason."""
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -706,7 +706,7 @@
             "",
             unreported_grant_s=_lease_grants.UNREPORTED_GRANT_S,
         )
-        last_grant_s = self.grants.last_grant_by_s(last_record, self.now_s)
+        last_grant_s = self.grants.find_last_grant(last_record, self.now_s).by_s
         times = _limits.LeaseTimes()
         return last_grant_s - self.now_s + times.max_run_after_grant_s
 
--- a/tests/coordination/leadership/test_lease_grants.py
+++ b/tests/coordination/leadership/test_lease_grants.py
@@ -66,30 +66,49 @@
 
     def test_without_a_report_it_is_soon_after_the_last_record(self) -> None:
         history = _history()
-        assert history.last_grant_by_s(_term(), 100.0) == 101.5
+        assert history.find_last_grant(_term(), 100.0).by_s == 101.5
 
     def test_a_report_lets_it_be_later(self) -> None:
         history = _history()
         history.record_report(101.0)
-        assert history.last_grant_by_s(_term(), 100.0) == 103.0
+        assert history.find_last_grant(_term(), 100.0).by_s == 103.0
         history.record_report(104.0)
-        assert history.last_grant_by_s(_term(), 100.0) == 105.0
+        assert history.find_last_grant(_term(), 100.0).by_s == 105.0
 
     def test_a_process_before_this_one_may_have_reported(self) -> None:
         history = _history(started_s=101.0, registered_s=None)
-        assert history.last_grant_by_s(_term(), 100.0) == 105.0
+        assert history.find_last_grant(_term(), 100.0).by_s == 105.0
         history.registered_s = 0.0
-        assert history.last_grant_by_s(_term(), 100.0) == 103.0
+        assert history.find_last_grant(_term(), 100.0).by_s == 103.0
 
     def test_an_instance_that_was_unknown_was_not_asked(self) -> None:
         history = _history(registered_s=99.0)
-        assert history.last_grant_by_s(_term(), 100.0) == 104.0
+        assert history.find_last_grant(_term(), 100.0).by_s == 104.0
         history.registered_s = 95.0
-        assert history.last_grant_by_s(_term(), 100.0) == 101.5
+        assert history.find_last_grant(_term(), 100.0).by_s == 101.5
+
+    @pytest.mark.parametrize(
+        ("started_s", "registered_s", "limit"),
+        [
+            (0.0, 1.0, _lease_grants.GrantLimit.TERM),
+            (100.5, 1.0, _lease_grants.GrantLimit.REPORT),
+            (0.0, 98.0, _lease_grants.GrantLimit.REGISTRATION),
+            (0.0, 101.0, _lease_grants.GrantLimit.LONGEST),
+            (0.0, None, _lease_grants.GrantLimit.LONGEST),
+        ],
+    )
+    def test_it_tells_what_the_time_follows_from(
+        self,
+        started_s: float,
+        registered_s: float | None,
+        limit: _lease_grants.GrantLimit,
+    ) -> None:
+        history = _history(started_s=started_s, registered_s=registered_s)
+        assert history.find_last_grant(_term(), 100.0).limit is limit
 
     def test_a_scheduler_of_an_earlier_build_asks_nobody(self) -> None:
         term = _term(unreported_grant_s=5.0)
-        assert _history().last_grant_by_s(term, 100.0) == 105.0
+        assert _history().find_last_grant(term, 100.0).by_s == 105.0
         assert _leadership.Term(3, "a", 1, "").unreported_grant_s == 5.0
 
     def test_a_term_right_after_one_of_an_earlier_build_tells_it(self) -> None:
@@ -103,7 +122,7 @@
         election.apply_read(_leadership.Term(3, "a", 1, "a:1"), 1, 100.0)
         claim = election.next_term_write(102.0)
         assert claim is not None
-        last_grant_s = _history().last_grant_by_s(claim.term, 102.0)
+        last_grant_s = _history().find_last_grant(claim.term, 102.0).by_s
         assert last_grant_s >= 100.0 + _lease_grants.MAX_GRANT_S
 
     def test_a_term_that_has_outlasted_the_earlier_build_does_not(
@@ -121,5 +140,5 @@
         election.record_write_success(2, 102.0)
         renewal = election.next_term_write(102.0 + _lease_grants.MAX_GRANT_S)
         assert renewal is not None
-        last_grant_s = _history().last_grant_by_s(renewal.term, 107.0)
+        last_grant_s = _history().find_last_grant(renewal.term, 107.0).by_s
         assert last_grant_s == 107.0 + _lease_grants.UNREPORTED_GRANT_S
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -148,7 +148,7 @@
         task._terms.election.apply_read(term, 1, 0.0)
         assert task.report_outage(5)
         now_s = task._clock.now().boot_s
-        last_grant_s = task._grants.last_grant_by_s(term, now_s - 1.0)
+        last_grant_s = task._grants.find_last_grant(term, now_s - 1.0).by_s
         assert last_grant_s == pytest.approx(
             now_s + _lease_grants.REPORT_VALIDITY_S, abs=0.5
         )
--- a/tests/transport/jobs/test_grants_explored.py
+++ b/tests/transport/jobs/test_grants_explored.py
@@ -338,7 +338,9 @@
                 predecessor.epoch, predecessor.beat
             )
             if written_s is not None:
-                bound_s = self.grants.last_grant_by_s(predecessor, written_s)
+                bound_s = self.grants.find_last_grant(
+                    predecessor, written_s
+                ).by_s
                 if bound_s < written_s + _lease_grants.MAX_GRANT_S:
                     self._world.terms_with_short_bound += 1
         self._world.bounds.append((epoch, bound_s, self.name))
