Count the claim of the newest term against leases of earlier ones

Cause: such an instance took each earlier scheduler for one that may not have known it, for 5 s after its registration.

A scheduler whose record comes after the registration has read it. Those of earlier terms were confirmed for the last time before the newest term was claimed; its records now say how long ago that was. Ten renewals no longer stand for five seconds: a renewal that gets no answer is repeated sooner than after 0.6 s.

Records read from an offset now have their offsets, too. A registration that is read anew with all records keeps its time if its offset is the same. The test of a restart now looks at the time that follows instead of a flag, with four cases for three; a read's records are compared with their offset.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -412,14 +412,24 @@
         if now_s >= self._claimed_s + _lease_grants.MAX_GRANT_S:
             # The term before grants no more leases.
             unreported_grant_s = _lease_grants.UNREPORTED_GRANT_S
+        beat = self.term.beat + 1
+        held_s = now_s - self._claimed_s
+        last = self._last_written_term
+        if last is not None and (last.epoch, last.beat) == (
+            self.term.epoch,
+            beat,
+        ):
+            # A repeated write is recognised by its equal record.
+            held_s = last.held_s
         return self._begin_write(
             dataclasses.replace(
                 self.term,
-                beat=self.term.beat + 1,
+                beat=beat,
                 is_resigned=self.is_resigning or is_given_up,
                 longest_run_s=self._longest_run_s,
                 given_up_terms=given_up_terms,
                 unreported_grant_s=unreported_grant_s,
+                held_s=held_s,
             ),
             now_s,
         )
--- a/src/basiljunction/coordination/leadership/_lease_grants.py
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -12,7 +12,7 @@
 record: that write succeeds only if the scheduler has read all records before
 it. Schedulers of earlier terms may go on as well while they cannot reach the
 store. They ask an instance, too, unless it registered after their last
-confirmation, and that is no later than the newest term's record.
+confirmation, and that is no later than the claim of the newest term.
 """
 
 from collections.abc import Iterable
@@ -138,6 +138,49 @@
     def __init__(self, started_s: float) -> None:
         self.registered_s: float | None = None
         self._last_report_s = started_s
+        self._registration_offset: int | None = None
+        self._known_since: tuple[int, int] | None = None
+
+    def record_registration(self, offset: int | None, now_s: float) -> None:
+        """Records that the store has a registration of this instance.
+
+        Args:
+            offset: Offset of its record; None if that is not known.
+            now_s: When it was read, in seconds.
+        """
+        is_read_before = (
+            self.registered_s is not None
+            and offset is not None
+            and offset == self._registration_offset
+        )
+        if is_read_before:
+            return
+        self.registered_s = now_s
+        self._registration_offset = offset
+        self._known_since = None
+
+    def record_removal(self) -> None:
+        """Records that the store has no registration of this instance."""
+        self.registered_s = None
+        self._registration_offset = None
+        self._known_since = None
+
+    def record_term(self, term: _leadership.Term, offset: int | None) -> None:
+        """Records that a term's record was read.
+
+        Its scheduler had read all records before it when it wrote it.
+
+        Args:
+            term: The term.
+            offset: Offset of the record; None if that is not known.
+        """
+        if (
+            self._known_since is None
+            and self._registration_offset is not None
+            and offset is not None
+            and offset > self._registration_offset
+        ):
+            self._known_since = (term.epoch, term.beat)
 
     def record_report(self, now_s: float) -> None:
         """Records that this instance reports an outage to a scheduler now."""
@@ -149,9 +192,10 @@
         """Returns by when earlier schedulers had granted their last lease.
 
         Those that asked this instance had its report, or granted leases for a
-        short time only; those that did not know it stop soon after it has
-        registered. It holds if this instance has begun the term after that
-        record.
+        short time only. Those that did not know it were confirmed for the last
+        time before it had registered, and before the newest term was claimed
+        if that one's scheduler knows it. It holds if this instance has begun
+        the term after that record.
 
         Args:
             newest: Newest record of the term before.
@@ -160,13 +204,21 @@
         longest = LastGrant(written_s + MAX_GRANT_S, GrantLimit.LONGEST)
         if self.registered_s is None:
             return longest
+        unknown_until_s = self.registered_s
+        if self._is_known_to(newest):
+            unknown_until_s = min(unknown_until_s, written_s - newest.held_s)
         known = max(
             LastGrant(written_s + newest.unreported_grant_s, GrantLimit.TERM),
             LastGrant(
                 self._last_report_s + REPORT_VALIDITY_S, GrantLimit.REPORT
             ),
-            # Earlier terms may not have known this instance.
-            LastGrant(self.registered_s + MAX_GRANT_S, GrantLimit.REGISTRATION),
+            LastGrant(unknown_until_s + MAX_GRANT_S, GrantLimit.REGISTRATION),
             key=lambda each: each.by_s,
         )
         return min(longest, known, key=lambda each: each.by_s)
+
+    def _is_known_to(self, newest: _leadership.Term) -> bool:
+        """Returns whether the writer of a record had read the registration."""
+        return self._known_since is not None and (
+            (newest.epoch, newest.beat) >= self._known_since
+        )
--- a/src/basiljunction/platform/_store.py
+++ b/src/basiljunction/platform/_store.py
@@ -227,7 +227,9 @@
         position += _RECORD_LENGTH.size
         if position + length > len(body):
             raise _errors.DecodeError("read", "truncated record")
-        record = _decode_keyed_record(body[position : position + length])
+        record = _decode_keyed_record(
+            body[position : position + length], from_offset + count
+        )
         if record is not None:
             records.append(record)
         position += length
@@ -345,7 +347,9 @@
     return _RECORD_LENGTH.pack(len(content)) + content
 
 
-def _decode_keyed_record(content: bytes) -> _job_records.KeyedRecord | None:
+def _decode_keyed_record(
+    content: bytes, offset: int
+) -> _job_records.KeyedRecord | None:
     """Decodes a record of a keyed topic; None if it is malformed."""
     if not content or 1 + content[0] > len(content):
         return None
@@ -354,7 +358,7 @@
         key = content[1:split].decode()
     except UnicodeDecodeError:
         return None
-    return _job_records.KeyedRecord(key, content[split:])
+    return _job_records.KeyedRecord(key, content[split:], offset)
 
 
 def _url(address: str, path: str, query: dict[str, str | int]) -> str:
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -59,8 +59,7 @@
     Attributes:
         key: Key of the record; the store keeps the newest record of each key.
         value: Encoded content; empty deletes the key.
-        offset: Where it stands in its topic, if it was read from the newest
-            record of each key; None if that is not known.
+        offset: Where it stands in its topic; None if that is not known.
     """
 
     key: str
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -28,6 +28,9 @@
         bounded_since_epoch: First epoch from which on, up to this term, all
             schedulers store bounds of silent executors before they extend
             leases; 0 for a build that does not.
+        held_s: Time from the claim of the term to this record, in seconds; no
+            earlier term was confirmed within it. 0 for a build that does not
+            tell it.
     """
 
     epoch: int
@@ -40,6 +43,7 @@
     longest_run_s: float = 0.0
     unreported_grant_s: float = 5.0
     bounded_since_epoch: int = 0
+    held_s: float = 0.0
 
     def is_held_by(self, instance: str, incarnation: int) -> bool:
         """Returns whether this run of the instance's process holds the term."""
--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -5,7 +5,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import math
 
 import structlog
 
@@ -31,11 +30,6 @@
 """Time since the last complete read after which this instance lacks the store,
 in seconds; reads end sooner, even without a new record."""
 
-ESTABLISHED_BEATS = (
-    math.ceil(_lease_grants.MAX_GRANT_S / _election.RENEWAL_INTERVAL_S) + 1
-)
-"""Renewals of a term after which the schedulers before it grant no leases."""
-
 REGISTRATION_INTERVAL_S = 0.5
 """Time from the answer to a registration or a removal until it is repeated
 unless it was read back, in seconds."""
@@ -137,13 +131,10 @@
         self._last_read_s = now_s
         self.is_store_unreachable = False
         if is_whole:
-            # Removed instances are not listed. This one may have been removed
-            # and registered again since the read before.
+            # Removed instances are not listed.
             self.address_by_member.clear()
             self.provision_by_member.clear()
-            self._grants.registered_s = None
-        newest = None
-        term_offset: int | None = None
+        terms: list[tuple[_leadership.Term, int | None]] = []
         for record in records:
             if record.key.startswith(_store.MEMBER_PREFIX):
                 self._apply_member_record(record)
@@ -152,44 +143,26 @@
             if record.key != _store.TERM_KEY or not record.value:
                 continue
             try:
-                newest = _job_records.decode_term(record.value)
-                term_offset = record.offset
+                term = _job_records.decode_term(record.value)
             except _errors.DecodeError as error:
                 _log.warning("term.malformed", error=str(error))
-        self._update_registration(newest, term_offset, now_s)
+                continue
+            terms.append((term, record.offset))
+        self._update_registration(now_s)
+        for term, offset in terms:
+            self._grants.record_term(term, offset)
         self.election.update_provisions(self.provision_by_member)
-        self.election.apply_read(newest, end_offset, now_s)
-
-    def _update_registration(
-        self,
-        newest: _leadership.Term | None,
-        term_offset: int | None,
-        now_s: float,
-    ) -> None:
-        """Records since when the store has the registration.
-
-        A process before this one may have written it. If a long term has been
-        renewed since, all schedulers that may grant leases have read it.
+        self.election.apply_read(
+            terms[-1][0] if terms else None, end_offset, now_s
+        )
 
-        Args:
-            newest: The newest term that was read now; None for none.
-            term_offset: Offset of its record; None if it is not known.
-            now_s: Current time in seconds.
-        """
+    def _update_registration(self, now_s: float) -> None:
+        """Records whether the store has the registration of this instance."""
         registered = self.address_by_member.get(self._member)
         if registered != self._member_address:
-            self._grants.registered_s = None
+            self._grants.record_removal()
             return
-        if self._grants.registered_s is not None:
-            return
-        is_established = (
-            newest is not None
-            and newest.beat >= ESTABLISHED_BEATS
-            and term_offset is not None
-            and self._registration_offset is not None
-            and self._registration_offset < term_offset
-        )
-        self._grants.registered_s = float("-inf") if is_established else now_s
+        self._grants.record_registration(self._registration_offset, now_s)
 
     def lacks_store(self, now: _time.Now) -> bool:
         """Returns whether this instance cannot read the store now."""
@@ -248,7 +221,7 @@
         self.address = address
         self.address_by_member.clear()
         self.provision_by_member.clear()
-        self._grants.registered_s = None
+        self._grants.record_removal()
         self._next_registration_s = 0.0
         self._last_read_s = None
         self.election.reset_after_store_move(incarnation)
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -1,6 +1,7 @@
 """Tests of the platform adapter: parsing, calls and name isolation."""
 
 import ast
+import dataclasses
 import json
 import pathlib
 import re
@@ -302,7 +303,8 @@
         assert call.body is not None
         head = (8).to_bytes(8, "big") + (0).to_bytes(8, "big")
         page = _store.parse_page(_http_call.HttpReply(200, head + call.body), 7)
-        assert page == _store.RecordPage(8, 8, (self._RECORD,))
+        record = dataclasses.replace(self._RECORD, offset=7)
+        assert page == _store.RecordPage(8, 8, (record,))
 
     @pytest.mark.parametrize("cut", [*range(1, 13), *range(14, 25)])
     def test_a_torn_answer_is_an_error(self, cut: int) -> None:
--- a/tests/transport/jobs/test_takeover_waits.py
+++ b/tests/transport/jobs/test_takeover_waits.py
@@ -96,7 +96,7 @@
         """It may not have been known to the scheduler that is lost."""
         fleet = _Fleet(seed, running=3, added=1)
         fleet.instances[3].start()
-        fleet.run(0.5)
+        fleet.run(0.25)
         fleet.lose_scheduler()
         assert fleet.count_longest_grant_s() <= _LONGEST_GRANT_S
 
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -221,30 +221,35 @@
 
 
 class TestRestart:
-    """What was registered before a long term was renewed is known to all."""
+    """What was registered before the newest record is known to its writer."""
 
     @pytest.mark.parametrize(
-        ("beat", "is_registered_first", "is_known"),
+        ("held_s", "is_registered_first", "granted_s"),
         [
-            (_term_keeper.ESTABLISHED_BEATS, True, True),
-            (_term_keeper.ESTABLISHED_BEATS - 1, True, False),
-            (_term_keeper.ESTABLISHED_BEATS, False, False),
+            # The process before may have reported an outage until this one.
+            (_lease_grants.MAX_GRANT_S, True, _lease_grants.REPORT_VALIDITY_S),
+            (2.0, True, _lease_grants.MAX_GRANT_S - 2.0),
+            (0.0, True, _lease_grants.MAX_GRANT_S),
+            (_lease_grants.MAX_GRANT_S, False, _lease_grants.MAX_GRANT_S),
         ],
     )
-    def test_only_then_its_predecessors_asked_it(
-        self, beat: int, is_registered_first: bool, is_known: bool
+    def test_its_predecessors_were_last_confirmed_before_the_claim(
+        self, held_s: float, is_registered_first: bool, granted_s: float
     ) -> None:
         store = _StoreClient()
         if is_registered_first:
             store.put("member.a", b"a:1")
-        term = _leadership.Term(3, "b", 1, "b:1", beat)
+        term = _leadership.Term(
+            3, "b", 1, "b:1", 9, unreported_grant_s=0.0, held_s=held_s
+        )
         store.put(_store.TERM_KEY, _job_records.encode_term(term))
         if not is_registered_first:
             store.put("member.a", b"a:1")
         instance = _Instance(store)
         instance.run_for(0.3)
-        assert instance.grants.registered_s is not None
-        assert (instance.grants.registered_s < 0.0) == is_known
+        last_grant = instance.grants.find_last_grant(term, instance.now_s)
+        granted_until_s = instance.now_s + granted_s
+        assert last_grant.by_s == pytest.approx(granted_until_s, abs=0.4)
 
 
 class TestRegistration:
