Leave the next term to an instance that waits for fewer leases

Cause: claims came in the order of provision alone.

An instance now delays its claim by what it would wait for longer than need be, by 0.8 s at most like the least provided one. Without another instance it still claims.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -367,6 +367,14 @@
         "unknown_until_s, GrantLimit",
         f"{_LEADERSHIP_TESTS}/test_lease_grants.py",
     ),
+    _mutation(
+        "claims-without-regard-to-the-wait",
+        "lasting tasks run",
+        f"{_LEADERSHIP}/_election.py",
+        "            min(self._excess_wait_s(), MAX_PROVISION_DELAY_S),\n",
+        "",
+        f"{_TRANSPORT_TESTS}/test_takeover_waits.py",
+    ),
     _mutation(
         "earlier-terms-taken-for-those-of-the-newest-scheduler",
         "one run",
--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -10,7 +10,7 @@
 
 An instance delays its claims the longer, the less it has of what the best
 provided instance has, so that one that can carry the scheduler's traffic
-comes first. The delay decides only who claims first; the conditional write
+comes first, and also if it knows less than others of earlier leases. The delay decides only who claims first; the conditional write
 alone ensures that there is one scheduler.
 """
 
@@ -107,6 +107,8 @@
         address: ``ip:port`` at which other instances reach this one.
         rng: Source of the random delays before claims.
         provision: Link and processor of this instance.
+        grants: What this instance knows of leases of other schedulers; None if
+            it grants none.
 
     Attributes:
         role: Role of this instance.
@@ -130,6 +132,7 @@
         address: str,
         rng: random.Random,
         provision: _provision.Provision = _provision.UNKNOWN,
+        grants: _lease_grants.GrantHistory | None = None,
     ) -> None:
         self.role = ElectionRole.FOLLOWER
         self.term: _leadership.Term | None = None
@@ -142,6 +145,7 @@
         self._address = address
         self._rng = rng
         self._provision = provision
+        self._grants = grants
         self.relative_provision = 0.0 if provision.is_known else 1.0
         self.predecessor: _leadership.Term | None = None
         self._longest_run_s = 0.0
@@ -168,13 +172,34 @@
         """Delay of a claim after the term became open, in seconds.
 
         Without a registration, an instance waits longest instead of for ever,
-        as the store may lose the registration and still take a claim.
+        as the store may lose the registration and still take a claim. One that
+        would wait for leases that others know to have ended lets these claim
+        first.
         """
-        delay_s = (1 - self.relative_provision) * MAX_PROVISION_DELAY_S
+        delay_s = max(
+            (1 - self.relative_provision) * MAX_PROVISION_DELAY_S,
+            min(self._excess_wait_s(), MAX_PROVISION_DELAY_S),
+        )
         if self.term is None and self._provision.is_known:
             delay_s += SETTLING_TIME_S
         return delay_s
 
+    def _excess_wait_s(self) -> float:
+        """Returns how much longer than need be this instance would wait.
+
+        That is for leases of the schedulers before, in seconds.
+        """
+        term = self.term
+        if self._grants is None or term is None:
+            return 0.0
+        if term.is_resigned and term.longest_run_s:
+            return 0.0
+        written_s = self.history.written_by_s(term.epoch, term.beat)
+        if written_s is None:
+            return 0.0
+        last_grant = self._grants.find_last_grant(term, written_s)
+        return last_grant.by_s - written_s - term.unreported_grant_s
+
     def reset_after_store_move(self, incarnation: int) -> None:
         """Resets the election after the store has moved to another address.
 
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -141,6 +141,7 @@
                 address=settings.peer_listen,
                 rng=rng,
                 provision=settings.provision,
+                grants=self._grants,
             ),
             grants=self._grants,
             member=settings.name,
