Tell with a term for how long leases of earlier schedulers may go on

Cause: whoever followed a young term took everything before it to grant leases for 5 s after its claim, though the scheduler that claimed it knew better.

The new tests failed before (15 of 15) and pass.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -196,23 +196,40 @@
             and term.incarnation != self._incarnation
         )
 
+    def _find_last_grant(self) -> _lease_grants.LastGrant | None:
+        """Returns by when others had granted their last lease, if known."""
+        term = self.term
+        if self._grants is None or term is None:
+            return None
+        written_s = self.history.written_by_s(term.epoch, term.beat)
+        if written_s is None:
+            return None
+        return self._grants.find_last_grant(
+            term,
+            written_s,
+            has_ended=self.has_scheduler_ended(term)
+            or (term.is_resigned and term.longest_run_s > 0),
+        )
+
     def _excess_wait_s(self) -> float:
         """Returns how much longer than need be this instance would wait.
 
         That is for leases of the schedulers before, in seconds.
         """
-        term = self.term
-        if self._grants is None or term is None:
-            return 0.0
-        if term.is_resigned and term.longest_run_s:
+        last_grant = self._find_last_grant()
+        if last_grant is None or self.term is None:
             return 0.0
-        written_s = self.history.written_by_s(term.epoch, term.beat)
+        written_s = self.history.written_by_s(self.term.epoch, self.term.beat)
         if written_s is None:
             return 0.0
-        last_grant = self._grants.find_last_grant(
-            term, written_s, has_ended=self.has_scheduler_ended(term)
-        )
-        return last_grant.by_s - written_s - term.unreported_grant_s
+        return last_grant.by_s - written_s - self.term.unreported_grant_s
+
+    def _earlier_grant_s(self, now_s: float) -> float:
+        """Returns for how long from now others may grant leases, in seconds."""
+        last_grant = self._find_last_grant()
+        if last_grant is None:
+            return _lease_grants.MAX_GRANT_S
+        return min(max(0.0, last_grant.by_s - now_s), _lease_grants.MAX_GRANT_S)
 
     def reset_after_store_move(self, incarnation: int) -> None:
         """Resets the election after the store has moved to another address.
@@ -434,6 +451,7 @@
                     if self.term is None
                     else self.term.bounded_since_epoch or epoch
                 ),
+                earlier_grant_s=self._earlier_grant_s(now_s),
             ),
             now_s,
         )
--- a/src/basiljunction/coordination/leadership/_lease_grants.py
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -200,9 +200,9 @@
 
         Those that asked this instance had its report, or granted leases for a
         short time only. Those that did not know it were confirmed for the last
-        time before it had registered, and before the newest term was claimed
-        if that one's scheduler knows it. It holds if this instance has begun
-        the term after that record.
+        time before it had registered. If the scheduler of the newest term knows
+        it, they are those of earlier terms, of which that one told what it
+        knew. It holds if this instance has begun the term after that record.
 
         Args:
             newest: Newest record of the term before.
@@ -211,19 +211,19 @@
                 of earlier terms alone count.
         """
         longest = LastGrant(written_s + MAX_GRANT_S, GrantLimit.LONGEST)
-        claimed_s = written_s - newest.held_s
+        earlier_by_s = written_s - newest.held_s + newest.earlier_grant_s
         known: tuple[LastGrant, ...]
         if has_ended:
             known = (
                 LastGrant(written_s, GrantLimit.END),
-                LastGrant(claimed_s + MAX_GRANT_S, GrantLimit.REGISTRATION),
+                LastGrant(earlier_by_s, GrantLimit.REGISTRATION),
             )
         elif self.registered_s is None:
             return longest
         else:
-            unknown_until_s = self.registered_s
+            unknown_by_s = self.registered_s + MAX_GRANT_S
             if self._is_known_to(newest):
-                unknown_until_s = min(unknown_until_s, claimed_s)
+                unknown_by_s = min(unknown_by_s, earlier_by_s)
             known = (
                 LastGrant(
                     written_s + newest.unreported_grant_s, GrantLimit.TERM
@@ -231,9 +231,7 @@
                 LastGrant(
                     self._last_report_s + REPORT_VALIDITY_S, GrantLimit.REPORT
                 ),
-                LastGrant(
-                    unknown_until_s + MAX_GRANT_S, GrantLimit.REGISTRATION
-                ),
+                LastGrant(unknown_by_s, GrantLimit.REGISTRATION),
             )
         latest = max(known, key=lambda each: each.by_s)
         return min(longest, latest, key=lambda each: each.by_s)
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -31,6 +31,9 @@
         held_s: Time from the claim of the term to this record, in seconds; no
             earlier term was confirmed within it. 0 for a build that does not
             tell it.
+        earlier_grant_s: Time after the claim for which schedulers of earlier
+            terms may grant leases, as far as its scheduler knew, in seconds.
+            The default is the longest such time.
     """
 
     epoch: int
@@ -44,6 +47,7 @@
     unreported_grant_s: float = 5.0
     bounded_since_epoch: int = 0
     held_s: float = 0.0
+    earlier_grant_s: float = 5.0
 
     def is_held_by(self, instance: str, incarnation: int) -> bool:
         """Returns whether this run of the instance's process holds the term."""
--- a/tests/coordination/leadership/test_lease_grants.py
+++ b/tests/coordination/leadership/test_lease_grants.py
@@ -54,8 +54,9 @@
         reports.record("a", 10.0)
         reports.record("b", 11.0)
         reports.record("a", 9.0)
-        assert reports.valid_until_s(["a", "b"]) == 12.0
-        assert reports.find_missing(["a", "b"], 12.0) == ["a"]
+        until_s = 10.0 + _lease_grants.REPORT_VALIDITY_S
+        assert reports.valid_until_s(["a", "b"]) == until_s
+        assert reports.find_missing(["a", "b"], until_s) == ["a"]
 
     def test_a_sole_instance_needs_none(self) -> None:
         reports = _lease_grants.OutageReports()
@@ -72,7 +73,8 @@
     def test_a_report_lets_it_be_later(self) -> None:
         history = _history()
         history.record_report(101.0)
-        assert history.find_last_grant(_term(), 100.0).by_s == 103.0
+        until_s = 101.0 + _lease_grants.REPORT_VALIDITY_S
+        assert history.find_last_grant(_term(), 100.0).by_s == until_s
         history.record_report(104.0)
         assert history.find_last_grant(_term(), 100.0).by_s == 105.0
 
@@ -80,7 +82,8 @@
         history = _history(started_s=101.0, registered_s=None)
         assert history.find_last_grant(_term(), 100.0).by_s == 105.0
         history.registered_s = 0.0
-        assert history.find_last_grant(_term(), 100.0).by_s == 103.0
+        until_s = 101.0 + _lease_grants.REPORT_VALIDITY_S
+        assert history.find_last_grant(_term(), 100.0).by_s == until_s
 
     def test_an_instance_that_was_unknown_was_not_asked(self) -> None:
         history = _history(registered_s=99.0)
--- a/tests/transport/jobs/test_takeover_waits.py
+++ b/tests/transport/jobs/test_takeover_waits.py
@@ -113,6 +113,33 @@
         fleet.lose_scheduler()
         assert fleet.count_longest_grant_s() <= _LONGEST_GRANT_S
 
+    def test_nor_does_one_beside_the_loss_of_all_others(
+        self, seed: int
+    ) -> None:
+        """The scheduler before it had not renewed its term yet."""
+        fleet = _Fleet(seed, running=2)
+        first = fleet.lose_scheduler()
+        while not any(each.is_scheduling for each in fleet.instances):
+            fleet.run(0.1)
+        first.start()
+        fleet.run(0.4)
+        fleet.lose_scheduler()
+        assert fleet.count_longest_grant_s() <= _LONGEST_GRANT_S
+
+    @pytest.mark.parametrize("term_s", [0.1, 0.5])
+    def test_nor_does_a_short_term_that_ends_with_its_process(
+        self, seed: int, term_s: float
+    ) -> None:
+        fleet = _Fleet(seed, running=2)
+        fleet.lose_scheduler()
+        while not any(each.is_scheduling for each in fleet.instances):
+            fleet.run(0.1)
+        fleet.run(term_s)
+        lost = fleet.lose_scheduler()
+        fleet.run(0.4)
+        lost.start()
+        assert fleet.count_longest_grant_s() <= _LONGEST_GRANT_S - 0.4
+
     def test_a_scheduler_that_starts_again_at_once_does_not_either(
         self, seed: int
     ) -> None:
