Start a filler at a reduced pace where every executor serves

Cause: a filler may start only where all serving tasks keep a headroom of 1.4 beside it at full pace. If each executor serves, and the filler's image takes much or has never run beside them, none is allowed, and nothing bounds the wait.

Evidence: in the rig no start in 120 s with a fifth of the capacity reserved.

Change: while under half of the capacity is reserved, a job with nothing running that has waited for 1 s starts one filler where the serving tasks keep that headroom beside it at a fifth of its pace, and slows it as soon as it runs. Full pace comes back as for other slowed fillers. A suspect of a crash does so too, in isolation.

Result: the tests pass.

--- a/src/basiljunction/coordination/scheduling/_isolated_starts.py
+++ b/src/basiljunction/coordination/scheduling/_isolated_starts.py
@@ -5,6 +5,7 @@
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _placement
+from basiljunction.coordination.scheduling import _sharing
 from basiljunction.state import _time
 from basiljunction.state.workload import _job_spec
 
@@ -73,6 +74,8 @@
         task: _job_spec.TaskId,
         executors: list[_executors.ExecutorState],
         now_s: float,
+        *,
+        pace_percent: int = _sharing.FULL_PACE_PERCENT,
     ) -> _executors.ExecutorState | None:
         """Returns an executor for an isolated start, or keeps one free for it.
 
@@ -81,6 +84,7 @@
             task: The task.
             executors: Executors that accept it, without isolated ones.
             now_s: The time.
+            pace_percent: Percent of full speed at which it is to run.
 
         Returns:
             The executor; None if none that fits is without unproven runs.
@@ -91,13 +95,15 @@
         sharing = self._cell.sharing
         executors = [e for e in executors if e.isolated_for is None]
         quiet = _without_unproven_runs([*kept, *executors])
-        ranked = _placement.rank_executors(step, task, quiet, sharing)
+        ranked = _placement.rank_executors(
+            step, task, quiet, sharing, pace_percent
+        )
         if ranked:
             self._isolate((ranked[0],), task, kept, now_s)
             return ranked[0]
         if not kept:
             fitting = _placement.startable_executors(
-                step, task, executors, sharing
+                step, task, executors, sharing, pace_percent
             )
             if fitting:
                 least = min(fitting, key=lambda e: len(e.unproven_run_by_key))
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -71,6 +71,7 @@
         task: Any task of the step.
         executors: The executors to rank.
         sharing: Decides where fillers may be placed.
+        pace_percent: Percent of full speed at which the task is to run.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         task: _job_spec.TaskId,
         executors: Iterable[_executors.ExecutorState],
         sharing: _sharing.FillerController,
+        pace_percent: int = _sharing.FULL_PACE_PERCENT,
     ) -> None:
         self._step = step
         self._task = task
@@ -86,7 +88,9 @@
         self._heap = [
             (_placement_cost(step, each, sharing), position, each)
             for position, each in enumerate(
-                startable_executors(step, task, executors, sharing)
+                startable_executors(
+                    step, task, executors, sharing, pace_percent
+                )
             )
         ]
         heapq.heapify(self._heap)
@@ -112,9 +116,10 @@
     task: _job_spec.TaskId,
     executors: Iterable[_executors.ExecutorState],
     sharing: _sharing.FillerController,
+    pace_percent: int = _sharing.FULL_PACE_PERCENT,
 ) -> list[_executors.ExecutorState]:
     """Returns the executors on which a task can start now, best first."""
-    fitting = startable_executors(step, task, executors, sharing)
+    fitting = startable_executors(step, task, executors, sharing, pace_percent)
     return sorted(
         fitting, key=lambda each: _placement_cost(step, each, sharing)
     )
@@ -125,6 +130,7 @@
     task: _job_spec.TaskId,
     executors: Iterable[_executors.ExecutorState],
     sharing: _sharing.FillerController,
+    pace_percent: int = _sharing.FULL_PACE_PERCENT,
 ) -> list[_executors.ExecutorState]:
     """Returns the executors on which a task can start now, unsorted.
 
@@ -149,7 +155,7 @@
         )
         and is_eligible(step, each)
         and _is_below_executor_limit(step, task, each)
-        and (not step.fills or sharing.allows_filler(step, each))
+        and (not step.fills or sharing.allows_filler(step, each, pace_percent))
     ]
 
 
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -16,6 +16,7 @@
 from basiljunction.coordination.scheduling import _placement
 from basiljunction.coordination.scheduling import _preemption
 from basiljunction.coordination.scheduling import _runs
+from basiljunction.coordination.scheduling import _sharing
 from basiljunction.state import _time
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -34,6 +35,16 @@
 """How long a failed task waits for an executor on which it has not failed, in
 seconds: a third of the time in which a task must start if capacity is free."""
 
+SLOWED_START_DELAY_S = 1.0
+"""Wait after which a filler of a job that has nothing running may start at a
+reduced pace, in seconds: a third of the time in which a task must start if
+capacity is free."""
+
+MAX_SLOWED_START_USE = 0.5
+"""Largest share of a service's capacity in use at which fillers start at a
+reduced pace. Above it they need not start at once, and each would take the
+place of one at full pace."""
+
 _IDLE_INTERVAL_S = 0.1
 """Interval between placement passes while nothing changes, in seconds."""
 
@@ -51,12 +62,14 @@
     Short tasks end by themselves; lasting tasks run until cancelled.
 
     Attributes:
+        total_millicores: Capacity of all its executors.
         free_millicores: Capacity that is not booked.
         reserved_millicores: Capacity kept for short tasks expected soon.
         vacating_millicores: Capacity of lasting tasks that are being stopped.
         requested_millicores: Demand of waiting short tasks.
     """
 
+    total_millicores: int
     free_millicores: int
     reserved_millicores: float
     vacating_millicores: int
@@ -226,6 +239,9 @@
             waiting = waiting_by_service.get(service, 0)
             demand.update_demand(used + waiting, now.boot_s)
             self._capacity_by_service[service] = _ServiceCapacity(
+                total_millicores=sum(
+                    e.listing.capacity.cpu_millicores for e in executors
+                ),
                 # One that is over its capacity takes nothing from others.
                 free_millicores=sum(
                     max(0, e.free_capacity.cpu_millicores) for e in executors
@@ -386,6 +402,9 @@
             if chosen is None:
                 if not failed_ids:
                     self._remember_unplaceable(job, step)
+                budget -= self._start_slowed(
+                    job, task, waited_s, executors, now
+                )
                 if urgent_only:
                     self._unplaceable_steps.add(key)
                 self._preempt_lasting_run(job, step, waited_s, executors, now)
@@ -401,6 +420,51 @@
                 break
         return budget
 
+    def _may_start_slowed(
+        self, job: _jobs.Job, step: _job_spec.StepSpec, waited_s: float
+    ) -> bool:
+        """Returns whether a filler may start at a reduced pace.
+
+        One at a time shows what the job's fillers take from serving tasks.
+        """
+        if not step.fills or job.running_places:
+            return False
+        if waited_s < SLOWED_START_DELAY_S:
+            return False
+        capacity = self._capacity_by_service[job.queue.service]
+        used = capacity.total_millicores - capacity.free_millicores
+        return used < MAX_SLOWED_START_USE * capacity.total_millicores
+
+    def _start_slowed(
+        self,
+        job: _jobs.Job,
+        task: _job_spec.TaskId,
+        waited_s: float,
+        executors: list[_executors.ExecutorState],
+        now: _time.Now,
+    ) -> int:
+        """Starts a filler at a reduced pace, where serving tasks allow it.
+
+        Returns:
+            The number of started tasks.
+        """
+        step = job.spec.steps[task.step]
+        if not self._may_start_slowed(job, step, waited_s):
+            return 0
+        ranking = _placement.StepRanking(
+            step,
+            task,
+            executors,
+            self._cell.sharing,
+            _sharing.THROTTLED_PACE_PERCENT,
+        )
+        chosen = ranking.best_executor()
+        if chosen is None:
+            return 0
+        number = self._cell.next_run_number()
+        self._start_run(job, task, chosen, number, now)
+        return 1
+
     def _place_isolated_tasks(
         self,
         job: _jobs.Job,
@@ -430,6 +494,11 @@
                 task,
                 _without_failed_executors(executors, failed_ids),
                 now.boot_s,
+                pace_percent=(
+                    _sharing.THROTTLED_PACE_PERCENT
+                    if self._may_start_slowed(job, step, waited_s)
+                    else _sharing.FULL_PACE_PERCENT
+                ),
             )
             if chosen is None:
                 continue
@@ -618,6 +687,9 @@
         """Creates a run of a task, books its capacity and orders its start."""
         cell = self._cell
         step = job.spec.steps[task.step]
+        is_slowed = step.fills and not cell.sharing.allows_filler(
+            step, executor
+        )
         run = _runs.Run(
             task=task,
             number=number,
@@ -628,6 +700,7 @@
             generation=executor.generation,
             checkpoint=self._checkpoint_to_resume(job, task, step),
             is_isolated=is_isolated,
+            is_slowing_due=is_slowed,
         )
         run.started_without_checkpoint = not run.checkpoint
         executor.add_run(run)
@@ -643,6 +716,7 @@
             run=number,
             executor=executor.listing.id,
             waited_s=round(now.boot_s - ready_s, 3),
+            slowed=is_slowed,
             standing=_ordering.objective_status(job, now.boot_s).name.lower(),
         )
         cell.set_current_run(job, run)
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -328,6 +328,7 @@
         cell = self._cell
         cell.sharing.learn_from_report(executor, now)
         relieved_before_s = executor.fillers_adjusted_s
+        cell.orders += cell.sharing.slow_started_fillers(executor)
         cell.orders += cell.sharing.adjust_fillers(executor, now)
         if executor.fillers_adjusted_s != relieved_before_s:
             cell.note(
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -65,6 +65,7 @@
         over_target_since_s: When the tail latency rose over its target; None if
             it is within the target.
         pace_percent: Percent of full speed at which the run may work.
+        is_slowing_due: Whether it is to be slowed down as soon as it runs.
         is_pace_order_in_flight: Whether a pace order waits for its answer.
         pace_answered_s: When a pace order was last answered or failed.
         next_stop_order_s: When the next stop order is due.
@@ -98,6 +99,7 @@
     headroom_alone: float = 0.0
     over_target_since_s: float | None = None
     pace_percent: int = 100
+    is_slowing_due: bool = False
     is_pace_order_in_flight: bool = False
     pace_answered_s: float = 0.0
     next_stop_order_s: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -442,6 +442,7 @@
             return
         if result is _orders.StartResult.STARTED:
             run.mark_running(now.boot_s)
+            self.cell.orders += self.cell.sharing.slow_started_fillers(state)
         else:
             run.mark_unsettled(now.boot_s)
 
@@ -495,6 +496,7 @@
             run.is_pace_order_in_flight = False
             if is_answered:
                 run.pace_percent = order.percent
+                run.is_slowing_due = False
             run.pace_answered_s = now.boot_s
 
     def handle_approval_answer(
--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -77,6 +77,9 @@
 """Units of exposure in a whole executor: the headroom that fillers take is
 learned per tenth of an executor's CPU."""
 
+FULL_PACE_PERCENT = 100
+"""Pace, in percent of full speed, at which each run starts."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ServingOutlook:
@@ -189,14 +192,20 @@
         self,
         step: _job_spec.StepSpec,
         executor: _executors.ExecutorState,
+        pace_percent: int = FULL_PACE_PERCENT,
     ) -> bool:
         """Returns whether a filler may be placed on an executor.
 
         All serving tasks there have to keep `MIN_PLACEMENT_HEADROOM`.
+
+        Args:
+            step: The step of the filler.
+            executor: The executor.
+            pace_percent: Percent of full speed at which it is to run.
         """
         if not executor.serving_count:
             return True
-        is_allowed, _ = self._judge_filler(step, executor)
+        is_allowed, _ = self._judge_filler(step, executor, pace_percent)
         return is_allowed
 
     def fits_beside_fillers(
@@ -227,7 +236,10 @@
         return drop
 
     def _judge_filler(
-        self, step: _job_spec.StepSpec, executor: _executors.ExecutorState
+        self,
+        step: _job_spec.StepSpec,
+        executor: _executors.ExecutorState,
+        pace_percent: int = FULL_PACE_PERCENT,
     ) -> tuple[bool, float]:
         """Returns whether a filler is allowed, and the largest headroom loss.
 
@@ -237,10 +249,11 @@
         if outlook is None or outlook.revision != executor.revision:
             outlook = self._derive_outlook(executor)
             self._outlook_by_executor[executor.listing.id] = outlook
-        key = (step.image, step.size.cpu_millicores)
+        millicores = step.size.cpu_millicores * pace_percent // 100
+        key = (step.image, millicores)
         verdict = outlook.verdict_by_filler.get(key)
         if verdict is None:
-            tenths = _in_tenths_of_executor(step.size.cpu_millicores, executor)
+            tenths = _in_tenths_of_executor(millicores, executor)
             verdict = _assess_filler(outlook, step.image, tenths)
             outlook.verdict_by_filler[key] = verdict
         return verdict
@@ -333,6 +346,21 @@
             for order in self._throttle_fillers(executor, run, fillers, now)
         ]
 
+    def slow_started_fillers(
+        self, executor: _executors.ExecutorState
+    ) -> list[_orders.PaceOrder]:
+        """Returns the orders that slow fillers down which start slowed.
+
+        A run starts at full pace and can be slowed down once it is there.
+        """
+        return [
+            _make_pace_order(executor, run, THROTTLED_PACE_PERCENT)
+            for run in executor.run_by_key.values()
+            if run.is_slowing_due
+            and run.phase is _runs.RunPhase.RUNNING
+            and not run.is_pace_order_in_flight
+        ]
+
     def _throttle_fillers(
         self,
         executor: _executors.ExecutorState,
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -115,6 +115,7 @@
         fails_next_renewal: Whether the next renewal gets no answer.
         has_fenced_renewal: Whether the last renewal had an outdated token.
         stop_time_s: Time that it takes to stop a run, in seconds.
+        paces: Orders that changed the pace of a run.
         exits_s: Virtual time at which it exits after its drain; None if it
             does not drain.
         unannounced_s: Time for which it drains for longer than it says, in
@@ -137,6 +138,7 @@
         self.keeps_acknowledged_ends = False
         self.refuses_for_capacity = False
         self.refused_count = 0
+        self.paces: list[_orders.PaceOrder] = []
         self.run_by_key: dict[RunKey, SimulatedRun] = {}
         self.highest_closed_run_by_task: dict[_job_spec.TaskId, int] = {}
         self.ends: list[_executor.EndedRunReport] = []
@@ -1214,6 +1216,8 @@
             return executor.renew_lease(token, order)
         if isinstance(order, _orders.StopOrder):
             executor.stop(token, order)
+        else:
+            executor.paces.append(order)
         return True
 
     def _deliver_answer(
@@ -1233,6 +1237,8 @@
             self.scheduler.handle_start_answer(order, result, now)
         elif isinstance(order, _orders.StopOrder):
             self.scheduler.handle_stop_answer(order, answer is not None, now)
+        elif isinstance(order, _orders.PaceOrder):
+            self.scheduler.handle_pace_answer(order, answer is not None, now)
         elif isinstance(order, _orders.RenewalOrder):
             if self._is_answered_by_fence(order, answer):
                 self.scheduler.handle_fence(order, now)
--- a/tests/coordination/scheduling/test_filler_starts.py
+++ b/tests/coordination/scheduling/test_filler_starts.py
@@ -1,7 +1,11 @@
 """Tests of starting fillers where every executor runs a serving task."""
 
+import pytest
+
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _sharing
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _progress
 import cell_rig
 import workload_builders as build
 
@@ -67,6 +71,15 @@
     ]
 
 
+def _find_paces(rig: cell_rig.CellRig) -> list[tuple[int, int]]:
+    """Returns the run and the percent of each change of a pace so far."""
+    return [
+        (order.run, order.percent)
+        for executor in rig.executor_by_id.values()
+        for order in executor.paces
+    ]
+
+
 class TestEachExecutorServes:
     """The expected loss of headroom keeps no job from running for long."""
 
@@ -75,3 +88,86 @@
         _submit_fillers(rig, millicores=14_000)
         rig.run(_MAX_IDLE_S)
         assert _find_filler_starts(rig)
+
+    def test_it_starts_slowed_and_alone_of_its_job(self) -> None:
+        rig = _make_serving_rig()
+        rig.run_time_s = 60.0
+        _submit_fillers(rig, millicores=14_000, count=3)
+        rig.run(_MAX_IDLE_S)
+        (start,) = _find_filler_starts(rig)
+        assert _find_paces(rig) == [
+            (start.run, _sharing.THROTTLED_PACE_PERCENT)
+        ]
+
+    def test_the_slowing_is_ordered_again_after_a_lost_answer(self) -> None:
+        rig = _make_serving_rig()
+        rig.run_time_s = 60.0
+        _submit_fillers(rig, millicores=14_000)
+        rig.run(0.5)
+        rig.on_note = lambda note: (
+            setattr(rig, "lost_share", 1.0)
+            if note.event == "task.started"
+            else None
+        )
+        rig.run(1.5)
+        rig.lost_share = 0.0
+        rig.on_note = lambda _: None
+        rig.run(2.0)
+        (start,) = _find_filler_starts(rig)
+        run = rig.scheduler.cell.current_run_by_task[start.task]
+        assert run.pace_percent == _sharing.THROTTLED_PACE_PERCENT
+
+    def test_one_that_leaves_headroom_keeps_its_full_pace(self) -> None:
+        rig = _make_serving_rig()
+        _submit_fillers(rig, millicores=4000)
+        rig.run(0.5)
+        assert _find_filler_starts(rig)
+        rig.run(_MAX_IDLE_S)
+        assert _find_paces(rig) == []
+
+    def test_none_starts_beside_tails_over_their_target(self) -> None:
+        """It would not help, and its job is not what is late there."""
+        rig = _make_serving_rig()
+        for executor in rig.scheduler.cell.executor_by_id.values():
+            executor.revision += 1
+            for run in executor.run_by_key.values():
+                run.over_target_since_s = rig.now_s
+        _submit_fillers(rig, millicores=14_000)
+        rig.run(_MAX_IDLE_S)
+        assert _find_filler_starts(rig) == []
+
+    def test_none_starts_slowed_while_most_capacity_is_in_use(self) -> None:
+        rig = _make_serving_rig()
+        rig.run_time_s = 60.0
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(
+                    count=_EXECUTOR_COUNT,
+                    size=_job_spec.Resources(12_000, 1000, 0),
+                    max_per_executor=1,
+                ),
+                job_id="00000000000000c1",
+            )
+        )
+        rig.run(1)
+        _submit_fillers(rig, millicores=14_000)
+        rig.run(_MAX_IDLE_S)
+        assert _find_filler_starts(rig) == []
+
+    @pytest.mark.parametrize("millicores", [10_000, 14_000, 20_000])
+    def test_one_that_may_have_crashed_an_executor_starts_too(
+        self, millicores: int
+    ) -> None:
+        rig = _make_serving_rig()
+        rig.run_time_s = 60.0
+        _submit_fillers(rig, millicores=millicores)
+        rig.run(0.2)
+        job = rig.scheduler.cell.job_by_id[_FILLER_JOB_ID]
+        job.progress.crashes_by_position[0, 0, 0] = _progress.TaskCrashes(
+            shared_executors=("e9@1",)
+        )
+        rig.run(_MAX_IDLE_S)
+        (start,) = _find_filler_starts(rig)
+        run = rig.scheduler.cell.current_run_by_task[start.task]
+        assert run.is_isolated
+        assert run.pace_percent == _sharing.THROTTLED_PACE_PERCENT
