Watch lasting tasks beside planned work and losses in random sequences

The watch now follows faults apart from planned work: schedulers that resign, announced exits and new executors excuse no wait of a lasting task, a lost scheduler or executor counts at the moment of its loss, and a run that ends while no scheduler is at work counts from its end. Executors that are gone or drain no longer count as room, as nothing may start there; the bound of 9 s (7 s after the last fault) is as before.

--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -27,6 +27,7 @@
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
+import newcomers
 import workload_builders as build
 
 STEP_S = 0.05
@@ -560,6 +561,7 @@
         done_tasks: Tasks with a run that ended successfully.
         done_ends: All successful ends of runs.
         on_note: Called with each note of the scheduler.
+        on_recovery_step: Called after each step without a scheduler at work.
         policy: Policy service that approves starts, if there is one.
         not_approved_count: Starts refused for an invalid approval.
         decisions: Approval requests that wait for an answer, with the time
@@ -571,6 +573,9 @@
         current_scheduler: The current scheduler while one of these is at work;
             None otherwise.
         history: When the records of the terms were read.
+        term_readings: The same in full, for instances that come later.
+        scheduler_lost_s: Virtual time at which a scheduler was last lost
+            without warning.
         grants: What the instances know of granted leases; all have been there
             for long, and report an outage while the store is not up.
         reported_until_s: Virtual time until which these reports hold.
@@ -584,6 +589,9 @@
     reported_until_s = float("-inf")
     bounded_since_epoch = 1
     last_loss_s = float("-inf")
+    scheduler_lost_s = float("-inf")
+    loses_next_start = False
+    drops_stop_orders = False
 
     def __init__(
         self,
@@ -606,11 +614,9 @@
         self.gangs_run_together = False
         self.holds_renewals = False
         self.held_renewals: list[HeldRenewal] = []
-        self.loses_next_start = False
         self.store_is_up = True
         self.late_confirmed_share = 0.0
         self.unconfirmed: UnconfirmedBatch | None = None
-        self.drops_stop_orders = False
         self.store: dict[str, bytes] = dict(stored or {})
         self.writes: list[_job_records.KeyedRecord] = []
         self.shown_states: list[tuple[int, str, _progress.JobState]] = []
@@ -631,6 +637,7 @@
         self.done_ends: list[DoneEnd] = []
         self.run_time_s = RUN_TIME_S
         self.on_note: Callable[[_notes.Note], None] = lambda _: None
+        self.on_recovery_step: Callable[[], None] = lambda: None
         self.policy: SimulatedPolicy | None = None
         self.not_approved_count = 0
         self.decisions: list[
@@ -648,6 +655,7 @@
         self.earlier_terms: list[EarlierTerm] = []
         self.current_scheduler: _scheduler.Scheduler | None = None
         self.history = _term_history.TermHistory()
+        self.term_readings: list[newcomers.TermReading] = []
         self.grants = _make_grant_history()
         self.next_drain_report_s = 0.0
         self.next_heartbeat_s: float | None = None
@@ -657,6 +665,7 @@
         self,
         recovery_s: float = 0.0,
         longest_inherited_run_s: float | None = None,
+        newcomer: newcomers.Newcomer | None = None,
     ) -> _scheduler.Scheduler:
         """Starts a scheduler of the next epoch, restored from the store.
 
@@ -664,15 +673,17 @@
             recovery_s: Time that reading the store takes, in seconds.
             longest_inherited_run_s: Longest time for which earlier runs go on,
                 as the scheduler before said, in seconds; None if it did not.
+            newcomer: The instance that takes over; None if it has been there
+                for long.
         """
         self.epoch += 1
         self.scheduler = build.scheduler(*self.queues, epoch=self.epoch)
         begun_s = self.now_s
         knows_longest_leases = longest_inherited_run_s is not None
         if longest_inherited_run_s is None:
-            longest_inherited_run_s = self._longest_run_after_term_s()
+            longest_inherited_run_s = self._longest_run_after_term_s(newcomer)
         self.term_beat = 0
-        self.history.record(self.epoch, self.term_beat, self.now_s)
+        self._read_term()
         self._pass_recovery_time(recovery_s)
         records = [
             _job_records.decode_record(_job_records.KeyedRecord(key, value))
@@ -682,7 +693,11 @@
             records,
             build.clock_readings_at(self.now_s),
             earlier_terms_ended_s=begun_s,
-            history=self.history,
+            history=(
+                self.history
+                if newcomer is None
+                else newcomer.make_history(self.term_readings)
+            ),
             longest_inherited_run_s=longest_inherited_run_s,
             knows_longest_leases=knows_longest_leases,
             bounded_since_epoch=(
@@ -693,12 +708,23 @@
         )
         self.term_confirmed_s = self.now_s
         self.term_beat += 1
-        self.history.record(self.epoch, self.term_beat, self.now_s)
+        self._read_term()
         self.list_executors()
         return self.scheduler
 
-    def _longest_run_after_term_s(self) -> float:
+    def _read_term(self) -> None:
+        """Lets the instances read the newest record of the term."""
+        reading = (self.epoch, self.term_beat, self.now_s)
+        self.history.record(*reading)
+        self.term_readings.append(reading)
+
+    def _longest_run_after_term_s(
+        self, newcomer: newcomers.Newcomer | None
+    ) -> float:
         """Returns how long runs go on, as no scheduler told it, in seconds."""
+        grants = self.grants
+        if newcomer is not None:
+            grants = newcomer.make_grants(self.reported_until_s)
         last_record = _leadership.Term(
             self.epoch,
             "front-1",
@@ -706,7 +732,7 @@
             "",
             unreported_grant_s=_lease_grants.UNREPORTED_GRANT_S,
         )
-        last_grant_s = self.grants.find_last_grant(last_record, self.now_s).by_s
+        last_grant_s = grants.find_last_grant(last_record, self.now_s).by_s
         times = _limits.LeaseTimes()
         return last_grant_s - self.now_s + times.max_run_after_grant_s
 
@@ -719,25 +745,49 @@
                     executor.end_due_runs()
                 executor.exit_if_drained()
             self._run_earlier_terms()
+            self.on_recovery_step()
 
-    def resign(self) -> None:
+    def resign(self, recovery_s: float = 0.0) -> None:
         """Replaces the scheduler by one that knows how long runs go on."""
         self.take_over(
+            recovery_s,
             longest_inherited_run_s=self.scheduler.longest_run_s(
                 build.clock_readings_at(self.now_s)
-            )
+            ),
         )
 
     def take_over(
         self,
         recovery_s: float = 0.0,
         longest_inherited_run_s: float | None = None,
+        newcomer: newcomers.Newcomer | None = None,
     ) -> None:
-        """Replaces the scheduler by one that restores from the store."""
-        self._start_scheduler(recovery_s, longest_inherited_run_s)
+        """Replaces the scheduler by one that restores from the store.
+
+        Args:
+            recovery_s: Time that reading the store takes, in seconds.
+            longest_inherited_run_s: Longest time for which earlier runs go on,
+                as the scheduler says that resigns, in seconds; None if it is
+                lost without warning.
+            newcomer: The instance that takes over; None if it has been there
+                for long.
+        """
+        if longest_inherited_run_s is None:
+            self.scheduler_lost_s = self.now_s
+        self._start_scheduler(recovery_s, longest_inherited_run_s, newcomer)
+
+    def lose_executor(self, executor_id: str) -> None:
+        """Ends an executor and its runs for good, without any notice.
+
+        The platform leaves it out of its list after the time of a heartbeat.
+        """
+        executor = self.executor_by_id[executor_id]
+        executor.is_up = False
+        executor.run_by_key.clear()
+        self.list_at_next_heartbeat()
 
     def list_at_next_heartbeat(self) -> None:
-        """Lets the list follow a restart after the time of a heartbeat."""
+        """Lets the list follow a restart or a loss after a heartbeat's time."""
         if self.next_heartbeat_s is None:
             self.next_heartbeat_s = self.now_s + HEARTBEAT_S
 
@@ -902,7 +952,7 @@
         if self.store_is_up:
             self.term_confirmed_s = self.now_s
             self.term_beat += 1
-            self.history.record(self.epoch, self.term_beat, self.now_s)
+            self._read_term()
         else:
             self.grants.record_report(self.now_s)
             self.reported_until_s = self.now_s + _lease_grants.REPORT_VALIDITY_S
--- a/tests/sequence_watch.py
+++ b/tests/sequence_watch.py
@@ -1,20 +1,22 @@
 """Watches a rig for what callers wait for too long while all is calm.
 
-The bounds are those of the rules for jobs.
+The bounds are those of the rules for jobs. Lasting tasks are to run at any
+time, also beside planned work.
 """
 
 from collections.abc import Iterator
 
 from basiljunction.state.workload import _job_spec
 import cell_rig
+import fault_watch
 
 CALM_BEFORE_S = 4.0
-"""Time without a disturbance before a lasting task may count as lost, in
-seconds."""
+"""Time without a fault before a lasting task may count as lost, in seconds;
+planned work is no fault."""
 
 LOST_S = 3.0
 """Time for which a lasting task has no run beside room for it until it counts
-as lost, in seconds; it has to be calm."""
+as lost, in seconds; there has to be no fault."""
 
 GRACE_S = 6.0
 """Time from the end of the last run of a lasting task, or from its acceptance,
@@ -34,6 +36,8 @@
 class CalmWatch:
     """Follows since when each thing is waited for.
 
+    Lasting tasks are followed while no scheduler is at work, too.
+
     Args:
         rig: The rig.
     """
@@ -41,13 +45,16 @@
     def __init__(self, rig: cell_rig.CellRig) -> None:
         self._rig = rig
         self._disturbed_s = rig.now_s
+        self._faults = fault_watch.FaultWatch(rig)
         self._epoch = rig.epoch
+        self._up = set(rig.executor_by_id)
         self._had_run_s_by_task: dict[_job_spec.TaskId, float] = {}
         self._lacked_room_s_by_task: dict[_job_spec.TaskId, float] = {}
         self._jobs_to_cancel: set[str] = set()
         self._cancelled_s_by_job: dict[str, float] = {}
         self._shown_s_by_job: dict[str, float] = {}
         self._ended_s_by_end: dict[_EndKey, float] = {}
+        rig.on_recovery_step = self._check_lasting_tasks
 
     def note_disturbance(self) -> None:
         """Records that something happens now that is not calm."""
@@ -71,6 +78,8 @@
     def _is_disturbed(self) -> bool:
         """Returns whether it is not calm now."""
         rig = self._rig
+        was_up = self._up
+        self._up = {k for k, v in rig.executor_by_id.items() if v.is_up}
         has_new_scheduler = rig.epoch != self._epoch
         self._epoch = rig.epoch
         if has_new_scheduler:
@@ -83,12 +92,13 @@
             or bool(rig.delayed_orders)
             or rig.last_loss_s >= rig.now_s - cell_rig.STEP_S
             or any(
-                not each.is_up
-                or not each.is_answering
+                not each.is_answering
                 or each.refuses_for_capacity
                 or each.born_s >= rig.now_s - cell_rig.HEARTBEAT_S
                 for each in rig.executor_by_id.values()
+                if each.is_up
             )
+            or not was_up <= self._up
         )
 
     def _repeat_cancels(self) -> None:
@@ -114,10 +124,12 @@
 
     def _check_lasting_tasks(self) -> None:
         """Asserts that no lasting task is lost."""
+        self._faults.check()
         now_s = self._rig.now_s
         running = {
             task
             for each in self._rig.executor_by_id.values()
+            if each.is_up
             for task, _ in each.run_by_key
         }
         for task in self._lasting_tasks():
@@ -131,7 +143,7 @@
             is_lost = (
                 now_s - had_run_s > GRACE_S + LOST_S
                 and now_s - lacked_s > LOST_S
-                and now_s - self._disturbed_s > CALM_BEFORE_S + LOST_S
+                and now_s - self._faults.last_s > CALM_BEFORE_S + LOST_S
             )
             assert not is_lost, (
                 f"{task}: is without a run,"
@@ -143,6 +155,8 @@
         size = self._rig.step_spec_of(task).reserved_resources
         count = 0
         for executor in self._rig.executor_by_id.values():
+            if not executor.is_up or executor.entry.is_draining:
+                continue
             if executor.has_room_for(size + size):
                 return True
             count += executor.has_room_for(size)
@@ -179,7 +193,7 @@
         rig = self._rig
         ended_s_by_end = {}
         for executor in rig.executor_by_id.values():
-            for end in executor.ends:
+            for end in executor.ends if executor.is_up else ():
                 if end.list_position <= executor.acknowledged:
                     continue
                 key = (executor.entry.id, executor.born_ms, end.list_position)
--- a/tests/test_sequence_watch.py
+++ b/tests/test_sequence_watch.py
@@ -6,6 +6,7 @@
 
 from basiljunction.state.workload import _job_spec
 import cell_rig
+import newcomers
 import sequence_actions
 import sequence_watch
 import workload_builders as build
@@ -122,3 +123,132 @@
         watched.run(2.9)
         with pytest.raises(AssertionError, match=what):
             watched.run(0.3)
+
+
+class TestWaitBesidePlannedWork:
+    """Planned work is no fault, so it excuses no wait of a lasting task."""
+
+    def _submit_without_run(
+        self, watched: _Watched, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Submits a lasting task that does not start."""
+        _stop_orders(watched.rig, monkeypatch)
+        watched.submit(lasts=True)
+
+    def test_resignations_in_series_excuse_none(
+        self, watched: _Watched, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        self._submit_without_run(watched, monkeypatch)
+        for _ in range(8):
+            watched.run(0.8)
+            watched.rig.resign(0.2)
+            _stop_orders(watched.rig, monkeypatch)
+        watched.run(0.9)
+        with pytest.raises(AssertionError, match="is without a run"):
+            watched.run(0.3)
+
+    def test_executors_that_leave_or_are_added_excuse_none(
+        self, watched: _Watched, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        self._submit_without_run(watched, monkeypatch)
+        watched.rig.drain_executor("e0", 6.0)
+        watched.run(5.0)
+        watched.rig.add_executor(build.executor_entry("e2"))
+        watched.run(3.9)
+        with pytest.raises(AssertionError, match="is without a run"):
+            watched.run(0.3)
+
+    def test_a_lost_scheduler_excuses_seven_seconds_from_its_loss(
+        self, watched: _Watched, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        self._submit_without_run(watched, monkeypatch)
+        watched.run(5.0)
+        watched.rig.take_over(2.0)
+        _stop_orders(watched.rig, monkeypatch)
+        watched.run(4.9)
+        with pytest.raises(AssertionError, match="is without a run"):
+            watched.run(0.3)
+
+    def test_a_lost_executor_excuses_seven_seconds_and_not_more(
+        self, watched: _Watched, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        watched.rig.add_executor(build.executor_entry("e2"))
+        self._submit_without_run(watched, monkeypatch)
+        watched.run(5.0)
+        watched.rig.lose_executor("e2")
+        watched.run(6.9)
+        with pytest.raises(AssertionError, match="is without a run"):
+            watched.run(0.3)
+
+    def test_a_run_that_ends_while_no_scheduler_is_at_work_counts_from_then(
+        self, watched: _Watched, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        watched.submit(lasts=True)
+        watched.run(1.0)
+        for each in watched.rig.executor_by_id.values():
+            each.exits_s = watched.rig.now_s + 2.0
+        for executor_id in ("e2", "e3"):
+            watched.rig.add_executor(build.executor_entry(executor_id))
+        watched.rig.take_over(3.0)
+        _stop_orders(watched.rig, monkeypatch)
+        watched.run(7.9)
+        with pytest.raises(AssertionError, match=r"for 9\.0"):
+            watched.run(0.3)
+
+
+class TestRoomThatCannotBeUsed:
+    """Executors that are gone or leave have no room for a task."""
+
+    @pytest.mark.parametrize("leaves", [True, False])
+    def test_a_task_beside_only_those_is_not_lost(
+        self,
+        watched: _Watched,
+        monkeypatch: pytest.MonkeyPatch,
+        *,
+        leaves: bool,
+    ) -> None:
+        _stop_orders(watched.rig, monkeypatch)
+        watched.submit(lasts=True)
+        for each in watched.rig.executor_by_id:
+            if leaves:
+                watched.rig.drain_executor(each, 60.0)
+            else:
+                watched.rig.lose_executor(each)
+        watched.run(20.0)
+
+
+class TestInstanceThatKnowsLess:
+    """A newcomer that takes over counts with longer leases than others."""
+
+    @pytest.mark.parametrize(
+        ("age_s", "is_added", "longest_s"),
+        [
+            (100.0, True, 6.6),
+            (100.0, False, 6.6),
+            (0.0, True, 10.1),
+            (2.0, True, 8.1),
+            (0.0, False, 7.1),
+        ],
+    )
+    def test_its_wait_follows_from_its_age(
+        self, *, age_s: float, is_added: bool, longest_s: float
+    ) -> None:
+        rig = cell_rig.CellRig(build.executor_entry("e0"))
+        rig.run(3.0)
+        lost_s = rig.now_s
+        rig.take_over(
+            newcomer=newcomers.Newcomer(lost_s - age_s, is_added=is_added)
+        )
+        until_s = rig.scheduler.longest_run_s(
+            build.clock_readings_at(rig.now_s)
+        )
+        assert until_s == pytest.approx(longest_s)
+
+    def test_it_has_read_only_the_newest_of_the_records_before_it(
+        self,
+    ) -> None:
+        readings = [(1, 1, 1.0), (1, 2, 2.0), (1, 3, 3.0), (2, 0, 4.0)]
+        history = newcomers.Newcomer(2.5, is_added=True).make_history(readings)
+        assert [
+            history.written_by_s(epoch, beat) for epoch, beat, _ in readings
+        ] == [2.5, 2.5, 3.0, 4.0]
