Forget a restart once it lengthens no lease any more

Cause: a wait for the worst case where less is known. A deadline on the clock of the incarnation before may give the next one the longest lease, 10 s. Successors counted with it until the executor's clock showed 25 s (the last late order and a longest lease), though earlier orders are refused from the first answer to an order of a generation that began after the restart was known. What they granted by then ends 10 s after that answer, so from 5 s after it on an ordinary lease ends no sooner.

Change: the flag in the roster lapses when a lease is granted that ends no sooner than any other of the executor. The proof stands in ExecutorState.forget_outlasted_restart. Not while no lease may be granted, as a successor would not count with it, nor while a later incarnation is listed.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -70,6 +70,22 @@
         "if not self.has_restarted and _is_young(report.clock_ms, times):",
         f"{_TESTS}/test_restarted_executors.py",
     ),
+    _mutation(
+        "restart-forgotten-before-earlier-orders-are-barred",
+        "one run",
+        f"{_SCHEDULING}/_executors.py",
+        "if not (self.has_restarted and self.is_fenced_off):",
+        "if not self.has_restarted:",
+        f"{_TESTS}/test_forgotten_restarts.py",
+    ),
+    _mutation(
+        "long-lease-of-restarted-executor-forgotten",
+        "one run",
+        f"{_SCHEDULING}/_executors.py",
+        "if self.lease_until_ms > lease_until_ms:",
+        "if self.lease_until_ms > lease_until_ms + 4000:",
+        f"{_TESTS}/test_forgotten_restarts.py",
+    ),
     _mutation(
         "connection-to-former-incarnation-used",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -43,7 +43,8 @@
         last_answer_s: Time of its last answer to a lease renewal; None before
             the first.
         clock: Newest reading of its clock.
-        has_restarted: Whether an earlier incarnation may have had its id.
+        has_restarted: Whether a deadline of an earlier incarnation may have
+            given it a longer lease than the ordinary one.
         has_listed_runs: Whether its present incarnation, as far as known, has
             answered a lease renewal.
         lease_until_ms: Latest end of a lease that was sent, on its clock.
@@ -477,6 +478,36 @@
         self.has_restarted = False
         return True
 
+    def forget_outlasted_restart(self, lease_until_ms: int) -> bool:
+        """Forgets a restart once its lease is no longer than any other's.
+
+        Since the present incarnation has answered an order of a generation
+        that began after the restart was known, orders with deadlines of an
+        earlier one are refused: those of this term by the generation, those of
+        earlier terms by the epoch. A lease that they granted until then ends a
+        longest lease after that answer at the latest, which `lease_until_ms`
+        of the executor counts with, and no other can exceed the ordinary one.
+        So if a lease of ordinary length that is granted now ends no sooner, a
+        successor that counts with such a lease waits long enough.
+
+        Not if a later incarnation is listed that has not answered yet.
+
+        Args:
+            lease_until_ms: End of the lease that is granted now, on the
+                executor's clock.
+
+        Returns:
+            Whether it forgot one.
+        """
+        if not (self.has_restarted and self.is_fenced_off):
+            return False
+        if not self._is_capacity_current():
+            return False
+        if self.lease_until_ms > lease_until_ms:
+            return False
+        self.has_restarted = False
+        return True
+
     def extend_lease(self, now_s: float, lease_s: float) -> int:
         """Records a new lease and returns its end on the executor's clock.
 
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -72,6 +72,8 @@
         may_extend = not (is_first or is_retry or executor.is_lease_frozen)
         if cell.is_term_confirmed and may_extend:
             until_ms = executor.extend_lease(now.boot_s, cell.times.lease_s)
+            if executor.forget_outlasted_restart(until_ms):
+                cell.roster_changed = True
         # A run that never began has no end that would cut the wait short.
         is_settling = unstored or executor.has_unlisted_runs()
         is_isolated = executor.isolated_for is not None
--- a/src/basiljunction/state/workload/_executor.py
+++ b/src/basiljunction/state/workload/_executor.py
@@ -26,8 +26,9 @@
             the Unix epoch; 0 if it is not known yet.
         drain_left_s: Least time for which it goes on from when it reported
             this, in seconds; None if it does not drain or did not tell.
-        has_restarted: Whether an earlier incarnation may have had its id; only
-            what schedulers store of it tells this.
+        has_restarted: Whether a deadline of an earlier incarnation may have
+            given it a longer lease than the ordinary one; only what schedulers
+            store of it tells this.
     """
 
     id: str
--- a/src/basiljunction/transport/jobs/_task_budgets.py
+++ b/src/basiljunction/transport/jobs/_task_budgets.py
@@ -104,7 +104,7 @@
     """Returns that budget if the executor has restarted under its id.
 
     A deadline on the clock of the incarnation before may have granted it the
-    longest lease.
+    longest lease; so only for some 6 s after the restart is known.
     """
     return _make_budget(
         settings,
