Report no outage while a claim may still take effect

An instance now reports nothing within 5 s of its start or of a claim that the store did not refuse. The tests of reports now use an instance that has been there for that time; one with sockets waits for it.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -391,6 +391,15 @@
         "unknown_by_s = self.registered_s",
         f"{_LEADERSHIP_TESTS}/test_lease_grants.py",
     ),
+    _mutation(
+        "outage-reported-while-a-claim-may-take-effect",
+        "one run",
+        f"{_TRANSPORT}/_cell_task.py",
+        "        if not self._grants.may_report(now.boot_s):\n"
+        "            return False\n",
+        "",
+        f"{_TRANSPORT_TESTS}/test_cell_task.py",
+    ),
     _mutation(
         "claims-without-regard-to-the-wait",
         "lasting tasks run",
--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -433,6 +433,8 @@
         self.role = ElectionRole.CLAIMING
         self.predecessor = self.term
         self._claimed_s = now_s
+        if self._grants is not None:
+            self._grants.record_claim(now_s)
         return self._begin_write(
             _leadership.Term(
                 epoch,
@@ -563,6 +565,8 @@
         self._next_write_s = now_s + WRITE_RETRY_S
         if self.role is ElectionRole.CLAIMING:
             self.role = ElectionRole.FOLLOWER
+            if self._grants is not None:
+                self._grants.record_refused_claim()
 
     def record_write_failure(self, now_s: float) -> None:
         """Records that the write got no answer; it may still take effect."""
--- a/src/basiljunction/coordination/leadership/_lease_grants.py
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -141,6 +141,8 @@
     def __init__(self, started_s: float) -> None:
         self.registered_s: float | None = None
         self._last_report_s = started_s
+        self._no_report_until_s = started_s + MAX_GRANT_S
+        self._before_claim_s = self._no_report_until_s
         self._registration_offset: int | None = None
         self._known_since: tuple[int, int] | None = None
 
@@ -185,6 +187,25 @@
         ):
             self._known_since = (term.epoch, term.beat)
 
+    def record_claim(self, now_s: float) -> None:
+        """Records that this instance claims the next term now."""
+        self._before_claim_s = self._no_report_until_s
+        self._no_report_until_s = now_s + MAX_GRANT_S
+
+    def record_refused_claim(self) -> None:
+        """Records that the store refused the newest claim."""
+        self._no_report_until_s = self._before_claim_s
+
+    def may_report(self, now_s: float) -> bool:
+        """Returns whether this instance may report an outage now.
+
+        A claim of this process or of the one before may take effect late, and
+        tells for how long leases may go on by what was known when it was sent.
+        The scheduler before was confirmed earlier than that, so it grants none
+        any more when `MAX_GRANT_S` have passed since.
+        """
+        return now_s >= self._no_report_until_s
+
     def record_report(self, now_s: float) -> None:
         """Records that this instance reports an outage to a scheduler now."""
         self._last_report_s = now_s
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -423,7 +423,8 @@
         The scheduler that asks may then grant leases for some time, which this
         instance takes into account if it schedules later. So it reports nothing
         to the scheduler of a term that it knows to have ended, nor before it
-        knows the newest term: an earlier process may have replaced that one.
+        knows the newest term, nor while a claim of its own or of an earlier
+        process may still take effect: these may have replaced that one.
         """
         term = self._terms.election.term
         if term is None or term.epoch > epoch:
@@ -431,6 +432,8 @@
         if self._terms.election.is_leader:
             return False
         now = self._clock.now()
+        if not self._grants.may_report(now.boot_s):
+            return False
         if not self._terms.lacks_store(now):
             return False
         self._grants.record_report(now.boot_s)
--- a/tests/coordination/leadership/test_lease_grants.py
+++ b/tests/coordination/leadership/test_lease_grants.py
@@ -91,6 +91,17 @@
         history.registered_s = 95.0
         assert history.find_last_grant(_term(), 100.0).by_s == 101.5
 
+    def test_a_claim_that_may_take_effect_keeps_it_from_reporting(self) -> None:
+        history = _history(started_s=0.0)
+        assert not history.may_report(4.9)
+        assert history.may_report(5.0)
+        history.record_claim(6.0)
+        assert not history.may_report(10.9)
+        history.record_claim(7.0)
+        history.record_refused_claim()
+        assert not history.may_report(10.9)
+        assert history.may_report(11.0)
+
     @pytest.mark.parametrize(
         ("held_s", "granted_s"), [(20.0, 0.0), (5.0, 0.0), (3.0, 2.0), (0, 5.0)]
     )
--- a/tests/transport/jobs/test_cell_task.py
+++ b/tests/transport/jobs/test_cell_task.py
@@ -12,12 +12,14 @@
 from basiljunction.platform import _store
 from basiljunction.protocol import _instance_settings
 from basiljunction.protocol import _job_records
+from basiljunction.state import _time
 from basiljunction.state.workload import _leadership
 from basiljunction.transport import _clock
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _cell_task
 import election_rig
 import platform_standin
+import workload_builders as build
 
 _TERM_TIMEOUT_S = 10.0
 """Longest time to a term, in seconds; far more than it usually takes."""
@@ -34,7 +36,19 @@
     platform.close()
 
 
-def _make_task(platform: platform_standin.Platform) -> _cell_task.CellTask:
+class _SteppedClock(_clock.Clock):
+    """A clock that stands still until its time is set."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def now(self) -> _time.Now:
+        return build.clock_readings_at(self.now_s)
+
+
+def _make_task(
+    platform: platform_standin.Platform, clock: _clock.Clock | None = None
+) -> _cell_task.CellTask:
     """Returns the task of a poorly provided instance, which does not run."""
     settings = _instance_settings.InstanceSettings(
         name="a",
@@ -51,13 +65,23 @@
     )
     return _cell_task.CellTask(
         settings=settings,
-        clock=_clock.SystemClock(),
+        clock=clock or _clock.SystemClock(),
         rng=random.Random(1),
         metrics=_metrics.Metrics("a"),
         max_connections=100,
     )
 
 
+def _make_settled_task(
+    platform: platform_standin.Platform,
+) -> _cell_task.CellTask:
+    """Returns a task that has been there long enough to report an outage."""
+    clock = _SteppedClock()
+    task = _make_task(platform, clock)
+    clock.now_s = _lease_grants.MAX_GRANT_S
+    return task
+
+
 @pytest.fixture
 def weak_task(
     platform: platform_standin.Platform,
@@ -94,7 +118,7 @@
     def test_a_scheduler_that_was_replaced_gets_none(
         self, platform: platform_standin.Platform
     ) -> None:
-        task = _make_task(platform)
+        task = _make_settled_task(platform)
         election = task._terms.election
         election.apply_read(_leadership.Term(4, "c", 1, "c:1"), 1, 0.0)
         assert task.report_outage(4)
@@ -102,10 +126,23 @@
         assert not task.report_outage(4)
         assert task.report_outage(5)
 
+    def test_an_instance_that_has_just_started_reports_none(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        """A claim of its process before may still take effect."""
+        clock = _SteppedClock()
+        task = _make_task(platform, clock)
+        term = _leadership.Term(5, "b", 1, "b:1")
+        task._terms.election.apply_read(term, 1, 0.0)
+        clock.now_s = _lease_grants.MAX_GRANT_S - 0.1
+        assert not task.report_outage(5)
+        clock.now_s += 0.1
+        assert task.report_outage(5)
+
     def test_an_instance_that_may_have_forgotten_its_own_term_reports_none(
         self, platform: platform_standin.Platform
     ) -> None:
-        task = _make_task(platform)
+        task = _make_settled_task(platform)
         assert not task.report_outage(4)
         own = _leadership.Term(5, "a", 0, "a:1")
         task._terms.election.apply_read(own, 1, 0.0)
@@ -116,13 +153,13 @@
         self, platform: platform_standin.Platform
     ) -> None:
         """Its process before may have replaced the scheduler that asks."""
-        task = _make_task(platform)
+        task = _make_settled_task(platform)
         assert not task.report_outage(5)
 
     def test_an_instance_that_holds_the_term_reports_none(
         self, platform: platform_standin.Platform
     ) -> None:
-        task = _make_task(platform)
+        task = _make_settled_task(platform)
         election = task._terms.election
         election.role = _election.ElectionRole.LEADER
         election.term = _leadership.Term(5, "a", 1, "a:1")
@@ -131,7 +168,7 @@
     def test_an_instance_that_reads_the_store_reports_none(
         self, platform: platform_standin.Platform
     ) -> None:
-        task = _make_task(platform)
+        task = _make_settled_task(platform)
         election = task._terms.election
         election.apply_read(_leadership.Term(5, "b", 1, "b:1"), 1, 0.0)
         task._terms.apply_records((), is_whole=False, end_offset=1)
@@ -142,7 +179,7 @@
     def test_a_report_lengthens_what_is_known_of_grants(
         self, platform: platform_standin.Platform
     ) -> None:
-        task = _make_task(platform)
+        task = _make_settled_task(platform)
         task._grants.registered_s = float("-inf")
         term = _leadership.Term(5, "b", 1, "b:1", unreported_grant_s=1.5)
         task._terms.election.apply_read(term, 1, 0.0)
--- a/tests/transport/jobs/test_grants_explored.py
+++ b/tests/transport/jobs/test_grants_explored.py
@@ -273,6 +273,7 @@
             incarnation=int(world.now_s * 1000),
             address=f"{name}:1",
             rng=world.rng,
+            grants=self.grants,
         )
         self.feed = _term_keeper.TermFeed(
             calls=client,
@@ -294,6 +295,8 @@
         if term is not None and (term.epoch > epoch or self.election.is_leader):
             return False
         now = build.clock_readings_at(self._world.now_s)
+        if not self.grants.may_report(now.boot_s):
+            return False
         if not self.feed.lacks_store(now):
             return False
         self.grants.record_report(now.boot_s)
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -363,6 +363,8 @@
         instances: list[instance_rig.Instance],
     ) -> None:
         instances += _start_instances_with_lasting_job(platform, 3)
+        # An instance that has just started reports no outage.
+        time.sleep(_lease_grants.MAX_GRANT_S)
         platform.is_down = True
         time.sleep(_lease_grants.UNREPORTED_GRANT_S + 1.0)
         lease_ms = platform.executors[0].lease_ms
@@ -381,6 +383,8 @@
         gone = next(e for e in instances if not e.task.is_scheduling())
         instances.remove(gone)
         gone.close()
+        # An instance that has just started reports no outage.
+        time.sleep(_lease_grants.MAX_GRANT_S)
         platform.is_down = True
         instance_rig.wait_until(lambda: _events(logs, "term.grants-paused"))
         time.sleep(0.3)
