--- a/src/basiljunction/coordination/leadership/_lease_grants.py
+++ b/src/basiljunction/coordination/leadership/_lease_grants.py
@@ -13,6 +13,10 @@
 it. Schedulers of earlier terms may go on as well while they cannot reach the
 store. They ask an instance, too, unless it registered after their last
 confirmation, and that is no later than the claim of the newest term.
+
+What an instance knows of earlier schedulers goes with its claim, so that it is
+not lost with its process. A claim may take effect late; so an instance reports
+no outage for some time after it has claimed a term or started.
 """
 
 from collections.abc import Iterable
