--- a/scripts/grants_seeds.py
+++ b/scripts/grants_seeds.py
@@ -13,7 +13,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "tests"))
 
-import grants_faults  # noqa: E402 - the path is set above
+import grants_faults
 
 
 def main() -> int:
