--- a/tests/coordination/leadership/test_election.py
+++ b/tests/coordination/leadership/test_election.py
@@ -7,6 +7,7 @@
 import pytest
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _ranking
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _provision
@@ -197,6 +198,25 @@
         assert claim is not None
         assert claim.term.epoch == 4
 
+    def test_one_that_follows_a_resignation_tells_of_earlier_leases_alone(
+        self,
+    ) -> None:
+        """Else the next scheduler would count with leases of nobody."""
+        election = _election.Election(
+            instance="a",
+            incarnation=1,
+            address="a:1",
+            rng=random.Random(1),
+            grants=_lease_grants.GrantHistory(0.0),
+        )
+        resigned = _leadership.Term(
+            3, "b", 1, "b:1", 9, True, longest_run_s=5.1, held_s=9.0
+        )
+        election.apply_read(resigned, 5, 10.0)
+        claim = election.next_term_write(11.0)
+        assert claim is not None
+        assert claim.term.earlier_grant_s == 0.0
+
     def test_only_an_earlier_run_of_the_same_instance_has_ended(self) -> None:
         election = _make_election("a", incarnation=2)
         assert election.has_scheduler_ended(_make_term("a", 3))
--- a/tests/coordination/leadership/test_lease_grants.py
+++ b/tests/coordination/leadership/test_lease_grants.py
@@ -91,6 +91,17 @@
         history.registered_s = 95.0
         assert history.find_last_grant(_term(), 100.0).by_s == 101.5
 
+    def test_a_record_before_a_new_registration_knows_nothing_of_it(
+        self,
+    ) -> None:
+        history = _history(registered_s=None)
+        history.record_registration(1, 0.0)
+        term = dataclasses.replace(_term(), held_s=20.0)
+        history.record_term(term, 2)
+        assert history.find_last_grant(term, 100.0).by_s == 101.5
+        history.record_registration(3, 99.0)
+        assert history.find_last_grant(term, 100.0).by_s == 104.0
+
     def test_a_claim_that_may_take_effect_keeps_it_from_reporting(self) -> None:
         history = _history(started_s=0.0)
         assert not history.may_report(4.9)
