--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,80 @@
+"""A scheduler wakes from a freeze and answers cancels for its successor."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
+
+import standin
+
+FREEZE_S = 3.4
+ROUNDS = 6
+JOBS = 6
+LASTING = {
+    "Spec": "lasts",
+    "Steps": [{"Count": 1, "Cpu": 500, "MemMb": 64, "EstDurationMs": 1000,
+               "LongRunning": True}],
+}
+CANCEL_S = 3.0
+STOP_S = 0.9
+
+
+async def scenario(rig):
+    rig.work_s = lambda task, spec: None if spec == "lasts" else 0.5
+    await rig.start(instances=3, executors=4)
+    await rig.wait_for_service()
+    for _ in range(ROUNDS):
+        if await play_round(rig):
+            return True
+    return False
+
+
+async def play_round(rig):
+    leader, epoch = await rig.wait_until(
+        lambda: rig.leader() if rig.leader()[0] else None, 10, "leader"
+    )
+    others = [each for each in rig.instances if each is not leader]
+    jobs = [rig.new_job_id() for _ in range(JOBS)]
+    if rig.has_trouble:
+        leader.signal(signal.SIGSTOP)
+    frozen_s = time.monotonic()
+    if rig.has_trouble:
+        await rig.wait_until(
+            lambda: rig.leader()[1] > epoch and rig.leader()[0], 3.2, "take-over"
+        )
+    accepted = await asyncio.gather(
+        *(rig.submit(others, job, LASTING, 4.0) for job in jobs)
+    )
+    cancels = [
+        asyncio.create_task(cancel(rig, leader, others, job))
+        for job, is_accepted in zip(jobs, accepted)
+        if is_accepted
+    ]
+    await asyncio.sleep(max(0.1, frozen_s + FREEZE_S - time.monotonic()))
+    if rig.has_trouble:
+        leader.signal(signal.SIGCONT)
+    answers = await asyncio.gather(*cancels)
+    # A calm stretch as long as the rule allows, after the machines are in touch.
+    await asyncio.sleep(3.0 + CANCEL_S + STOP_S + 0.5)
+    broken = False
+    for job, status in answers:
+        runs = rig.running(job)
+        if status in (200, 410) and runs:
+            rig.record(f"BROKEN: cancel of {job} got {status}; it runs: {runs}")
+            broken = True
+    return broken
+
+
+async def cancel(rig, leader, others, job):
+    """Cancels a job at the daemon of its client, else at another one."""
+    for each in (leader, *others):
+        status, _ = await rig.call(each, "DELETE", f"/jobs/{job}")
+        if status in (200, 410):
+            return job, status
+    return job, 0
+
+
+standin.main(scenario)
