--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -271,16 +271,38 @@
         self.end_count = 0
         self.barred = {}
         self.sequence = 0
+        self.port = 0
+        self.is_up = True
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle)
         self.address = ""
 
     async def start(self):
-        self.address = f"{self.ip}:{await self._server.start(self.ip)}"
+        self.port = await self._server.start(self.ip, self.port)
+        self.address = f"{self.ip}:{self.port}"
 
     def close(self):
         self._server.close()
 
+    def crash(self):
+        """Ends the process: all that it ran and knew is gone."""
+        self.is_up = False
+        self.close()
+        self.rig.record(
+            f"{self.id} crashes, with {sorted(key[0] for key in self.running)}"
+        )
+        self.running, self.ended, self.barred = {}, [], {}
+        self.token = self.lease_ms = self.end_count = self.sequence = 0
+
+    async def restart(self):
+        """Starts again under its id and at its address."""
+        self.born = int(time.time() * 1000)
+        self._zero_s = time.monotonic() - 0.1
+        self._server = HttpServer(self._handle)
+        await self.start()
+        self.is_up = True
+        self.rig.record(f"{self.id} is back, born {self.born}")
+
     def clock_ms(self):
         return int((time.monotonic() - self._zero_s) * 1000)
 
@@ -537,7 +559,9 @@
             if time.monotonic() >= next_beat_s:
                 next_beat_s = time.monotonic() + 1.1
                 for each in self.executors:
-                    self.store.put("keyed.servers", each.id, each.describe())
+                    if each.is_up:
+                        entry = each.describe()
+                        self.store.put("keyed.servers", each.id, entry)
             await asyncio.sleep(0.01)
 
     def new_job_id(self):
