--- a/review/1/case.py
+++ b/review/1/case.py
@@ -38,6 +38,10 @@
     )
     others = [each for each in rig.instances if each is not leader]
     jobs = [rig.new_job_id() for _ in range(JOBS)]
+    connections = [standin.OpenConnection(rig, leader) for _ in jobs]
+    for each in connections:
+        await each.open()
+        await each.call("GET", "/jobs/")
     if rig.has_trouble:
         leader.signal(signal.SIGSTOP)
     frozen_s = time.monotonic()
@@ -49,8 +53,8 @@
         *(rig.submit(others, job, LASTING, 4.0) for job in jobs)
     )
     cancels = [
-        asyncio.create_task(cancel(rig, leader, others, job))
-        for job, is_accepted in zip(jobs, accepted)
+        asyncio.create_task(cancel(rig, connection, others, job))
+        for job, connection, is_accepted in zip(jobs, connections, accepted)
         if is_accepted
     ]
     await asyncio.sleep(max(0.1, frozen_s + FREEZE_S - time.monotonic()))
@@ -68,9 +72,13 @@
     return broken
 
 
-async def cancel(rig, leader, others, job):
-    """Cancels a job at the daemon of its client, else at another one."""
-    for each in (leader, *others):
+async def cancel(rig, connection, others, job):
+    """Cancels a job on the client's open connection, else at another daemon."""
+    status = await connection.call("DELETE", f"/jobs/{job}")
+    connection.close()
+    if status in (200, 410):
+        return job, status
+    for each in others:
         status, _ = await rig.call(each, "DELETE", f"/jobs/{job}")
         if status in (200, 410):
             return job, status
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -686,6 +686,49 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class OpenConnection:
+    """A client's connection to one daemon, which it keeps open."""
+
+    def __init__(self, rig, instance):
+        self._rig, self.instance = rig, instance
+        self._reader = self._writer = None
+
+    async def open(self):
+        self._reader, self._writer = await asyncio.open_connection(
+            self.instance.ip, 8161
+        )
+
+    async def call(self, method, path, wait_s=3.0):
+        """Makes a request; returns status 0 without an answer."""
+        self._rig.record(
+            f"client sends {method} {path} to {self.instance.name} on its open"
+            " connection"
+        )
+        status, content = 0, b""
+        try:
+            async with asyncio.timeout(wait_s):
+                self._writer.write(
+                    f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+                    f"Deadline-Remaining: {int(wait_s * 1000)}\r\n\r\n".encode()
+                )
+                head = (await self._reader.readuntil(b"\r\n\r\n")).decode()
+                status = int(head.split(" ", 2)[1])
+                for line in head.split("\r\n"):
+                    name, _, value = line.partition(":")
+                    if name.lower() == "content-length":
+                        content = await self._reader.readexactly(int(value))
+        except (OSError, TimeoutError, ValueError, EOFError):
+            status = 0
+        self._rig.record(
+            f"client gets {status or 'no answer'} {content.decode()} for"
+            f" {method} {path} from {self.instance.name}"
+        )
+        return status
+
+    def close(self):
+        self._writer.close()
+
+
 class CannotRun(Exception):
     """The case could not run."""
 
