Review: show that tasks run twice when over 500 ends wait for the store

An outage of the store leaves more ends on an executor than an answer lists. Runs whose ends are not listed count as starts that did not happen and are started again.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -124,6 +124,8 @@
     def __init__(self, record):
         self.record = record
         self.topics = collections.defaultdict(Topic)
+        self.is_down = False
+        self.refused_records = 0
         self.before_append = None
         self.servers = []
 
@@ -144,6 +146,8 @@
 
     async def _handle(self, caller, method, target, body):
         await asyncio.sleep(STORE_DELAY_S)
+        if self.is_down:
+            return 503, b"{}"
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         topic = self.topics[query.get("Topic", "")]
@@ -166,10 +170,12 @@
             records.append(body[position + 4 : position + 4 + size])
             position += 4 + size
         if any(len(each) > MAX_RECORD_BYTES for each in records):
-            self.record(
-                f"store refuses a record of {max(map(len, records))} bytes of"
-                f" {caller}: at most {MAX_RECORD_BYTES}"
-            )
+            self.refused_records += 1
+            if self.refused_records <= 20:
+                self.record(
+                    f"store refuses a record of {max(map(len, records))} bytes"
+                    f" of {caller}: at most {MAX_RECORD_BYTES}"
+                )
             return 413, b'{"Reason":"record"}'
         end = len(topic.records)
         if "At" in query and int(query["At"]) != end:
@@ -268,11 +274,13 @@
         self.lease_ms = 0
         self.running = {}
         self.ended = []
+        self.lapsed_ends = set()
         self.end_count = 0
         self.barred = {}
         self.sequence = 0
         self.port = 0
         self.is_up = True
+        self.refuses_starts = False
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle)
         self.address = ""
@@ -338,8 +346,15 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def fail(self, run):
+        """Ends a run through a fault of its task."""
+        self._end(run, "failed")
+
     def tick(self):
         now_s = time.monotonic()
+        if self.ended and self.clock_ms() >= self.lease_ms:
+            # An end counts as noted unless the lease lapsed in between.
+            self.lapsed_ends.update((self.born, each[0]) for each in self.ended)
         if self.running and self.clock_ms() >= self.lease_ms:
             for run in list(self.running.values()):
                 self._end(run, "lapsed")
@@ -359,6 +374,11 @@
         if headers.get("expect-instance", self.id) != self.id:
             return 421, b"{}"
         call = json.loads(body)
+        if target == "/run-start" and self.refuses_starts:
+            self.rig.record(
+                f"{self.id} answers 503 to /run-start {call['Task']}"
+            )
+            return 503, b"{}"
         token = call.get("FencingToken", 0)
         clock_ms = self.clock_ms()
         if token < self.token:
@@ -415,6 +435,9 @@
     async def _hold(self, call):
         self._extend(call.get("DeadlineMs"))
         seen = call.get("LastSeen", 0)
+        for number, task, run, _, _ in self.ended:
+            if number <= seen and (self.born, number) not in self.lapsed_ends:
+                self.rig.noted.add((task, run))
         self.ended = [each for each in self.ended if each[0] > seen]
         end_s = time.monotonic() + min(2000, call.get("WaitMs", 0)) / 1000
         while not self.ended:
@@ -431,7 +454,8 @@
             if run.work_s is not None:
                 percent = min(99, int(100 * worked_s / run.work_s))
             run.saved = self.rig.checkpoint(run, worked_s)
-            running.append([run.task, run.number, run.saved, percent, 0])
+            figure = self.rig.reported(run)
+            running.append([run.task, run.number, run.saved, percent, figure])
         return 200, json.dumps(
             {
                 "ClockMs": self.clock_ms(),
@@ -494,9 +518,11 @@
         self.instances = []
         self.starts = []
         self.ends = []
+        self.noted = set()
         self.work_s = lambda task, spec: 0.5
         self.outcome = lambda executor, run: "done"
         self.checkpoint = lambda run, worked_s: run.saved
+        self.reported = lambda run: 0
         self._tasks = []
         self.record(f"seed {self.seed}, trouble {self.has_trouble}")
 
