--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -267,6 +267,7 @@
     def __init__(self, rig, name, ip, rack, cpu=32_000, mem=125_000):
         self.rig, self.id, self.ip, self.rack = rig, name, ip, rack
         self.cpu, self.mem = cpu, mem
+        self.kind = "a"
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self._zero_s = time.monotonic() - 5.0
@@ -326,7 +327,7 @@
             "ColdRemainingMs": 0,
             "Sequence": self.sequence,
             "Capacity": {"Cpu": self.cpu, "MemMb": self.mem, "Gpu": 0},
-            "Labels": ["a", self.rack],
+            "Labels": [self.kind, self.rack],
             "born": self.born,
         }
 
@@ -393,7 +394,7 @@
             self.barred[key[0]] = max(key[1], self.barred.get(key[0], 0))
             run = self.running.get(key)
             if run is not None and run.stop_at_s is None:
-                run.stop_at_s = time.monotonic() + 0.1
+                run.stop_at_s = time.monotonic() + self.rig.stop_s
             self.rig.record(f"{self.id} /run-stop {key[0]} #{key[1]}")
             return 200, json.dumps({"ClockMs": clock_ms}).encode()
         if target == "/pace":
@@ -523,6 +524,7 @@
         self.outcome = lambda executor, run: "done"
         self.checkpoint = lambda run, worked_s: run.saved
         self.reported = lambda run: 0
+        self.stop_s = 0.1
         self._tasks = []
         self.record(f"seed {self.seed}, trouble {self.has_trouble}")
 
