--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state.workload import _executor
@@ -12,22 +13,6 @@
 """Key of a run: its task and its run number."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClockReading:
-    """Reading of an executor's own clock, which begins anew at a restart.
-
-    Attributes:
-        restarts: Number of restarts of the executor that were known then; it
-            tells whose clock this is.
-        clock_ms: The reading, in milliseconds.
-        read_s: When it arrived, in seconds on the scheduler's steady clock.
-    """
-
-    restarts: int = 0
-    clock_ms: int = 0
-    read_s: float = 0.0
-
-
 @dataclasses.dataclass(slots=True)
 class ExecutorState:
     """State of one executor: its capacity, its runs and its lease.
@@ -49,6 +34,8 @@
             given it a longer lease than the ordinary one.
         has_listed_runs: Whether its present incarnation, as far as known, has
             answered a lease renewal.
+        may_omit_ends: Whether more runs may have ended there than its newest
+            answer has room for.
         lease_until_ms: Latest end of a lease that was sent, on its clock.
         run_by_key: Its runs, also those whose start is not confirmed.
         stopping_run_by_key: Its runs that are to be stopped.
@@ -123,9 +110,12 @@
     is_vacated: bool = False
     started_wall_ms: int = 0
     last_answer_s: float | None = None
-    clock: ClockReading = dataclasses.field(default_factory=ClockReading)
+    clock: _clock_reading.ClockReading = dataclasses.field(
+        default_factory=_clock_reading.ClockReading
+    )
     has_restarted: bool = False
     has_listed_runs: bool = False
+    may_omit_ends: bool = False
     lease_until_ms: int = 0
     run_by_key: dict[RunKey, _runs.Run] = dataclasses.field(
         default_factory=dict
@@ -404,7 +394,9 @@
 
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Records a reading of the clock of its present incarnation."""
-        self.clock = ClockReading(self.clock.restarts, clock_ms, now_s)
+        self.clock = _clock_reading.ClockReading(
+            self.clock.restarts, clock_ms, now_s
+        )
 
     def record_restart(
         self, now_s: float, *, clock_ms: int, lease_s: float
@@ -416,11 +408,14 @@
             clock_ms: Highest reading that its clock can have by now.
             lease_s: Longest lease that it can have by now, in seconds.
         """
-        self.clock = ClockReading(self.clock.restarts + 1, clock_ms, now_s)
+        self.clock = _clock_reading.ClockReading(
+            self.clock.restarts + 1, clock_ms, now_s
+        )
         self.has_restarted = True
         self.is_restart_stored = False
         self.lease_until_ms = clock_ms + int(lease_s * 1000)
         self.has_listed_runs = False
+        self.may_omit_ends = False
         self.is_fenced_off = False
         self.started_wall_ms = 0
         self.processed_end_number = 0
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -16,14 +16,12 @@
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _slowness
 from basiljunction.coordination.scheduling import _stalls
+from basiljunction.coordination.scheduling import _unlisted_runs
 from basiljunction.state import _time
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 
-MAX_ENDS_PER_ANSWER = 500
-"""Most run ends in one answer; a full list means that more may follow."""
-
 
 class LeaseRenewals:
     """Renews the leases of executors and applies their reports to the cell.
@@ -243,12 +241,12 @@
         }
         for running in report.active_runs:
             self._update_listed_run(executor, running, now)
-        self._settle_unlisted_runs(executor, listed, sent_s, now)
+        _unlisted_runs.settle_unlisted_runs(cell, executor, listed, sent_s, now)
         self._crashes.prove_listed_runs(executor, listed, sent_s)
         self._restart_slow_tasks(executor, now)
         self._restart_stalled_tasks(executor, now)
         self._relieve_serving_tasks(executor, now)
-        if len(report.unacknowledged_ends) < MAX_ENDS_PER_ANSWER:
+        if not report.may_omit_ends:
             executor.inherited_until_s = None
         unstored = executor.processed_end_number > executor.stored_end_number
         gap_s = (
@@ -290,6 +288,7 @@
         executor.record_fence(report.clock_ms, longest_lease_s)
         executor.last_answer_s = now.boot_s
         executor.has_listed_runs = True
+        self._record_omitted_ends(executor, report)
         executor.record_clock(report.clock_ms, now.boot_s)
         if executor.forget_old_restart(cell.times):
             cell.roster_changed = True
@@ -298,6 +297,25 @@
             report.clock_ms + int(longest_lease_s * 1000),
         )
 
+    def _record_omitted_ends(
+        self,
+        executor: _executors.ExecutorState,
+        report: _executor.LeaseRenewalReply,
+    ) -> None:
+        """Records whether an answer may leave out ends; logs each change."""
+        if executor.may_omit_ends == report.may_omit_ends:
+            return
+        executor.may_omit_ends = report.may_omit_ends
+        self._cell.note(
+            "executor.ends-omitted"
+            if report.may_omit_ends
+            else "executor.ends-complete",
+            executor=executor.listing.id,
+            processed=executor.processed_end_number,
+            stored=executor.stored_end_number,
+            unlisted_runs=len(executor.run_by_key) - len(report.active_runs),
+        )
+
     def _restart_stalled_tasks(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
@@ -439,52 +457,6 @@
             executor.stop_run(run, now.boot_s)
         return run
 
-    def _settle_unlisted_runs(
-        self,
-        executor: _executors.ExecutorState,
-        listed_by_key: dict[_executors.RunKey, _executor.ActiveRunReport],
-        sent_s: float,
-        now: _time.Now,
-    ) -> None:
-        """Resolves runs that are missing from an executor's answer.
-
-        An answer only counts for a run if its renewal was sent after the run's
-        last change.
-
-        Args:
-            executor: The executor that answered.
-            listed_by_key: The listed runs by task and run number.
-            sent_s: When the renewal was sent.
-            now: The time.
-        """
-        for key, run in list(executor.run_by_key.items()):
-            if key in listed_by_key:
-                continue
-            may_not_exist = run.phase is _runs.RunPhase.UNSETTLED or (
-                run.phase is _runs.RunPhase.RUNNING and not run.was_listed
-            )
-            if may_not_exist and sent_s > run.phase_since_s:
-                self._cell.note(
-                    "task.unsettled",
-                    task=str(run.task),
-                    run=run.number,
-                    executor=executor.listing.id,
-                )
-                executor.stop_run(run, now.boot_s)
-            elif (
-                run.phase is _runs.RunPhase.STOPPING
-                and run.stop_answered_s is not None
-                and sent_s > run.stop_answered_s
-            ):
-                self._cell.release_run(executor, run, now)
-            elif (
-                run.phase is _runs.RunPhase.RUNNING
-                and sent_s > run.phase_since_s
-                and not self._cell.is_task_unfinished(run.task)
-            ):
-                # A gang reports one end for all of its members.
-                self._cell.release_run(executor, run, now)
-
     def _process_end(
         self,
         executor: _executors.ExecutorState,
--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _limits
@@ -32,7 +33,7 @@
     def handle_clock(
         self,
         executor_id: str,
-        known: _executors.ClockReading,
+        known: _clock_reading.ClockReading,
         clock_ms: int,
         now: _time.Now,
         *,
@@ -66,7 +67,7 @@
     def handle_incarnation_check(
         self,
         executor_id: str,
-        known: _executors.ClockReading,
+        known: _clock_reading.ClockReading,
         report: _executor.LeaseRenewalReply,
         now: _time.Now,
     ) -> bool:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -11,6 +11,7 @@
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _term_history
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _evacuation
 from basiljunction.coordination.scheduling import _executors
@@ -496,7 +497,7 @@
     def handle_clock(
         self,
         executor_id: str,
-        known: _executors.ClockReading,
+        known: _clock_reading.ClockReading,
         clock_ms: int,
         now: _time.Now,
         *,
@@ -641,7 +642,7 @@
     def handle_incarnation_check(
         self,
         executor_id: str,
-        known: _executors.ClockReading,
+        known: _clock_reading.ClockReading,
         report: _executor.LeaseRenewalReply,
         now: _time.Now,
     ) -> bool:
--- a/src/basiljunction/state/workload/_executor.py
+++ b/src/basiljunction/state/workload/_executor.py
@@ -115,3 +115,13 @@
     started_wall_ms: int
     active_runs: tuple[ActiveRunReport, ...]
     unacknowledged_ends: tuple[EndedRunReport, ...]
+
+    @property
+    def may_omit_ends(self) -> bool:
+        """Whether more runs may have ended than the answer has room for."""
+        return len(self.unacknowledged_ends) >= MAX_ENDS_PER_ANSWER
+
+
+MAX_ENDS_PER_ANSWER = 500
+"""Most run ends in one answer; executors list the others once these are
+acknowledged."""
--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.platform import _executors as _executor_calls
@@ -345,7 +345,7 @@
     def _is_known_incarnation(
         self,
         guard: _checked_connections.IncarnationGuard,
-        known: _executors.ClockReading,
+        known: _clock_reading.ClockReading,
         reply: _http_call.HttpReply,
     ) -> bool:
         """Returns whether the known incarnation of an executor answered."""
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
@@ -125,7 +125,7 @@
     def _handle_clock(
         self,
         order: _orders.StartOrder | _orders.StopOrder | _orders.PaceOrder,
-        known: _executors.ClockReading,
+        known: _clock_reading.ClockReading,
         sent_s: float,
         reply: _http_call.HttpReply,
     ) -> None:
@@ -136,7 +136,7 @@
                 order.executor, known, clock_ms, self._clock(), sent_s=sent_s
             )
 
-    def _known_clock(self, executor_id: str) -> _executors.ClockReading:
+    def _known_clock(self, executor_id: str) -> _clock_reading.ClockReading:
         """Returns the newest reading of the clock of an executor."""
         return self._scheduler.cell.executor_by_id[executor_id].clock
 
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -15,7 +15,7 @@
 
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _term_history
-from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _orders
@@ -1264,10 +1264,10 @@
         )
         return None if is_known else _orders.StartResult.NOT_SENT
 
-    def _known_clock(self, executor_id: str) -> _executors.ClockReading:
+    def _known_clock(self, executor_id: str) -> _clock_reading.ClockReading:
         """Returns what the scheduler knows of an executor's clock."""
         state = self.scheduler.cell.executor_by_id.get(executor_id)
-        return state.clock if state else _executors.ClockReading()
+        return state.clock if state else _clock_reading.ClockReading()
 
     def _execute_order(
         self,
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
@@ -552,7 +552,7 @@
         now = build.clock_readings_at(0.32)
         renewal = _take_renewal(_run_timed_work(scheduler, 0.3))
         if is_restart_known:
-            clock = _executors.ClockReading(0, 10_000, 0.2)
+            clock = _clock_reading.ClockReading(0, 10_000, 0.2)
             scheduler.handle_clock("e1", clock, 5, now, sent_s=0.3)
         scheduler.handle_fence(renewal, now)
         assert scheduler.cell.is_fenced is not is_restart_known
