Keep runs that a full list of ends leaves out (TWICE)

Cause: an executor lists 500 ends at most. While the store is down none is acknowledged, so that a run may begin and end between two answers and be in neither list. The scheduler took it for one that never began, stopped it, and released it as the next answer left it out again.

Change: an answer that may omit ends settles no missing run of an unfinished task, whatever its phase, and no run counts as slow or stalled by it. The end is listed once those before it are acknowledged. Runs of finished jobs free their room as before.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -150,6 +150,14 @@
         "            or executor.renewal_failures > 0\n",
         f"{_TESTS}/test_mixed_incarnations.py",
     ),
+    _mutation(
+        "run-without-a-listed-end-released",
+        "one run",
+        f"{_SCHEDULING}/_unlisted_runs.py",
+        "if executor.may_omit_ends and cell.is_task_unfinished(run.task):",
+        "if False:",
+        f"{_TESTS}/test_omitted_ends.py",
+    ),
     _mutation(
         "good-end-of-earlier-run-dropped",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -243,11 +243,12 @@
             self._update_listed_run(executor, running, now)
         _unlisted_runs.settle_unlisted_runs(cell, executor, listed, sent_s, now)
         self._crashes.prove_listed_runs(executor, listed, sent_s)
-        self._restart_slow_tasks(executor, now)
-        self._restart_stalled_tasks(executor, now)
-        self._relieve_serving_tasks(executor, now)
         if not report.may_omit_ends:
             executor.inherited_until_s = None
+            # A run that has ended without a report shows no progress either.
+            self._restart_slow_tasks(executor, now)
+            self._restart_stalled_tasks(executor, now)
+        self._relieve_serving_tasks(executor, now)
         unstored = executor.processed_end_number > executor.stored_end_number
         gap_s = (
             _limits.UNSTORED_RENEWAL_DELAY_S
--- a/src/basiljunction/coordination/scheduling/_unlisted_runs.py
+++ b/src/basiljunction/coordination/scheduling/_unlisted_runs.py
@@ -18,7 +18,8 @@
     """Resolves runs that are missing from an executor's answer.
 
     An answer only counts for a run if its renewal was sent after the run's
-    last change.
+    last change. If it may omit ends, a missing run of an unfinished task may
+    have ended in any way, and is left as it is.
 
     Args:
         cell: The scheduler's state.
@@ -30,6 +31,8 @@
     for key, run in list(executor.run_by_key.items()):
         if key in listed_keys:
             continue
+        if executor.may_omit_ends and cell.is_task_unfinished(run.task):
+            continue
         may_not_exist = run.phase is _runs.RunPhase.UNSETTLED or (
             run.phase is _runs.RunPhase.RUNNING and not run.was_listed
         )
@@ -52,7 +55,6 @@
                 run=run.number,
                 executor=executor.listing.id,
                 listed=run.was_listed,
-                may_omit_ends=executor.may_omit_ends,
             )
             cell.release_run(executor, run, now)
         elif (
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -36,6 +36,9 @@
 RUN_TIME_S = 0.5
 """Default run time of a task, in seconds."""
 
+ENDS_PER_ANSWER = 500
+"""Most ends of runs in an answer to a renewal."""
+
 HEARTBEAT_S = 0.5
 """Virtual time between two reports of an executor that drains, or from a
 restart to the first report, in seconds."""
@@ -81,12 +84,14 @@
 
     Attributes:
         task: The task.
+        is_restarted: Whether the task has been started since.
         has_lapsed: Whether the lease of the executor lapsed before the end was
             acknowledged, so that the rules do not count it.
     """
 
     task: _job_spec.TaskId
     has_lapsed: bool = False
+    is_restarted: bool = False
 
 
 class SimulatedExecutor:
@@ -308,7 +313,7 @@
                 )
                 for (task, run), simulated in self.run_by_key.items()
             ),
-            unacknowledged_ends=tuple(self.ends),
+            unacknowledged_ends=tuple(self.ends[: self.rig.ends_per_answer]),
         )
 
     def _progress_percent(self, run: SimulatedRun) -> float:
@@ -327,10 +332,17 @@
         self.lease_ms = max(self.lease_ms, granted_ms)
 
     def _forget_acknowledged_done_ends(self) -> None:
-        """Forgets successful ends up to the highest one acknowledged."""
+        """Forgets successful ends up to the highest one acknowledged.
+
+        Asserts that no task was started again after such an end, unless the
+        lease lapsed in between.
+        """
         for number in list(self.unseen_done_end_by_number):
             if number <= self.acknowledged:
-                del self.unseen_done_end_by_number[number]
+                end = self.unseen_done_end_by_number.pop(number)
+                assert end.has_lapsed or not end.is_restarted, (
+                    f"{end.task}: was started again after it was done"
+                )
 
     def end_due_runs(self) -> None:
         """Ends runs that are finished, or all runs if the lease has expired."""
@@ -538,6 +550,7 @@
         checks_incarnations: Whether orders reach only an incarnation that the
             scheduler has an open connection to, after a check if need be.
         drops_stop_orders: Whether stop orders get lost.
+        ends_per_answer: Most ends of runs in an answer to a renewal.
         holds_renewals: Whether executors hold back their answer to a renewal
             for as long as it asks for, until a run ends.
         held_renewals: Renewals that executors hold back.
@@ -597,6 +610,7 @@
     scheduler_lost_s = float("-inf")
     claimed_s = 0.0
     earlier_grant_s = _lease_grants.MAX_GRANT_S
+    ends_per_answer = ENDS_PER_ANSWER
     loses_next_start = False
     drops_stop_orders = False
 
@@ -1468,6 +1482,13 @@
         ordered_s = min(self.now_s, self.delayed_order_sent_s)
         return all(e.has_lapsed for e in ends) and ordered_s <= known_s
 
+    def _mark_done_ends_restarted(self, task: _job_spec.TaskId) -> None:
+        """Notes on the unacknowledged good ends of a task that it starts."""
+        for executor in self.executor_by_id.values():
+            for end in executor.unseen_done_end_by_number.values():
+                if end.task == task:
+                    end.is_restarted = True
+
     def check_start(
         self, executor: SimulatedExecutor, order: _orders.StartOrder
     ) -> None:
@@ -1516,6 +1537,8 @@
         may_be_copy = spec.steps[task.step].speculative
         if may_be_copy:
             executors_running_task = []
+        else:
+            self._mark_done_ends_restarted(task)
         assert not executors_running_task, (
             f"{task}: runs twice, also on {executors_running_task}"
         )
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -31,6 +31,9 @@
 POLL_INTERVAL_S = 0.02
 """Time between two checks of a long poll, in seconds."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends of runs in one answer of an executor."""
+
 MAX_PAGE_RECORDS = 500
 """Most records in one page of the newest records."""
 
@@ -361,7 +364,7 @@
                     [task, number, "", run.progress_percent(now_s), 0]
                     for (task, number), run in self.running.items()
                 ]
-                answer["Ended"] = self.ended
+                answer["Ended"] = self.ended[:MAX_LISTED_ENDS]
             return 200, answer
 
 
