Wait for ends that an inherited executor leaves out (TWICE)

A scheduler that takes over as the store comes back waits for each executor until it has listed all of its ends, or until the leases of earlier terms have lapsed. Where the store goes down again meanwhile, the second came first: the new scheduler went on renewing the lease, but its wait ended by the time of its predecessor's leases, and it started tasks again whose good ends it could not read yet.

Evidence: test_none_is_if_the_store_goes_down_again, "a3/0.0.0: was started again after it was done" with the change before this one; executor.wait- expired for both executors 5.4 s after the resignation, while each answered.

Change: the wait for an executor that answers lasts until its own lease has lapsed too, which bounds all runs on it. After that its earlier ends don't count any more. For executors that never answered nothing changes.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -158,6 +158,14 @@
         "if False:",
         f"{_TESTS}/test_omitted_ends.py",
     ),
+    _mutation(
+        "wait-for-omitted-ends-expires",
+        "one run",
+        f"{_SCHEDULING}/_inherited_runs.py",
+        "or now.boot_s <= executor.runs_end_by_s()",
+        "or now.boot_s <= executor.inherited_until_s",
+        f"{_TESTS}/test_omitted_ends.py",
+    ),
     _mutation(
         "good-end-of-earlier-run-dropped",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_inherited_runs.py
+++ b/src/basiljunction/coordination/scheduling/_inherited_runs.py
@@ -69,9 +69,15 @@
     def _end_if_over(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> bool:
-        """Ends the wait for an executor if it is over; returns whether."""
-        until_s = executor.inherited_until_s
-        if until_s is None or now.boot_s <= until_s:
+        """Ends the wait for an executor if it is over; returns whether.
+
+        One that answers and omits ends is waited for as long as its lease is
+        renewed, as a good end of an earlier run counts until the lease lapses.
+        """
+        if (
+            executor.inherited_until_s is None
+            or now.boot_s <= executor.runs_end_by_s()
+        ):
             return False
         executor.inherited_until_s = None
         self._cell.note(
@@ -131,5 +137,5 @@
 
 
 def _awaited_until_s(executor: _executors.ExecutorState) -> float:
-    """Returns when the wait for an executor ends; it is waited for."""
-    return executor.inherited_until_s or 0.0
+    """Returns when the wait for an executor ends if it falls silent now."""
+    return executor.runs_end_by_s()
--- a/tests/coordination/scheduling/test_omitted_ends.py
+++ b/tests/coordination/scheduling/test_omitted_ends.py
@@ -198,3 +198,32 @@
         rig.run(20)
         assert len(rig.done_tasks) == len(_JOB_IDS) * _TASK_COUNT
         assert _count_repeated_starts(rig) == 0
+
+    def _make_successor_in_outage(self) -> cell_rig.CellRig:
+        """Returns a rig whose new scheduler cannot store the ends it reads."""
+        rig = _make_rig("e1", "e2")
+        _submit_small_tasks(rig, size=_SMALLEST_SIZE)
+        _pass_outage(rig)
+        rig.resign()
+        rig.run(0.1)
+        rig.store_is_up = False
+        rig.run(0.1)
+        for each in rig.scheduler.cell.executor_by_id.values():
+            assert each.may_omit_ends
+        return rig
+
+    def test_none_is_if_the_store_goes_down_again(self) -> None:
+        rig = self._make_successor_in_outage()
+        rig.run(8)
+        rig.store_is_up = True
+        rig.run(20)
+        assert len(rig.done_tasks) == len(_JOB_IDS) * _TASK_COUNT
+        assert _count_repeated_starts(rig) == 0
+
+    def test_a_silent_executor_is_not_waited_for_without_end(self) -> None:
+        rig = self._make_successor_in_outage()
+        rig.executor_by_id["e1"].is_answering = False
+        rig.store_is_up = True
+        rig.run(20)
+        assert not rig.scheduler.cell.has_inherited_runs
+        assert len(rig.done_tasks) == len(_JOB_IDS) * _TASK_COUNT
