Claim no term beyond the records that were read

What callers could have seen: two schedulers of one epoch, whose orders no executor tells apart.

Cause: a read of the term topic is cut at 1 MB. The feed told the election the end of the topic as the offset that it had read to, so that a conditional write at that offset succeeded over a term that the answer left out.

Evidence: test_no_term_is_claimed_over_one_that_was_not_read. With reads of two records, instance a claims epoch 4 over epoch 4 of c.

Change: the election gets the offset up to which records were read. A claim there is refused by the store, and the rest is read next.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -150,6 +150,14 @@
         "            or executor.renewal_failures > 0\n",
         f"{_TESTS}/test_mixed_incarnations.py",
     ),
+    _mutation(
+        "claim-beyond-what-was-read",
+        "one scheduler",
+        f"{_TRANSPORT}/_feeds.py",
+        "is_whole=False, end_offset=page.next_offset",
+        "is_whole=False, end_offset=page.end_offset",
+        f"{_TRANSPORT_TESTS}/test_term_keeper.py",
+    ),
     _mutation(
         "run-without-a-listed-end-released",
         "one run",
--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -332,7 +332,7 @@
         Args:
             term: Newest term in the topic; None if the read returned no new
                 term.
-            end_offset: End offset of the topic.
+            end_offset: Offset up to which the topic has been read.
             now_s: Current time in seconds.
         """
         if self._end_offset is not None and end_offset < self._end_offset:
--- a/src/basiljunction/transport/jobs/_feeds.py
+++ b/src/basiljunction/transport/jobs/_feeds.py
@@ -157,7 +157,7 @@
         Args:
             records: The records, oldest first.
             is_whole: Whether they are the newest records of all keys.
-            end_offset: Offset at which the topic ends.
+            end_offset: Offset up to which the topic has been read.
         """
 
     @abc.abstractmethod
@@ -208,8 +208,9 @@
         """
         is_behind = len(page.records) > 1 and size > LONG_ANSWER_BYTES
         self._offset = None if is_behind else page.next_offset
+        # The answer may be cut short of the topic's end.
         self.apply_records(
-            page.records, is_whole=False, end_offset=page.end_offset
+            page.records, is_whole=False, end_offset=page.next_offset
         )
 
     def _apply_newest_page(self, page: _store.NewestRecordPage) -> None:
--- a/tests/transport/jobs/test_term_keeper.py
+++ b/tests/transport/jobs/test_term_keeper.py
@@ -47,6 +47,8 @@
             answers arrived byte by byte.
         topic: The term topic.
         first_offset: Offset of the first record that is still kept.
+        records_per_read: Most records in the answer to a read; None for no
+            limit.
         appended_keys: Keys of the records of each stored append.
         judge_write: Decides about each append by its body.
     """
@@ -54,6 +56,7 @@
     def __init__(self) -> None:
         self.topic = platform_standin.Topic()
         self.first_offset = 0
+        self.records_per_read: int | None = None
         self.appended_keys: list[list[str]] = []
         self.judge_write: _FailsWrite = lambda _: (True, True)
         self.answers_reads = True
@@ -134,8 +137,9 @@
             answer = {"FirstOffset": self.first_offset}
             return _http_call.HttpReply(410, json.dumps(answer).encode())
         records = self.topic.records
+        answered = records[begin:][: self.records_per_read]
         body = struct.pack(">QQ", len(records), 0) + b"".join(
-            struct.pack(">I", len(each)) + each for each in records[begin:]
+            struct.pack(">I", len(each)) + each for each in answered
         )
         return _http_call.HttpReply(200, body)
 
@@ -252,6 +256,25 @@
         assert last_grant.by_s == pytest.approx(granted_until_s, abs=0.4)
 
 
+class TestTermBeyondTheEndOfARead:
+    """A read that was cut short says nothing of the records after it."""
+
+    def test_no_term_is_claimed_over_one_that_was_not_read(
+        self, store: _StoreClient
+    ) -> None:
+        instance = _Instance(store)
+        _renew_term(store, beat=1)
+        instance.run_for(_election.TERM_EXPIRY_S - 2 * TICK_S)
+        store.records_per_read = 2
+        for number in range(6):
+            store.put(f"{_store.MEMBER_PREFIX}d{number}", b"d:1")
+        term = _leadership.Term(4, "c", 1, "c:1", beat=1)
+        store.put(_store.TERM_KEY, _job_records.encode_term(term))
+        instance.run_for(_election.TERM_EXPIRY_S / 2)
+        assert instance.election.term == term
+        assert [_store.TERM_KEY] not in store.appended_keys
+
+
 class TestRegistration:
     """An instance registers what it has, and is never kept from claiming."""
 
