--- a/scripts/random_sequences.py
+++ b/scripts/random_sequences.py
@@ -87,6 +87,12 @@
     show_default=True,
     help="All faults cease from time to time.",
 )
+@click.option(
+    "--ends-per-answer",
+    default=cell_rig.ENDS_PER_ANSWER,
+    show_default=True,
+    help="Most ends of runs in an answer to a renewal.",
+)
 @click.option("--show/--brief", default=True, help="Print the last steps.")
 def main(
     *,
@@ -104,6 +110,7 @@
     late_confirmed: float,
     series: bool,
     calm: bool,
+    ends_per_answer: int,
     show: bool,
 ) -> None:
     """Play random sequences; exit with 1 if one breaks a rule."""
@@ -119,6 +126,7 @@
         late_confirmed_share=late_confirmed,
         has_series=series,
         has_calm_spells=calm,
+        ends_per_answer=ends_per_answer,
     )
     began_s = time.monotonic()
     start_count = 0
--- a/tests/coordination/scheduling/test_random_sequences.py
+++ b/tests/coordination/scheduling/test_random_sequences.py
@@ -26,6 +26,10 @@
 
 _WITH_CALM = restart_sequences.Mix(has_series=True, has_calm_spells=True)
 
+_SHORT_ANSWERS_SEED_COUNT = 20
+
+_SHORT_ANSWERS = restart_sequences.Mix(ends_per_answer=2)
+
 _OVERLAPPING = restart_sequences.Mix(has_overlaps=True)
 _PLAIN = restart_sequences.Mix(has_varied_jobs=False)
 _PLAIN_WITHOUT_RESTARTS = restart_sequences.Mix(
@@ -86,6 +90,15 @@
         _play(seed, _WIDE, checks=checks)
 
 
+class TestRuleBrokenByOmittedEnds:
+    """Answers that leave out most ends of runs break no rule beside faults."""
+
+    @_WITH_AND_WITHOUT_CHECKS
+    @pytest.mark.parametrize("seed", range(1, _SHORT_ANSWERS_SEED_COUNT + 1))
+    def test_no_rule_is_broken(self, seed: int, *, checks: bool) -> None:
+        _play(seed, _SHORT_ANSWERS, checks=checks)
+
+
 class TestWaitAfterFaults:
     """Once all faults have ceased, nothing waits beyond its bound."""
 
--- a/tests/restart_sequences.py
+++ b/tests/restart_sequences.py
@@ -6,7 +6,9 @@
 
 import dataclasses
 import random
+from unittest import mock
 
+from basiljunction.state.workload import _executor
 import cell_rig
 import sequence_actions
 import sequence_watch
@@ -72,6 +74,7 @@
             no room extends the lease.
         checks_incarnations: Whether orders reach only the incarnation that the
             scheduler knows.
+        ends_per_answer: Most ends of runs in an answer to a renewal.
     """
 
     delayed_share: float = 0.1
@@ -83,6 +86,7 @@
     late_confirmed_share: float = 0.0
     refused_starts_extend_lease: bool = False
     checks_incarnations: bool = True
+    ends_per_answer: int = cell_rig.ENDS_PER_ANSWER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,6 +173,7 @@
             scheduler knows.
         has_series: Whether schedulers end in series, each after 0.4 to 1.2 s.
         has_calm_spells: Whether all faults cease from time to time.
+        ends_per_answer: Most ends of runs in an answer to a renewal.
     """
 
     duration_s: float = 40.0
@@ -183,6 +188,7 @@
     checks_incarnations: bool = True
     has_series: bool = False
     has_calm_spells: bool = False
+    ends_per_answer: int = cell_rig.ENDS_PER_ANSWER
 
 
 class _Drawing:
@@ -222,6 +228,7 @@
             holds_renewals=rng.random() < 0.5,
             refused_starts_extend_lease=self._mix.has_refusals,
             checks_incarnations=self._mix.checks_incarnations,
+            ends_per_answer=self._mix.ends_per_answer,
         )
         if self._mix.has_varied_jobs:
             fail_share = rng.choice([0.0, 0.1])
@@ -406,11 +413,20 @@
     rig.holds_renewals = faults.holds_renewals
     rig.checks_incarnations = faults.checks_incarnations
     rig.refused_starts_extend_lease = faults.refused_starts_extend_lease
+    rig.ends_per_answer = faults.ends_per_answer
     return rig
 
 
 def play(sequence: Sequence) -> Outcome:
     """Plays a sequence until its end or until it breaks a rule."""
+    with mock.patch.object(
+        _executor, "MAX_ENDS_PER_ANSWER", sequence.faults.ends_per_answer
+    ):
+        return _play(sequence)
+
+
+def _play(sequence: Sequence) -> Outcome:
+    """Plays a sequence whose answers have room for as many ends as it says."""
     rig = make_rig(sequence)
     rig.run(_FIRST_RUN_S)
     watch = sequence_watch.CalmWatch(rig)
