--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -154,7 +154,7 @@
             or each.unused_millicores >= unused_millicores
         )
         and is_eligible(step, each)
-        and _is_below_executor_limit(step, task, each)
+        and is_below_executor_limit(step, task, each)
         and (not step.fills or sharing.allows_filler(step, each, pace_percent))
     ]
 
@@ -237,7 +237,7 @@
     return min(limits, default=0)
 
 
-def _is_below_executor_limit(
+def is_below_executor_limit(
     step: _job_spec.StepSpec,
     task: _job_spec.TaskId,
     executor: _executors.ExecutorState,
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Set
-import dataclasses
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _crashes
@@ -16,7 +15,9 @@
 from basiljunction.coordination.scheduling import _placement
 from basiljunction.coordination.scheduling import _preemption
 from basiljunction.coordination.scheduling import _runs
+from basiljunction.coordination.scheduling import _service_capacity
 from basiljunction.coordination.scheduling import _sharing
+from basiljunction.coordination.scheduling import _wait_notes
 from basiljunction.state import _time
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -55,27 +56,6 @@
 """
 
 
-@dataclasses.dataclass(slots=True)
-class _ServiceCapacity:
-    """Processor capacity of one service's executors in a placement pass.
-
-    Short tasks end by themselves; lasting tasks run until cancelled.
-
-    Attributes:
-        total_millicores: Capacity of all its executors.
-        free_millicores: Capacity that is not booked.
-        reserved_millicores: Capacity kept for short tasks expected soon.
-        vacating_millicores: Capacity of lasting tasks that are being stopped.
-        requested_millicores: Demand of waiting short tasks.
-    """
-
-    total_millicores: int
-    free_millicores: int
-    reserved_millicores: float
-    vacating_millicores: int
-    requested_millicores: int
-
-
 class Placer:
     """Chooses executors for waiting tasks and orders their start.
 
@@ -87,12 +67,15 @@
         self._cell = cell
         self._last_pass_s = float("-inf")
         self._demand_by_service: dict[str, _preemption.ShortTaskDemand] = {}
-        self._capacity_by_service: dict[str, _ServiceCapacity] = {}
+        self._capacity_by_service: dict[
+            str, _service_capacity.ServiceCapacity
+        ] = {}
         self._unplaceable_size_by_kind: dict[
             tuple[str, str | None], _job_spec.Resources
         ] = {}
         self._unplaceable_steps: set[tuple[str, int, int]] = set()
         self._isolated_starts = _isolated_starts.IsolatedStarts(cell)
+        self._wait_notes = _wait_notes.WaitNotes(cell)
 
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
         """Returns whether each step of a job fits some executor when empty.
@@ -158,6 +141,7 @@
             jobs, executors_by_service, MAX_STARTS_PER_PASS - started, now
         )
         cell.needs_placing |= budget <= 0
+        self._wait_notes.note_longest_wait(jobs, executors_by_service, now)
 
     def _place_jobs(
         self,
@@ -238,7 +222,7 @@
             )
             waiting = waiting_by_service.get(service, 0)
             demand.update_demand(used + waiting, now.boot_s)
-            self._capacity_by_service[service] = _ServiceCapacity(
+            capacity = _service_capacity.ServiceCapacity(
                 total_millicores=sum(
                     e.listing.capacity.cpu_millicores for e in executors
                 ),
@@ -250,6 +234,7 @@
                 vacating_millicores=vacating,
                 requested_millicores=waiting,
             )
+            self._capacity_by_service[service] = capacity
 
     def _may_start_beside_short_tasks(
         self,
--- /dev/null
+++ b/tests/coordination/scheduling/test_wait_notes.py
@@ -0,0 +1,66 @@
+"""Tests of the log entries that say why a job has nothing running."""
+
+from basiljunction.coordination.scheduling import _notes
+from basiljunction.coordination.scheduling import _wait_notes
+from basiljunction.state.workload import _job_spec
+import cell_rig
+import workload_builders as build
+
+_RUN_TIME_S = 60.0
+"""Run time of a task, longer than any of these tests, in seconds."""
+
+
+def _make_rig() -> tuple[cell_rig.CellRig, list[_notes.Note]]:
+    """Returns a rig of two executors of four cores, and its `task.waits`."""
+    rig = cell_rig.CellRig(
+        build.executor_entry("e1"), build.executor_entry("e2")
+    )
+    rig.run_time_s = _RUN_TIME_S
+    notes: list[_notes.Note] = []
+    rig.on_note = lambda note: (
+        notes.append(note) if note.event == "task.waits" else None
+    )
+    rig.run(1)
+    return rig, notes
+
+
+class TestJobWithNothingRunning:
+    """The entry counts the executors by the condition that refuses a task."""
+
+    def test_a_filler_waits_for_unused_processor_time(self) -> None:
+        rig, notes = _make_rig()
+        filler = build.step_spec(
+            count=2, size=_job_spec.Resources(4000, 500, 0), fills=True
+        )
+        rig.submit(build.accepted_job(filler, job_id="a1"))
+        rig.run(0.5)
+        rig.submit(build.accepted_job(filler, job_id="a2"))
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 1.5)
+        values = notes[0].value_by_field
+        assert values["task"] == "a2/0.0.0"
+        assert values["usable_executors"] == 2
+        assert values["no_unused_processor"] == 2
+        assert values["waiting_jobs"] == 1
+
+    def test_a_task_waits_for_room(self) -> None:
+        rig, notes = _make_rig()
+        step = build.step_spec(count=1, size=_job_spec.Resources(3000, 500, 0))
+        for job_id in ("a1", "a2", "a3"):
+            rig.submit(build.accepted_job(step, job_id=job_id))
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 1.5)
+        assert notes[0].value_by_field["no_room"] == 2
+
+    def test_entries_are_an_interval_apart(self) -> None:
+        rig, notes = _make_rig()
+        step = build.step_spec(count=1, size=_job_spec.Resources(3000, 500, 0))
+        for job_id in ("a1", "a2", "a3"):
+            rig.submit(build.accepted_job(step, job_id=job_id))
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 5)
+        assert 4 <= len(notes) <= 6
+
+    def test_a_job_with_a_running_task_has_none(self) -> None:
+        rig, notes = _make_rig()
+        step = build.step_spec(count=4, size=_job_spec.Resources(3000, 500, 0))
+        rig.submit(build.accepted_job(step))
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 5)
+        assert notes == []
