--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -943,6 +943,14 @@
         "",
         f"{_TESTS}/test_capacity_changes.py",
     ),
+    _mutation(
+        "slowed-filler-waits-for-unused-processor-time",
+        "capacity",
+        f"{_SCHEDULING}/_placement.py",
+        "if step.fills and pace_percent == _sharing.FULL_PACE_PERCENT\n",
+        "if step.fills\n",
+        f"{_TESTS}/test_filler_starts.py",
+    ),
     _mutation(
         "room-of-others-hidden-by-one-over-its-capacity",
         "lasting tasks run",
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -134,6 +134,9 @@
 ) -> list[_executors.ExecutorState]:
     """Returns the executors on which a task can start now, unsorted.
 
+    At a reduced pace a filler may share the processor time that other fillers
+    use, as theirs is not reserved.
+
     This is the scheduler's most frequent loop, so what holds for all executors
     is read once, the check that rejects most of them comes first, and it is
     `Resources.covers` without the calls.
@@ -142,7 +145,11 @@
     cpu_millicores = needed.cpu_millicores
     memory_mb = needed.memory_mb
     gpus = needed.gpus
-    unused_millicores = step.size.cpu_millicores if step.fills else None
+    unused_millicores = (
+        step.size.cpu_millicores
+        if step.fills and pace_percent == _sharing.FULL_PACE_PERCENT
+        else None
+    )
     return [
         each
         for each in executors
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -428,7 +428,9 @@
         executors: list[_executors.ExecutorState],
         now: _time.Now,
     ) -> int:
-        """Starts a filler at a reduced pace, where serving tasks allow it.
+        """Starts a filler where serving tasks allow it at a reduced pace.
+
+        It shares the processor time of the executor with other fillers.
 
         Returns:
             The number of started tasks.
--- a/tests/coordination/scheduling/test_filler_starts.py
+++ b/tests/coordination/scheduling/test_filler_starts.py
@@ -171,3 +171,58 @@
         run = rig.scheduler.cell.current_run_by_task[start.task]
         assert run.is_isolated
         assert run.pace_percent == _sharing.THROTTLED_PACE_PERCENT
+
+
+class TestOtherFillersUseAllProcessorTime:
+    """A job runs something beside fillers that leave no processor time."""
+
+    def _make_full_rig(self) -> cell_rig.CellRig:
+        """Returns a rig whose executors run fillers of other jobs alone."""
+        rig = cell_rig.CellRig(
+            *(
+                build.executor_entry(f"e{number}", capacity=_CAPACITY)
+                for number in range(_EXECUTOR_COUNT)
+            )
+        )
+        rig.run_time_s = 60.0
+        rig.run(1)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(
+                    count=4 * _EXECUTOR_COUNT,
+                    size=_job_spec.Resources(8000, 1000, 0),
+                    image="filler",
+                    fills=True,
+                )
+            )
+        )
+        rig.run(1)
+        for executor in rig.scheduler.cell.executor_by_id.values():
+            assert executor.unused_millicores == 0
+        return rig
+
+    def test_one_of_its_fillers_starts_while_most_capacity_is_free(
+        self,
+    ) -> None:
+        rig = self._make_full_rig()
+        _submit_fillers(rig, millicores=4000, count=3)
+        rig.run(_MAX_IDLE_S)
+        assert len(_find_filler_starts(rig)) == 1
+
+    def test_each_of_many_jobs_runs_something(self) -> None:
+        rig = self._make_full_rig()
+        for number in range(20):
+            rig.submit(
+                build.accepted_job(
+                    build.step_spec(
+                        count=2,
+                        size=_job_spec.Resources(6000, 1000, 0),
+                        image="filler",
+                        fills=True,
+                    ),
+                    job_id=f"b{number}",
+                )
+            )
+        rig.run(_MAX_IDLE_S)
+        started = {order.task.job for _, _, order in rig.starts}
+        assert {f"b{number}" for number in range(20)} <= started
