Guard each condition on omitted ends by a test, and count their executors

Cause: read again as a stranger would, two conditions had no test that fails without them: that no executor counts as slow by runs whose ends it leaves out, and that may_omit_ends is reset at a restart. The log entry task.waits made a list of all waiting tasks of each job once a second, up to 100,000 of them, and its page said more of "startable" than is so.

Change: a test for the first; the second is gone, as the first answer after a restart sets the value before it is used. task.waits reads one task of each step.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -415,7 +415,6 @@
         self.is_restart_stored = False
         self.lease_until_ms = clock_ms + int(lease_s * 1000)
         self.has_listed_runs = False
-        self.may_omit_ends = False
         self.is_fenced_off = False
         self.started_wall_ms = 0
         self.processed_end_number = 0
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -134,8 +134,8 @@
 ) -> list[_executors.ExecutorState]:
     """Returns the executors on which a task can start now, unsorted.
 
-    At a reduced pace a filler may share the processor time that other fillers
-    use, as theirs is not reserved.
+    A filler that may run at a reduced pace shares the processor time of other
+    fillers, as theirs is not reserved.
 
     This is the scheduler's most frequent loop, so what holds for all executors
     is read once, the check that rejects most of them comes first, and it is
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -430,7 +430,8 @@
     ) -> int:
         """Starts a filler where serving tasks allow it at a reduced pace.
 
-        It shares the processor time of the executor with other fillers.
+        It is slowed only where they don't allow full pace, and shares the
+        processor time of the executor with other fillers.
 
         Returns:
             The number of started tasks.
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -1,7 +1,6 @@
 """The deterministic scheduler of one cell, without I/O.
 
-It receives events and the current time, and produces orders to executors and
-records for the store.
+From events and the current time it makes orders to executors and records.
 """
 
 from collections.abc import Iterable
--- a/src/basiljunction/coordination/scheduling/_summary.py
+++ b/src/basiljunction/coordination/scheduling/_summary.py
@@ -17,6 +17,8 @@
         usable: Number of executors on which tasks may be placed now.
         awaited: Number of executors, listed or not, that may have runs of an
             earlier term and hold up the tasks of inherited jobs.
+        omitting_ends: Number of executors, listed or not, whose newest answer
+            had no room for all ends of runs.
         serving: Number of executors that run serving tasks.
         serving_runs: Number of runs of serving tasks.
         filler_runs: Number of runs of fillers.
@@ -33,6 +35,7 @@
     executors: int
     usable: int
     awaited: int
+    omitting_ends: int
     serving: int
     serving_runs: int
     filler_runs: int
@@ -63,6 +66,9 @@
             e.inherited_until_s is not None
             for e in cell.executor_by_id.values()
         ),
+        omitting_ends=sum(
+            e.may_omit_ends for e in cell.executor_by_id.values()
+        ),
         serving=sum(e.serving_count > 0 for e in listed),
         serving_runs=sum(run.step.is_serving for run in runs),
         filler_runs=sum(run.step.fills for run in runs),
--- a/src/basiljunction/coordination/scheduling/_wait_notes.py
+++ b/src/basiljunction/coordination/scheduling/_wait_notes.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
+import itertools
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
@@ -36,7 +37,7 @@
             time.
         SERVING_TASKS: The serving tasks would come near their target, even
             beside a filler at a reduced pace.
-        NONE: The task could start; its turn has not come.
+        NONE: The executor could take it; what holds it back is not there.
     """
 
     UNSUITABLE = "unsuitable"
@@ -66,6 +67,9 @@
     ) -> None:
         """Logs the longest wait at intervals, if it is long.
 
+        Only the first waiting task of each step counts; a step may have a
+        hundred thousand.
+
         Args:
             jobs: The jobs with waiting tasks.
             executors_by_service: Executors that accept new tasks.
@@ -79,7 +83,9 @@
             for index, job in enumerate(jobs)
             if not job.running_places
             for waiting in job.waiting_tasks_by_step.values()
-            for ready_s in list(waiting.ready_s_by_index.values())[:1]
+            for ready_s in itertools.islice(
+                waiting.ready_s_by_index.values(), 1
+            )
         ]
         if not waits:
             return
--- a/src/basiljunction/transport/jobs/_cell_metrics.py
+++ b/src/basiljunction/transport/jobs/_cell_metrics.py
@@ -57,6 +57,9 @@
         metrics.set("cell_executors", summary.executors, state="listed")
         metrics.set("cell_executors", summary.usable, state="usable")
         metrics.set("cell_executors", summary.awaited, state="awaited")
+        metrics.set(
+            "cell_executors", summary.omitting_ends, state="omitting-ends"
+        )
         metrics.set("cell_executors", summary.serving, state="serving")
         metrics.set("cell_over_target", summary.over_target)
         metrics.set("cell_fillers_paced", summary.paced)
--- a/tests/coordination/scheduling/test_omitted_ends.py
+++ b/tests/coordination/scheduling/test_omitted_ends.py
@@ -10,6 +10,7 @@
 import pytest
 
 from basiljunction.coordination.scheduling import _notes
+from basiljunction.coordination.scheduling import _summary
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 import cell_rig
@@ -19,6 +20,9 @@
 """Run time of a task, shorter than the time between two renewals while ends
 are not stored, in seconds."""
 
+_MEASURED_RUN_TIME_S = 1.5
+"""Run time of a task whose speed is measured, in seconds."""
+
 _OUTAGE_S = 4.4
 """Length of an outage of the store in which leases are renewed, in seconds."""
 
@@ -157,6 +161,26 @@
         rig.run(10)
         assert not [each for each in notes if each.event == "task.stalled"]
 
+    def test_an_executor_is_not_slow_for_runs_that_have_ended(self) -> None:
+        rig = _make_rig("e1", "e2")
+        rig.run_time_s = _MEASURED_RUN_TIME_S
+        notes: list[_notes.Note] = []
+        rig.on_note = notes.append
+        _submit_small_tasks(rig)
+        _pass_outage(rig)
+        rig.run(10)
+        assert not [each for each in notes if each.event == "executor.slow"]
+
+    def test_the_summary_counts_the_executors(self) -> None:
+        rig = _make_rig("e1", "e2")
+        _submit_small_tasks(rig)
+        _pass_outage(rig)
+        summary = _summary.summarize_cell(rig.scheduler.cell, rig.now_s)
+        assert summary.omitting_ends == 2
+        rig.run(10)
+        summary = _summary.summarize_cell(rig.scheduler.cell, rig.now_s)
+        assert summary.omitting_ends == 0
+
     def test_room_of_a_cancelled_job_is_free_at_once(self) -> None:
         rig = _make_rig("e1")
         _submit_small_tasks(rig)
