--- /dev/null
+++ b/tests/coordination/scheduling/test_restart_bounds.py
@@ -0,0 +1,56 @@
+"""Tests how long runs of executors that have restarted are waited for."""
+
+import pytest
+
+import cell_rig
+import workload_builders as build
+
+_LASTING_TASK_BOUND_S = 9.0
+"""Time within which a task that lasts runs again where there is room, in
+seconds: the rules count from 6 s after its last run, and 3 s without one."""
+
+_LASTING_COUNT = 8
+
+
+def _lose_restarted_executor(
+    rig: cell_rig.CellRig, age_s: float, *, with_scheduler: bool
+) -> None:
+    """Loses an executor some time after its restart, beside lasting tasks."""
+    rig.run(60)
+    rig.submit(
+        build.accepted_job(
+            build.step_spec(count=_LASTING_COUNT, runs_until_cancelled=True),
+            in_queue=build.queue("watch"),
+        )
+    )
+    rig.run(1)
+    rig.executor_by_id["e1"].restart()
+    rig.run(age_s)
+    rig.lose_executor("e1")
+    rig.add_executor(build.executor_entry("e3"))
+    if with_scheduler:
+        rig.take_over()
+
+
+def _make_rig() -> cell_rig.CellRig:
+    return cell_rig.CellRig(
+        build.executor_entry("e1"), build.executor_entry("e2")
+    )
+
+
+class TestLostSoonAfterRestart:
+    """Lasting tasks of an executor that had just restarted run again."""
+
+    @pytest.mark.parametrize("age_s", [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0])
+    def test_beside_the_loss_of_the_scheduler(self, age_s: float) -> None:
+        rig = _make_rig()
+        _lose_restarted_executor(rig, age_s, with_scheduler=True)
+        rig.run(_LASTING_TASK_BOUND_S)
+        assert rig.count_lasting_runs() == _LASTING_COUNT
+
+    @pytest.mark.parametrize("age_s", [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0])
+    def test_under_the_same_scheduler(self, age_s: float) -> None:
+        rig = _make_rig()
+        _lose_restarted_executor(rig, age_s, with_scheduler=False)
+        rig.run(_LASTING_TASK_BOUND_S)
+        assert rig.count_lasting_runs() == _LASTING_COUNT
