Don't wait for a restarted executor that takes no tasks yet (LOST)

Callers saw lasting tasks without a run for over 9 s beside room. Cause: the roster still named it, though nothing could run there: the process to which all orders went was gone, and none had been sent since.

An executor whose restart is known and that has not yet answered an order that bars those for the incarnation before takes no tasks. As long as no run of it is open, the roster leaves it out; it is stored again, with the bound of its leases, before a task starts there. Tests in test_restarted_executors.py, red before. The first start after a refusal comes with the tick after the answer, not with it; the test of a run that is never listed says so.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -596,12 +596,15 @@
         """Returns whether it runs nothing and gets no tasks as it is.
 
         It has not answered this scheduler and no earlier run is left, as before
-        its first task, or is no longer listed and its lease has expired, or
-        drains, has answered that nothing runs on it and the ends of its runs
-        are stored.
+        its first task, or has restarted and takes no tasks yet, or is no longer
+        listed and its lease has expired, or drains, has answered that nothing
+        runs on it and the ends of its runs are stored.
         """
         if self.last_answer_s is None:
             return self.inherited_until_s is None
+        if not self.is_fenced_off or not self._is_capacity_current():
+            # All that it was sent since is among its runs.
+            return not self.run_by_key and self.inherited_until_s is None
         if not self.is_listed:
             return self.has_certainly_no_runs(now_s)
         if not self.listing.is_draining:
--- a/tests/coordination/scheduling/test_restarted_executors.py
+++ b/tests/coordination/scheduling/test_restarted_executors.py
@@ -230,6 +230,59 @@
         assert [each.address for each in roster.executors] == ["10.0.0.2:1"]
 
 
+class TestWaitForAReplacedIncarnation:
+    """A successor does not wait for an executor whose process is gone.
+
+    It has no runs until it takes tasks again.
+    """
+
+    def test_the_stored_roster_leaves_it_out(self) -> None:
+        scheduler = _start_scheduler()
+        renewal = _take_renewal(_run_timed_work(scheduler, 0.25))
+        scheduler.handle_renewal_failure(
+            renewal, build.clock_readings_at(0.26), is_other_incarnation=True
+        )
+        now = build.clock_readings_at(0.3)
+        scheduler.run_timed_work(now, confirmed_s=0.3, confirmed_beat=1)
+        batch = scheduler.take_batch()
+        assert batch is not None
+        (roster,) = (
+            each
+            for each in batch.records
+            if isinstance(each, _records.ExecutorRosterRecord)
+        )
+        assert not roster.executors
+
+    def test_it_is_stored_again_before_a_task_starts(self) -> None:
+        scheduler = _start_scheduler()
+        renewal = _take_renewal(_run_timed_work(scheduler, 0.25))
+        scheduler.handle_renewal_failure(
+            renewal, build.clock_readings_at(0.26), is_other_incarnation=True
+        )
+        orders = _run_timed_work(scheduler, 0.52)
+        _answer_renewals(scheduler, orders, 0.52, born_ms=2)
+        scheduler.set_executors(
+            [build.executor_entry("e1", born_ms=2)],
+            build.clock_readings_at(0.52),
+        )
+        scheduler.submit_job(
+            build.accepted_job(), build.clock_readings_at(0.53)
+        )
+        now = build.clock_readings_at(0.56)
+        scheduler.run_timed_work(now, confirmed_s=0.56, confirmed_beat=1)
+        assert not _find_starts(scheduler.take_orders())
+        batch = scheduler.take_batch()
+        assert batch is not None
+        scheduler.handle_batch_stored(batch, now)
+        (roster,) = (
+            each
+            for each in batch.records
+            if isinstance(each, _records.ExecutorRosterRecord)
+        )
+        assert [each.id for each in roster.executors] == ["e1"]
+        assert len(_find_starts(_run_timed_work(scheduler, 0.58))) == 1
+
+
 class TestRunThatIsNeverListed:
     """A run that no listing names does not hold up its task for good.
 
@@ -247,6 +300,7 @@
         )
         orders = _run_timed_work(scheduler, 0.52)
         _answer_renewals(scheduler, orders, 0.52, born_ms=0)
+        assert not _find_starts(_run_timed_work(scheduler, 0.54))
         orders = _run_timed_work(scheduler, 0.56)
         (start,) = _find_starts(orders)
         scheduler.handle_start_answer(
