Forget the executor of a lasting task once its run has ended (LOST)

Callers saw lasting tasks without a run for over 9 s beside room. Cause: the store still named that executor for them, so that the next scheduler waited for it, though its predecessor knew that the runs had ended. The name is removed with the next batch now, and stored again before the next start, as before.

One more append for each lasting run that ends.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -291,17 +291,19 @@
             job.running_places.discard(place_in_job(run.task))
         if job is None or not self.is_task_unfinished(run.task):
             return
+        place = place_in_job(run.task)
         if run.checkpoint:
-            place = place_in_job(run.task)
             job.progress.checkpoint_by_position[place] = run.checkpoint
+        executor_by_position = job.progress.executor_by_position
+        if executor_by_position and executor_by_position.pop(place, None):
+            # A successor need not wait for an executor that lost the task.
+            self.dirty_job_ids.add(job.id)
         if run.step.runs_until_cancelled and run.was_confirmed:
             patience_s = (
                 _limits.LASTING_START_PATIENCE_S if run.is_preempted else 0.0
             )
-            job.urgent_from_s_by_place[place_in_job(run.task)] = (
-                now.boot_s + patience_s
-            )
-        job.requeue_task(place_in_job(run.task), now.boot_s, delay_s)
+            job.urgent_from_s_by_place[place] = now.boot_s + patience_s
+        job.requeue_task(place, now.boot_s, delay_s)
 
     def supersede_run(
         self, run: _runs.Run, reason: str, now: _time.Now
