Wait for a restarted executor whose lease a late renewal may lengthen (TWICE)

Such orders exist where connections don't last.

The roster leaves out only an executor whose process is known to be gone with all orders to it.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -603,8 +603,9 @@
         if self.last_answer_s is None:
             return self.inherited_until_s is None
         if not self.is_fenced_off or not self._is_capacity_current():
-            # All that it was sent since is among its runs.
-            return not self.run_by_key and self.inherited_until_s is None
+            # A late renewal may lengthen its lease, unless its process is gone.
+            may_run = self.run_by_key or self.inherited_until_s is not None
+            return not may_run and self.lease_left_s() == 0.0
         if not self.is_listed:
             return self.has_certainly_no_runs(now_s)
         if not self.listing.is_draining:
--- a/tests/coordination/scheduling/test_roster.py
+++ b/tests/coordination/scheduling/test_roster.py
@@ -162,6 +162,20 @@
         assert scheduler.cell.roster_changed
 
 
+class TestLeftOutAfterRestart:
+    """An executor leaves the roster only if no late order can reach it."""
+
+    def test_not_while_a_late_renewal_may_lengthen_its_lease(self) -> None:
+        executor = _restart()
+        assert not executor.run_by_key
+        assert not executor.needs_no_wait(_ANSWERED_S)
+
+    def test_it_does_once_the_process_of_all_orders_is_gone(self) -> None:
+        executor = _restart()
+        executor.record_restart(_RESTARTED_S, clock_ms=0, lease_s=0.0)
+        assert executor.needs_no_wait(_RESTARTED_S)
+
+
 class TestRestore:
     """A successor waits for the told bound, or as for any other executor."""
 
