--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -452,7 +452,7 @@
         "start-on-a-restarted-executor-that-is-not-stored",
         "one run",
         f"{_SCHEDULING}/_roster.py",
-        "executor.is_roster_stored = _covers(entry, executor)",
+        "executor.is_roster_stored = covers",
         "executor.is_roster_stored = True",
         f"{_TESTS}/test_roster.py",
     ),
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -295,7 +295,11 @@
         if run.checkpoint:
             job.progress.checkpoint_by_position[place] = run.checkpoint
         executor_by_position = job.progress.executor_by_position
-        if executor_by_position and executor_by_position.pop(place, None):
+        if (
+            run.was_confirmed
+            and executor_by_position
+            and executor_by_position.pop(place, None)
+        ):
             # A successor need not wait for an executor that lost the task.
             self.dirty_job_ids.add(job.id)
         if run.step.runs_until_cancelled and run.was_confirmed:
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -284,14 +284,16 @@
         self._crashes.settle_inherited_attempts(
             executor, executor.incarnation, now
         )
-        if executor.last_answer_s is None:
+        is_first = executor.last_answer_s is None
+        if is_first:
             executor.assume_earlier_lease(report, cell.times)
         has_fenced = executor.record_fence(report.clock_ms, longest_lease_s)
+        has_fenced |= is_first and executor.has_restarted
         executor.last_answer_s = now.boot_s
         executor.has_listed_runs = True
         self._record_omitted_ends(executor, report)
         executor.record_clock(report.clock_ms, now.boot_s)
-        if has_fenced and executor.is_known_incarnation_fenced:
+        if has_fenced and (is_first or executor.is_known_incarnation_fenced):
             # A successor has to know how long its lease is at most.
             executor.is_roster_stored = False
             cell.roster_changed = True
--- a/src/basiljunction/coordination/scheduling/_roster.py
+++ b/src/basiljunction/coordination/scheduling/_roster.py
@@ -132,8 +132,9 @@
             executor = self._cell.executor_by_id.get(entry.id)
             if executor is None:
                 continue
-            executor.is_restart_stored = entry.has_restarted
-            executor.is_roster_stored = _covers(entry, executor)
+            covers = _covers(entry, executor)
+            executor.is_roster_stored = covers
+            executor.is_restart_stored = covers and entry.has_restarted
 
 
 def _holds_up_lasting_tasks(
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -81,9 +81,9 @@
         finished_wall_s: Time at which the state became final, in seconds since
             the Unix epoch.
         executor_by_position: Executor of the last run of each task that runs
-            until cancelled, stored before the run may start; left out if that
-            run has certainly ended. None if an earlier version of the program
-            may have started some, or if the job has no such task.
+            until cancelled, stored before the run may start; left out once a
+            confirmed run has certainly ended. None if an earlier version of the
+            program may have started some, or if the job has no such task.
         crashes_by_position: Crashes of executors by position of each task that
             may have caused them, stored before the task starts again.
     """
--- a/tests/coordination/scheduling/test_restart_bounds.py
+++ b/tests/coordination/scheduling/test_restart_bounds.py
@@ -12,17 +12,21 @@
 _LASTING_COUNT = 8
 
 
-def _lose_restarted_executor(
-    rig: cell_rig.CellRig, age_s: float, *, with_scheduler: bool
-) -> None:
-    """Loses an executor some time after its restart, beside lasting tasks."""
-    rig.run(60)
+def _submit_lasting_tasks(rig: cell_rig.CellRig) -> None:
     rig.submit(
         build.accepted_job(
             build.step_spec(count=_LASTING_COUNT, runs_until_cancelled=True),
             in_queue=build.queue("watch"),
         )
     )
+
+
+def _lose_restarted_executor(
+    rig: cell_rig.CellRig, age_s: float, *, with_scheduler: bool
+) -> None:
+    """Loses an executor some time after its restart, beside lasting tasks."""
+    rig.run(60)
+    _submit_lasting_tasks(rig)
     rig.run(1)
     rig.executor_by_id["e1"].restart()
     rig.run(age_s)
@@ -56,6 +60,25 @@
         assert rig.count_lasting_runs() == _LASTING_COUNT
 
 
+class TestRestartFoundByASuccessor:
+    """A restart that the next scheduler learns first is told as well."""
+
+    @pytest.mark.parametrize("age_s", [2.5, 3.0, 4.0])
+    def test_lasting_tasks_run_again_in_time(self, age_s: float) -> None:
+        rig = _make_rig()
+        rig.run(60)
+        _submit_lasting_tasks(rig)
+        rig.run(1)
+        rig.executor_by_id["e1"].restart()
+        rig.take_over()
+        rig.run(age_s)
+        rig.lose_executor("e1")
+        rig.add_executor(build.executor_entry("e3"))
+        rig.take_over()
+        rig.run(_LASTING_TASK_BOUND_S)
+        assert rig.count_lasting_runs() == _LASTING_COUNT
+
+
 class TestAvoidedAfterRestart:
     """Lasting tasks start elsewhere at first if there is room.
 
@@ -76,14 +99,7 @@
     def test_they_start_there_at_once_without_other_room(self) -> None:
         rig = _make_rig()
         rig.run(60)
-        rig.submit(
-            build.accepted_job(
-                build.step_spec(
-                    count=_LASTING_COUNT, runs_until_cancelled=True
-                ),
-                in_queue=build.queue("watch"),
-            )
-        )
+        _submit_lasting_tasks(rig)
         rig.run(1)
         rig.executor_by_id["e1"].restart()
         rig.run(1)
