--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -13,6 +13,7 @@
 from basiljunction.protocol import _job_records
 from basiljunction.state import _time
 from basiljunction.state.workload import _records
+from basiljunction.transport.jobs import _batch_encoder
 from basiljunction.transport.jobs import _call_pace
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _read_progress
@@ -72,7 +73,10 @@
         epoch: Epoch of the term.
         clock: Returns the current time.
         on_recovered: Called once with all records stored by earlier terms.
-        on_stored: Called with each batch after it is stored.
+        on_stored: Called with each batch after it is stored, without records
+            that are too large for the store.
+        on_unstorable: Called with the id of a job whose progress is too large
+            for the store, before a batch is stored by which it has failed.
 
     Attributes:
         stage: Stage within the term.
@@ -92,6 +96,7 @@
         clock: Callable[[], _time.Now],
         on_recovered: Callable[[list[_records.Record]], None],
         on_stored: Callable[[_orders.Batch], None],
+        on_unstorable: Callable[[str], None],
     ) -> None:
         self.stage = JournalStage.FENCING
         self.epoch = epoch
@@ -103,6 +108,10 @@
         self._clock = clock
         self._on_recovered = on_recovered
         self._on_stored = on_stored
+        self._on_unstorable = on_unstorable
+        self._encoder = _batch_encoder.BatchEncoder(
+            settings.max_record_bytes, clock
+        )
         self._recovered_records: list[_records.Record] = []
         self._after_key: str | None = None
         self._is_calling = False
@@ -134,17 +143,15 @@
 
     def append_batch(self, batch: _orders.Batch) -> None:
         """Starts to store a batch; only allowed while the journal is idle."""
-        records = [
-            keyed
-            for record in batch.records
-            for keyed in _job_records.encode_record(record)
-        ]
-        if not records:
-            self._on_stored(batch)
+        encoded = self._encoder.encode(batch)
+        for job_id in encoded.failed_job_ids:
+            self._on_unstorable(job_id)
+        if not encoded.records:
+            self._on_stored(encoded.batch)
             return
-        self._batch = batch
+        self._batch = encoded.batch
         self._append_started_boot_s = self._clock().boot_s
-        self._unstored_chunks = self._split_into_chunks(records)
+        self._unstored_chunks = self._split_into_chunks(encoded.records)
         self.make_due_call(self._clock())
 
     def make_due_call(self, now: _time.Now) -> None:
@@ -173,7 +180,7 @@
             )
 
     def _split_into_chunks(
-        self, records: list[_job_records.KeyedRecord]
+        self, records: tuple[_job_records.KeyedRecord, ...]
     ) -> list[tuple[_job_records.KeyedRecord, ...]]:
         """Splits records, in order, into chunks of one append each.
 
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -102,6 +102,7 @@
             clock=clock,
             on_recovered=self._restore_scheduler,
             on_stored=self._handle_batch_stored,
+            on_unstorable=self._fail_job,
         )
         self._executors = _feeds.ExecutorFeed(
             calls=calls,
@@ -436,6 +437,13 @@
             connections=self._max_connections,
         )
 
+    def _fail_job(self, job_id: str) -> None:
+        """Ends a job whose progress is too large for the store."""
+        cell = self._scheduler.cell
+        job = cell.job_by_id.get(job_id)
+        if job is not None and not job.progress.state.is_final:
+            cell.finish_job(job, _progress.JobState.FAILED, self._clock())
+
     def _handle_batch_stored(self, batch: _orders.Batch) -> None:
         """Answers the calls that waited for a batch to be stored."""
         self._scheduler.handle_batch_stored(batch, self._clock())
--- a/tests/transport/jobs/test_journal.py
+++ b/tests/transport/jobs/test_journal.py
@@ -65,6 +65,7 @@
         clock=clock.now,
         on_recovered=recovered.extend,
         on_stored=lambda _batch: None,
+        on_unstorable=lambda _job_id: None,
     )
     end_s = time.monotonic() + limit_s
     while not recovered and time.monotonic() < end_s:
--- a/tests/transport/jobs/test_journal_appends.py
+++ b/tests/transport/jobs/test_journal_appends.py
@@ -69,6 +69,7 @@
         clock=clock.now,
         on_recovered=lambda _records: None,
         on_stored=stored.append,
+        on_unstorable=lambda _job_id: None,
     )
     while not journal.is_idle:
         journal.make_due_call(clock.now())
