--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -17,6 +17,7 @@
 
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _headroom_model
+from basiljunction.coordination.scheduling import _headroom_store
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state import _time
@@ -48,10 +49,6 @@
 """Upper bound of a measured headroom (latency target over tail latency): short
 tail latencies are imprecise, since they are reported in whole milliseconds."""
 
-DEFAULT_HEADROOM = 2.5
-"""Assumed headroom (latency target over tail latency) of an unknown serving
-image: targets are about five times the least tail latency."""
-
 LOAD_LEARNING_RATE = 0.3
 """Fraction of the estimation error of a task's headroom without fillers that
 one report corrects."""
@@ -115,30 +112,16 @@
     """
 
     def __init__(self) -> None:
-        self._model_by_image: dict[str, _headroom_model.HeadroomModel] = {}
+        self._models = _headroom_store.HeadroomStore()
         self._outlook_by_executor: dict[str, _ServingOutlook] = {}
 
-    def model_for_image(self, image: str) -> _headroom_model.HeadroomModel:
-        """Returns the headroom model of a serving image; new if unknown."""
-        model = self._model_by_image.get(image)
-        if model is None:
-            model = _headroom_model.HeadroomModel(DEFAULT_HEADROOM)
-            self._model_by_image[image] = model
-        return model
-
     def export_learned(self) -> _records.LearnedHeadroomRecord:
         """Returns the learned models as a record for the next scheduler."""
-        return _records.LearnedHeadroomRecord(
-            {
-                image: model.export_learned()
-                for image, model in self._model_by_image.items()
-            }
-        )
+        return self._models.export_learned()
 
     def restore_learned(self, record: _records.LearnedHeadroomRecord) -> None:
         """Restores the models that an earlier scheduler stored."""
-        for image, learned in record.headroom_by_image.items():
-            self.model_for_image(image).restore_learned(learned)
+        self._models.restore_learned(record)
 
     def learn_from_report(
         self, executor: _executors.ExecutorState, now: _time.Now
@@ -171,7 +154,7 @@
         `exposure` is the CPU that fillers requested beside the run, in tenths
         of the executor, by filler image.
         """
-        model = self.model_for_image(run.step.image)
+        model = self._models.update_model(run.step.image)
         headroom_alone = run.headroom_alone or model.base_headroom
         drop = model.expected_headroom_drop(exposure)
         is_saturated = headroom < OVERLOAD_HEADROOM
@@ -217,7 +200,7 @@
 
         The fillers that run there have to leave it `MIN_PLACEMENT_HEADROOM`.
         """
-        model = self.model_for_image(step.image)
+        model = self._models.model_for_image(step.image)
         headroom_left = model.base_headroom - model.expected_headroom_drop(
             _planned_exposure(executor)
         )
@@ -268,7 +251,7 @@
         exposure = _planned_exposure(executor)
         headroom_left_by_model: dict[_headroom_model.HeadroomModel, float] = {}
         for run in serving:
-            model = self.model_for_image(run.step.image)
+            model = self._models.model_for_image(run.step.image)
             left = self._expected_headroom(run, exposure)
             headroom_left_by_model[model] = min(
                 left, headroom_left_by_model.get(model, left)
@@ -305,7 +288,7 @@
         `exposure` is the CPU that the fillers request, in tenths of the
         executor, by filler image.
         """
-        model = self.model_for_image(run.step.image)
+        model = self._models.model_for_image(run.step.image)
         return (
             run.headroom_alone or model.base_headroom
         ) - model.expected_headroom_drop(exposure)
@@ -376,7 +359,7 @@
         is_over_too_long = since_s is not None and (
             now.boot_s - since_s > MAX_OVER_TARGET_S
         )
-        model = self.model_for_image(degraded.step.image)
+        model = self._models.model_for_image(degraded.step.image)
         missing_headroom = RECOVERY_HEADROOM - degraded.headroom
         drop_by_filler = sorted(
             (
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import hashlib
 import math
 from typing import Any
 
@@ -31,10 +32,18 @@
 _SILENT_KEY = "silent"
 """Key of the bounds of runs on executors that do not answer."""
 _LEARNED_KEY = "learned"
-"""Key of the learned headroom of each serving image.
+"""Key under which earlier versions store the learned headroom of all images.
 
 Headroom is the tail latency target divided by the tail latency.
 """
+_LEARNED_PREFIX = "learned."
+"""Prefix of the keys of learned headroom, before the hash of the image.
+
+They follow the key of earlier versions, so that their records count.
+"""
+_LEARNED_HASH_BYTES = 16
+"""Length of the hash of a serving image in keys, in bytes; names of images may
+be longer than a key."""
 
 _accepted_job_adapter = pydantic.TypeAdapter(_progress.AcceptedJob)
 """Converts accepted jobs to and from JSON."""
@@ -71,9 +80,9 @@
     """Encodes a record for the store.
 
     Returns:
-        One item for a record of a job, of progress, of executors or of learned
-        headroom; for a removed job, two items that delete its job and its
-        progress.
+        One item for a record of a job, of progress or of executors; one for
+        each image of learned headroom; for a removed job, two items that
+        delete its job and its progress.
     """
     if isinstance(record, _records.JobRecord):
         value = _wrap_with_version(
@@ -95,10 +104,7 @@
         )
         return (KeyedRecord(_ROSTER_KEY, value),)
     if isinstance(record, _records.LearnedHeadroomRecord):
-        value = _wrap_with_version(
-            _learned_adapter.dump_python(record.headroom_by_image, mode="json")
-        )
-        return (KeyedRecord(_LEARNED_KEY, value),)
+        return _encode_learned(record)
     if isinstance(record, _records.SilentExecutorsRecord):
         value = _wrap_with_version(
             _silent_adapter.dump_python(record, mode="json")
@@ -132,7 +138,7 @@
             return _records.ExecutorRosterRecord(
                 _roster_adapter.validate_python(document)
             )
-        if record.key == _LEARNED_KEY:
+        if record.key == _LEARNED_KEY or record.key.startswith(_LEARNED_PREFIX):
             return _records.LearnedHeadroomRecord(
                 _learned_adapter.validate_python(document)
             )
@@ -208,6 +214,33 @@
     return provision
 
 
+def _encode_learned(
+    record: _records.LearnedHeadroomRecord,
+) -> tuple[KeyedRecord, ...]:
+    """Encodes learned headroom, with a record for each serving image."""
+    return (
+        *(
+            KeyedRecord(
+                _learned_key(image),
+                _wrap_with_version(
+                    _learned_adapter.dump_python({image: learned}, mode="json")
+                ),
+            )
+            for image, learned in record.headroom_by_image.items()
+        ),
+        *(
+            KeyedRecord(_learned_key(image), b"")
+            for image in record.forgotten_images
+        ),
+    )
+
+
+def _learned_key(image: str) -> str:
+    """Returns the key of the learned headroom of a serving image."""
+    digest = hashlib.blake2b(image.encode(), digest_size=_LEARNED_HASH_BYTES)
+    return _LEARNED_PREFIX + digest.hexdigest()
+
+
 def _wrap_with_version(document: Any) -> bytes:  # noqa: ANN401 - any JSON value
     """Encodes a document as JSON together with the record version."""
     return pydantic_core.to_json({"v": RECORD_VERSION, "d": document})
--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -66,13 +66,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LearnedHeadroomRecord:
-    """Record of the learned headroom models, for the next scheduler.
+    """Record of learned headroom models, for the next scheduler.
+
+    Models that it doesn't name stay as they are stored.
 
     Attributes:
         headroom_by_image: Learned headroom by serving image.
+        forgotten_images: Serving images of which nothing is stored any more.
     """
 
     headroom_by_image: dict[str, LearnedHeadroom]
+    forgotten_images: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/coordination/scheduling/test_sharing.py
+++ b/tests/coordination/scheduling/test_sharing.py
@@ -1,5 +1,6 @@
 """Tests of placing and slowing fillers on executors with serving tasks."""
 
+import dataclasses
 import math
 import random
 
@@ -9,9 +10,14 @@
 from basiljunction.coordination.scheduling import _headroom_model
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _sharing
+from basiljunction.platform import _store
+from basiljunction.protocol import _job_records
 from basiljunction.state.workload import _job_spec
 import workload_builders as build
 
+MAX_RECORD_BYTES = 262_144
+"""Largest record that the store takes, in bytes."""
+
 TAIL_TARGET_MS = 50
 # Tail latency of a serving task on an otherwise unloaded executor.
 UNLOADED_TAIL_MS = 10.0
@@ -200,6 +206,21 @@
             )
         assert allowed == [True, False, False, False, False, True, True]
 
+    def test_what_is_learned_of_many_images_fits_into_records(self) -> None:
+        # The store refused one record of all, and all others behind it.
+        sharing, executor = _sharing.FillerController(), _make_executor()
+        for number in range(62):
+            image = f"registry.example/team/part@sha256:{number:064x}"
+            step = _make_filler_step(f"{image}-filler")
+            _add_run(executor, step, number)
+            step = dataclasses.replace(_SERVING_STEP, image=image)
+            run = _add_run(executor, step, 62 + number)
+            run.reported_value = 20
+        sharing.learn_from_report(executor, build.clock_readings_at(9.0))
+        items = _job_records.encode_record(sharing.export_learned())
+        assert sum(len(each.value) for each in items) > 0
+        assert max(map(_store.record_bytes, items)) <= MAX_RECORD_BYTES
+
     def test_a_successor_takes_over_what_was_learned(self) -> None:
         sharing, executor = self._learn_interference()
         successor = _sharing.FillerController()
