--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -5,6 +5,7 @@
 of jobs leave out fields with their default, so these defaults never change.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import hashlib
 import math
@@ -27,6 +28,11 @@
 """Prefix of the keys of accepted jobs, before the job's id."""
 _PROGRESS_KEY = "p."
 """Prefix of the keys of job progress, before the job's id."""
+_PART_PREFIX = "q."
+"""Prefix of the keys of parts of job progress, before the job's id.
+
+The number of parts and that of the part follow, each after a dot.
+"""
 _ROSTER_KEY = "roster"
 """Key of the list of known executors."""
 _SILENT_KEY = "silent"
@@ -91,9 +97,11 @@
             )
         )
         return (KeyedRecord(_JOB_KEY + record.job.id, value),)
-    if isinstance(record, _records.ProgressRecord):
+    if isinstance(
+        record, _records.ProgressRecord | _records.ProgressPartRecord
+    ):
         value = _wrap_with_version(_progress_to_document(record.progress))
-        return (KeyedRecord(_PROGRESS_KEY + record.job_id, value),)
+        return (KeyedRecord(_progress_key(record), value),)
     if isinstance(record, _records.ExecutorRosterRecord):
         value = _wrap_with_version(
             _roster_adapter.dump_python(
@@ -129,11 +137,8 @@
             return _records.JobRecord(
                 _accepted_job_adapter.validate_python(document)
             )
-        if record.key.startswith(_PROGRESS_KEY):
-            job_id = record.key.removeprefix(_PROGRESS_KEY)
-            return _records.ProgressRecord(
-                job_id, _progress_from_document(document)
-            )
+        if record.key.startswith((_PROGRESS_KEY, _PART_PREFIX)):
+            return _decode_progress(record.key, document)
         if record.key == _ROSTER_KEY:
             return _records.ExecutorRosterRecord(
                 _roster_adapter.validate_python(document)
@@ -214,6 +219,67 @@
     return provision
 
 
+def part_key(job_id: str, part_count: int, part: int) -> str:
+    """Returns the key of a part of a job's progress."""
+    return f"{_PART_PREFIX}{job_id}.{part_count}.{part}"
+
+
+def encode_progress_head(
+    record: _records.ProgressRecord, part_count: int, parts: Iterable[int]
+) -> KeyedRecord:
+    """Encodes progress without the rows that stand in its parts.
+
+    Earlier versions read it as progress whose executors are not known.
+    """
+    progress = record.progress
+    document = _progress_to_document(
+        _progress.JobProgress(
+            state=progress.state, finished_wall_s=progress.finished_wall_s
+        )
+    )
+    document["division"] = {
+        "count": part_count,
+        "parts": sorted(parts),
+        "has_executors": progress.executor_by_position is not None,
+    }
+    return KeyedRecord(
+        _PROGRESS_KEY + record.job_id, _wrap_with_version(document)
+    )
+
+
+def _progress_key(
+    record: _records.ProgressRecord | _records.ProgressPartRecord,
+) -> str:
+    """Returns the key of progress or of a part of it."""
+    if isinstance(record, _records.ProgressPartRecord):
+        return part_key(record.job_id, record.part_count, record.part)
+    return _PROGRESS_KEY + record.job_id
+
+
+def _decode_progress(
+    key: str, document: dict[str, Any]
+) -> _records.ProgressRecord | _records.ProgressPartRecord:
+    """Decodes progress, whole or without its parts, or a part of it."""
+    progress = _progress_from_document(document)
+    if key.startswith(_PART_PREFIX):
+        _, job_id, part_count, part = key.split(".")
+        return _records.ProgressPartRecord(
+            job_id, int(part_count), int(part), progress
+        )
+    job_id = key.removeprefix(_PROGRESS_KEY)
+    division = document.get("division")
+    if division is None:
+        return _records.ProgressRecord(job_id, progress)
+    if division["has_executors"]:
+        progress.executor_by_position = {}
+    return _records.ProgressRecord(
+        job_id,
+        progress,
+        int(division["count"]),
+        tuple(int(each) for each in division["parts"]),
+    )
+
+
 def _encode_learned(
     record: _records.LearnedHeadroomRecord,
 ) -> tuple[KeyedRecord, ...]:
--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -31,10 +31,32 @@
     Attributes:
         job_id: Id of the job.
         progress: Progress of the job.
+        part_count: Number of parts into which the progress is divided; 0 if it
+            isn't. The progress then is that without its parts.
+        parts: Numbers of the parts that have been stored.
     """
 
     job_id: str
     progress: _progress.JobProgress
+    part_count: int = 0
+    parts: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgressPartRecord:
+    """Record of a part of a large job's progress.
+
+    Attributes:
+        job_id: Id of the job.
+        part_count: Number of parts into which the progress is divided.
+        part: Number of this part, from 0.
+        progress: Progress of the tasks of this part; its state doesn't count.
+    """
+
+    job_id: str
+    part_count: int
+    part: int
+    progress: _progress.JobProgress
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,6 +139,7 @@
 Record = (
     JobRecord
     | ProgressRecord
+    | ProgressPartRecord
     | ExecutorRosterRecord
     | LearnedHeadroomRecord
     | SilentExecutorsRecord
--- a/src/basiljunction/transport/jobs/_batch_encoder.py
+++ b/src/basiljunction/transport/jobs/_batch_encoder.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 import structlog
@@ -12,6 +13,7 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.platform import _store
 from basiljunction.protocol import _job_records
+from basiljunction.protocol import _progress_parts
 from basiljunction.state import _time
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
@@ -48,8 +50,15 @@
     ) -> None:
         self._max_record_bytes = max_record_bytes
         self._clock = clock
+        self._divider = _progress_parts.ProgressDivider(max_record_bytes)
         self._logged_keys: set[str] = set()
 
+    def restore_records(
+        self, records: Iterable[_records.Record]
+    ) -> list[_records.Record]:
+        """Returns the records of earlier terms with the parts joined."""
+        return self._divider.restore(records)
+
     def encode(self, batch: _orders.Batch) -> EncodedBatch:
         """Encodes a batch.
 
@@ -63,13 +72,13 @@
         dropped_job_ids: set[str] = set()
         has_changed = False
         for record in batch.records:
-            storable, items = record, _job_records.encode_record(record)
+            storable, items = record, self._encode_record(record)
             if not self._fit(items):
                 has_changed = True
                 if isinstance(record, _records.ProgressRecord):
                     failed_job_ids.append(record.job_id)
                     storable = self._make_failure(record.job_id)
-                    items = _job_records.encode_record(storable)
+                    items = self._encode_record(storable)
                 else:
                     if isinstance(record, _records.JobRecord):
                         dropped_job_ids.add(record.job.id)
@@ -88,6 +97,18 @@
             )
         return EncodedBatch(batch, tuple(encoded), tuple(failed_job_ids))
 
+    def _encode_record(
+        self, record: _records.Record
+    ) -> tuple[_job_records.KeyedRecord, ...]:
+        """Encodes a record, of progress those parts that have changed."""
+        if isinstance(record, _records.ProgressRecord):
+            return self._divider.encode(record)
+        items = _job_records.encode_record(record)
+        if isinstance(record, _records.JobDeletionRecord):
+            # Parts without progress would be read as those of a torn one.
+            return (*self._divider.forget_parts(record.job_id), *items)
+        return items
+
     def _fit(self, items: tuple[_job_records.KeyedRecord, ...]) -> bool:
         """Returns whether the store takes all items; logs the others."""
         fits = True
--- a/src/basiljunction/transport/jobs/_journal.py
+++ b/src/basiljunction/transport/jobs/_journal.py
@@ -272,7 +272,7 @@
             return
         self.stage = JournalStage.OPEN
         found, self._recovered_records = self._recovered_records, []
-        self._on_recovered(found)
+        self._on_recovered(self._encoder.restore_records(found))
 
     def _handle_append_reply(self, reply: _http_call.HttpReply) -> None:
         """Continues with the next chunk, or reports the batch as stored."""
--- a/tests/transport/jobs/test_journal_appends.py
+++ b/tests/transport/jobs/test_journal_appends.py
@@ -28,6 +28,9 @@
 LARGE_JOB_BYTES = 250_000
 """Size of a payload that almost fills the largest record, in bytes."""
 
+LARGE_JOB_TASKS = 2400
+"""Tasks whose checkpoints don't fit into one record."""
+
 LARGEST_APPEND_BYTES = 128_000
 """Size that an append must not reach, in bytes: 0.2 s on a narrow link."""
 
@@ -89,6 +92,57 @@
     assert keys == [f"j.{each.id}" for each in jobs]
 
 
+class TestLargeProgress:
+    """The progress of a large job goes on after all instances were lost."""
+
+    def test_a_successor_reads_it_back(
+        self, platform: platform_standin.Platform
+    ) -> None:
+        # The store refused the one record of it, and all others behind it.
+        progress = _progress.JobProgress(
+            state=_progress.JobState.RUNNING,
+            checkpoint_by_position={
+                (0, 0, index): "x" * 100 for index in range(LARGE_JOB_TASKS)
+            },
+        )
+        progress_record = _records.ProgressRecord(
+            "00000000000000a1", progress.copy_to_store()
+        )
+        assert _run_term(platform, 2, progress_record) == []
+        assert _run_term(platform, 3) == [progress_record]
+
+
+def _run_term(
+    platform: platform_standin.Platform, epoch: int, *records: _records.Record
+) -> list[_records.Record]:
+    """Returns what a term recovers, after it has stored some records."""
+    clock = _clock.SystemClock()
+    calls = _http_calls.HttpClient(
+        _metrics.Metrics("front-1"), max_connections=100
+    )
+    recovered: list[_records.Record] = []
+    stored: list[_orders.Batch] = []
+    journal = _journal.Journal(
+        calls=calls,
+        settings=_instance_settings.StoreSettings(
+            platform.address, 800, 2000, 262144, 2097152
+        ),
+        epoch=epoch,
+        clock=clock.now,
+        on_recovered=recovered.extend,
+        on_stored=stored.append,
+        on_unstorable=lambda _job_id: None,
+    )
+    end_s = time.monotonic() + APPEND_LIMIT_S
+    while not stored and time.monotonic() < end_s:
+        journal.make_due_call(clock.now())
+        calls.poll(0.01)
+        if journal.is_idle and not stored:
+            journal.append_batch(_orders.Batch(records, {}, ()))
+    calls.close()
+    return recovered
+
+
 class TestAppend:
     """A batch is stored in parts, each once and in order."""
 
