Store the roster of a large fleet in parts (LOST)

What callers saw: with some 940 executors or more, the store refused the record of known executors and all others behind it; since a record that doesn't fit is left out, no executor would have had a task, as none counts as stored.

Cause: the roster is one record with an entry for each executor.

Change: a roster that doesn't fit is divided into 64 parts by a hash of the executor's id, which never changes, so that a write that is cut off leaves an entry of each executor. Only parts that have changed are stored again; the record "roster" names them and is stored after them. A missing part is logged with its key, the others count.

--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -15,6 +15,7 @@
 import pydantic_core
 
 from basiljunction.protocol import _errors
+from basiljunction.protocol import _progress_document
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _progress
@@ -35,6 +36,8 @@
 """
 _ROSTER_KEY = "roster"
 """Key of the list of known executors."""
+_ROSTER_PREFIX = "roster."
+"""Prefix of the keys of parts of that list, before the number of the part."""
 _SILENT_KEY = "silent"
 """Key of the bounds of runs on executors that do not answer."""
 _LEARNED_KEY = "learned"
@@ -100,17 +103,15 @@
     if isinstance(
         record, _records.ProgressRecord | _records.ProgressPartRecord
     ):
-        value = _wrap_with_version(_progress_to_document(record.progress))
-        return (KeyedRecord(_progress_key(record), value),)
-    if isinstance(record, _records.ExecutorRosterRecord):
         value = _wrap_with_version(
-            _roster_adapter.dump_python(
-                record.executors,
-                mode="json",
-                exclude={"__all__": _UNSTORED_ROSTER_FIELDS},
-            )
+            _progress_document.encode_progress(record.progress)
         )
-        return (KeyedRecord(_ROSTER_KEY, value),)
+        return (KeyedRecord(_progress_key(record), value),)
+    if isinstance(
+        record,
+        _records.ExecutorRosterRecord | _records.ExecutorRosterPartRecord,
+    ):
+        return (_encode_roster(record),)
     if isinstance(record, _records.LearnedHeadroomRecord):
         return _encode_learned(record)
     if isinstance(record, _records.SilentExecutorsRecord):
@@ -139,10 +140,8 @@
             )
         if record.key.startswith((_PROGRESS_KEY, _PART_PREFIX)):
             return _decode_progress(record.key, document)
-        if record.key == _ROSTER_KEY:
-            return _records.ExecutorRosterRecord(
-                _roster_adapter.validate_python(document)
-            )
+        if record.key == _ROSTER_KEY or record.key.startswith(_ROSTER_PREFIX):
+            return _decode_roster(record.key, document)
         if record.key == _LEARNED_KEY or record.key.startswith(_LEARNED_PREFIX):
             return _records.LearnedHeadroomRecord(
                 _learned_adapter.validate_python(document)
@@ -232,7 +231,7 @@
     Earlier versions read it as progress whose executors are not known.
     """
     progress = record.progress
-    document = _progress_to_document(
+    document = _progress_document.encode_progress(
         _progress.JobProgress(
             state=progress.state, finished_wall_s=progress.finished_wall_s
         )
@@ -247,6 +246,44 @@
     )
 
 
+def roster_part_key(part: int) -> str:
+    """Returns the key of a part of the list of known executors."""
+    return f"{_ROSTER_PREFIX}{part}"
+
+
+def _encode_roster(
+    record: _records.ExecutorRosterRecord | _records.ExecutorRosterPartRecord,
+) -> KeyedRecord:
+    """Encodes the list of known executors, the parts of it, or a part."""
+    key = _ROSTER_KEY
+    if isinstance(record, _records.ExecutorRosterPartRecord):
+        key = roster_part_key(record.part)
+    elif record.parts:
+        return KeyedRecord(key, _wrap_with_version({"parts": record.parts}))
+    document = _roster_adapter.dump_python(
+        record.executors,
+        mode="json",
+        exclude={"__all__": _UNSTORED_ROSTER_FIELDS},
+    )
+    return KeyedRecord(key, _wrap_with_version(document))
+
+
+def _decode_roster(
+    key: str,
+    document: Any,  # noqa: ANN401 - any JSON value
+) -> _records.ExecutorRosterRecord | _records.ExecutorRosterPartRecord:
+    """Decodes the list of known executors, the parts of it, or a part."""
+    if key == _ROSTER_KEY and isinstance(document, dict):
+        parts = tuple(int(each) for each in document["parts"])
+        return _records.ExecutorRosterRecord((), parts)
+    executors = _roster_adapter.validate_python(document)
+    if key == _ROSTER_KEY:
+        return _records.ExecutorRosterRecord(executors)
+    return _records.ExecutorRosterPartRecord(
+        int(key.removeprefix(_ROSTER_PREFIX)), executors
+    )
+
+
 def _progress_key(
     record: _records.ProgressRecord | _records.ProgressPartRecord,
 ) -> str:
@@ -260,7 +297,7 @@
     key: str, document: dict[str, Any]
 ) -> _records.ProgressRecord | _records.ProgressPartRecord:
     """Decodes progress, whole or without its parts, or a part of it."""
-    progress = _progress_from_document(document)
+    progress = _progress_document.decode_progress(document)
     if key.startswith(_PART_PREFIX):
         _, job_id, part_count, part = key.split(".")
         return _records.ProgressPartRecord(
@@ -323,75 +360,3 @@
     if version != RECORD_VERSION:
         raise ValueError(f"version {version}, expected {RECORD_VERSION}")
     return wrapper["d"]
-
-
-def _progress_to_document(progress: _progress.JobProgress) -> dict[str, Any]:
-    """Converts the progress of a job to a dict for JSON."""
-    document: dict[str, Any] = {
-        "state": progress.state.value,
-        "finished": progress.finished_wall_s,
-        "done": sorted(progress.completed_positions),
-        "failed_runs": [
-            (*place, *sorted(runs))
-            for place, runs in progress.failed_runs_by_position.items()
-        ],
-        "checkpoints": [
-            (*place, text)
-            for place, text in progress.checkpoint_by_position.items()
-        ],
-    }
-    if progress.executor_by_position is not None:
-        document["executors"] = [
-            (*place, executor)
-            for place, executor in progress.executor_by_position.items()
-        ]
-    if progress.crashes_by_position:
-        document["crashes"] = [
-            (
-                *place,
-                crashes.shared_executors,
-                crashes.isolated_executors,
-                crashes.attempt_executor,
-            )
-            for place, crashes in progress.crashes_by_position.items()
-        ]
-    return document
-
-
-def _progress_from_document(document: dict[str, Any]) -> _progress.JobProgress:
-    """Converts the dict of a progress record to the progress."""
-    return _progress.JobProgress(
-        state=_progress.JobState(document["state"]),
-        finished_wall_s=float(document["finished"]),
-        completed_positions={_parse_position(row) for row in document["done"]},
-        failed_runs_by_position={
-            _parse_position(row[:3]): {int(each) for each in row[3:]}
-            for row in document["failed_runs"]
-        },
-        checkpoint_by_position={
-            _parse_position(row[:3]): str(row[3])
-            for row in document["checkpoints"]
-        },
-        executor_by_position=(
-            {
-                _parse_position(row[:3]): str(row[3])
-                for row in document["executors"]
-            }
-            if "executors" in document
-            else None
-        ),
-        crashes_by_position={
-            _parse_position(row[:3]): _progress.TaskCrashes(
-                tuple(str(each) for each in row[3]),
-                tuple(str(each) for each in row[4]),
-                str(row[5]),
-            )
-            for row in document.get("crashes", ())
-        },
-    )
-
-
-def _parse_position(row: list[int]) -> _progress.TaskPosition:
-    """Converts a list to the position of a task in its job."""
-    occurrence, step, index = (int(each) for each in row)
-    return (occurrence, step, index)
--- /dev/null
+++ b/src/basiljunction/protocol/_progress_document.py
@@ -0,0 +1,80 @@
+"""JSON form of the progress of a job, as records in the store have it.
+
+Field names never change meaning.
+"""
+
+from typing import Any
+
+from basiljunction.state.workload import _progress
+
+
+def encode_progress(progress: _progress.JobProgress) -> dict[str, Any]:
+    """Converts the progress of a job to a dict for JSON."""
+    document: dict[str, Any] = {
+        "state": progress.state.value,
+        "finished": progress.finished_wall_s,
+        "done": sorted(progress.completed_positions),
+        "failed_runs": [
+            (*place, *sorted(runs))
+            for place, runs in progress.failed_runs_by_position.items()
+        ],
+        "checkpoints": [
+            (*place, text)
+            for place, text in progress.checkpoint_by_position.items()
+        ],
+    }
+    if progress.executor_by_position is not None:
+        document["executors"] = [
+            (*place, executor)
+            for place, executor in progress.executor_by_position.items()
+        ]
+    if progress.crashes_by_position:
+        document["crashes"] = [
+            (
+                *place,
+                crashes.shared_executors,
+                crashes.isolated_executors,
+                crashes.attempt_executor,
+            )
+            for place, crashes in progress.crashes_by_position.items()
+        ]
+    return document
+
+
+def decode_progress(document: dict[str, Any]) -> _progress.JobProgress:
+    """Converts the dict of a progress record to the progress."""
+    return _progress.JobProgress(
+        state=_progress.JobState(document["state"]),
+        finished_wall_s=float(document["finished"]),
+        completed_positions={_parse_position(row) for row in document["done"]},
+        failed_runs_by_position={
+            _parse_position(row[:3]): {int(each) for each in row[3:]}
+            for row in document["failed_runs"]
+        },
+        checkpoint_by_position={
+            _parse_position(row[:3]): str(row[3])
+            for row in document["checkpoints"]
+        },
+        executor_by_position=(
+            {
+                _parse_position(row[:3]): str(row[3])
+                for row in document["executors"]
+            }
+            if "executors" in document
+            else None
+        ),
+        crashes_by_position={
+            _parse_position(row[:3]): _progress.TaskCrashes(
+                tuple(str(each) for each in row[3]),
+                tuple(str(each) for each in row[4]),
+                str(row[5]),
+            )
+            for row in document.get("crashes", ())
+        },
+    )
+
+
+def _parse_position(row: list[int]) -> _progress.TaskPosition:
+    """Converts a list to the position of a task in its job."""
+    occurrence, step, index = (int(each) for each in row)
+    return (occurrence, step, index)
--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -65,9 +65,25 @@
 
     Attributes:
         executors: The executors, as the platform lists them.
+        parts: Numbers of the parts into which the executors are divided; empty
+            if they aren't. The executors then stand in the parts.
     """
 
     executors: tuple[_executor.ListedExecutor, ...]
+    parts: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExecutorRosterPartRecord:
+    """Record of a part of a large roster of executors.
+
+    Attributes:
+        part: Number of the part.
+        executors: The executors of the part, as the platform lists them.
+    """
+
+    part: int
+    executors: tuple[_executor.ListedExecutor, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,6 +157,7 @@
     | ProgressRecord
     | ProgressPartRecord
     | ExecutorRosterRecord
+    | ExecutorRosterPartRecord
     | LearnedHeadroomRecord
     | SilentExecutorsRecord
     | JobDeletionRecord
--- a/src/basiljunction/transport/jobs/_batch_encoder.py
+++ b/src/basiljunction/transport/jobs/_batch_encoder.py
@@ -14,6 +14,7 @@
 from basiljunction.platform import _store
 from basiljunction.protocol import _job_records
 from basiljunction.protocol import _progress_parts
+from basiljunction.protocol import _roster_parts
 from basiljunction.state import _time
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
@@ -51,13 +52,14 @@
         self._max_record_bytes = max_record_bytes
         self._clock = clock
         self._divider = _progress_parts.ProgressDivider(max_record_bytes)
+        self._roster_divider = _roster_parts.RosterDivider(max_record_bytes)
         self._logged_keys: set[str] = set()
 
     def restore_records(
         self, records: Iterable[_records.Record]
     ) -> list[_records.Record]:
         """Returns the records of earlier terms with the parts joined."""
-        return self._divider.restore(records)
+        return self._roster_divider.restore(self._divider.restore(records))
 
     def encode(self, batch: _orders.Batch) -> EncodedBatch:
         """Encodes a batch.
@@ -82,6 +84,8 @@
                 else:
                     if isinstance(record, _records.JobRecord):
                         dropped_job_ids.add(record.job.id)
+                    elif isinstance(record, _records.ExecutorRosterRecord):
+                        self._roster_divider.forget_writes()
                     continue
             kept.append(storable)
             encoded.extend(items)
@@ -100,9 +104,11 @@
     def _encode_record(
         self, record: _records.Record
     ) -> tuple[_job_records.KeyedRecord, ...]:
-        """Encodes a record, of progress those parts that have changed."""
+        """Encodes a record, of a divided one the changed parts."""
         if isinstance(record, _records.ProgressRecord):
             return self._divider.encode(record)
+        if isinstance(record, _records.ExecutorRosterRecord):
+            return self._roster_divider.encode(record)
         items = _job_records.encode_record(record)
         if isinstance(record, _records.JobDeletionRecord):
             # Parts without progress would be read as those of a torn one.
