Skip progress that tells a number of parts that can't be

Found when reading the division of progress again. What callers could have seen: no scheduler after a torn or foreign record of progress, as the take-over ended with ZeroDivisionError. No run of the program shows it.

Change: a number of parts that is no power of two from 2 to 131,072 makes a record malformed; it is logged with its key, and the other parts count.

Measured: six of the new cases fail on the code before, two with ZeroDivisionError; all pass since.

--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -34,6 +34,9 @@
 
 The number of parts and that of the part follow, each after a dot.
 """
+MAX_PART_COUNT = 131_072
+"""Most parts of a job's progress, a power of two; above the most tasks of a
+job, so that each may have a part of its own."""
 _ROSTER_KEY = "roster"
 """Key of the list of known executors."""
 _ROSTER_PREFIX = "roster."
@@ -246,6 +249,17 @@
     )
 
 
+def _check_part_count(part_count: int) -> int:
+    """Returns a number of parts of progress, if there may be as many.
+
+    Raises:
+        ValueError: No scheduler divides progress like that.
+    """
+    if not 2 <= part_count <= MAX_PART_COUNT or part_count.bit_count() != 1:
+        raise ValueError(f"{part_count} parts")
+    return part_count
+
+
 def roster_part_key(part: int) -> str:
     """Returns the key of a part of the list of known executors."""
     return f"{_ROSTER_PREFIX}{part}"
@@ -301,7 +315,7 @@
     if key.startswith(_PART_PREFIX):
         _, job_id, part_count, part = key.split(".")
         return _records.ProgressPartRecord(
-            job_id, int(part_count), int(part), progress
+            job_id, _check_part_count(int(part_count)), int(part), progress
         )
     job_id = key.removeprefix(_PROGRESS_KEY)
     division = document.get("division")
@@ -312,7 +326,7 @@
     return _records.ProgressRecord(
         job_id,
         progress,
-        int(division["count"]),
+        _check_part_count(int(division["count"])),
         tuple(int(each) for each in division["parts"]),
     )
 
--- a/src/basiljunction/protocol/_progress_parts.py
+++ b/src/basiljunction/protocol/_progress_parts.py
@@ -18,9 +18,6 @@
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 
-MAX_PART_COUNT = 131_072
-"""Most parts, a power of two above the most tasks of a job: one for each."""
-
 _RECORD_SHARE = 2
 """Part of the largest record from which on progress is divided."""
 
@@ -240,7 +237,7 @@
             for position in _row_positions(progress)
         }
         part_count = least
-        while part_count < MAX_PART_COUNT:
+        while part_count < _job_records.MAX_PART_COUNT:
             bytes_by_part: dict[int, int] = {}
             for position, size in bytes_by_position.items():
                 part = _part_of(position, part_count)
@@ -289,7 +286,7 @@
 def _part_of(position: _progress.TaskPosition, part_count: int) -> int:
     """Returns the part of a task; never changes, as records rely on it."""
     occurrence, step, index = position
-    block = index // (MAX_PART_COUNT // part_count)
+    block = index // (_job_records.MAX_PART_COUNT // part_count)
     return (block + occurrence * 7 + step * 13) % part_count
 
 
--- a/tests/protocol/test_progress_parts.py
+++ b/tests/protocol/test_progress_parts.py
@@ -1,6 +1,7 @@
 """Tests of progress that is larger than the store's largest record."""
 
 from collections.abc import Iterator
+import json
 import random
 
 import pytest
@@ -181,6 +182,31 @@
         assert entry["event"] == "journal.part-missing"
         assert entry["key"] == torn
 
+    @pytest.mark.parametrize("count", ["0", "-2", "3", "262144", "x", "9" * 99])
+    def test_a_division_that_no_scheduler_makes_is_no_record(
+        self, count: str
+    ) -> None:
+        # A take-over ended with an error for such a number of parts.
+        store = _KeyedStore()
+        store.write(_checkpoints(2_400))
+        part = next(iter(store.value_by_key.values()))
+        store.value_by_key[f"q.{_JOB_ID}.{count}.0"] = part
+        assert store.take_over() == _checkpoints(2_400)
+        store.write(_checkpoints(2_400, "x" * 2_000))
+        assert store.take_over() == _checkpoints(2_400, "x" * 2_000)
+
+    @pytest.mark.parametrize("count", [0, -2, 3, 1 << 18, "x", None])
+    def test_a_state_with_such_a_division_is_no_record(
+        self, count: object
+    ) -> None:
+        store = _KeyedStore()
+        store.write(_checkpoints(2_400))
+        key = f"p.{_JOB_ID}"
+        document = json.loads(store.value_by_key[key])
+        document["d"]["division"]["count"] = count
+        store.value_by_key[key] = json.dumps(document).encode()
+        assert store.take_over() == _checkpoints(2_400)
+
     def test_without_the_state_the_parts_count(self) -> None:
         store = _KeyedStore()
         store.write(_checkpoints(2_400))
