--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -31,10 +31,32 @@
     Attributes:
         job_id: Id of the job.
         progress: Progress of the job.
+        part_count: Number of parts into which the progress is divided; 0 if it
+            isn't. The progress then is that without its parts.
+        parts: Numbers of the parts that have been stored.
     """
 
     job_id: str
     progress: _progress.JobProgress
+    part_count: int = 0
+    parts: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgressPartRecord:
+    """Record of a part of a large job's progress.
+
+    Attributes:
+        job_id: Id of the job.
+        part_count: Number of parts into which the progress is divided.
+        part: Number of this part, from 0.
+        progress: Progress of the tasks of this part; its state doesn't count.
+    """
+
+    job_id: str
+    part_count: int
+    part: int
+    progress: _progress.JobProgress
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,9 +65,25 @@
 
     Attributes:
         executors: The executors, as the platform lists them.
+        parts: Numbers of the parts into which the executors are divided; empty
+            if they aren't. The executors then stand in the parts.
     """
 
     executors: tuple[_executor.ListedExecutor, ...]
+    parts: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExecutorRosterPartRecord:
+    """Record of a part of a large roster of executors.
+
+    Attributes:
+        part: Number of the part.
+        executors: The executors of the part, as the platform lists them.
+    """
+
+    part: int
+    executors: tuple[_executor.ListedExecutor, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,13 +104,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LearnedHeadroomRecord:
-    """Record of the learned headroom models, for the next scheduler.
+    """Record of learned headroom models, for the next scheduler.
+
+    Models that it doesn't name stay as they are stored.
 
     Attributes:
         headroom_by_image: Learned headroom by serving image.
+        forgotten_images: Serving images of which nothing is stored any more.
     """
 
     headroom_by_image: dict[str, LearnedHeadroom]
+    forgotten_images: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,7 +155,9 @@
 Record = (
     JobRecord
     | ProgressRecord
+    | ProgressPartRecord
     | ExecutorRosterRecord
+    | ExecutorRosterPartRecord
     | LearnedHeadroomRecord
     | SilentExecutorsRecord
     | JobDeletionRecord
