--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -12,7 +12,6 @@
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.coordination.scheduling import _summary
-from basiljunction.platform import _store
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _instance_settings
 from basiljunction.protocol import _job_records
@@ -20,15 +19,16 @@
 from basiljunction.state.workload import _client_calls
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
-from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _call_router
 from basiljunction.transport.jobs import _cell_metrics
 from basiljunction.transport.jobs import _feeds
+from basiljunction.transport.jobs import _held_calls
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _journal
 from basiljunction.transport.jobs import _order_sender
+from basiljunction.transport.jobs import _record_sizes
 
 SUMMARY_INTERVAL_S = 2.0
 """Time between two summaries of the cell in log and metrics, in seconds."""
@@ -118,6 +118,7 @@
         )
         self._submits_by_job_id: dict[str, list[_call_router.PendingCall]] = {}
         self._cancels_by_job_id: dict[str, list[_call_router.PendingCall]] = {}
+        self._held_calls = _held_calls.HeldCalls()
         self._has_recovered = False
         self._has_executor_list = False
         self._has_warned_of_too_many = False
@@ -206,6 +207,7 @@
                 for pending in pending_calls:
                     pending.next_try_boot_s = 0.0
             waiting.clear()
+        self._held_calls.release()
 
     def set_configuration(
         self, configuration: _configuration.Configuration
@@ -239,6 +241,8 @@
         self._executors.start_due_read(now)
         if not self._has_executor_list:
             return
+        for pending in self._held_calls.take_due(confirmed_s, now.boot_s):
+            self.handle_call(pending)
         self._scheduler.run_timed_work(
             now,
             confirmed_s=confirmed_s,
@@ -270,6 +274,11 @@
     def handle_call(self, pending: _call_router.PendingCall) -> None:
         """Answers a client call, after its effect is stored if it has one."""
         call = pending.call
+        now_s = self._clock().boot_s
+        if not call.kind.changes_state and (
+            self._held_calls.hold_after_stop(pending, now_s)
+        ):
+            return
         match call.kind:
             case _client_calls.CallKind.SUBMIT:
                 self._submit_job(pending)
@@ -278,7 +287,7 @@
             case _client_calls.CallKind.STATE:
                 state = self._scheduler.visible_state(call.job_id)
                 if state is None:
-                    pending.set_reply(_Reply(_Outcome.NO_SUCH_JOB))
+                    self._deny(pending, _Outcome.NO_SUCH_JOB)
                 else:
                     pending.set_reply(_Reply(_Outcome.FOUND, job_state=state))
             case _client_calls.CallKind.WAITING:
@@ -296,7 +305,9 @@
             _log.warning("job.malformed", error=str(error))
             pending.set_reply(_Reply(_Outcome.MALFORMED))
             return
-        if not self._fits_record(accepted, len(pending.call.encoded_job)):
+        if not _record_sizes.fits_record(
+            accepted, len(pending.call.encoded_job), self._max_record_bytes
+        ):
             _log.info(
                 "job.rejected",
                 epoch=self.epoch,
@@ -333,26 +344,13 @@
                 job=accepted.id,
                 reason=result.value,
             )
-            pending.set_reply(_Reply(_Outcome(result.value)))
-
-    def _fits_record(
-        self, accepted: _progress.AcceptedJob, encoded_bytes: int
-    ) -> bool:
-        """Returns whether the store takes the record of a job.
-
-        It would refuse a larger one each time, and all records behind it.
+            self._deny(pending, _Outcome(result.value))
 
-        Args:
-            accepted: The job.
-            encoded_bytes: Size of the job as another instance sends it, in
-                bytes; the record leaves out what has its default.
-        """
-        if encoded_bytes < self._max_record_bytes // 2:
-            return True
-        return all(
-            _store.record_bytes(each) <= self._max_record_bytes
-            for each in _job_records.encode_record(_records.JobRecord(accepted))
-        )
+    def _deny(
+        self, pending: _call_router.PendingCall, outcome: _Outcome
+    ) -> None:
+        """Answers what a successor may know better, once it may."""
+        self._held_calls.deny(pending, outcome, self._clock().boot_s)
 
     def _cancel_job(self, pending: _call_router.PendingCall) -> None:
         """Cancels the job of a call; the call waits until it is stored."""
@@ -360,7 +358,7 @@
         try:
             state = self._scheduler.cancel_job(job_id, self._clock())
         except KeyError:
-            pending.set_reply(_Reply(_Outcome.NO_SUCH_JOB))
+            self._deny(pending, _Outcome.NO_SUCH_JOB)
             return
         if state is None:
             pending.may_have_been_processed = True
