--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Collection
 from concurrent import futures
-import contextlib
 import pathlib
 import random
 import signal
@@ -85,6 +84,8 @@
             environment.
         metrics_port: Port that serves the metrics on the host of the peer
             address; None serves no metrics.
+        signals: Signals that request a reload or a shutdown; None for an
+            instance that gets none.
     """
 
     def __init__(
@@ -93,6 +94,8 @@
         clock: _clock.Clock,
         settings_path: pathlib.Path | None = None,
         metrics_port: int | None = None,
+        *,
+        signals: _signals.SignalInbox | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -100,7 +103,7 @@
         self._task_end: futures.Future[None] | None = None
         self._settings_path = settings_path
         self._shutdown_event = threading.Event()
-        self._signals = _signals.SignalInbox()
+        self._signals = signals or _signals.SignalInbox()
         self._has_task_failed = False
         metrics = _metrics.Metrics(settings.name)
         connections = _connection_limits.divide_descriptors(
@@ -172,13 +175,6 @@
         self._shut_down()
         return int(self._has_task_failed)
 
-    def watch_signals(self) -> contextlib.AbstractContextManager[None]:
-        """Has signals request a shutdown or a reload inside the context.
-
-        Only for the main thread.
-        """
-        return self._signals.watch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
     def _handle_signals(self, numbers: Collection[int]) -> None:
         """Reloads the settings and begins the shutdown, as signals request."""
         if signal.SIGHUP in numbers:
@@ -324,7 +320,15 @@
         SettingsError: A setting is missing or malformed.
         OSError: The file cannot be read or an address cannot be bound.
     """
-    settings = platform_settings.load_settings(settings_path)
-    daemon = Daemon(settings, _clock.SystemClock(), settings_path, metrics_port)
-    with daemon.watch_signals():
+    signals = _signals.SignalInbox()
+    # A signal that arrives while the settings are read must not be lost.
+    with signals.watch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        settings = platform_settings.load_settings(settings_path)
+        daemon = Daemon(
+            settings,
+            _clock.SystemClock(),
+            settings_path,
+            metrics_port,
+            signals=signals,
+        )
         return daemon.run()
