Tell a stall from a task that is slower than its estimate (LOST)

Callers saw a task of some minutes stopped 2 s after each start, for ever, and executors with a task of an hour take no other work. Cause: 1.6 s without a new percent counted as a stall, but percent are whole numbers, 36 s apart in a task of an hour; and each report of such a run kept its executor from work for 3 s more.

A task may now show no progress for three times the time of a percent: that of its run, else of its step on other executors, else of its estimate; 1.6 s at least. Each suspicion makes that four times as long for the task, apart for runs that had progressed and runs that had not, and so does a step that shows no progress on other executors either. A suspicion keeps work off the executor for 2.8 s, once, so that a task with one fitting executor starts again within 3 s. The time in which a filler was held back no longer counts as a stall (related path, test).

Open, by reading: _slowness.py compares rates of whole percents too, so that two long tasks before their first percent may seem slow beside tasks after it.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -186,10 +186,31 @@
         "progress-of-unlisted-runs-judged",
         "executors that fail are avoided",
         f"{_SCHEDULING}/_renewals.py",
-        "            self._restart_stalled_tasks(executor, now)\n",
-        "        self._restart_stalled_tasks(executor, now)\n",
+        "            _stalls.restart_stalled_tasks(cell, executor, now)\n",
+        "        _stalls.restart_stalled_tasks(cell, executor, now)\n",
         f"{_TESTS}/test_omitted_ends.py",
     ),
+    _mutation(
+        "tasks-taken-for-stalled-at-the-same-pace-for-ever",
+        "executors that fail are avoided",
+        f"{_SCHEDULING}/_stalls.py",
+        "STALL_BACKOFF_FACTOR = 4.0",
+        "STALL_BACKOFF_FACTOR = 1.0",
+        f"{_TESTS}/test_stalls.py",
+    ),
+    _mutation(
+        "executors-with-long-tasks-avoided",
+        "executors that fail are avoided",
+        f"{_SCHEDULING}/_stalls.py",
+        "        if run.is_superseded:\n            continue\n"
+        "        executor.avoid_until_s = max(\n"
+        "            executor.avoid_until_s, now.boot_s + STALL_AVOID_S\n"
+        "        )\n",
+        "        executor.avoid_until_s = max(\n"
+        "            executor.avoid_until_s, now.boot_s + STALL_AVOID_S\n"
+        "        )\n        if run.is_superseded:\n            continue\n",
+        f"{_TESTS}/test_stalls.py",
+    ),
     _mutation(
         "inherited-runs-known-from-a-cut-list",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -68,6 +68,8 @@
             computed; None before.
         rate_by_place: Executor and newest measured speed of each task, in
             percent of the task's work per second.
+        stalls_by_place: How often runs of a task were taken for stalled, apart
+            for those that had shown progress before.
     """
 
     accepted: _progress.AcceptedJob
@@ -100,6 +102,9 @@
     rate_by_place: dict[_progress.TaskPosition, tuple[str, float]] = (
         dataclasses.field(default_factory=dict)
     )
+    stalls_by_place: dict[tuple[_progress.TaskPosition, bool], int] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     @property
     def id(self) -> str:
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -247,7 +247,7 @@
             executor.inherited_until_s = None
             # A run that has ended without a report shows no progress either.
             self._restart_slow_tasks(executor, now)
-            self._restart_stalled_tasks(executor, now)
+            _stalls.restart_stalled_tasks(cell, executor, now)
         self._relieve_serving_tasks(executor, now)
         unstored = executor.processed_end_number > executor.stored_end_number
         gap_s = (
@@ -321,28 +321,6 @@
             unlisted_runs=len(executor.run_by_key) - len(report.active_runs),
         )
 
-    def _restart_stalled_tasks(
-        self, executor: _executors.ExecutorState, now: _time.Now
-    ) -> None:
-        """Restarts tasks without progress on other executors.
-
-        The executor gets no new tasks for a while. Speculative tasks keep
-        their old run beside the new one; other runs are stopped.
-        """
-        cell = self._cell
-        for run in _stalls.find_stalled_runs(executor, now.boot_s):
-            executor.avoid_until_s = now.boot_s + _stalls.STALL_AVOID_S
-            if run.is_superseded or cell.supersede_run(run, "stalled", now):
-                continue
-            cell.note(
-                "task.stalled",
-                task=str(run.task),
-                run=run.number,
-                executor=executor.listing.id,
-                percent=run.progress_percent,
-            )
-            executor.stop_run(run, now.boot_s)
-
     def _relieve_serving_tasks(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
@@ -406,9 +384,7 @@
         run = executor.run_by_key.get((report.task, report.run_number))
         if run is None:
             run = self._adopt_run(executor, report, now)
-        if report.progress_percent != run.progress_percent:
-            run.progress_changed_s = now.boot_s
-        run.progress_percent = report.progress_percent
+        run.record_progress(report.progress_percent, now.boot_s)
         _slowness.start_rate_measurement(run, now.boot_s)
         run.reported_value = report.reported_value
         if report.checkpoint:
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -53,6 +53,8 @@
             a checkpoint.
         progress_percent: Progress as last reported.
         progress_changed_s: When the progress last changed.
+        slowest_percent_s: Longest time that one percent of its work took; 0
+            before it has shown any.
         speed_measured_from_s: Start of the speed measurement; None before that.
         speed_measured_from_percent: Progress at the start of the measurement.
         reported_value: Last reported tail latency in ms (serving tasks) or
@@ -90,6 +92,7 @@
     started_without_checkpoint: bool = False
     progress_percent: float = 0.0
     progress_changed_s: float = 0.0
+    slowest_percent_s: float = 0.0
     speed_measured_from_s: float | None = None
     speed_measured_from_percent: float = 0.0
     reported_value: float = 0.0
@@ -111,6 +114,29 @@
         self.phase_since_s = now_s
         self.was_confirmed = True
 
+    def progress_awaited_since_s(self) -> float:
+        """Returns since when the run may have changed its progress."""
+        return max(
+            self.phase_since_s, self.progress_changed_s, self.pace_answered_s
+        )
+
+    def record_progress(self, percent: float, now_s: float) -> None:
+        """Records the reported progress, and how long each percent took."""
+        if percent == self.progress_percent:
+            return
+        # A run that resumes starts with what the one before has done.
+        is_own_work = (
+            self.started_without_checkpoint or self.progress_percent > 0
+        )
+        if self.phase is RunPhase.RUNNING and is_own_work:
+            passed_s = now_s - self.progress_awaited_since_s()
+            gained = max(1.0, percent - self.progress_percent)
+            self.slowest_percent_s = max(
+                self.slowest_percent_s, passed_s / gained
+            )
+        self.progress_percent = percent
+        self.progress_changed_s = now_s
+
     def mark_unsettled(self, now_s: float) -> None:
         """Marks the run as one that may exist or not."""
         self.phase = RunPhase.UNSETTLED
