Answer at once what no successor can know better

What can't be served is to be rejected at once. Nobody claims the next term within 1.5 s of the last record that the store confirmed, the time for which leases are granted by it; so such answers wait only after that, as in a stop or an outage.

--- a/src/basiljunction/transport/jobs/_held_calls.py
+++ b/src/basiljunction/transport/jobs/_held_calls.py
@@ -1,13 +1,16 @@
 """Calls whose answer waits until the store has confirmed the term.
 
 What a scheduler does not know may be known to a successor: it may have been
-stopped for any length of time before the call arrived. If the store takes a
-record of its term that was sent after that, there was no successor by then.
+stopped for any length of time before the call arrived. Nobody claims the next
+term soon after the store has confirmed this one; later, if the store takes a
+record of the term that was sent after the call arrived, there was no successor
+by then.
 """
 
 import structlog
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.state.workload import _client_calls
 from basiljunction.transport.jobs import _call_router
 
@@ -70,14 +73,17 @@
         outcome: _client_calls.CallOutcome,
         now_s: float,
     ) -> None:
-        """Answers a call if the term was confirmed for it, or holds it.
+        """Answers a call if no successor may know better, or holds it.
 
         Args:
             pending: The call.
             outcome: Answer that another scheduler may know better.
             now_s: Current time in seconds.
         """
-        if self._confirmed_s > pending.added_boot_s:
+        if (
+            self._confirmed_s > pending.added_boot_s
+            or now_s < self._confirmed_s + _lease_grants.UNREPORTED_GRANT_S
+        ):
             pending.set_reply(_client_calls.ClientReply(outcome))
             return
         is_confirmed = now_s - self._confirmed_s <= _election.TERM_EXPIRY_S
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -19,6 +19,7 @@
 from basiljunction.state.workload import _client_calls
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
+from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 from basiljunction.transport import _metrics
 from basiljunction.transport.jobs import _call_router
