--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -265,7 +265,7 @@
         self.current_run_by_task[run.task] = run
         job.remove_waiting_task(place)
         job.running_places.add(place)
-        job.has_started_tasks = True
+        job.has_started_tasks |= run.was_confirmed
 
     def release_run(
         self,
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -58,7 +58,8 @@
         running_places: Places of the tasks that have a current run.
         adopted_places: Places of the tasks of which this scheduler adopted the
             run of an earlier term, so that there is no other.
-        has_started_tasks: Whether any task has started.
+        has_started_tasks: Whether an executor has begun any task; a start that
+            was only ordered does not count.
         done_count_by_step: Successful tasks by occurrence and step.
         failed_executor_ids_by_place: Executors on which each task has failed,
             as far as this scheduler knows.
@@ -121,6 +122,11 @@
         """Whether the job is stored and not final, so that tasks may start."""
         return self.is_stored and not self.progress.state.is_final
 
+    @property
+    def awaits_first_start(self) -> bool:
+        """Whether the job is active and no executor has begun a task of it."""
+        return self.is_active and not self.has_started_tasks
+
     @property
     def has_known_executors(self) -> bool:
         """Whether the executor of a task's inherited run may be known."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from basiljunction.coordination.scheduling import _begun_tasks
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _executors
@@ -389,7 +390,7 @@
         run.reported_value = report.reported_value
         if report.checkpoint:
             run.checkpoint = report.checkpoint
-        run.was_confirmed = True
+        _begun_tasks.record_begin(self._cell, run)
         run.was_listed = True
         if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
             run.mark_running(now.boot_s)
@@ -459,7 +460,7 @@
         else:
             is_current = run is current or run.is_superseded
             run.checkpoint = end.checkpoint or run.checkpoint
-            run.was_confirmed = True
+            _begun_tasks.record_begin(cell, run)
             if job is not None and end.kind is _executor.RunEndKind.DONE:
                 _slowness.record_completed_rate(executor, run, job, now.boot_s)
             if run.step.runs_until_cancelled and (
@@ -497,6 +498,7 @@
             or place in job.progress.completed_positions
         ):
             return
+        job.has_started_tasks = True
         cell.mark_progress_dirty(job)
         cell.note(
             "task.ended",
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -9,6 +9,7 @@
 
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _term_history
+from basiljunction.coordination.scheduling import _begun_tasks
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _crashes
@@ -394,9 +395,7 @@
     def count_waiting_jobs(self, queue_name: str) -> int:
         """Returns how many accepted jobs of a queue have not started a task."""
         return sum(
-            job.queue.name == queue_name
-            and job.is_active
-            and not job.has_started_tasks
+            job.queue.name == queue_name and job.awaits_first_start
             for job in self.cell.job_by_id.values()
         )
 
@@ -485,6 +484,7 @@
             return
         if result is _orders.StartResult.STARTED:
             run.mark_running(now.boot_s)
+            _begun_tasks.record_begin(self.cell, run)
             self.cell.orders += self.cell.sharing.slow_started_fillers(state)
         else:
             run.mark_unsettled(now.boot_s)
