Log why lasting tasks wait, and whether an executor may still run them

The log could not tell a wait for an executor of an earlier term from a wait for room: task.waits leaves out jobs that have something running, as most jobs with lasting tasks have.

task.lasting-waits names the longest such wait once a second, with the executors by the condition that refuses it. Tests failed before: there was no such event. No change of a decision.

--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -141,7 +141,7 @@
             jobs, executors_by_service, MAX_STARTS_PER_PASS - started, now
         )
         cell.needs_placing |= budget <= 0
-        self._wait_notes.note_longest_wait(jobs, executors_by_service, now)
+        self._wait_notes.note_longest_waits(jobs, executors_by_service, now)
 
     def _place_jobs(
         self,
--- a/src/basiljunction/coordination/scheduling/_wait_notes.py
+++ b/src/basiljunction/coordination/scheduling/_wait_notes.py
@@ -1,17 +1,21 @@
-"""Logs why a job has nothing running although its tasks could start.
+"""Logs why tasks of idle jobs and lasting tasks wait.
 
+An idle job has nothing running. A lasting task runs until its job is cancelled.
 Each executor that accepts new tasks is counted by the first condition that
 keeps a task from starting on it.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import enum
 import itertools
 
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _inherited_runs
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _placement
 from basiljunction.coordination.scheduling import _sharing
@@ -48,8 +52,30 @@
     NONE = "startable"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wait:
+    """The wait of a task.
+
+    Attributes:
+        ready_s: Time since which it could start, in seconds.
+        index: Rank of its job, which decides between equal waits.
+        job: Its job.
+        task: The task.
+    """
+
+    ready_s: float
+    index: int
+    job: _jobs.Job
+    task: _job_spec.TaskId
+
+    @property
+    def step(self) -> _job_spec.StepSpec:
+        """Returns the step of the task."""
+        return self.job.spec.steps[self.task.step]
+
+
 class WaitNotes:
-    """Logs the longest wait of a job that has nothing running.
+    """Logs the longest waits of idle jobs and of lasting tasks.
 
     Args:
         cell: The scheduler's state.
@@ -59,16 +85,17 @@
         self._cell = cell
         self._next_note_s = float("-inf")
 
-    def note_longest_wait(
+    def note_longest_waits(
         self,
         jobs: Iterable[_jobs.Job],
         executors_by_service: Mapping[str, Sequence[_executors.ExecutorState]],
         now: _time.Now,
     ) -> None:
-        """Logs the longest wait at intervals, if it is long.
+        """Logs the longest waits at intervals, if they are long.
 
-        Only the first waiting task of each step counts; a step may have a
-        hundred thousand.
+        One is that of a job that has nothing running, the other that of a
+        lasting task. Only the first waiting task of each step counts; a step
+        may have a hundred thousand.
 
         Args:
             jobs: The jobs with waiting tasks.
@@ -78,41 +105,48 @@
         if now.boot_s < self._next_note_s:
             return
         self._next_note_s = now.boot_s + NOTE_INTERVAL_S
-        waits = [
-            (ready_s, index, job, waiting)
-            for index, job in enumerate(jobs)
-            if not job.running_places
-            for waiting in job.waiting_tasks_by_step.values()
-            for ready_s in itertools.islice(
-                waiting.ready_s_by_index.values(), 1
+        waits = _first_waits(jobs)
+        for event, is_included in _FILTER_BY_EVENT.items():
+            included = [each for each in waits if is_included(each)]
+            if not included:
+                continue
+            longest = min(included, key=lambda each: (each.ready_s, each.index))
+            if now.boot_s - longest.ready_s < MIN_NOTED_WAIT_S:
+                continue
+            executors = executors_by_service.get(longest.job.queue.service, ())
+            self._note(
+                event,
+                longest,
+                executors,
+                len({each.job.id for each in included}),
+                now,
             )
-        ]
-        if not waits:
-            return
-        ready_s, _, job, waiting = min(waits, key=lambda each: each[:2])
-        if now.boot_s - ready_s < MIN_NOTED_WAIT_S:
-            return
-        task = _job_spec.TaskId(
-            job.id,
-            waiting.occurrence,
-            waiting.step,
-            next(iter(waiting.ready_s_by_index)),
-        )
-        executors = executors_by_service.get(job.queue.service, ())
+
+    def _note(
+        self,
+        event: str,
+        wait: _Wait,
+        executors: Sequence[_executors.ExecutorState],
+        waiting_jobs: int,
+        now: _time.Now,
+    ) -> None:
+        """Logs a wait with the executors that it may be due to."""
         count_by_refusal = dict.fromkeys(Refusal, 0)
         for executor in executors:
             refusal = find_refusal(
-                job.spec.steps[waiting.step],
-                task,
-                executor,
-                self._cell.sharing,
+                wait.step, wait.task, executor, self._cell.sharing
             )
             count_by_refusal[refusal] += 1
+        task = wait.task
+        may_run_unlisted = _inherited_runs.may_run_unlisted(
+            self._cell, wait.job, (task.occurrence, task.step, task.index)
+        )
         self._cell.note(
-            "task.waits",
+            event,
             task=str(task),
-            waited_s=round(now.boot_s - ready_s, 3),
-            waiting_jobs=len({each.id for _, _, each, _ in waits}),
+            waited_s=round(now.boot_s - wait.ready_s, 3),
+            waiting_jobs=waiting_jobs,
+            may_run_unlisted=may_run_unlisted,
             usable_executors=len(executors),
             **{
                 refusal.value: count
@@ -122,6 +156,42 @@
         )
 
 
+def _first_waits(jobs: Iterable[_jobs.Job]) -> list[_Wait]:
+    """Returns the wait of the first waiting task of each step."""
+    return [
+        _Wait(
+            ready_s,
+            index,
+            job,
+            _job_spec.TaskId(
+                job.id, waiting.occurrence, waiting.step, task_index
+            ),
+        )
+        for index, job in enumerate(jobs)
+        for waiting in job.waiting_tasks_by_step.values()
+        for task_index, ready_s in itertools.islice(
+            waiting.ready_s_by_index.items(), 1
+        )
+    ]
+
+
+def _is_of_idle_job(wait: _Wait) -> bool:
+    """Returns whether the job has nothing running."""
+    return not wait.job.running_places
+
+
+def _is_of_lasting_task(wait: _Wait) -> bool:
+    """Returns whether the task runs until its job is cancelled."""
+    return wait.step.runs_until_cancelled
+
+
+_FILTER_BY_EVENT: Mapping[str, Callable[[_Wait], bool]] = {
+    "task.waits": _is_of_idle_job,
+    "task.lasting-waits": _is_of_lasting_task,
+}
+"""Waits of which the longest is logged, by the name of the log event."""
+
+
 def find_refusal(
     step: _job_spec.StepSpec,
     task: _job_spec.TaskId,
--- a/tests/coordination/scheduling/test_wait_notes.py
+++ b/tests/coordination/scheduling/test_wait_notes.py
@@ -1,4 +1,4 @@
-"""Tests of the log entries that say why a job has nothing running."""
+"""Tests of the log entries that say why tasks wait."""
 
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _wait_notes
@@ -10,15 +10,17 @@
 """Run time of a task, longer than any of these tests, in seconds."""
 
 
-def _make_rig() -> tuple[cell_rig.CellRig, list[_notes.Note]]:
-    """Returns a rig of two executors of four cores, and its `task.waits`."""
+def _make_rig(
+    event: str = "task.waits",
+) -> tuple[cell_rig.CellRig, list[_notes.Note]]:
+    """Returns a rig of two executors of four cores, and its entries."""
     rig = cell_rig.CellRig(
         build.executor_entry("e1"), build.executor_entry("e2")
     )
     rig.run_time_s = _RUN_TIME_S
     notes: list[_notes.Note] = []
     rig.on_note = lambda note: (
-        notes.append(note) if note.event == "task.waits" else None
+        notes.append(note) if note.event == event else None
     )
     rig.run(1)
     return rig, notes
@@ -70,3 +72,37 @@
         rig.submit(build.accepted_job(step))
         rig.run(_wait_notes.MIN_NOTED_WAIT_S + 5)
         assert notes == []
+
+
+class TestLastingTask:
+    """The entry tells why a lasting task waits beside others of its job."""
+
+    def test_its_executor_may_still_run_it(self) -> None:
+        rig, notes = _make_rig("task.lasting-waits")
+        step = build.step_spec(
+            count=2,
+            size=_job_spec.Resources(1000, 500, 0),
+            runs_until_cancelled=True,
+        )
+        rig.submit(build.accepted_job(step, job_id="a1"))
+        rig.run(2)
+        rig.lose_executor("e2")
+        rig.take_over()
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 1.5)
+        values = notes[0].value_by_field
+        assert str(values["task"]).startswith("a1/")
+        assert values["may_run_unlisted"] is True
+        assert values["startable"] == 1
+
+    def test_it_waits_for_room(self) -> None:
+        rig, notes = _make_rig("task.lasting-waits")
+        step = build.step_spec(
+            count=3,
+            size=_job_spec.Resources(3000, 500, 0),
+            runs_until_cancelled=True,
+        )
+        rig.submit(build.accepted_job(step, job_id="a1"))
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 1.5)
+        values = notes[0].value_by_field
+        assert values["may_run_unlisted"] is False
+        assert values["no_room"] == 2
