End the runs of an incarnation once the list tells a newer one (LOST)

Cause: where an executor restarts and can't be reached, only the platform's list tells so. The scheduler noted that the roster was out of date, but went on counting the runs of the incarnation before until their lease ended, 5.4 s later, and the store went on naming the executor for them. If executor and scheduler were lost after it, the next one waited for 12 s: the term, the grants without the store, and the longest lease.

Change: a listing with a later start than any that is known of an executor ends the incarnation, as an answer of the new one does.

--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -273,13 +273,12 @@
                 # A successor calls the address in the stored roster.
                 if entry.address != state.listing.address:
                     cell.roster_changed = True
-                if entry.born_ms != state.listing.born_ms:
-                    state.is_roster_stored = False
-                    cell.roster_changed = True
+                self._restarts.handle_listing(state, entry, now)
                 state.update_listing(entry, now.boot_s)
             elif state.may_be_forgotten(now.boot_s):
                 del cell.executor_by_id[executor_id]
                 cell.sharing.forget_executor(executor_id)
+                self._restarts.forget_executor(executor_id)
                 cell.roster_changed = True
         for executor_id, entry in entry_by_id.items():
             if executor_id not in cell.executor_by_id:
