Leave executors without runs out of a resignation's longest wait (LOST)

Cause: a resignation tells one figure for all executors. If it counted a longer lease of an executor that the store does not tell of, such as one that had just restarted, that was the longest that there is, 10.2 s, although nothing could run on that executor: its runs had been released, and a scheduler that resigns starts nothing more.

Change: an executor that has no run of this term, and none of an earlier one that may go on, lengthens no wait.

--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -227,7 +227,8 @@
         cell = self.cell
         longest_s = cell.times.max_run_after_grant_s
         for executor_id, executor in cell.executor_by_id.items():
-            if executor.is_vacated:
+            may_run = executor.run_by_key or executor.inherited_until_s
+            if executor.is_vacated or not may_run:
                 continue
             run_s = (
                 executor.runs_end_by_s()
--- a/tests/coordination/scheduling/test_listed_restarts.py
+++ b/tests/coordination/scheduling/test_listed_restarts.py
@@ -95,3 +95,27 @@
         executor.entry = newest
         rig.run(0.5)
         assert rig.count_lasting_runs() == 2
+
+
+class TestResignation:
+    """A restarted executor without runs lengthens no wait for others."""
+
+    def test_tasks_of_another_executor_run_in_time(self) -> None:
+        rig = cell_rig.CellRig(
+            *(build.executor_entry(name) for name in ("e1", "e2", "e3"))
+        )
+        rig.run(60)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=3, runs_until_cancelled=True),
+                in_queue=build.queue("watch"),
+            )
+        )
+        rig.run(1)
+        _restart_behind_cut(rig)
+        rig.executor_by_id["e2"].is_up = False
+        rig.executor_by_id["e2"].run_by_key.clear()
+        rig.list_executors()
+        rig.resign()
+        rig.run(_LASTING_TASK_BOUND_S)
+        assert rig.count_lasting_runs() == 3
