--- a/tests/coordination/scheduling/test_listed_restarts.py
+++ b/tests/coordination/scheduling/test_listed_restarts.py
@@ -1,9 +1,8 @@
 """Tests of restarts that the platform's list tells before the executor does."""
 
-import dataclasses
-
 import pytest
 
+from basiljunction.state.workload import _executor
 import cell_rig
 import workload_builders as build
 
@@ -61,40 +60,42 @@
         assert rig.count_lasting_runs() == 2
 
 
+def _list_old_entry(
+    rig: cell_rig.CellRig, old: _executor.ListedExecutor
+) -> None:
+    """Lists an executor as it was, once, and then as it is."""
+    executor = rig.executor_by_id[old.id]
+    newest = executor.entry
+    executor.entry = old
+    rig.list_executors()
+    executor.entry = newest
+    rig.run(0.5)
+
+
 class TestListedBefore:
     """A listing of an incarnation that is known tells no restart."""
 
-    def test_an_old_listing_ends_no_runs(self) -> None:
+    @pytest.mark.parametrize("clock_step_ms", [0, -500])
+    def test_an_old_listing_ends_no_runs(self, clock_step_ms: int) -> None:
         rig = _make_rig()
         executor = rig.executor_by_id["e1"]
         old = executor.entry
+        executor.born_ms += clock_step_ms
         executor.restart()
-        rig.run(3)
-        newest = executor.entry
-        run_count = len(executor.run_by_key)
-        executor.entry = old
-        rig.list_executors()
-        executor.entry = newest
-        rig.run(0.5)
-        assert len(executor.run_by_key) == run_count
-        assert rig.count_lasting_runs() == 2
-
-    def test_a_clock_that_was_set_back_ends_no_runs(self) -> None:
-        rig = _make_rig()
-        executor = rig.executor_by_id["e1"]
-        first = executor.entry
-        executor.restart()
-        executor.born_ms -= 500
-        executor.entry = dataclasses.replace(
-            executor.entry, born_ms=executor.born_ms
+        rig.run(12)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=2, runs_until_cancelled=True),
+                job_id="a2",
+                in_queue=build.queue("watch"),
+            )
         )
-        rig.run(3)
-        newest = executor.entry
-        executor.entry = first
-        rig.list_executors()
-        executor.entry = newest
-        rig.run(0.5)
-        assert rig.count_lasting_runs() == 2
+        rig.run(1)
+        runs = set(executor.run_by_key)
+        assert runs
+        _list_old_entry(rig, old)
+        assert set(executor.run_by_key) == runs
+        assert rig.count_lasting_runs() == 4
 
 
 class TestResignation:
--- a/tests/coordination/scheduling/test_restart_bounds.py
+++ b/tests/coordination/scheduling/test_restart_bounds.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from basiljunction.coordination.scheduling import _placement
+from basiljunction.state.workload import _job_spec
 import cell_rig
 import workload_builders as build
 
@@ -96,6 +98,26 @@
         rig.run(_LASTING_TASK_BOUND_S)
         assert rig.count_lasting_runs() == _LASTING_COUNT
 
+    def test_an_executor_with_less_room_goes_first(self) -> None:
+        rig = _make_rig()
+        rig.submit(build.accepted_job(build.step_spec(count=1)))
+        rig.run(0.2)
+        restarted, used = sorted(
+            rig.scheduler.cell.executor_by_id.values(),
+            key=lambda each: len(each.run_by_key),
+        )
+        assert used.run_by_key
+        restarted.holds_up_lasting_tasks = True
+        task = _job_spec.TaskId("a2", 0, 0, 0)
+        for lasts, expected in ((True, used), (False, restarted)):
+            ranking = _placement.StepRanking(
+                build.step_spec(count=1, runs_until_cancelled=lasts),
+                task,
+                (restarted, used),
+                rig.scheduler.cell.sharing,
+            )
+            assert ranking.best_executor() is expected
+
     def test_they_start_there_at_once_without_other_room(self) -> None:
         rig = _make_rig()
         rig.run(60)
@@ -104,3 +126,19 @@
         rig.executor_by_id["e1"].restart()
         rig.run(1)
         assert rig.count_lasting_runs() == _LASTING_COUNT
+
+
+class TestLostSoonAfterTakeOver:
+    """An executor that answered a new scheduler holds up tasks no longer."""
+
+    def test_lasting_tasks_run_again_in_time(self) -> None:
+        rig = _make_rig()
+        rig.run(60)
+        _submit_lasting_tasks(rig)
+        rig.run(1)
+        rig.take_over()
+        rig.run(0.3)
+        rig.lose_executor("e1")
+        rig.add_executor(build.executor_entry("e3"))
+        rig.run(_LASTING_TASK_BOUND_S)
+        assert rig.count_lasting_runs() == _LASTING_COUNT
