Revert the end of runs by a listed restart, and keep its failing test (LOST)

Its test is now one of a restart that an answer tells and that is not stored yet, red without the change (mutation executors-without-runs-lengthen-a-resignation).

--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -29,46 +29,6 @@
     ) -> None:
         self._cell = cell
         self._crashes = crashes
-        self._newest_born_ms_by_id: dict[str, int] = {}
-
-    def handle_listing(
-        self,
-        executor: _executors.ExecutorState,
-        entry: _executor.ListedExecutor,
-        now: _time.Now,
-    ) -> None:
-        """Notices a restart by the platform's list, before it is applied.
-
-        The list may be the only source while the executor can't be reached.
-
-        Args:
-            executor: The executor, with the listing that was known.
-            entry: Its newest listing.
-            now: The time.
-        """
-        known_ms = max(
-            self._newest_born_ms_by_id.get(entry.id, 0),
-            executor.listing.born_ms,
-            executor.started_wall_ms,
-        )
-        self._newest_born_ms_by_id[entry.id] = max(known_ms, entry.born_ms)
-        if entry.born_ms == executor.listing.born_ms:
-            return
-        executor.is_roster_stored = False
-        self._cell.roster_changed = True
-        # A list may be out of date, and a clock may have been set back. Either
-        # tells of an incarnation that began earlier than the newest known one.
-        if entry.born_ms > known_ms and executor.has_listed_runs:
-            self.end_incarnation(
-                executor,
-                now,
-                clock_ms=_max_clock_ms_after_restart(executor, now),
-                cause="listed",
-            )
-
-    def forget_executor(self, executor_id: str) -> None:
-        """Forgets an executor that is neither listed nor has runs."""
-        self._newest_born_ms_by_id.pop(executor_id, None)
 
     def handle_clock(
         self,
@@ -145,11 +105,13 @@
         The process to which all orders went is gone, and with it each order
         that it had not carried out, so nothing of it goes on.
         """
+        # What it may be by now if it has restarted at another address.
+        age_s = now.boot_s - executor.clock.read_s
         self._reset_incarnation(
             executor,
             now,
             cause="refused",
-            clock_ms=_max_clock_ms_after_restart(executor, now),
+            clock_ms=int(age_s * 1000),
             lease_s=0.0,
             ends_run=lambda _: True,
         )
@@ -238,16 +200,6 @@
         self._crashes.record_crash(executor, crash, now)
 
 
-def _max_clock_ms_after_restart(
-    executor: _executors.ExecutorState, now: _time.Now
-) -> int:
-    """Returns the highest reading of the clock of an unread incarnation.
-
-    It has begun since the last reading of the one before.
-    """
-    return int((now.boot_s - executor.clock.read_s) * 1000)
-
-
 def _was_listed_before_restart(run: _runs.Run) -> bool:
     """Returns whether a run was certainly one of the incarnation before."""
     return run.was_listed and run.phase not in (
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -227,8 +227,7 @@
         cell = self.cell
         longest_s = cell.times.max_run_after_grant_s
         for executor_id, executor in cell.executor_by_id.items():
-            may_run = executor.run_by_key or executor.inherited_until_s
-            if executor.is_vacated or not may_run:
+            if not (executor.run_by_key or executor.inherited_until_s):
                 continue
             run_s = (
                 executor.runs_end_by_s()
@@ -274,12 +273,13 @@
                 # A successor calls the address in the stored roster.
                 if entry.address != state.listing.address:
                     cell.roster_changed = True
-                self._restarts.handle_listing(state, entry, now)
+                if entry.born_ms != state.listing.born_ms:
+                    state.is_roster_stored = False
+                    cell.roster_changed = True
                 state.update_listing(entry, now.boot_s)
             elif state.may_be_forgotten(now.boot_s):
                 del cell.executor_by_id[executor_id]
                 cell.sharing.forget_executor(executor_id)
-                self._restarts.forget_executor(executor_id)
                 cell.roster_changed = True
         for executor_id, entry in entry_by_id.items():
             if executor_id not in cell.executor_by_id:
--- a/tests/coordination/scheduling/test_resignations.py
+++ b/tests/coordination/scheduling/test_resignations.py
@@ -135,3 +135,21 @@
         rig = _start_lasting_tasks()
         said_s = rig.scheduler.longest_run_s(build.clock_readings_at(rig.now_s))
         assert said_s <= _limits.LeaseTimes().max_ordinary_run_s
+
+
+class TestExecutorWithoutRuns:
+    """A restart that is not stored yet lengthens no wait for others."""
+
+    def test_tasks_of_another_executor_run_in_time(self) -> None:
+        rig = _start_lasting_tasks()
+        rig.add_executor(build.executor_entry("e3"))
+        rig.run(1)
+        rig.store_is_up = False
+        rig.executor_by_id["e1"].restart()
+        rig.run(0.5)
+        rig.lose_executor("e2")
+        rig.add_executor(build.executor_entry("e4"))
+        rig.store_is_up = True
+        rig.resign()
+        rig.run(_LASTING_TASK_BOUND_S)
+        assert rig.count_lasting_runs() == 8
