Tell with a resignation only the leases that there are (LOST)

Callers would see lasting tasks without a run for over 9 s.

Cause: a scheduler that resigns told that runs may go on for the length of a whole lease, 5.1 s, also if it had extended none, as one that ends right after its recovery. So each of a series of schedulers began the wait for a lost executor anew.

Change: the time is that of the executors on which runs may exist, each by its own lease. The least that is told is the margin for ending runs, as before the recovery: 0 would say that it is not known.

--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -220,12 +220,12 @@
     def longest_run_s(self, now: _time.Now) -> float:
         """Returns how long runs go on if this scheduler stops now, in seconds.
 
-        That is the length of a lease, or longer where runs of earlier terms
-        may exist or an executor has a longer lease. If the store does not tell
-        of each such executor, it is the longest time that there is.
+        That is what is left of the leases where runs may exist. If one is
+        longer than an ordinary lease, and the store does not tell of its
+        executor, it is the longest time that there is.
         """
         cell = self.cell
-        longest_s = cell.times.max_run_after_grant_s
+        longest_s = _limits.LEASE_EXPIRY_MARGIN_S
         for executor_id, executor in cell.executor_by_id.items():
             if not (executor.run_by_key or executor.inherited_until_s):
                 continue
--- a/tests/coordination/scheduling/test_resignations.py
+++ b/tests/coordination/scheduling/test_resignations.py
@@ -153,3 +153,26 @@
         rig.resign()
         rig.run(_LASTING_TASK_BOUND_S)
         assert rig.count_lasting_runs() == 8
+
+
+class TestTermWithoutLeases:
+    """A scheduler that extended no lease lengthens no wait by resigning."""
+
+    def test_lasting_tasks_run_again_in_time(self) -> None:
+        rig = cell_rig.CellRig(
+            *(build.executor_entry(name) for name in ("e1", "e2", "e3"))
+        )
+        rig.run(60)
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=3, runs_until_cancelled=True),
+                in_queue=build.queue("watch"),
+            )
+        )
+        rig.run(1)
+        rig.lose_executor("e1")
+        rig.run(1)
+        rig.take_over(recovery_s=3.0)
+        rig.resign(recovery_s=0.3)
+        rig.run(_LASTING_TASK_BOUND_S - 4.3)
+        assert rig.count_lasting_runs() == 3
