Place a suspect on the executor kept for it if no other is usable (LOST)

Cause: a suspect of a crash starts on an executor without other unproven runs. If there is none, one is kept for it and left out of the executors of the pass. A service with no other usable executor then had none in that pass, so that its jobs were skipped, the suspect too, until the executor was given up after 5 s. If another job went first then, it was kept for 5 s again.

Change: a service with usable executors has an entry in the pass, though all of them are isolated. Nothing else starts on an isolated executor, as before.

--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -120,12 +120,12 @@
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
         self._isolated_starts.begin_pass(now)
         for executor in cell.executor_by_id.values():
-            if executor.isolated_for is None and cell.is_usable(
-                executor, now.boot_s
-            ):
-                executors_by_service.setdefault(
-                    executor.listing.service, []
-                ).append(executor)
+            if not cell.is_usable(executor, now.boot_s):
+                continue
+            service = executor.listing.service
+            others = executors_by_service.setdefault(service, [])
+            if executor.isolated_for is None:
+                others.append(executor)
         self._isolated_starts.set_executors(executors_by_service)
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
@@ -156,7 +156,7 @@
 
         Args:
             jobs: The jobs, the first to place first.
-            executors_by_service: Executors that accept new tasks.
+            executors_by_service: Executors that take tasks of any job.
             budget: Tasks that this pass may still start.
             now: The time.
             urgent_only: Whether to place only urgent starts.
@@ -168,7 +168,7 @@
             if budget <= 0:
                 break
             executors = executors_by_service.get(job.queue.service)
-            if executors:
+            if executors is not None:
                 budget = self._place_job(
                     job, executors, budget, now, urgent_only=urgent_only
                 )
--- /dev/null
+++ b/tests/coordination/scheduling/test_held_back_tasks.py
@@ -0,0 +1,62 @@
+"""Tests that no task waits for over 3 s beside executors that are free.
+
+The waits are those of docs/design/states-that-hold-back-tasks.md.
+"""
+
+import cell_rig
+import crash_rig
+import workload_builders as build
+
+_MAX_WAIT_S = 3.0
+"""Time in which a task must start if capacity is free, in seconds."""
+
+_SLACK_S = 2 * cell_rig.STEP_S
+"""Time for storing a job, and of the step in which it starts, in seconds."""
+
+
+def _measure_wait_s(
+    rig: cell_rig.CellRig, job_id: str, timeout_s: float = 30.0
+) -> float:
+    """Returns how long it takes from now until a task of a job starts.
+
+    Args:
+        rig: The rig.
+        job_id: The job.
+        timeout_s: Time after which to give up, in seconds; it is returned then.
+    """
+    begun_s = rig.now_s
+    while rig.now_s < begun_s + timeout_s:
+        rig.step()
+        for at_s, _, order in reversed(rig.starts):
+            if at_s > begun_s and order.task.job == job_id:
+                return at_s - begun_s
+    return timeout_s
+
+
+class TestExecutorKeptForASuspect:
+    """An executor that is kept for an isolated start doesn't stay idle."""
+
+    def _make_rig(self) -> crash_rig.CrashRig:
+        """Returns a rig whose only executor is kept for a suspect of a crash.
+
+        The executor is back after the crash and runs a small task.
+        """
+        rig = crash_rig.CrashRig(build.executor_entry("e1"))
+        rig.keeps_ids = True
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id="suspect"))
+        rig.run_until(lambda: bool(rig.starts), 1.0)
+        rig.crash("e1")
+        rig.run(crash_rig.RESTART_S)
+        self._submit_small(rig, "first")
+        rig.run_until(lambda: len(rig.starts) > 1, 10.0)
+        return rig
+
+    def _submit_small(self, rig: crash_rig.CrashRig, job_id: str) -> None:
+        """Submits a job that goes before the suspect."""
+        small = build.step_spec(estimate_s=0.1)
+        rig.submit(build.accepted_job(small, job_id=job_id))
+
+    def test_the_suspect_starts_there_once_it_is_free(self) -> None:
+        rig = self._make_rig()
+        assert _measure_wait_s(rig, "suspect") <= _MAX_WAIT_S + _SLACK_S
