Count only usable executors as kept for isolated starts (LOST)

Cause: at most a quarter of a service's executors, and one of up to four, are kept from other tasks for isolated starts. An executor that had crashed under such a start still counted until its runs were released, though it takes no tasks anyway, so that no other suspect could start meanwhile.

Evidence: rig, four executors of which two have crashed under a culprit and one other task, and don't come back: the culprit starts in isolation at 6.65 s and at 12.05 s, the other task never. Back after 3 s: the other task waits 3.25 s after the culprit's first isolated start.

Change: executors that accept no tasks don't count.

Result: the other task starts 1.55 s after the culprit, 1.65 s where executors come back. test_held_back_tasks.py, red before; test_crashes.py passes.

--- a/src/basiljunction/coordination/scheduling/_isolated_starts.py
+++ b/src/basiljunction/coordination/scheduling/_isolated_starts.py
@@ -39,7 +39,10 @@
         self._isolated_count_by_service: dict[str, int] = {}
 
     def begin_pass(self, now: _time.Now) -> None:
-        """Ends waits that are over and counts the isolated executors."""
+        """Ends waits that are over and counts the isolated executors.
+
+        Those that accept no tasks are not kept from any.
+        """
         self._kept_by_task.clear()
         self._isolated_count_by_service.clear()
         for executor in self._cell.executor_by_id.values():
@@ -48,13 +51,14 @@
             executor.end_overdue_isolation(now.boot_s)
             if executor.isolated_for is None:
                 continue
+            if not self._cell.is_usable(executor, now.boot_s):
+                continue
             service = executor.listing.service
             count = self._isolated_count_by_service.get(service, 0)
             self._isolated_count_by_service[service] = count + 1
-            if self._cell.is_usable(executor, now.boot_s):
-                self._kept_by_task.setdefault(executor.isolated_for, []).append(
-                    executor
-                )
+            self._kept_by_task.setdefault(executor.isolated_for, []).append(
+                executor
+            )
 
     def set_executors(
         self,
--- a/tests/coordination/scheduling/test_held_back_tasks.py
+++ b/tests/coordination/scheduling/test_held_back_tasks.py
@@ -3,6 +3,7 @@
 The waits are those of docs/design/states-that-hold-back-tasks.md.
 """
 
+from basiljunction.state.workload import _job_spec
 import cell_rig
 import crash_rig
 import workload_builders as build
@@ -60,3 +61,23 @@
     def test_the_suspect_starts_there_once_it_is_free(self) -> None:
         rig = self._make_rig()
         assert _measure_wait_s(rig, "suspect") <= _MAX_WAIT_S + _SLACK_S
+
+
+class TestCrashUnderAnIsolatedStart:
+    """An executor that is lost with a suspect holds up no other suspect."""
+
+    def test_the_next_suspect_starts_elsewhere(self) -> None:
+        rig = crash_rig.CrashRig(
+            *(build.executor_entry(f"e{number}") for number in range(4))
+        )
+        rig.restart_s = 60.0
+        rig.run(1.0)
+        for job_id in ("culprit", "other"):
+            rig.submit(build.accepted_job(job_id=job_id))
+        rig.run_until(lambda: len(rig.starts) > 1, 1.0)
+        for _, executor_id, _ in rig.starts:
+            rig.crash(executor_id)
+        culprit = _job_spec.TaskId("culprit", 0, 0, 0)
+        rig.crashing_tasks = {culprit}
+        rig.run_until(lambda: bool(rig.crashes_by_task[culprit]), 20.0)
+        assert _measure_wait_s(rig, "other") <= _MAX_WAIT_S + _SLACK_S
