Keep no executor for the isolated start of a task whose job has ended (LOST)

Cause: an executor that is kept for an isolated start is given up after 5 s, unless the start comes before. It came no more once the job was cancelled, had failed or was completed by another run.

Evidence: test_held_back_tasks.py, one executor: 4.95 s after the cancel.

Change: the wait for the start ends with the task. A run that has started in isolation goes on in isolation, as before.

--- a/src/basiljunction/coordination/scheduling/_isolated_starts.py
+++ b/src/basiljunction/coordination/scheduling/_isolated_starts.py
@@ -48,6 +48,8 @@
         for executor in self._cell.executor_by_id.values():
             if executor.isolated_for is None:
                 continue
+            if not self._cell.is_task_unfinished(executor.isolated_for):
+                executor.isolation_ends_s = now.boot_s
             executor.end_overdue_isolation(now.boot_s)
             if executor.isolated_for is None:
                 continue
--- a/tests/coordination/scheduling/test_held_back_tasks.py
+++ b/tests/coordination/scheduling/test_held_back_tasks.py
@@ -62,6 +62,13 @@
         rig = self._make_rig()
         assert _measure_wait_s(rig, "suspect") <= _MAX_WAIT_S + _SLACK_S
 
+    def test_others_start_there_once_the_suspect_is_cancelled(self) -> None:
+        rig = self._make_rig()
+        rig.step()
+        rig.cancel("suspect")
+        self._submit_small(rig, "second")
+        assert _measure_wait_s(rig, "second") <= _MAX_WAIT_S + _SLACK_S
+
 
 class TestCrashUnderAnIsolatedStart:
     """An executor that is lost with a suspect holds up no other suspect."""
