--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -1,5 +1,6 @@
 """In-memory state of jobs: tasks that wait, run or are done."""
 
+from collections.abc import Set
 import dataclasses
 
 from basiljunction.coordination.scheduling import _limits
@@ -63,6 +64,8 @@
         done_count_by_step: Successful tasks by occurrence and step.
         failed_executor_ids_by_place: Executors on which each task has failed,
             as far as this scheduler knows.
+        lost_start_executor_ids_by_place: Executors on which an ordered run of
+            each task was not there when they listed their runs next.
         urgent_from_s_by_place: Time from which the start of a task that runs
             until cancelled goes before short tasks.
         remaining_work: Estimated work of the tasks that are not done, as last
@@ -96,6 +99,9 @@
     failed_executor_ids_by_place: dict[_progress.TaskPosition, set[str]] = (
         dataclasses.field(default_factory=dict)
     )
+    lost_start_executor_ids_by_place: dict[_progress.TaskPosition, set[str]] = (
+        dataclasses.field(default_factory=dict)
+    )
     urgent_from_s_by_place: dict[_progress.TaskPosition, float] = (
         dataclasses.field(default_factory=dict)
     )
@@ -203,6 +209,18 @@
         """Returns whether a waiting task's start goes before short tasks."""
         return now_s >= self.urgent_from_s_by_place.get(place, float("inf"))
 
+    def executor_ids_to_avoid(self, place: _progress.TaskPosition) -> Set[str]:
+        """Returns the ids of executors that a task should not start on next.
+
+        They are those where a start of it got lost, and for a task with a
+        limited number of attempts those where it failed.
+        """
+        ids: Set[str] = self.lost_start_executor_ids_by_place.get(place, set())
+        if self.spec.steps[place[1]].runs_until_cancelled:
+            return ids
+        failed_ids = self.failed_executor_ids_by_place.get(place)
+        return ids | failed_ids if failed_ids else ids
+
     def needs_isolated_start(self, task: _job_spec.TaskId) -> bool:
         """Returns whether a task starts only apart from other unproven runs.
 
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -380,7 +380,7 @@
         for task, waited_s in self._tasks_to_place(
             job, waiting_tasks, now, urgent_only=urgent_only
         ):
-            failed_ids = _executor_ids_to_avoid(job, step, task, waited_s)
+            failed_ids = _executor_ids_to_avoid(job, task, waited_s)
             if ranking is None or failed_ids:
                 ranking = self._rank_executors(job, task, failed_ids, executors)
             chosen = ranking.best_executor()
@@ -476,7 +476,7 @@
         ):
             if step.gang or budget <= 0:
                 break
-            failed_ids = _executor_ids_to_avoid(job, step, task, waited_s)
+            failed_ids = _executor_ids_to_avoid(job, task, waited_s)
             chosen = self._isolated_starts.choose_executor(
                 step,
                 task,
@@ -776,20 +776,15 @@
 
 
 def _executor_ids_to_avoid(
-    job: _jobs.Job,
-    step: _job_spec.StepSpec,
-    task: _job_spec.TaskId,
-    waited_s: float,
+    job: _jobs.Job, task: _job_spec.TaskId, waited_s: float
 ) -> Set[str]:
-    """Returns the ids of executors on which a task failed, to avoid them.
+    """Returns the ids of executors to avoid for a task.
 
-    Returns none for tasks that run until cancelled, or once the task has
-    waited for `RETRY_ELSEWHERE_S`.
+    Returns none once the task has waited for `RETRY_ELSEWHERE_S`.
     """
-    if step.runs_until_cancelled or waited_s > RETRY_ELSEWHERE_S:
+    if waited_s > RETRY_ELSEWHERE_S:
         return frozenset()
-    place = _cell_state.place_in_job(task)
-    return job.failed_executor_ids_by_place.get(place, frozenset())
+    return job.executor_ids_to_avoid(_cell_state.place_in_job(task))
 
 
 def _without_failed_executors(
--- a/tests/coordination/scheduling/test_held_back_tasks.py
+++ b/tests/coordination/scheduling/test_held_back_tasks.py
@@ -3,6 +3,10 @@
 The waits are those of docs/design/states-that-hold-back-tasks.md.
 """
 
+import pytest
+
+from basiljunction.coordination.scheduling import _orders
+from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 import cell_rig
 import crash_rig
@@ -15,6 +19,32 @@
 """Time for storing a job, and of the step in which it starts, in seconds."""
 
 
+class _DeafRig(cell_rig.CellRig):
+    """A cell whose executor e1 answers lease renewals, but takes no starts.
+
+    Attributes:
+        start_result: What the scheduler is told of such a start.
+    """
+
+    start_result = _orders.StartResult.UNKNOWN
+
+    def _execute_order(
+        self,
+        executor: cell_rig.SimulatedExecutor,
+        token: int,
+        order: _orders.ExecutorOrder,
+    ) -> _orders.StartResult | _executor.LeaseRenewalReply | bool:
+        """Answers a start for e1 without carrying it out."""
+        if isinstance(order, _orders.StartOrder) and order.executor == "e1":
+            return self.start_result
+        return super()._execute_order(executor, token, order)
+
+
+def _entries(count: int) -> list[_executor.ListedExecutor]:
+    """Returns the entries of executors e1, e2, and so on."""
+    return [build.executor_entry(f"e{n + 1}") for n in range(count)]
+
+
 def _measure_wait_s(
     rig: cell_rig.CellRig, job_id: str, timeout_s: float = 30.0
 ) -> float:
@@ -74,9 +104,7 @@
     """An executor that is lost with a suspect holds up no other suspect."""
 
     def test_the_next_suspect_starts_elsewhere(self) -> None:
-        rig = crash_rig.CrashRig(
-            *(build.executor_entry(f"e{number}") for number in range(4))
-        )
+        rig = crash_rig.CrashRig(*_entries(4))
         rig.restart_s = 60.0
         rig.run(1.0)
         for job_id in ("culprit", "other"):
@@ -88,3 +116,15 @@
         rig.crashing_tasks = {culprit}
         rig.run_until(lambda: bool(rig.crashes_by_task[culprit]), 20.0)
         assert _measure_wait_s(rig, "other") <= _MAX_WAIT_S + _SLACK_S
+
+
+class TestExecutorThatTakesNoStarts:
+    """A task starts elsewhere though the executor answers renewals."""
+
+    @pytest.mark.parametrize("is_lasting", [False, True])
+    def test_its_order_is_lost(self, *, is_lasting: bool) -> None:
+        rig = _DeafRig(*_entries(4))
+        rig.run(1.0)
+        step = build.step_spec(runs_until_cancelled=is_lasting)
+        rig.submit(build.accepted_job(step, job_id="a1"))
+        assert _measure_wait_s(rig, "a1") <= _MAX_WAIT_S + _SLACK_S
