--- a/tests/coordination/scheduling/test_held_back_tasks.py
+++ b/tests/coordination/scheduling/test_held_back_tasks.py
@@ -128,3 +128,76 @@
         step = build.step_spec(runs_until_cancelled=is_lasting)
         rig.submit(build.accepted_job(step, job_id="a1"))
         assert _measure_wait_s(rig, "a1") <= _MAX_WAIT_S + _SLACK_S
+
+    def test_its_order_is_not_sent(self) -> None:
+        rig = _DeafRig(*_entries(4))
+        rig.start_result = _orders.StartResult.NOT_SENT
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id="a1"))
+        assert _measure_wait_s(rig, "a1") <= _MAX_WAIT_S + _SLACK_S
+
+    def test_the_order_of_a_gang_is_lost(self) -> None:
+        rig = _DeafRig(*_entries(4))
+        rig.run(1.0)
+        gang = build.step_spec(count=2, gang=True)
+        rig.submit(build.accepted_job(gang, job_id="a1"))
+        assert _measure_wait_s(rig, "a1") <= _MAX_WAIT_S + _SLACK_S
+
+
+class TestFailuresOnAllExecutors:
+    """A sound job starts soon after tasks have failed on all executors."""
+
+    def test_a_sound_job_after_many_failures(self) -> None:
+        rig = cell_rig.CellRig(*_entries(4), fail_share=1.0)
+        rig.run(1.0)
+        size = _job_spec.Resources(400, 400, 0)
+        failing = build.step_spec(count=36, size=size)
+        rig.submit(build.accepted_job(failing, job_id="a1"))
+        rig.run(0.75)
+        rig.fail_share = 0.0
+        rig.submit(build.accepted_job(job_id="a2"))
+        assert _measure_wait_s(rig, "a2") <= _MAX_WAIT_S + _SLACK_S
+
+
+class TestManySuspects:
+    """The suspects of one crash all start in time beside free executors."""
+
+    def test_forty_jobs_on_one_executor(self) -> None:
+        large = _job_spec.Resources(40_000, 40_000, 0)
+        rig = crash_rig.CrashRig(
+            build.executor_entry("e1", capacity=large), *_entries(8)[1:]
+        )
+        rig.run(1.0)
+        job_ids = [f"a{number}" for number in range(40)]
+        for job_id in job_ids:
+            rig.submit(build.accepted_job(job_id=job_id))
+        rig.run_until(lambda: len(rig.starts) >= len(job_ids), 1.0)
+        rig.crash("e1")
+        rig.run(30.0)
+        again = [each for each in rig.starts if each[0] > 1.5]
+        first_s = min(at_s for at_s, _, _ in again)
+        started_s = {order.task.job: at_s for at_s, _, order in again}
+        last_s = max(started_s.values())
+        assert last_s - first_s <= _MAX_WAIT_S + _SLACK_S
+
+
+class TestInheritedJobs:
+    """Tasks that no earlier term can have started wait for no executor."""
+
+    def test_a_step_after_one_that_ends_in_this_term(self) -> None:
+        rig = cell_rig.CellRig(*_entries(4))
+        rig.run_time_s = 4.0
+        rig.run(1.0)
+        steps = (build.step_spec(), build.step_spec(after=(0,)))
+        rig.submit(build.accepted_job(*steps, job_id="a1"))
+        rig.run(3.0)
+        idle = next(
+            executor_id
+            for executor_id, executor in rig.executor_by_id.items()
+            if not executor.run_by_key
+        )
+        rig.lose_executor(idle)
+        rig.take_over()
+        while not rig.done_tasks:
+            rig.step()
+        assert _measure_wait_s(rig, "a1") <= _MAX_WAIT_S + _SLACK_S
