--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -120,12 +120,12 @@
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
         self._isolated_starts.begin_pass(now)
         for executor in cell.executor_by_id.values():
-            if executor.isolated_for is None and cell.is_usable(
-                executor, now.boot_s
-            ):
-                executors_by_service.setdefault(
-                    executor.listing.service, []
-                ).append(executor)
+            if not cell.is_usable(executor, now.boot_s):
+                continue
+            service = executor.listing.service
+            others = executors_by_service.setdefault(service, [])
+            if executor.isolated_for is None:
+                others.append(executor)
         self._isolated_starts.set_executors(executors_by_service)
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
@@ -156,7 +156,7 @@
 
         Args:
             jobs: The jobs, the first to place first.
-            executors_by_service: Executors that accept new tasks.
+            executors_by_service: Executors that take tasks of any job.
             budget: Tasks that this pass may still start.
             now: The time.
             urgent_only: Whether to place only urgent starts.
@@ -168,7 +168,7 @@
             if budget <= 0:
                 break
             executors = executors_by_service.get(job.queue.service)
-            if executors:
+            if executors is not None:
                 budget = self._place_job(
                     job, executors, budget, now, urgent_only=urgent_only
                 )
@@ -380,7 +380,7 @@
         for task, waited_s in self._tasks_to_place(
             job, waiting_tasks, now, urgent_only=urgent_only
         ):
-            failed_ids = _executor_ids_to_avoid(job, step, task, waited_s)
+            failed_ids = _executor_ids_to_avoid(job, task, waited_s)
             if ranking is None or failed_ids:
                 ranking = self._rank_executors(job, task, failed_ids, executors)
             chosen = ranking.best_executor()
@@ -476,7 +476,7 @@
         ):
             if step.gang or budget <= 0:
                 break
-            failed_ids = _executor_ids_to_avoid(job, step, task, waited_s)
+            failed_ids = _executor_ids_to_avoid(job, task, waited_s)
             chosen = self._isolated_starts.choose_executor(
                 step,
                 task,
@@ -776,20 +776,15 @@
 
 
 def _executor_ids_to_avoid(
-    job: _jobs.Job,
-    step: _job_spec.StepSpec,
-    task: _job_spec.TaskId,
-    waited_s: float,
+    job: _jobs.Job, task: _job_spec.TaskId, waited_s: float
 ) -> Set[str]:
-    """Returns the ids of executors on which a task failed, to avoid them.
+    """Returns the ids of executors to avoid for a task.
 
-    Returns none for tasks that run until cancelled, or once the task has
-    waited for `RETRY_ELSEWHERE_S`.
+    Returns none once the task has waited for `RETRY_ELSEWHERE_S`.
     """
-    if step.runs_until_cancelled or waited_s > RETRY_ELSEWHERE_S:
+    if waited_s > RETRY_ELSEWHERE_S:
         return frozenset()
-    place = _cell_state.place_in_job(task)
-    return job.failed_executor_ids_by_place.get(place, frozenset())
+    return job.executor_ids_to_avoid(_cell_state.place_in_job(task))
 
 
 def _without_failed_executors(
