Put no crash of a single executor down to a task

Cause: one crash made every run that was young on that executor a suspect, and each suspect then started apart from others, some two a second. Crashes counted by incarnation, so that one executor that restarts under its id was taken for several.

Change: crashes count by executor, the newest of each. A task starts in isolation once two executors have crashed under it; its job fails at three, one of them in isolation, at two in isolation, or at four at all (_crash_evidence). Before it was two in isolation, or four crashes at all, so that a task that crashes each executor still crashes three. The start after the first crash keeps away from executors that crashed for a second (not lasting tasks), and is on record before it is sent, as isolated ones were. An isolated start prefers executors that have not crashed under such a start of its task.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -247,7 +247,7 @@
         """Queues a start order, after the batch if its executor is stored."""
         step = job.spec.steps[order.task.step]
         run = self.current_run_by_task[order.task]
-        if run.is_isolated or (
+        if run.is_attempt or (
             step.runs_until_cancelled
             and job.progress.executor_by_position is not None
         ):
--- a/src/basiljunction/coordination/scheduling/_crashes.py
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -2,15 +2,17 @@
 
 A crashed executor reports no end of its runs, so nothing else would keep a task
 that crashes each executor from being started again. Suspects of a crash are
-the runs that had started just before. They start again in isolation, each on
-an executor without another recent start, so that a second crash tells the
-cause from the tasks that ran beside it.
+the runs that had started just before. An executor may crash by itself, so that
+they start again as others do, elsewhere if possible. Suspects of crashes of two
+executors start in isolation, each on an executor without another recent start,
+so that a third crash tells the cause from the tasks that ran beside it.
 """
 
 from collections.abc import Container
 import dataclasses
 
 from basiljunction.coordination.scheduling import _cell_state
+from basiljunction.coordination.scheduling import _crash_evidence
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
@@ -24,17 +26,6 @@
 put down to it, in seconds: a task that crashes its executor does so while it
 starts, and a longer time would isolate more tasks after each crash."""
 
-MAX_ISOLATED_CRASHES = 2
-"""Crashes under isolated starts of a task at which its job is given up.
-
-With the crash that made it a suspect, three executors have then crashed under
-it; an isolated start rarely meets an unrelated crash, let alone two.
-"""
-
-MAX_CRASHES = 4
-"""Crashes on record at which the job of a task is given up even if others may
-have caused some of them: one start more than three crashes call for."""
-
 GROUP_WINDOW_S = 4.0
 """Time within which executors of a group that go silent count as lost
 together, in seconds: an executor may take some seconds to come back."""
@@ -175,7 +166,7 @@
             )
 
     def restore(self) -> None:
-        """Remembers the isolated starts of earlier terms that are not settled.
+        """Remembers the attempts of earlier terms that are not settled.
 
         A restart of their executor since then tells that it crashed.
         """
@@ -193,10 +184,10 @@
         incarnation: str,
         now: _time.Now,
     ) -> None:
-        """Blames tasks whose isolated start was on another incarnation.
+        """Blames tasks whose attempt was on another incarnation.
 
         Args:
-            executor: The executor of the starts, which earlier terms ordered.
+            executor: The executor of the attempts, which earlier terms ordered.
             incarnation: The incarnation that answered; empty if it is another
                 executor.
             now: The time.
@@ -204,6 +195,7 @@
         tasks = self._inherited_attempts_by_executor.pop(
             executor.listing.id, ()
         )
+        attempts: list[tuple[str, _job_spec.TaskId, bool]] = []
         for task in tasks:
             job = self._cell.find_job(task)
             place = _cell_state.place_in_job(task)
@@ -213,7 +205,10 @@
             # This term may have started the task again elsewhere.
             executor_id, _, _ = attempt.rpartition("@")
             if executor_id == executor.listing.id and attempt != incarnation:
-                self._blame(attempt, task, now, is_isolated=True)
+                attempts.append((attempt, task, job.needs_isolated_start(task)))
+        # Blaming a member of a gang may let the others need isolation.
+        for attempt, task, is_isolated in attempts:
+            self._blame(attempt, task, now, is_isolated=is_isolated)
 
     def _blame(
         self,
@@ -230,10 +225,7 @@
             return
         if job.spec.steps[task.step].runs_until_cancelled:
             self._back_off(job, task, crashes, now)
-        elif (
-            len(crashes.isolated_executors) >= MAX_ISOLATED_CRASHES
-            or crashes.count >= MAX_CRASHES
-        ):
+        elif _crash_evidence.is_culprit(crashes):
             self._give_up(job, task, crashes, now)
 
     def _has_crashed_with_group(
@@ -330,13 +322,13 @@
         job.requeue_task(place, now.boot_s, delay_s)
 
     def settle_attempt(self, run: _runs.Run) -> None:
-        """Records that an isolated run did not crash its executor.
+        """Records that a suspect's run did not crash its executor.
 
         The crashes of a task that runs until cancelled are forgotten with it,
         so that it does not wait for what was long ago.
         """
         job = self._cell.find_job(run.task)
-        if job is None or not run.is_isolated:
+        if job is None or not run.is_attempt:
             return
         place = _cell_state.place_in_job(run.task)
         crashes = job.progress.crashes_by_position.get(place)
@@ -347,12 +339,12 @@
         self._end_attempt(job, place, crashes)
 
     def withdraw_attempt(self, run: _runs.Run) -> None:
-        """Records that an isolated run was not begun.
+        """Records that a suspect's run was not begun.
 
         A crash of its executor is not put down to it; those before still are.
         """
         job = self._cell.find_job(run.task)
-        if job is None or not run.is_isolated:
+        if job is None or not run.is_attempt:
             return
         place = _cell_state.place_in_job(run.task)
         crashes = job.progress.crashes_by_position.get(place)
@@ -365,7 +357,7 @@
         place: _progress.TaskPosition,
         crashes: _progress.TaskCrashes,
     ) -> None:
-        """Records the crashes of a task without an isolated start."""
+        """Records the crashes of a task without an attempt."""
         ended = dataclasses.replace(crashes, attempt_executor="")
         if ended == _progress.TaskCrashes():
             del job.progress.crashes_by_position[place]
@@ -380,15 +372,17 @@
     run: _runs.Run,
     executor: _executors.ExecutorState,
 ) -> None:
-    """Records where a task is started in isolation, to be stored before.
+    """Records where a suspect is started, to be stored before it starts.
 
-    Of a gang, members without a crash have no record of their own.
+    Of a gang in isolation, members without a crash had no record of their own.
     """
     place = _cell_state.place_in_job(run.task)
-    crashes = job.progress.crashes_by_position.get(
-        place, _progress.TaskCrashes()
-    )
+    crashes = job.progress.crashes_by_position.get(place)
+    if crashes is None and not run.is_isolated:
+        return
+    run.is_attempt = True
     job.progress.crashes_by_position[place] = dataclasses.replace(
-        crashes, attempt_executor=executor.incarnation
+        crashes or _progress.TaskCrashes(),
+        attempt_executor=executor.incarnation,
     )
     cell.mark_progress_dirty(job)
--- a/src/basiljunction/coordination/scheduling/_isolated_starts.py
+++ b/src/basiljunction/coordination/scheduling/_isolated_starts.py
@@ -94,6 +94,7 @@
             return None
         sharing = self._cell.sharing
         executors = [e for e in executors if e.isolated_for is None]
+        executors = self._without_isolated_crashes(task, executors)
         quiet = _without_unproven_runs([*kept, *executors])
         ranked = _placement.rank_executors(
             step, task, quiet, sharing, pace_percent
@@ -144,6 +145,23 @@
             self._isolate(later or (), first, kept, now_s)
         return chosen
 
+    def _without_isolated_crashes(
+        self,
+        task: _job_spec.TaskId,
+        executors: list[_executors.ExecutorState],
+    ) -> list[_executors.ExecutorState]:
+        """Returns executors that are new evidence, or all if there is none."""
+        job = self._cell.find_job(task)
+        if job is None:
+            return executors
+        place = _cell_state.place_in_job(task)
+        crashes = job.progress.crashes_by_position.get(place)
+        if crashes is None:
+            return executors
+        crashed_ids = crashes.isolated_executor_ids
+        others = [e for e in executors if e.listing.id not in crashed_ids]
+        return others or executors
+
     def _may_isolate(self, executors: list[_executors.ExecutorState]) -> bool:
         """Returns whether one more executor may be isolated."""
         if not executors:
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -1,7 +1,9 @@
 """In-memory state of jobs: tasks that wait, run or are done."""
 
+from collections.abc import Set
 import dataclasses
 
+from basiljunction.coordination.scheduling import _crash_evidence
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _job_spec
@@ -206,17 +208,30 @@
     def needs_isolated_start(self, task: _job_spec.TaskId) -> bool:
         """Returns whether a task starts only apart from other unproven runs.
 
-        The members of a gang start together, so the crashes of one count for
-        all.
+        A single executor may have crashed by itself. The members of a gang
+        start together, so the crashes of one count for all.
         """
         crashes_by_position = self.progress.crashes_by_position
         if not crashes_by_position:
             return False
-        if not self.spec.steps[task.step].gang:
-            place = (task.occurrence, task.step, task.index)
-            return place in crashes_by_position
         key = (task.occurrence, task.step)
-        return any(place[:2] == key for place in crashes_by_position)
+        if not self.spec.steps[task.step].gang:
+            crashes = crashes_by_position.get((*key, task.index))
+            return _crash_evidence.needs_isolation(crashes)
+        return any(
+            place[:2] == key and _crash_evidence.needs_isolation(crashes)
+            for place, crashes in crashes_by_position.items()
+        )
+
+    def executor_ids_to_avoid(self, place: _progress.TaskPosition) -> Set[str]:
+        """Returns the executors on which a task failed or that crashed."""
+        failed_ids: Set[str] = self.failed_executor_ids_by_place.get(
+            place, set()
+        )
+        crashes = self.progress.crashes_by_position.get(place)
+        return (
+            failed_ids if crashes is None else failed_ids | crashes.executor_ids
+        )
 
     def earliest_urgent_start_s(self) -> float:
         """Returns when the first of the waiting tasks' starts is urgent."""
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -709,8 +709,7 @@
         )
         cell.set_current_run(job, run)
         cell.note_executor_of_lasting_task(job, run)
-        if is_isolated:
-            _crashes.record_attempt(cell, job, run, executor)
+        _crashes.record_attempt(cell, job, run, executor)
         if not step.fills:
             capacity = self._capacity_by_service[job.queue.service]
             capacity.free_millicores -= step.size.cpu_millicores
@@ -781,7 +780,7 @@
     task: _job_spec.TaskId,
     waited_s: float,
 ) -> Set[str]:
-    """Returns the ids of executors on which a task failed, to avoid them.
+    """Returns executors on which a task failed or that crashed under it.
 
     Returns none for tasks that run until cancelled, or once the task has
     waited for `RETRY_ELSEWHERE_S`.
@@ -789,7 +788,7 @@
     if step.runs_until_cancelled or waited_s > RETRY_ELSEWHERE_S:
         return frozenset()
     place = _cell_state.place_in_job(task)
-    return job.failed_executor_ids_by_place.get(place, frozenset())
+    return job.executor_ids_to_avoid(place)
 
 
 def _without_failed_executors(
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -161,7 +161,7 @@
         for run in executor.run_by_key.values():
             if not run.step.speculative or run.is_superseded:
                 continue
-            if run.is_isolated and not run.is_proven:
+            if run.is_attempt and not run.is_proven:
                 continue
             if self._cell.supersede_run(run, "executor-silent", now):
                 self._crashes.suspect_run(executor, run)
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -49,6 +49,8 @@
         is_proven: Whether it was listed long enough after its start that a
             crash of its executor is not put down to it.
         is_isolated: Whether it was started apart from other unproven runs.
+        is_attempt: Whether its task was a suspect of a crash as it was started,
+            so that its executor is on record until it is proven.
         started_without_checkpoint: Whether it is known to have started without
             a checkpoint.
         progress_percent: Progress as last reported.
@@ -89,6 +91,7 @@
     is_start_held: bool = False
     is_proven: bool = False
     is_isolated: bool = False
+    is_attempt: bool = False
     started_without_checkpoint: bool = False
     progress_percent: float = 0.0
     progress_changed_s: float = 0.0
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -30,15 +30,16 @@
 class TaskCrashes:
     """Crashes of executors that one task may have caused.
 
-    An executor is named by its incarnation, as it may restart under its id.
+    An executor is named by its incarnation, as it may restart under its id. Of
+    each executor the newest crash is kept, as it may crash by itself.
 
     Attributes:
         shared_executors: Executors that crashed while the task was one of the
             suspects.
         isolated_executors: Executors that crashed while it was the only one,
             and not with the others of their rack.
-        attempt_executor: Executor of its isolated start whose outcome is not
-            known yet; empty for none.
+        attempt_executor: Executor of its start since its first crash whose
+            outcome is not known yet; empty for none.
     """
 
     shared_executors: tuple[str, ...] = ()
@@ -46,9 +47,18 @@
     attempt_executor: str = ""
 
     @property
-    def count(self) -> int:
-        """Number of crashed executors."""
-        return len(self.shared_executors) + len(self.isolated_executors)
+    def executor_ids(self) -> frozenset[str]:
+        """Ids of the executors that crashed."""
+        return frozenset(
+            map(
+                _executor_id, (*self.shared_executors, *self.isolated_executors)
+            )
+        )
+
+    @property
+    def isolated_executor_ids(self) -> frozenset[str]:
+        """Ids of the executors that crashed while it was the only suspect."""
+        return frozenset(map(_executor_id, self.isolated_executors))
 
     def with_crash(self, executor: str, *, is_isolated: bool) -> "TaskCrashes":
         """Returns the crashes with another one; each executor counts once."""
@@ -58,14 +68,28 @@
         isolated = self.isolated_executors
         if executor not in known:
             if is_isolated:
-                isolated = (*isolated, executor)
+                isolated = _with_newest_crash(isolated, executor)
             else:
-                shared = (*shared, executor)
+                shared = _with_newest_crash(shared, executor)
         return TaskCrashes(
             shared, isolated, "" if attempt == executor else attempt
         )
 
 
+def _with_newest_crash(
+    executors: tuple[str, ...], executor: str
+) -> tuple[str, ...]:
+    """Returns incarnations with another, in place of one of the same id."""
+    executor_id = _executor_id(executor)
+    others = (e for e in executors if _executor_id(e) != executor_id)
+    return (*others, executor)
+
+
+def _executor_id(incarnation: str) -> str:
+    """Returns the id of the executor whose incarnation has a name."""
+    return incarnation.rpartition("@")[0]
+
+
 @dataclasses.dataclass(slots=True)
 class JobProgress:
     """Stored progress of one job.
