--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -3,6 +3,7 @@
 from collections.abc import Set
 import dataclasses
 
+from basiljunction.coordination.scheduling import _crash_evidence
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _job_spec
@@ -213,28 +214,34 @@
         """Returns the ids of executors that a task should not start on next.
 
         They are those where a start of it got lost, and for a task with a
-        limited number of attempts those where it failed.
+        limited number of attempts those where it failed or that crashed under
+        it.
         """
         ids: Set[str] = self.lost_start_executor_ids_by_place.get(place, set())
         if self.spec.steps[place[1]].runs_until_cancelled:
             return ids
-        failed_ids = self.failed_executor_ids_by_place.get(place)
-        return ids | failed_ids if failed_ids else ids
+        crashes = self.progress.crashes_by_position.get(place)
+        if crashes is not None:
+            ids = ids | crashes.executor_ids
+        return ids | self.failed_executor_ids_by_place.get(place, set())
 
     def needs_isolated_start(self, task: _job_spec.TaskId) -> bool:
         """Returns whether a task starts only apart from other unproven runs.
 
-        The members of a gang start together, so the crashes of one count for
-        all.
+        A single executor may have crashed by itself. The members of a gang
+        start together, so the crashes of one count for all.
         """
         crashes_by_position = self.progress.crashes_by_position
         if not crashes_by_position:
             return False
-        if not self.spec.steps[task.step].gang:
-            place = (task.occurrence, task.step, task.index)
-            return place in crashes_by_position
         key = (task.occurrence, task.step)
-        return any(place[:2] == key for place in crashes_by_position)
+        if not self.spec.steps[task.step].gang:
+            crashes = crashes_by_position.get((*key, task.index))
+            return _crash_evidence.needs_isolation(crashes)
+        return any(
+            place[:2] == key and _crash_evidence.needs_isolation(crashes)
+            for place, crashes in crashes_by_position.items()
+        )
 
     def earliest_urgent_start_s(self) -> float:
         """Returns when the first of the waiting tasks' starts is urgent."""
