Show that bodies that do not end keep all threads of a server

Callers beside senders whose bodies do not arrive get no answer until these time out, 20 s by default. The new test fails on unchanged code: a server of two threads with two such bodies does not answer a GET within 2 s, far less than the 10 s that a body may take there.

--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -133,6 +133,29 @@
             )
             assert b"200 OK" in _read_all(client)
 
+    def test_bodies_that_do_not_end_leave_a_thread_to_others(self) -> None:
+        with (
+            _running_server(
+                border.Border().api,
+                waiting_connections=8,
+                body_timeout_s=_MAX_WAIT_S,
+            ) as (_, server_address),
+            contextlib.ExitStack() as stack,
+        ):
+            for _ in range(_LIMITS.http_threads):
+                slow = stack.enter_context(_connect(server_address))
+                slow.sendall(
+                    b"POST /v1/services/check HTTP/1.1\r\nHost: a\r\n"
+                    b"Authorization: Bearer caller-token\r\n"
+                    b"Content-Length: 900\r\n\r\nx"
+                )
+            client = stack.enter_context(_connect(server_address))
+            client.settimeout(_STOP_LIMIT_S)
+            client.sendall(
+                b"GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            )
+            assert b"200 OK" in _read_all(client)
+
 
 class TestSizes:
     """Malformed or oversized requests are refused; the server keeps serving."""
