Show that a slowed filler stays slow under the next scheduler

A filler that started slowed beside a serving task gets its full pace back within 10 s after the serving job was cancelled (a new test that passes); if another scheduler takes over before, it does not (a new test that fails on unchanged code).

--- a/tests/coordination/scheduling/test_filler_starts.py
+++ b/tests/coordination/scheduling/test_filler_starts.py
@@ -13,6 +13,9 @@
 """Longest time for which a job may have nothing running beside free capacity,
 in seconds, by the users' rules."""
 
+_PACE_CHANGE_S = 10.0
+"""Time in which a slowed filler surely has its pace changed, in seconds."""
+
 _CAPACITY = _job_spec.Resources(32_000, 128_000, 0)
 _EXECUTOR_COUNT = 4
 _FILLER_JOB_ID = "00000000000000f1"
@@ -80,6 +83,13 @@
     ]
 
 
+def _end_serving_job(rig: cell_rig.CellRig) -> None:
+    """Cancels the serving job and waits until paces have been changed."""
+    (serving,) = (each for each in rig.spec_by_job if each != _FILLER_JOB_ID)
+    rig.cancel(serving)
+    rig.run(_PACE_CHANGE_S)
+
+
 class TestEachExecutorServes:
     """The expected loss of headroom keeps no job from running for long."""
 
@@ -117,6 +127,28 @@
         run = rig.scheduler.cell.current_run_by_task[start.task]
         assert run.pace_percent == _sharing.THROTTLED_PACE_PERCENT
 
+    def test_a_slowed_one_gets_its_full_pace_back_once_nothing_serves(
+        self,
+    ) -> None:
+        rig = _make_serving_rig()
+        rig.run_time_s = 60.0
+        _submit_fillers(rig, millicores=14_000)
+        rig.run(_MAX_IDLE_S)
+        (start,) = _find_filler_starts(rig)
+        _end_serving_job(rig)
+        assert _find_paces(rig)[-1] == (start.run, _sharing.FULL_PACE_PERCENT)
+
+    def test_so_does_one_that_a_new_scheduler_has_adopted(self) -> None:
+        rig = _make_serving_rig()
+        rig.run_time_s = 60.0
+        _submit_fillers(rig, millicores=14_000)
+        rig.run(_MAX_IDLE_S)
+        (start,) = _find_filler_starts(rig)
+        rig.take_over()
+        rig.run(_MAX_IDLE_S)
+        _end_serving_job(rig)
+        assert _find_paces(rig)[-1] == (start.run, _sharing.FULL_PACE_PERCENT)
+
     def test_one_that_leaves_headroom_keeps_its_full_pace(self) -> None:
         rig = _make_serving_rig()
         _submit_fillers(rig, millicores=4000)
