Show that long tasks count as slow before their first percent

Tasks of a step that have reported their first percent seem fast beside those that have not: four tasks of 400 s on a new executor, which works at normal speed, are stopped 1.3 s after their start and begin anew 3 s later ("executor.slow", moved 4). The new test fails on unchanged code.

--- a/tests/coordination/scheduling/test_slowness.py
+++ b/tests/coordination/scheduling/test_slowness.py
@@ -13,6 +13,9 @@
 # Run time of a task on an executor of normal speed.
 TASK_DURATION_S = 2.0
 
+_LONG_DURATION_S = 400.0
+"""Run time of a task that takes 4 s for each percent, in seconds."""
+
 
 def _make_rig(executors: int = 4) -> cell_rig.CellRig:
     """Returns a rig whose tasks take `TASK_DURATION_S`."""
@@ -105,6 +108,22 @@
         rig.run(25)
         assert len(rig.starts) == 4 * 5
 
+    def test_long_tasks_before_their_first_percent_are_left_where_they_are(
+        self,
+    ) -> None:
+        rig = _make_rig(executors=3)
+        rig.run_time_s = _LONG_DURATION_S
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(count=16, estimate_s=_LONG_DURATION_S)
+            )
+        )
+        rig.run(5)
+        rig.add_executor(build.executor_entry("e3"))
+        rig.run(5)
+        assert len(rig.starts) == 16
+        assert _count_starts(rig, "e3", 0.0) == 4
+
     def test_slowed_down_fillers_say_nothing_of_an_executor(self) -> None:
         rig, executor = self._make_stalled_executor()
         for run in executor.run_by_key.values():
