--- a/tests/coordination/scheduling/test_stalls.py
+++ b/tests/coordination/scheduling/test_stalls.py
@@ -24,6 +24,13 @@
 """Time in which a stall of a short task is found, in seconds: the time without
 progress, a report, and a second for tasks that have just progressed."""
 
+_SHORT_TERM_S = 2.0
+"""Time for which each of many schedulers is at work, in seconds."""
+
+_SHORT_TERMS_S = 40.0
+"""Time in which a stall is found beside short terms, in seconds: ten times as
+long as beside one scheduler."""
+
 _IDLE_S = 3.0
 """Time for which a job may have nothing running beside room, in seconds."""
 
@@ -171,6 +178,22 @@
         rig.run(2 * _FOUND_S)
         assert _count_suspicions(notes) == 2
 
+    @pytest.mark.parametrize("lasts", [False, True])
+    def test_stall_is_found_though_terms_are_short(
+        self, *, lasts: bool
+    ) -> None:
+        rig, _ = _make_rig("e0", "e1")
+        _submit_long_job(rig, 2.0, estimate_s=2.0, runs_until_cancelled=lasts)
+        rig.run(0.5)
+        [stalled] = [
+            each for each in rig.executor_by_id.values() if each.run_by_key
+        ]
+        stalled.is_hanging = True
+        for _ in range(round(_SHORT_TERMS_S / _SHORT_TERM_S)):
+            rig.take_over()
+            rig.run(_SHORT_TERM_S)
+        assert {name for _, name, _ in rig.starts} == {"e0", "e1"}
+
     def test_what_a_run_resumes_with_is_not_its_pace(self) -> None:
         # It seemed to have done half of its work within a second.
         run = _runs.Run(
