--- a/tests/coordination/scheduling/test_restart_bounds.py
+++ b/tests/coordination/scheduling/test_restart_bounds.py
@@ -3,6 +3,7 @@
 import pytest
 
 import cell_rig
+import newcomers
 import workload_builders as build
 
 _LASTING_TASK_BOUND_S = 9.0
@@ -79,6 +80,20 @@
         assert rig.count_lasting_runs() == _LASTING_COUNT
 
 
+class TestNewcomerAfterRestart:
+    """An instance that has just started knows the bound of long leases too."""
+
+    @pytest.mark.parametrize("age_s", [0.5, 1.0, 1.5, 2.0])
+    def test_lasting_tasks_run_again_in_time(self, age_s: float) -> None:
+        rig = _make_rig()
+        _lose_restarted_executor(rig, 3.0, with_scheduler=False)
+        rig.take_over(
+            newcomer=newcomers.Newcomer(rig.now_s - age_s, is_added=False)
+        )
+        rig.run(_LASTING_TASK_BOUND_S)
+        assert rig.count_lasting_runs() == _LASTING_COUNT
+
+
 class TestAvoidedAfterRestart:
     """Lasting tasks start elsewhere at first if there is room.
 
