Show that a listed restart before the end of a renewal delays lasting tasks

It is longer: the executor and the scheduler are lost at the moment at which the list has told the restart, while a renewal is still held there, and the lasting tasks run again 12.65 s after the restart, where 9 s are allowed and others have room; up to 13.7 s if the scheduler is lost 1 s later (trials in the rig). The next scheduler waits 10.6 s for the executor ("executor.wait-expired"). The restart is not told 0.45 s after it and the waits are 7.4 to 7.95 s; the renewal has ended 0.05 to 0.1 s after the list, and they are below 3 s.

The five cases of the new test fail on unchanged code: .venv/bin/python -m pytest -n 0 \ tests/coordination/scheduling/test_restart_bounds.py -k ListTold

--- a/tests/coordination/scheduling/test_restart_bounds.py
+++ b/tests/coordination/scheduling/test_restart_bounds.py
@@ -80,6 +80,31 @@
         assert rig.count_lasting_runs() == _LASTING_COUNT
 
 
+class TestRestartThatTheListTold:
+    """A restart is listed before the renewal that is held there ends."""
+
+    @pytest.mark.parametrize("moment_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+    def test_lasting_tasks_run_again_in_time(self, moment_s: float) -> None:
+        """Executor and scheduler are lost then, beside room elsewhere."""
+        rig = _make_rig()
+        rig.add_executor(build.executor_entry("e3"))
+        rig.holds_renewals = True
+        rig.run(60)
+        _submit_lasting_tasks(rig)
+        rig.run(30 + moment_s)
+        lost = rig.executor_by_id["e1"]
+        assert lost.run_by_key
+        lost.restart()
+        restarted_s = rig.now_s
+        known = rig.scheduler.cell.executor_by_id["e1"]
+        while known.listing.born_ms != lost.born_ms:
+            rig.step()
+        rig.lose_executor("e1")
+        rig.take_over()
+        rig.run(restarted_s + _LASTING_TASK_BOUND_S - rig.now_s)
+        assert rig.count_lasting_runs() == _LASTING_COUNT
+
+
 class TestNewcomerAfterRestart:
     """An instance that has just started knows the bound of long leases too."""
 
