Test that a report of an outage counts only in the term that asked for it

The report that an instance gives to a scheduler whose term has changed meanwhile is not counted; the new test passes, and fails in a copy of the source without the condition on the epoch (1 failed, 11 passed; 12 passed with it).

.venv/bin/python -m pytest -n 0 tests/transport/jobs/test_member_watch.py

--- a/tests/transport/jobs/test_member_watch.py
+++ b/tests/transport/jobs/test_member_watch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import functools
 from typing import Any
 
 import pytest
@@ -27,6 +28,8 @@
         earlier: Addresses of instances of a build that does not know the
             question.
         asked: Addresses of the instances that were asked, in order.
+        epoch: Epoch that the questions tell.
+        holds_answers: Whether answers wait until they are released.
     """
 
     def __init__(self) -> None:
@@ -34,6 +37,15 @@
         self.lacking: set[str] = set()
         self.earlier: set[str] = set()
         self.asked: list[str] = []
+        self.epoch = 4
+        self.holds_answers = False
+        self._held_answers: list[Callable[[], None]] = []
+
+    def release_answers(self) -> None:
+        """Gives the answers that were held, and holds no more."""
+        self.holds_answers = False
+        for answer in self._held_answers:
+            answer()
 
     def send(
         self,
@@ -45,7 +57,7 @@
         assert call.body is not None
         question = _peer_calls.decode_call(call.body)
         assert question.kind is _client_calls.CallKind.OUTAGE
-        assert question.epoch == 4
+        assert question.epoch == self.epoch
         self.asked.append(address)
         if address in self.absent:
             on_reply(_http_call.HttpReply(0, error_text="timed out"))
@@ -57,9 +69,14 @@
             _client_calls.CallOutcome.FOUND,
             lacks_store=address in self.lacking,
         )
-        on_reply(
-            _http_call.HttpReply(200, _peer_calls.encode_reply(reply, "", 0))
+        answer = functools.partial(
+            on_reply,
+            _http_call.HttpReply(200, _peer_calls.encode_reply(reply, "", 0)),
         )
+        if self.holds_answers:
+            self._held_answers.append(answer)
+        else:
+            answer()
 
 
 class _Scheduler:
@@ -90,7 +107,7 @@
             now = build.clock_readings_at(self.now_s)
             self.watch.tick(
                 now,
-                epoch=4,
+                epoch=self.peers.epoch,
                 confirmed_s=self.confirmed_s,
                 address_by_member=self.address_by_member,
             )
@@ -146,6 +163,22 @@
         scheduler.run(0.1, is_store_up=True)
         assert _events(logs, "term.grants-resumed")
 
+    def test_a_report_counts_only_in_the_term_in_which_it_was_asked_for(
+        self,
+    ) -> None:
+        scheduler = _Scheduler()
+        scheduler.run(3.0, is_store_up=True)
+        scheduler.peers.lacking |= {"b:1", "c:1"}
+        scheduler.peers.holds_answers = True
+        scheduler.run(1.0, is_store_up=False)
+        scheduler.peers.epoch = 5
+        scheduler.run(_TICK_S, is_store_up=True)
+        scheduler.peers.release_answers()
+        reported_s = scheduler.watch.reported_until_s(
+            scheduler.address_by_member
+        )
+        assert reported_s == float("-inf")
+
 
 class TestPresence:
     """Instances that are gone for good are found, and only these."""
