Reset a replaced executor once, and ask for it ever less often

Callers: none saw it directly. Cause: every refusal with 421 was handled as the first one. Each reset also set the clock's reading back, so that the next incarnation at another address was taken to be a quarter of a second old at most, however long ago the last answer was. Change: a refusal resets an executor unless nothing was heard of it since the refusal before. The delay until the next renewal grows with each up to 2 s. A renewal is sent at once when the listing names another address.

--- a/src/basiljunction/coordination/scheduling/_limits.py
+++ b/src/basiljunction/coordination/scheduling/_limits.py
@@ -24,6 +24,10 @@
 """Delay before a lease renewal that got no answer is repeated, in seconds;
 several tries fit into a lease."""
 
+MAX_REFUSED_RETRY_S = 2.0
+"""Longest delay before an address at which another executor answers is asked
+again, in seconds; an executor that takes it back is found within that time."""
+
 MAX_UNSENT_RENEWALS = 2
 """Lease renewals in a row without an open connection after which connections to
 an executor are taken not to last."""
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -52,6 +52,7 @@
             self._send_stop_orders(executor, now)
             if executor.renewal_sent_s is None and (
                 now.boot_s >= executor.next_renewal_s
+                or executor.renewal_address != executor.listing.address
             ):
                 self._send_renewal(executor, now)
 
@@ -202,11 +203,8 @@
         executor.renewal_failures += 1
         executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
         self._cell.begin_order_generation(executor)
-        if (
-            is_other_incarnation
-            and executor.renewal_address == executor.listing.address
-        ):
-            self._restarts.end_replaced_incarnation(executor, now)
+        if is_other_incarnation:
+            self._restarts.handle_refusal(executor, now)
 
     def handle_answer(
         self,
--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -97,25 +97,38 @@
             )
         return False
 
-    def end_replaced_incarnation(
+    def handle_refusal(
         self, executor: _executors.ExecutorState, now: _time.Now
     ) -> None:
         """Resets an executor whose address another one has taken.
 
         The process to which all orders went is gone, and with it each order
-        that it had not carried out, so nothing of it goes on.
+        that it had not carried out, so nothing of it goes on. Further refusals
+        tell nothing new until it has answered, so they are asked for ever less
+        often.
+
+        Args:
+            executor: The executor, whose newest renewal was refused. An
+                outdated address says nothing of its present incarnation.
+            now: The time.
         """
-        # What it may be by now if it has restarted at another address.
-        age_s = now.boot_s - executor.clock.read_s
-        self._reset_incarnation(
-            executor,
-            now,
-            cause="refused",
-            clock_ms=int(age_s * 1000),
-            lease_s=0.0,
-            ends_run=lambda _: True,
+        if executor.renewal_address != executor.listing.address:
+            return
+        if not _is_known_to_be_gone(executor):
+            # What it may be by now if it has restarted at another address.
+            age_s = now.boot_s - executor.clock.read_s
+            self._reset_incarnation(
+                executor,
+                now,
+                cause="refused",
+                clock_ms=int(age_s * 1000),
+                lease_s=0.0,
+                ends_run=lambda _: True,
+            )
+        executor.next_renewal_s = now.boot_s + min(
+            _limits.RENEWAL_RETRY_S * executor.renewal_failures,
+            _limits.MAX_REFUSED_RETRY_S,
         )
-        executor.next_renewal_s = now.boot_s + _limits.RENEWAL_RETRY_S
 
     def end_incarnation(
         self,
@@ -206,3 +219,13 @@
         _runs.RunPhase.ORDERED,
         _runs.RunPhase.UNSETTLED,
     )
+
+
+def _is_known_to_be_gone(executor: _executors.ExecutorState) -> bool:
+    """Returns whether a refusal was the last that was heard of an executor."""
+    return (
+        executor.clock.restarts > 0
+        and not executor.has_listed_runs
+        and not executor.run_by_key
+        and executor.lease_until_ms <= executor.clock.clock_ms
+    )
