Repeat a check of an executor beside the first if its answer is late

Cause: before a start is sent on a new connection, one check asks who answers there. If the answer to this one question was lost, every start that waited for it was refused after half a second, and the executor was avoided for a second as unhealthy. Change: a check without an answer by the time that others took (at least 0.12 s) is sent again on a further connection beside the first, three at most. The first answer counts. All are given up when the first would have been, so that no bound of docs/design/time-budgets.md changes. A check changes nothing, has no deadline and acknowledges nothing, as before.

--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -19,6 +19,9 @@
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
 from basiljunction.state.workload import _executor
+from basiljunction.transport.jobs import _call_line
+from basiljunction.transport.jobs import _call_pace
+from basiljunction.transport.jobs import _check_round
 from basiljunction.transport.jobs import _checked_connections
 from basiljunction.transport.jobs import _http_calls
 
@@ -29,9 +32,6 @@
 may close it.
 """
 
-RENEWAL_CONNECTIONS = 1
-"""Connections to an executor that its lease renewals take."""
-
 MAX_CHECK_SHARE = 0.5
 """Longest time of a check as a share of the time for the call, 0 to 1.
 
@@ -43,81 +43,6 @@
 _log = structlog.get_logger()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CheckedCall:
-    """A call that only the known incarnation of an executor may receive.
-
-    Attributes:
-        executor: Id of the executor.
-        address: ``ip:port`` of the executor.
-        token: Fencing token of the checks that precede the call.
-        call: The call. Its timeout includes the checks.
-        on_reply: Called once with the reply; for a call that was not sent, with
-            the refusal of a check, or with a reply without a status.
-        on_held: Called as the call waits for a connection.
-        on_sent: Called just before it is sent on a connection.
-        confirm: Returns whether the call is still to be sent; called just
-            before each attempt.
-    """
-
-    executor: str
-    address: str
-    token: int
-    call: _http_call.HttpCall
-    on_reply: _http_calls.ReplyCallback
-    on_held: Callable[[], None] = lambda: None
-    on_sent: Callable[[], None] = lambda: None
-    confirm: Callable[[], bool] = lambda: True
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Attempts:
-    """What is left for a call.
-
-    Attributes:
-        ends_s: When its timeout ends, in seconds on the steady clock.
-        checks_left: How many more checks may precede it.
-    """
-
-    ends_s: float
-    checks_left: int
-
-    def after_check(self) -> "_Attempts":
-        """Returns what is left with one more check."""
-        return _Attempts(self.ends_s, self.checks_left - 1)
-
-
-@dataclasses.dataclass(slots=True)
-class _Line:
-    """The calls to one executor.
-
-    Attributes:
-        waiting: Calls that found no connection, and what is left for each.
-        in_flight_count: Number of calls that the client has, without checks.
-        is_checking: Whether a check is in flight.
-    """
-
-    waiting: collections.deque[tuple[CheckedCall, _Attempts]] = (
-        dataclasses.field(default_factory=collections.deque)
-    )
-    in_flight_count: int = 0
-    is_checking: bool = False
-
-    @property
-    def may_check(self) -> bool:
-        """Whether a connection may be opened for the calls that wait.
-
-        Beyond the limit of the client, a new connection would close one that
-        is known, and the calls that it was opened for would lack it again.
-        """
-        busy_count = self.in_flight_count + RENEWAL_CONNECTIONS
-        return (
-            bool(self.waiting)
-            and not self.is_checking
-            and busy_count < _http_calls.MAX_CONNECTIONS_PER_HOST
-        )
-
-
 class CheckedCalls:
     """Sends calls on connections on which an executor has named itself.
 
@@ -126,8 +51,8 @@
     from the incarnation that the scheduler knows. If no connection stays open
     so long, the call opens one itself, right after such an answer.
 
-    One check is in flight for an executor; calls wait for it and for those that
-    are in flight.
+    Calls wait for a check and for those that are in flight. A check that has no
+    answer by the time that others took is sent once more beside it.
 
     Args:
         calls: HTTP client for the calls.
@@ -152,14 +77,29 @@
         self._connections = _checked_connections.CheckedConnections(
             2 * calls.max_connections
         )
-        self._line_by_executor: dict[str, _Line] = {}
-
-    def send(self, checked: CheckedCall) -> None:
+        self._line_by_executor: dict[str, _call_line.CallLine] = {}
+        self._check_pace = _call_pace.AdaptiveTimeout()
+
+    def repeat_late_checks(self) -> None:
+        """Sends another check beside each whose answer may be lost."""
+        now_s = self._clock().boot_s
+        answer_time_s = self._check_pace.timeout_s
+        for line in list(self._line_by_executor.values()):
+            if (
+                line.check_round is not None
+                and line.check_round.is_repeat_due(now_s, answer_time_s)
+                and line.may_check
+            ):
+                self._send_check(line, line.check_round)
+
+    def send(self, checked: _call_line.CheckedCall) -> None:
         """Sends a call, after a check of the executor if it needs one."""
-        attempts = _Attempts(
+        attempts = _call_line.Attempts(
             self._clock().boot_s + checked.call.timeout_s, MAX_CHECKS
         )
-        line = self._line_by_executor.setdefault(checked.executor, _Line())
+        line = self._line_by_executor.setdefault(
+            checked.executor, _call_line.CallLine()
+        )
         if line.waiting:
             checked.on_held()
             line.waiting.append((checked, attempts))
@@ -204,7 +144,7 @@
             )
 
     def _make_guard(
-        self, checked: CheckedCall, attempts: _Attempts
+        self, checked: _call_line.CheckedCall, attempts: _call_line.Attempts
     ) -> _checked_connections.IncarnationGuard:
         """Returns the guard of a call.
 
@@ -226,7 +166,10 @@
         return self._scheduler.cell.executor_by_id[executor_id].clock.restarts
 
     def _send(
-        self, line: _Line, checked: CheckedCall, attempts: _Attempts
+        self,
+        line: _call_line.CallLine,
+        checked: _call_line.CheckedCall,
+        attempts: _call_line.Attempts,
     ) -> bool:
         """Sends a call on a known connection, or lets it wait for one.
 
@@ -264,7 +207,9 @@
             return True
         return False
 
-    def _send_next(self, line: _Line, *, after_check: bool = False) -> None:
+    def _send_next(
+        self, line: _call_line.CallLine, *, after_check: bool = False
+    ) -> None:
         """Sends the first call that waits, as a connection is free for it."""
         if self.is_closed:
             self._refuse_waiting(line, _unsent("term has ended"))
@@ -277,7 +222,9 @@
                 attempts.after_check() if after_check else attempts,
             )
 
-    def _refuse_waiting(self, line: _Line, reply: _http_call.HttpReply) -> None:
+    def _refuse_waiting(
+        self, line: _call_line.CallLine, reply: _http_call.HttpReply
+    ) -> None:
         """Answers all calls that wait."""
         refused = line.waiting
         line.waiting = collections.deque()
@@ -288,60 +235,100 @@
         """Forgets the calls to an executor once there are none."""
         line = self._line_by_executor.get(executor_id)
         if line is not None and not (
-            line.waiting or line.in_flight_count or line.is_checking
+            line.waiting or line.in_flight_count or line.check_count
         ):
             del self._line_by_executor[executor_id]
 
-    def _check(self, line: _Line) -> None:
+    def _check(self, line: _call_line.CallLine) -> None:
         """Opens a connection and asks who answers, if calls wait for one."""
-        if not line.may_check:
+        if line.check_round is not None or not line.may_check:
             return
         checked, _ = line.waiting[0]
+        now_s = self._clock().boot_s
+        line.check_round = _check_round.CheckRound(
+            ends_s=now_s + checked.call.timeout_s * MAX_CHECK_SHARE
+        )
+        self._send_check(line, line.check_round)
+
+    def _send_check(
+        self, line: _call_line.CallLine, check_round: _check_round.CheckRound
+    ) -> None:
+        """Sends a check of the executor for which calls wait."""
+        checked, _ = line.waiting[0]
         executor = self._scheduler.cell.executor_by_id.get(checked.executor)
         if executor is None:
+            line.check_round = None
             self._refuse_waiting(line, _unsent("executor is no longer known"))
             return
         known = executor.clock
-        order = _orders.RenewalOrder(
-            executor=checked.executor,
-            lease_until_ms=None,
-            acknowledged=0,
-            wait_ms=0,
-        )
+        sent_s = self._clock().boot_s
         guard = _checked_connections.IncarnationGuard(
             self._connections, checked.executor
         )
 
         def handle_reply(reply: _http_call.HttpReply) -> None:
-            line.is_checking = False
-            if self.is_closed:
-                self._refuse_waiting(line, _unsent("term has ended"))
-            elif not reply.is_success:
-                self._refuse_waiting(
-                    line, dataclasses.replace(reply, may_have_been_sent=False)
-                )
-            elif self._is_known_incarnation(guard, known, reply):
-                self._send_next(line, after_check=True)
-            else:
-                self._refuse_waiting(
-                    line, _unsent("another incarnation answered")
-                )
+            line.check_count -= 1
+            check_round.in_flight_count -= 1
+            if reply.is_success:
+                self._check_pace.record_answer(self._clock().boot_s - sent_s)
+            self._end_check(line, check_round, guard, known, reply)
             self._check(line)
             self._drop_idle_line(checked.executor)
 
         call = _executor_calls.make_renewal_call(
             checked.address,
             checked.token,
-            order,
-            timeout_s=checked.call.timeout_s * MAX_CHECK_SHARE,
+            _orders.RenewalOrder(
+                executor=checked.executor,
+                lease_until_ms=None,
+                acknowledged=0,
+                wait_ms=0,
+            ),
+            timeout_s=check_round.ends_s - sent_s,
         )
-        line.is_checking = True
+        line.check_count += 1
+        check_round.begin_check(sent_s)
         self._calls.send(
             dataclasses.replace(call, needs_new_connection=True),
             handle_reply,
             guard,
         )
 
+    def _end_check(
+        self,
+        line: _call_line.CallLine,
+        check_round: _check_round.CheckRound,
+        guard: _checked_connections.IncarnationGuard,
+        known: _clock_reading.ClockReading,
+        reply: _http_call.HttpReply,
+    ) -> None:
+        """Sends a call that waits, or refuses all of them.
+
+        Nothing is decided while another check may be answered.
+        """
+        is_open = line.check_round is check_round
+        if self.is_closed:
+            line.check_round = None
+            self._refuse_waiting(line, _unsent("term has ended"))
+        elif reply.is_success and self._is_known_incarnation(
+            guard, known, reply
+        ):
+            if is_open:
+                line.check_round = None
+            self._send_next(line, after_check=True)
+        elif is_open and (
+            reply.has_complete_reply or not check_round.in_flight_count
+        ):
+            line.check_round = None
+            self._refuse_waiting(
+                line,
+                (
+                    _unsent("another incarnation answered")
+                    if reply.is_success
+                    else dataclasses.replace(reply, may_have_been_sent=False)
+                ),
+            )
+
     def _is_known_incarnation(
         self,
         guard: _checked_connections.IncarnationGuard,
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -13,6 +13,7 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.state import _time
+from basiljunction.transport.jobs import _call_line
 from basiljunction.transport.jobs import _checked_calls
 from basiljunction.transport.jobs import _checked_connections
 from basiljunction.transport.jobs import _http_calls
@@ -66,7 +67,6 @@
         clock: Callable[[], _time.Now],
         policy_address: str = "",
     ) -> None:
-        self._is_closed = False
         self._policy_address = policy_address
         self._calls = calls
         self._checked_calls = _checked_calls.CheckedCalls(
@@ -80,13 +80,12 @@
 
     def close(self) -> None:
         """Ends the sending; answers are ignored from now on."""
-        self._is_closed = True
         self._checked_calls.is_closed = True
 
     @property
     def is_closed(self) -> bool:
         """Whether the term has ended."""
-        return self._is_closed
+        return self._checked_calls.is_closed
 
     def send_collected_orders(self) -> None:
         """Sends all orders that the scheduler has collected.
@@ -94,6 +93,7 @@
         An order to an executor that is no longer listed is dropped. Starts are
         sent last, since the time for each depends on the size of all.
         """
+        self._checked_calls.repeat_late_checks()
         starts = []
         for order in self._scheduler.take_orders():
             if isinstance(order, _orders.ApprovalOrder):
@@ -247,7 +247,7 @@
             self._scheduler.note_start_sent(order)
 
         self._checked_calls.send(
-            _checked_calls.CheckedCall(
+            _call_line.CheckedCall(
                 executor=order.executor,
                 address=address,
                 token=self._fencing_token(order.executor),
@@ -268,7 +268,7 @@
     ) -> None:
         """Sends a call that only the known incarnation may receive."""
         self._checked_calls.send(
-            _checked_calls.CheckedCall(
+            _call_line.CheckedCall(
                 executor=executor_id,
                 address=address,
                 token=self._fencing_token(executor_id),
--- a/tests/transport/jobs/test_checked_calls.py
+++ b/tests/transport/jobs/test_checked_calls.py
@@ -11,6 +11,7 @@
 from basiljunction.protocol import _http_call
 from basiljunction.state.workload import _executor
 from basiljunction.transport import _clock
+from basiljunction.transport.jobs import _call_line
 from basiljunction.transport.jobs import _checked_calls
 from basiljunction.transport.jobs import _http_calls
 import cutting_proxy
@@ -321,11 +322,11 @@
         self._submit_wide(rig, 4)
         rig.run_until(lambda: len(platform.starts) == 4, limit_s=_WAIT_S)
         rig.count_answers_for(0.3)
-        checks: list[_checked_calls.CheckedCall] = []
+        checks: list[_call_line.CheckedCall] = []
         check = _checked_calls.CheckedCalls._check
 
         def record(
-            calls: _checked_calls.CheckedCalls, line: _checked_calls._Line
+            calls: _checked_calls.CheckedCalls, line: _call_line.CallLine
         ) -> None:
             if line.may_check:
                 checks.append(line.waiting[0][0])
