End no term for a check that a later order of it fenced off

Callers: a scheduler gave its term up though none had followed; all tasks then waited for a new one to hear from every executor. Cause: a check carries the token of the first call that waits. If the generation of orders rises meanwhile, the executor refuses the check, and the refusal was passed on to all calls that wait. A start ordered since has the present generation, so that the refusal was taken for one by a later term. The new test fails without the change. Change: a check that was refused with a token that isn't the present one refuses the calls that wait as not sent. The executor still refuses what is outdated, and a later term still shows with the next check or renewal.

--- a/src/basiljunction/transport/jobs/_checked_calls.py
+++ b/src/basiljunction/transport/jobs/_checked_calls.py
@@ -12,6 +12,7 @@
 import structlog
 
 from basiljunction.coordination.scheduling import _clock_reading
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _scheduler
 from basiljunction.platform import _executors as _executor_calls
@@ -271,6 +272,8 @@
             check_round.in_flight_count -= 1
             if reply.is_success:
                 self._check_pace.record_answer(self._clock().boot_s - sent_s)
+            if self._is_outdated(checked, reply):
+                reply = _unsent("a later order came before the check")
             self._end_check(line, check_round, guard, known, reply)
             self._check(line)
             self._drop_idle_line(checked.executor)
@@ -329,6 +332,21 @@
                 ),
             )
 
+    def _is_outdated(
+        self, checked: _call_line.CheckedCall, reply: _http_call.HttpReply
+    ) -> bool:
+        """Returns whether a later order of this term fenced off a check.
+
+        That tells nothing of the calls that were added since.
+        """
+        if not _executor_calls.is_fenced(reply):
+            return False
+        cell = self._scheduler.cell
+        executor = cell.executor_by_id.get(checked.executor)
+        return executor is not None and checked.token < _limits.fencing_token(
+            cell.epoch, executor.generation
+        )
+
     def _is_known_incarnation(
         self,
         guard: _checked_connections.IncarnationGuard,
--- a/tests/transport/jobs/test_check_round.py
+++ b/tests/transport/jobs/test_check_round.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _renewals
 from basiljunction.transport.jobs import _check_round
@@ -162,3 +163,33 @@
         assert took_s < _CHECK_S + 0.3
         assert len(executor.checks) <= _check_round.MAX_CHECKS_AT_ONCE
         assert platform.starts == []
+
+
+class TestFencedCheck:
+    """A check that a later order of the term fenced off ends no term."""
+
+    def test_a_start_that_was_added_since_does_not_either(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        executor: _LossyExecutor,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        # The renewal on its way is fenced off, too.
+        monkeypatch.setattr(rig.scheduler, "handle_fence", lambda *_: None)
+        executor.lost_checks = 1
+        small = build.step_spec().size
+        step = build.step_spec(
+            size=type(small)(10, 1, 0), runs_until_cancelled=True
+        )
+        rig.submit(build.accepted_job(step, job_id="a1", payload="lasts"))
+        rig.run_until(lambda: len(executor.checks) == 1, limit_s=_WAIT_S)
+        cell = rig.scheduler.cell
+        state = cell.executor_by_id[platform.executors[0].id]
+        cell.begin_order_generation(state)
+        token = _limits.fencing_token(cell.epoch, state.generation)
+        platform.executors[0].highest_token = token
+        rig.submit(build.accepted_job(step, job_id="a2", payload="lasts"))
+        rig.run_until(lambda: len(executor.results) == 2, limit_s=_WAIT_S)
+        assert len(executor.results) == 2
+        assert not cell.is_fenced
