--- a/tests/coordination/scheduling/test_resignations.py
+++ b/tests/coordination/scheduling/test_resignations.py
@@ -155,6 +155,18 @@
         assert rig.count_lasting_runs() == 8
 
 
+class TestRunsUnderLeases:
+    """A scheduler tells for how long its leases go on."""
+
+    def test_it_is_the_length_of_a_lease(self) -> None:
+        rig = _start_lasting_tasks()
+        longest_s = rig.scheduler.longest_run_s(
+            build.clock_readings_at(rig.now_s)
+        )
+        lease_s = _limits.LeaseTimes().lease_s
+        assert lease_s < longest_s < lease_s * 1.05
+
+
 class TestTermWithoutLeases:
     """A scheduler that extended no lease lengthens no wait by resigning."""
 
