Tell fillers that wait for their full pace in the notes of waits

Operators saw "startable" for tasks that waited up to 42 s and took it for room that the scheduler ignores.

Cause: the note judges a filler at the reduced pace, at which it starts only while less than half of the capacity is in use; the placer judges it at full pace. Nor did it say that a task is a suspect of a crash.

Change: full_pace counts executors that allow a reduced pace only; suspect and may_run_unlisted say what holds back the task itself. No start is decided otherwise.

Evidence: one new test of test_filler_starts.py fails before.

--- a/src/basiljunction/coordination/scheduling/_wait_notes.py
+++ b/src/basiljunction/coordination/scheduling/_wait_notes.py
@@ -41,6 +41,8 @@
             time.
         SERVING_TASKS: The serving tasks would come near their target, even
             beside a filler at a reduced pace.
+        FULL_PACE: They allow a filler at a reduced pace only, at which one
+            starts only while much of the capacity is free.
         NONE: The executor could take it; what holds it back is not there.
     """
 
@@ -49,6 +51,7 @@
     STEP_LIMIT = "step_limit"
     NO_UNUSED_PROCESSOR = "no_unused_processor"
     SERVING_TASKS = "serving_tasks"
+    FULL_PACE = "full_pace"
     NONE = "startable"
 
 
@@ -138,15 +141,15 @@
             )
             count_by_refusal[refusal] += 1
         task = wait.task
-        may_run_unlisted = _inherited_runs.may_run_unlisted(
-            self._cell, wait.job, (task.occurrence, task.step, task.index)
-        )
         self._cell.note(
             event,
             task=str(task),
             waited_s=round(now.boot_s - wait.ready_s, 3),
             waiting_jobs=waiting_jobs,
-            may_run_unlisted=may_run_unlisted,
+            may_run_unlisted=_inherited_runs.may_run_unlisted(
+                self._cell, wait.job, _cell_state.place_in_job(task)
+            ),
+            suspect=wait.job.needs_isolated_start(task),
             usable_executors=len(executors),
             **{
                 refusal.value: count
@@ -212,10 +215,29 @@
         return Refusal.NO_ROOM
     if not _placement.is_below_executor_limit(step, task, executor):
         return Refusal.STEP_LIMIT
-    if step.fills and not sharing.allows_filler(
+    if step.fills:
+        return _find_refusal_of_filler(step, executor, sharing)
+    return Refusal.NONE
+
+
+def _find_refusal_of_filler(
+    step: _job_spec.StepSpec,
+    executor: _executors.ExecutorState,
+    sharing: _sharing.FillerController,
+) -> Refusal:
+    """Returns the first condition that keeps a filler off an executor.
+
+    Args:
+        step: The step of the filler.
+        executor: An executor with free capacity for what it reserves.
+        sharing: Decides where fillers may be placed.
+    """
+    if not sharing.allows_filler(
         step, executor, _sharing.THROTTLED_PACE_PERCENT
     ):
         return Refusal.SERVING_TASKS
     if not _placement.has_capacity(step, executor):
         return Refusal.NO_UNUSED_PROCESSOR
+    if not sharing.allows_filler(step, executor):
+        return Refusal.FULL_PACE
     return Refusal.NONE
--- a/tests/coordination/scheduling/test_filler_starts.py
+++ b/tests/coordination/scheduling/test_filler_starts.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _sharing
+from basiljunction.coordination.scheduling import _wait_notes
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 import cell_rig
@@ -186,6 +188,28 @@
         rig.run(_MAX_IDLE_S)
         assert _find_filler_starts(rig) == []
 
+    def test_the_log_does_not_call_it_startable_then(self) -> None:
+        rig = _make_serving_rig()
+        notes: list[_notes.Note] = []
+        rig.on_note = notes.append
+        rig.run_time_s = 60.0
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(
+                    count=_EXECUTOR_COUNT,
+                    size=_job_spec.Resources(12_000, 1000, 0),
+                    max_per_executor=1,
+                ),
+                job_id="00000000000000c1",
+            )
+        )
+        rig.run(1)
+        _submit_fillers(rig, millicores=14_000)
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 1.5)
+        wait = next(each for each in notes if each.event == "task.waits")
+        assert wait.value_by_field["full_pace"] == _EXECUTOR_COUNT
+        assert "startable" not in wait.value_by_field
+
     @pytest.mark.parametrize("millicores", [10_000, 14_000, 20_000])
     def test_one_that_may_have_crashed_an_executor_starts_too(
         self, millicores: int
