Take no late answer for a restart after a refusal at an address (TWICE)

Cause: after a refusal by another executor the clock of the next incarnation was estimated by its highest possible reading. A restart is told by a reading below the known one, so a late answer of the same incarnation, below the estimate but above none that was read, ended it a second time, and its runs, which went on, started elsewhere.

Change: the lowest reading is assumed until the incarnation has answered.

--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -413,7 +413,7 @@
 
         Args:
             now_s: Current time in seconds.
-            clock_ms: Highest reading that its clock can have by now.
+            clock_ms: Lowest reading that its clock can have by now.
             lease_s: Longest lease that it can have by now, in seconds.
         """
         self.clock = _clock_reading.ClockReading(
--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -115,13 +115,12 @@
         if executor.renewal_address != executor.listing.address:
             return
         if not _is_known_to_be_gone(executor):
-            # What it may be by now if it has restarted at another address.
-            age_s = now.boot_s - executor.clock.read_s
+            # A later reading below it would be taken for another restart.
             self._reset_incarnation(
                 executor,
                 now,
                 cause="refused",
-                clock_ms=int(age_s * 1000),
+                clock_ms=0,
                 lease_s=0.0,
                 ends_run=lambda _: True,
             )
@@ -181,7 +180,7 @@
             executor: The executor.
             now: The time.
             cause: How the end became known, for the log.
-            clock_ms: Highest reading that its clock can have by now.
+            clock_ms: Lowest reading that its clock can have by now.
             lease_s: Longest lease that it can have by now, in seconds.
             ends_run: Tells whether a run has ended with the process.
         """
