--- a/tests/instance_rig.py
+++ b/tests/instance_rig.py
@@ -5,6 +5,7 @@
 import http.client
 import random
 import time
+from typing import Any
 
 from basiljunction.demo import _ports
 from basiljunction.platform import _clients
@@ -205,6 +206,11 @@
     )
 
 
+def events(logs: list[Any], name: str) -> list[Any]:
+    """Returns the log entries of an event."""
+    return [each for each in logs if each["event"] == name]
+
+
 def submit_until_accepted(
     instance: Instance, path: str, body: str = SHORT_JOB
 ) -> None:
--- a/tests/transport/jobs/test_held_terms.py
+++ b/tests/transport/jobs/test_held_terms.py
@@ -27,11 +27,6 @@
 """Age of instances that know the terms of the last seconds, in seconds."""
 
 
-def _events(logs: list[Any], name: str) -> list[Any]:
-    """Returns the log entries of an event."""
-    return [each for each in logs if each["event"] == name]
-
-
 class TestUselessTerms:
     """A term whose scheduler answers no calls is not held for ever."""
 
@@ -43,9 +38,11 @@
     ) -> None:
         platform.silent_topics.add("keyed.jobs")
         instances.append(instance_rig.Instance(platform, "front-1"))
-        instance_rig.wait_until(lambda: _events(logs, "term.begun"))
+        instance_rig.wait_until(lambda: instance_rig.events(logs, "term.begun"))
         instances.append(instance_rig.Instance(platform, "front-2"))
-        instance_rig.wait_until(lambda: len(_events(logs, "term.begun")) > 1)
+        instance_rig.wait_until(
+            lambda: len(instance_rig.events(logs, "term.begun")) > 1
+        )
         platform.silent_topics.clear()
         instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         assert not instances[0].task.is_scheduling()
@@ -59,13 +56,15 @@
     ) -> None:
         platform.silent_topics.add("keyed.jobs")
         instances.append(instance_rig.Instance(platform))
-        instance_rig.wait_until(lambda: _events(logs, "term.begun"))
+        instance_rig.wait_until(lambda: instance_rig.events(logs, "term.begun"))
         instances[0].task.tell(_cell_task.StoreAddressChanged(platform.address))
-        instance_rig.wait_until(lambda: _events(logs, "term.ended"))
+        instance_rig.wait_until(lambda: instance_rig.events(logs, "term.ended"))
         platform.silent_topics.clear()
-        instance_rig.wait_until(lambda: _events(logs, "term.recovered"))
+        instance_rig.wait_until(
+            lambda: instance_rig.events(logs, "term.recovered")
+        )
         time.sleep(0.5)
-        recovered = _events(logs, "term.recovered")
+        recovered = instance_rig.events(logs, "term.recovered")
         assert [each["epoch"] for each in recovered] == [2]
 
     def test_a_recovery_that_advances_slowly_keeps_its_term(
@@ -81,8 +80,10 @@
             )
         platform.store_bytes_per_s = 150_000
         instances.append(instance_rig.Instance(platform))
-        instance_rig.wait_until(lambda: _events(logs, "term.recovered"))
-        assert not _events(logs, "term.ended")
+        instance_rig.wait_until(
+            lambda: instance_rig.events(logs, "term.recovered")
+        )
+        assert not instance_rig.events(logs, "term.ended")
 
     def test_a_term_that_executors_fence_is_not_renewed_for_ever(
         self,
@@ -100,9 +101,9 @@
             == 200
         )
         instance_rig.wait_until(lambda: len(platform.starts) == 2)
-        assert [each["reason"] for each in _events(logs, "term.ended")] == [
-            "fenced"
-        ]
+        assert [
+            each["reason"] for each in instance_rig.events(logs, "term.ended")
+        ] == ["fenced"]
 
     def test_a_call_that_comes_after_the_fence_waits_for_the_next_term(
         self,
@@ -114,7 +115,7 @@
         instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         instance_rig.wait_until(lambda: len(platform.starts) == 1)
         platform.executors[0].highest_token = _LATER_TOKEN
-        instance_rig.wait_until(lambda: _events(logs, "term.ended"))
+        instance_rig.wait_until(lambda: instance_rig.events(logs, "term.ended"))
         other_path = _JOB_PATH.replace("a1", "a2")
         answer = instances[0].call("POST", other_path, instance_rig.SHORT_JOB)
         assert answer[0] == 200
@@ -129,7 +130,7 @@
         instances.append(instance_rig.Instance(platform))
         instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         instance_rig.wait_until(lambda: platform.starts)
-        ended = _events(logs, "term.ended")
+        ended = instance_rig.events(logs, "term.ended")
         assert [each["reason"] for each in ended] == ["fenced"]
 
     def test_an_instance_without_a_configuration_claims_no_term(
@@ -141,9 +142,11 @@
         platform.silent_topics.add("keyed.op")
         instances.append(instance_rig.Instance(platform))
         time.sleep(1.0)
-        assert not _events(logs, "term.seen")
+        assert not instance_rig.events(logs, "term.seen")
         platform.silent_topics.clear()
-        instance_rig.wait_until(lambda: _events(logs, "term.recovered"))
+        instance_rig.wait_until(
+            lambda: instance_rig.events(logs, "term.recovered")
+        )
 
 
 def _resign_leader(instances: list[instance_rig.Instance]) -> None:
@@ -241,9 +244,9 @@
         platform.silent_topics.add("keyed.jobs")
         instances.append(instance_rig.Instance(platform))
         instance_rig.wait_until(
-            lambda: len(_events(logs, "term.not-answering")) >= 3
+            lambda: len(instance_rig.events(logs, "term.not-answering")) >= 3
         )
-        last = _events(logs, "term.not-answering")[-1]
+        last = instance_rig.events(logs, "term.not-answering")[-1]
         assert last["stage"] == "reading"
         assert last["pages"] == 0
         assert last["last_failure"].startswith("read: no byte for")
@@ -263,10 +266,10 @@
         instance_rig.wait_until(
             lambda: any(
                 each["stage"] == "listing"
-                for each in _events(logs, "term.not-answering")
+                for each in instance_rig.events(logs, "term.not-answering")
             )
         )
-        assert _events(logs, "term.recovered")
+        assert instance_rig.events(logs, "term.recovered")
 
     def test_a_call_given_up_names_what_the_leader_waited_for(
         self,
@@ -277,7 +280,7 @@
         platform.silent_topics.add("keyed.jobs")
         leader = instance_rig.Instance(platform, "front-1")
         instances.append(leader)
-        instance_rig.wait_until(lambda: _events(logs, "term.begun"))
+        instance_rig.wait_until(lambda: instance_rig.events(logs, "term.begun"))
         entry = instance_rig.Instance(platform, "front-2")
         instances.append(entry)
         instance_rig.wait_until(lambda: entry.task.is_ready)
@@ -289,7 +292,7 @@
                 instances,
             )
         assert [status for status, _ in answers] == [503, 503]
-        given_up = _events(logs, "call.given-up")
+        given_up = instance_rig.events(logs, "call.given-up")
         assert {each["waits_for"] for each in given_up} == {
             "leader-term-reading",
             "own-term-reading",
@@ -305,7 +308,7 @@
         instance_rig.submit_until_accepted(instances[0], _JOB_PATH)
         logs.clear()
         time.sleep(1.5)
-        assert not _events(logs, "term.not-answering")
+        assert not instance_rig.events(logs, "term.not-answering")
         text = instances[0].metrics.render_prometheus_text().decode()
         assert 'basiljunction_cell_term_stage{stage="answering"} 1.0' in text
         assert "basiljunction_cell_term_unanswered_seconds 0.0" in text
--- a/tests/transport/jobs/test_resigned_terms.py
+++ b/tests/transport/jobs/test_resigned_terms.py
@@ -15,11 +15,6 @@
 _JOB_PATH = "/jobs/00000000000000a1"
 
 
-def _events(logs: list[Any], name: str) -> list[Any]:
-    """Returns the log entries of an event."""
-    return [each for each in logs if each["event"] == name]
-
-
 class TestResignation:
     """A scheduler stops before it resigns, and says how long runs go on."""
 
@@ -57,9 +52,9 @@
         term = self._resign(platform, instances[0])
         # Nothing runs; 0 would say that the time is not known.
         assert term.longest_run_s == _limits.LEASE_EXPIRY_MARGIN_S
-        assert [each["reason"] for each in _events(logs, "term.ended")] == [
-            "resigned"
-        ]
+        assert [
+            each["reason"] for each in instance_rig.events(logs, "term.ended")
+        ] == ["resigned"]
 
     def test_the_next_scheduler_waits_for_the_lease_of_a_run(
         self,
@@ -88,7 +83,7 @@
         instance_rig.wait_until(
             lambda: platform.executors[0].lease_ms > lease_ms
         )
-        assert not _events(logs, "term.ended")
+        assert not instance_rig.events(logs, "term.ended")
         platform.is_down = False
         instance_rig.wait_until(lambda: self._read_term(platform).is_resigned)
         assert self._read_term(platform).longest_run_s == 0.0
@@ -110,7 +105,7 @@
         times = _limits.LeaseTimes()
         earlier_runs_until_s = lost_s + times.max_run_after_term_s
         assert term.longest_run_s > times.lease_s * 1.02
-        recovered = _events(logs, "term.recovered")[-1]
+        recovered = instance_rig.events(logs, "term.recovered")[-1]
         assert recovered["longest_inherited_run_s"] > times.lease_s * 1.02
         assert recovered["earlier_term_ended_s_ago"] > 0
         assert recovered["longest_wait_s"] > times.lease_s * 1.02
