Ask an executor again soon after its first refusal

Callers would see an executor that takes its address back idle for up to 2 s longer.

Cause: the delay before the next renewal grows with the number of renewals that failed in a row, and those that got no answer before the first refusal count too.

Change: the delay grows with the time since the incarnation was reset, from 0.25 to 2 s, so that it needs no count.

Measured: the new test, and test_refusals, test_clocks_after_refusals, test_restarted_executors and test_silent_executors, 111 passed. 10 s of refusals are no more than ten renewals, as before.

--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -124,8 +124,9 @@
                 lease_s=0.0,
                 ends_run=lambda _: True,
             )
+        refused_for_s = now.boot_s - executor.clock.read_s
         executor.next_renewal_s = now.boot_s + min(
-            _limits.RENEWAL_RETRY_S * executor.renewal_failures,
+            max(refused_for_s, _limits.RENEWAL_RETRY_S),
             _limits.MAX_REFUSED_RETRY_S,
         )
 
--- a/tests/coordination/scheduling/test_refusals.py
+++ b/tests/coordination/scheduling/test_refusals.py
@@ -51,15 +51,27 @@
 
     def refuse_for(self, seconds: float) -> None:
         """Refuses all renewals for a time."""
+        self.renewals += self._fail_for(seconds, is_other_incarnation=True)
+
+    def lose_for(self, seconds: float) -> None:
+        """Leaves all renewals without an answer for a time."""
+        self._fail_for(seconds, is_other_incarnation=False)
+
+    def _fail_for(
+        self, seconds: float, *, is_other_incarnation: bool
+    ) -> list[_orders.RenewalOrder]:
+        """Lets all renewals fail for a time; returns them."""
+        failed: list[_orders.RenewalOrder] = []
         end_s = self._now_s + seconds
         while self._now_s < end_s:
             for renewal in self._step():
-                self.renewals.append(renewal)
+                failed.append(renewal)
                 self.scheduler.handle_renewal_failure(
                     renewal,
                     build.clock_readings_at(self._now_s),
-                    is_other_incarnation=True,
+                    is_other_incarnation=is_other_incarnation,
                 )
+        return failed
 
     def _next_renewal(self) -> _orders.RenewalOrder:
         """Returns the next renewal, once it is due."""
@@ -98,6 +110,12 @@
         refusals.refuse_for(10.0)
         assert len(refusals.renewals) <= 10
 
+    def test_it_is_asked_again_at_once_after_lost_renewals(self) -> None:
+        refusals = _Refusals()
+        refusals.lose_for(3.0)
+        refusals.refuse_for(2 * _limits.RENEWAL_RETRY_S + 2 * _STEP_S)
+        assert len(refusals.renewals) >= 2
+
     def test_its_next_incarnation_is_taken_to_be_as_old_as_it_may_be(
         self,
     ) -> None:
