Take no refusal from before a known restart for another one (TWICE)

Callers might see a task run twice: the refusal ended all runs on an executor, also those that its next incarnation may have begun.

Cause: a refused renewal was held against the executor's address only, not against the incarnation for which it was sent, as answers to renewals are.

Change: a refusal counts only if no restart has become known since the renewal was sent.

--- a/src/basiljunction/coordination/scheduling/_restarts.py
+++ b/src/basiljunction/coordination/scheduling/_restarts.py
@@ -108,11 +108,15 @@
         often.
 
         Args:
-            executor: The executor, whose newest renewal was refused. An
-                outdated address says nothing of its present incarnation.
+            executor: The executor, whose newest renewal was refused. One to an
+                outdated address, or from before a restart that is known, says
+                nothing of its present incarnation.
             now: The time.
         """
-        if executor.renewal_address != executor.listing.address:
+        if (
+            executor.renewal_address != executor.listing.address
+            or executor.renewal_restarts != executor.clock.restarts
+        ):
             return
         if not _is_known_to_be_gone(executor):
             # A later reading below it would be taken for another restart.
--- a/tests/coordination/scheduling/test_refusals.py
+++ b/tests/coordination/scheduling/test_refusals.py
@@ -49,6 +49,17 @@
             build.clock_readings_at(self._now_s),
         )
 
+    def refuse_after_restart(self) -> None:
+        """Refuses a renewal that was sent before a restart known since."""
+        renewal = self._next_renewal()
+        now = build.clock_readings_at(self._now_s)
+        known = self.scheduler.cell.executor_by_id["e1"].clock
+        self.scheduler.handle_clock("e1", known, 5, now, sent_s=self._now_s)
+        self.scheduler.handle_renewal_failure(
+            renewal, now, is_other_incarnation=True
+        )
+        self._step()
+
     def refuse_for(self, seconds: float) -> None:
         """Refuses all renewals for a time."""
         self.renewals += self._fail_for(seconds, is_other_incarnation=True)
@@ -141,3 +152,12 @@
         assert executor.is_in_contact(10.0, own_delay_s=0.0)
         refusals.refuse_for(_limits.RENEWAL_RETRY_S + 2 * _STEP_S)
         assert refusals.events.count("executor.other-life") == 2
+
+
+class TestRefusalFromBeforeARestart:
+    """A renewal of the incarnation before was refused."""
+
+    def test_it_does_not_end_the_next_incarnation(self) -> None:
+        refusals = _Refusals()
+        refusals.refuse_after_restart()
+        assert refusals.events.count("executor.other-life") == 1
