--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -469,6 +469,14 @@
         "executor.has_restarted:",
         f"{_TESTS}/test_roster.py",
     ),
+    _mutation(
+        "long-lease-not-told-anew",
+        "lasting tasks run",
+        f"{_SCHEDULING}/_roster.py",
+        "cell.roster_changed |= self._has_long_lease(now.boot_s)",
+        "pass",
+        f"{_TESTS}/test_restart_bounds.py",
+    ),
     _mutation(
         "start-on-a-restarted-executor-that-is-not-stored",
         "one run",
--- a/src/basiljunction/coordination/scheduling/_roster.py
+++ b/src/basiljunction/coordination/scheduling/_roster.py
@@ -15,6 +15,7 @@
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _silent_executors
 from basiljunction.state import _time
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _records
@@ -30,6 +31,7 @@
 
     def __init__(self, cell: _cell_state.CellState) -> None:
         self._cell = cell
+        self._next_refresh_s = 0.0
 
     def restore(
         self,
@@ -89,6 +91,23 @@
                 cell.silent_executors_changed = True
             if not is_vacated:
                 executor.is_roster_stored = False
+        if now.boot_s >= self._next_refresh_s:
+            cell.roster_changed |= self._has_long_lease(now.boot_s)
+
+    def _has_long_lease(self, now_s: float) -> bool:
+        """Returns whether the store tells of a lease over the ordinary length.
+
+        Its bound is stored anew for instances that have started since, which
+        have not read the renewal to which it relates.
+        """
+        ordinary_end_s = now_s + self._cell.times.max_ordinary_run_s
+        return any(
+            executor.has_restarted
+            and executor.bars_other_incarnations
+            and not executor.is_vacated
+            and executor.lease_expired_s() > ordinary_end_s
+            for executor in self._cell.executor_by_id.values()
+        )
 
     def next_record(self) -> _records.ExecutorRosterRecord | None:
         """Returns the record to store with the next batch, or None."""
@@ -96,6 +115,9 @@
         if not cell.roster_changed:
             return None
         cell.roster_changed = False
+        self._next_refresh_s = (
+            cell.last_tick_s + _silent_executors.REFRESH_INTERVAL_S
+        )
         return _records.ExecutorRosterRecord(
             tuple(
                 self._make_entry(each)
