--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -94,6 +94,15 @@
         "_s and False:",
         f"{_TESTS}/test_resignations.py",
     ),
+    _mutation(
+        "unstored-end-not-told-by-a-resignation",
+        "one run",
+        f"{_SCHEDULING}/_scheduler.py",
+        "                or executor.processed_end_number"
+        " > executor.stored_end_number\n            ):",
+        "            ):",
+        f"{_TESTS}/test_resignations.py",
+    ),
     _mutation(
         "connection-to-former-incarnation-used",
         "one run",
@@ -878,8 +887,8 @@
         "earlier-runs-forgotten-by-a-resignation",
         "one run",
         f"{_SCHEDULING}/_scheduler.py",
-        "                executor.runs_end_by_s()\n",
-        "                0.0\n",
+        "run_s = executor.runs_end_by_s() - margin_s",
+        "run_s = 0.0 - margin_s",
         f"{_TESTS}/test_resignations.py",
     ),
     _mutation(
@@ -1145,8 +1154,9 @@
         "executors-without-runs-lengthen-a-resignation",
         "lasting tasks",
         f"{_SCHEDULING}/_scheduler.py",
-        "if not (executor.run_by_key or executor.inherited_until_s):",
-        "if executor.is_vacated:",
+        "            if not (\n                executor.run_by_key\n",
+        "            if executor.is_vacated and not (\n"
+        "                executor.run_by_key\n",
         f"{_TESTS}/test_resignations.py",
     ),
     _mutation(
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -220,20 +220,20 @@
     def longest_run_s(self, now: _time.Now) -> float:
         """Returns how long runs go on if this scheduler stops now, in seconds.
 
-        That is what is left of the leases where runs may exist. If one is
-        longer than an ordinary lease, and the store does not tell of its
-        executor, it is the longest time that there is.
+        That is what is left of the leases where runs may exist, or their ends
+        are not stored. If one is longer than an ordinary lease, and the store
+        does not tell of its executor, it is the longest time that there is.
         """
         cell = self.cell
-        longest_s = _limits.LEASE_EXPIRY_MARGIN_S
+        longest_s = margin_s = _limits.LEASE_EXPIRY_MARGIN_S
         for executor_id, executor in cell.executor_by_id.items():
-            if not (executor.run_by_key or executor.inherited_until_s):
+            if not (
+                executor.run_by_key
+                or executor.inherited_until_s is not None
+                or executor.processed_end_number > executor.stored_end_number
+            ):
                 continue
-            run_s = (
-                executor.runs_end_by_s()
-                - _limits.LEASE_EXPIRY_MARGIN_S
-                - now.boot_s
-            )
+            run_s = executor.runs_end_by_s() - margin_s - now.boot_s
             is_told = (
                 executor.is_restart_stored
                 or self._silent_executors.has_stored_bound(executor_id)
--- a/tests/coordination/scheduling/test_resignations.py
+++ b/tests/coordination/scheduling/test_resignations.py
@@ -188,3 +188,27 @@
         rig.resign(recovery_s=0.3)
         rig.run(_LASTING_TASK_BOUND_S - 4.3)
         assert rig.count_lasting_runs() == 3
+
+
+class TestEndsThatAreNotStored:
+    """An end counts until the lease of its executor has expired."""
+
+    def test_a_task_that_is_done_starts_on_no_other_executor(self) -> None:
+        rig = cell_rig.CellRig(
+            build.executor_entry("e1"), build.executor_entry("e2")
+        )
+        rig.run(1)
+        rig.submit(build.accepted_job())
+        rig.run(0.3)
+        ((_, executor_id, _),) = rig.starts
+        rig.store_is_up = False
+        rig.run(cell_rig.RUN_TIME_S)
+        assert not rig.scheduler.cell.executor_by_id[executor_id].run_by_key
+        rig.executor_by_id[executor_id].is_answering = False
+        rig.store_is_up = True
+        rig.resign(recovery_s=0.7)
+        rig.run(0.1)
+        rig.executor_by_id[executor_id].is_answering = True
+        # The rig fails if the end is taken note of after another start.
+        rig.run(3)
+        assert len(rig.starts) == 1
