--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -308,6 +308,30 @@
         assert len(rig.find_notes("task.crash-recorded")) == 1
 
 
+class TestAttemptOfFinishedJob:
+    """It may settle only after the steps of its job are dropped."""
+
+    def test_its_executor_answers_as_another_incarnation(self) -> None:
+        rig = _make_rig(3)
+        rig.keeps_ids = True
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        _run_until_crashes(rig, _CULPRIT, 1)
+        rig.crashing_tasks = frozenset()
+        _run_until_starts(rig, _CULPRIT, 2)
+        _, executor_id = _find_starts(rig, _CULPRIT)[-1]
+        executor = rig.executor_by_id[executor_id]
+        executor.is_answering = False
+        rig.take_over()
+        rig.cancel(_CULPRIT_JOB_ID)
+        rig.run(15.0)
+        assert not rig.scheduler.cell.job_by_id[_CULPRIT_JOB_ID].spec.steps
+        executor.restart()
+        executor.is_answering = True
+        rig.run(3.0)
+        assert len(rig.find_notes("task.crash-recorded")) == 1
+
+
 class TestLastingCulprit:
     """A lasting task is never given up, but waits longer after each crash."""
 
