Ignore answers of the store's old address to writes of terms

Callers: after the store had moved, two instances could schedule with one epoch: an executor can't tell their orders apart, so tasks may run twice. A registration at the new address waited for the answer at the old one (both found by a review). Cause: reads of a feed have a generation, by which their late answers are ignored; appends had none. A late answer to a claim at the old address was taken for that to the claim in flight at the new one. Change: all three appends of the term feed (terms, registrations, removals of instances) pass one function that ignores an answer once the store has moved. It has a count of its own: a read restarts at the same address too, where the answer to an append still holds. A move also ends the wait of a registration.

--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -92,6 +92,7 @@
         self._registration_offset: int | None = None
         self._next_registration_s = 0.0
         self._last_read_s: float | None = None
+        self._store_moves = 0
 
     def current_time(self) -> _time.Now:
         """Returns the current time."""
@@ -193,16 +194,7 @@
         if self.current_time().boot_s < self._next_registration_s:
             return
         self._is_registering = True
-        self._calls.send(
-            _store.make_append_call(
-                self.address,
-                _store.TERM_TOPIC,
-                0,
-                records,
-                timeout_s=WRITE_TIMEOUT_S,
-            ),
-            self._handle_registration_reply,
-        )
+        self._send_append(records, self._handle_registration_reply)
         _log.info("members.removed", members=sorted(names))
 
     def handle_read_failure(self) -> None:
@@ -222,6 +214,8 @@
         self.address_by_member.clear()
         self.provision_by_member.clear()
         self._grants.record_removal()
+        self._store_moves += 1
+        self._is_registering = False
         self._next_registration_s = 0.0
         self._last_read_s = None
         self.election.reset_after_store_move(incarnation)
@@ -260,14 +254,39 @@
         if not records:
             return
         self._is_registering = True
+        self._send_append(records, self._handle_registration_reply)
+
+    def _send_append(
+        self,
+        records: tuple[_job_records.KeyedRecord, ...],
+        on_reply: _http_calls.ReplyCallback,
+        at_offset: int | None = None,
+    ) -> None:
+        """Appends records to the topic.
+
+        Unlike a read, an append outlives a restart of the feed at the same
+        address; at another one its answer says nothing and is ignored.
+
+        Args:
+            records: The records.
+            on_reply: Called with the answer, unless the store moved meanwhile.
+            at_offset: End offset that the topic must have; None for any.
+        """
+        moves = self._store_moves
+
+        def pass_on(reply: _http_call.HttpReply) -> None:
+            if moves == self._store_moves:
+                on_reply(reply)
+
         call = _store.make_append_call(
             self.address,
             _store.TERM_TOPIC,
             0,
             records,
+            at_offset=at_offset,
             timeout_s=WRITE_TIMEOUT_S,
         )
-        self._calls.send(call, self._handle_registration_reply)
+        self._calls.send(call, pass_on)
 
     def _missing_records(self) -> tuple[_job_records.KeyedRecord, ...]:
         """Returns the records of this instance that were not read back."""
@@ -315,15 +334,11 @@
                 delay_s=round(self.election.claim_delay_s, 3),
             )
         value = _job_records.encode_term(claim.term)
-        call = _store.make_append_call(
-            self.address,
-            _store.TERM_TOPIC,
-            0,
+        self._send_append(
             (_job_records.KeyedRecord(_store.TERM_KEY, value),),
-            at_offset=claim.expected_end_offset,
-            timeout_s=WRITE_TIMEOUT_S,
+            self._handle_write_reply,
+            claim.expected_end_offset,
         )
-        self._calls.send(call, self._handle_write_reply)
 
     def _handle_write_reply(self, reply: _http_call.HttpReply) -> None:
         """Reports the success, conflict or failure of a term write."""
