Take no term record that is none for the epoch of the next term

Callers: after another writer had left a term record with an epoch of 400 digits in keyed.terms, jobs were accepted and none was completed. Cause: the next epoch was above that one, its run numbers above 2**53, so that no answer of an executor could be read. Beside it (by reading): a record that was no term at all was skipped, but the store returns only the newest record of a key at first, so that an instance that started then claimed epoch 1 at once. That is below the epochs that were used: executors refuse its orders and the store its records. Change: the epoch of a record may be at most 2**32 more than its offset (half of the epochs whose run numbers fit). Each term begins with a record of its own, and its epoch is one more than that before, so a term after one in range is in range too: a record near the end of the range has no such effect. A record out of range, or one that is no term, counts as absent and is logged once with its key. If it is the first that is read, it stands for a term whose record it hides: others wait for a renewal of it as for any, then claim an epoch above all that a record before it may have, and count with the longest leases. A renewal that is read makes the term known again. Rolling upgrade: records are written as before. Elsewhere, left as it is: other fields of such a record, if its epoch is in range, are not bounded; a record with which another writer deletes the key is absent, so that a new instance claims epoch 1.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -212,10 +212,7 @@
         )
 
     def _excess_wait_s(self) -> float:
-        """Returns how much longer than need be this instance would wait.
-
-        That is for leases of the schedulers before, in seconds.
-        """
+        """Returns the needless wait for leases of others, in seconds."""
         last_grant = self._find_last_grant()
         if last_grant is None or self.term is None:
             return 0.0
@@ -344,6 +341,10 @@
             self._renewal_seen_s = now_s
         if term is None:
             return
+        if self.term is not None and self.term.is_hidden:
+            # This may be the hidden term, whose epoch is not known.
+            self.term = None
+            self.history.clear()
         self._renewal_seen_s = now_s
         self.history.record(term.epoch, term.beat, now_s)
         self._adopt_term(term, now_s)
@@ -366,10 +367,7 @@
             )
 
     def step_down_if_newer(self, epoch: int) -> None:
-        """Steps down if another instance reports a later epoch.
-
-        The store may reject this instance's requests while it serves others.
-        """
+        """Steps down if an instance served by the store knows a later term."""
         if self.term is not None and epoch > self.term.epoch:
             self.role = ElectionRole.FOLLOWER
 
--- a/src/basiljunction/state/workload/_leadership.py
+++ b/src/basiljunction/state/workload/_leadership.py
@@ -49,6 +49,20 @@
     held_s: float = 0.0
     earlier_grant_s: float = 5.0
 
+    @property
+    def is_hidden(self) -> bool:
+        """Whether it stands for a term of which no record could be read."""
+        return not self.instance
+
     def is_held_by(self, instance: str, incarnation: int) -> bool:
         """Returns whether this run of the instance's process holds the term."""
         return (self.instance, self.incarnation) == (instance, incarnation)
+
+
+def hidden_term(max_epoch: int) -> Term:
+    """Returns what stands for a term of which no record could be read.
+
+    Args:
+        max_epoch: Highest epoch that it can have.
+    """
+    return Term(max_epoch, instance="", incarnation=0, address="")
--- a/src/basiljunction/transport/jobs/_cell_task.py
+++ b/src/basiljunction/transport/jobs/_cell_task.py
@@ -401,12 +401,12 @@
     def newest_leader(self) -> tuple[str, int]:
         """Returns address and epoch of the newest known term's scheduler.
 
-        The address is empty if there is no term or it was resigned.
+        The address is empty if no term is known or it was resigned.
         """
         term = self._terms.election.term
-        if term is None or term.is_resigned:
-            return "", 0 if term is None else term.epoch
-        return term.address, term.epoch
+        if term is None or term.is_hidden:
+            return "", 0
+        return "" if term.is_resigned else term.address, term.epoch
 
     def is_leader_elsewhere(self) -> bool:
         """Returns whether this instance does not hold the newest known term."""
--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -9,6 +9,7 @@
 import structlog
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _epoch_range
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.platform import _store
 from basiljunction.protocol import _errors
@@ -34,6 +35,10 @@
 """Time from the answer to a registration or a removal until it is repeated
 unless it was read back, in seconds."""
 
+_LOGGED_DIGITS = 20
+"""Number of digits of an epoch that are logged, as other writers may leave
+thousands; that of a term has fewer."""
+
 _log = structlog.get_logger()
 
 
@@ -93,6 +98,7 @@
         self._next_registration_s = 0.0
         self._last_read_s: float | None = None
         self._store_moves = 0
+        self._malformed_keys: set[str] = set()
 
     def current_time(self) -> _time.Now:
         """Returns the current time."""
@@ -136,6 +142,7 @@
             self.address_by_member.clear()
             self.provision_by_member.clear()
         terms: list[tuple[_leadership.Term, int | None]] = []
+        hidden: _leadership.Term | None = None
         for record in records:
             if record.key.startswith(_store.MEMBER_PREFIX):
                 self._apply_member_record(record)
@@ -143,10 +150,16 @@
                 self._apply_provision_record(record)
             if record.key != _store.TERM_KEY or not record.value:
                 continue
+            max_epoch = _epoch_range.max_epoch_at(
+                end_offset if record.offset is None else record.offset
+            )
             try:
-                term = _job_records.decode_term(record.value)
+                term = _decode_term(record.value, max_epoch)
             except _errors.DecodeError as error:
-                _log.warning("term.malformed", error=str(error))
+                self._log_malformed_term(record.key, error)
+                if is_whole:
+                    # The newest record of a key hides those before it.
+                    hidden = _leadership.hidden_term(max_epoch)
                 continue
             terms.append((term, record.offset))
         self._update_registration(now_s)
@@ -154,9 +167,15 @@
             self._grants.record_term(term, offset)
         self.election.update_provisions(self.provision_by_member)
         self.election.apply_read(
-            terms[-1][0] if terms else None, end_offset, now_s
+            terms[-1][0] if terms else hidden, end_offset, now_s
         )
 
+    def _log_malformed_term(self, key: str, error: _errors.DecodeError) -> None:
+        """Logs a term record that is none, once for each key."""
+        if key not in self._malformed_keys:
+            self._malformed_keys.add(key)
+            _log.warning("term.malformed", key=key, error=str(error))
+
     def _update_registration(self, now_s: float) -> None:
         """Records whether the store has the registration of this instance."""
         registered = self.address_by_member.get(self._member)
@@ -355,3 +374,20 @@
                 "term.write-failed", status=reply.status, fault=reply.error_text
             )
             self.election.record_write_failure(now_s)
+
+
+def _decode_term(data: bytes, max_epoch: int) -> _leadership.Term:
+    """Decodes a term from the store.
+
+    Raises:
+        DecodeError: The bytes are not a term, or its epoch is out of range.
+    """
+    term = _job_records.decode_term(data)
+    if not 0 < term.epoch <= max_epoch:
+        digits = str(term.epoch)
+        raise _errors.DecodeError(
+            "term",
+            f"epoch {digits[:_LOGGED_DIGITS]} ({len(digits)} digits) is not "
+            f"from 1 to {max_epoch}",
+        )
+    return term
