Recognise each of several claims of a term when it is read back

Callers: after a claim whose answer was lost and that was repeated, the new scheduler granted leases only with its next renewal, 0.6 s later. Cause: a stored claim without an answer is recognised by its record. A repeated claim tells a shorter time for leases of earlier schedulers than the first one, so that the first one, which was stored, was no longer known. Change: the election keeps the first sending time of each different record that it wrote for the newest renewal, and confirms the one that is read back from then on. Both claims stay valid with what they tell; a record written anew with the first one's time would be too cautious where the second one is stored. Elsewhere: a renewal repeated as a resignation differs from the first write alike; the first write, read back, is now confirmed too. The time for which a term has been held counts from the second claim as before, which is the cautious side.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -158,7 +158,7 @@
         self._write_in_flight: TermWrite | None = None
         self._last_written_term: _leadership.Term | None = None
         self._write_sent_s = 0.0
-        self._first_sent_s = 0.0
+        self._sent_s_by_record: dict[_leadership.Term, float] = {}
         self._claimed_s = 0.0
         self._given_up_epoch = 0
         self._answered_epoch = 0
@@ -250,6 +250,7 @@
         self._failed_since_s = None
         self._write_in_flight = None
         self._last_written_term = None
+        self._sent_s_by_record.clear()
         self._next_write_s = 0.0
         self.update_provisions({})
         self.predecessor = None
@@ -358,8 +359,8 @@
         if is_own and not term.is_resigned:
             # A write without an answer is confirmed by reading it back.
             self.role = ElectionRole.LEADER
-            if term == self._last_written_term:
-                self._confirm(term, self._first_sent_s)
+            if term in self._sent_s_by_record:
+                self._confirm(term, self._sent_s_by_record[term])
         else:
             self.role = ElectionRole.FOLLOWER
             self._next_write_s = now_s + self._rng.uniform(
@@ -472,11 +473,8 @@
         beat = self.term.beat + 1
         held_s = now_s - self._claimed_s
         last = self._last_written_term
-        if last is not None and (last.epoch, last.beat) == (
-            self.term.epoch,
-            beat,
-        ):
-            # A repeated write is recognised by its equal record.
+        if last and (last.epoch, last.beat) == (self.term.epoch, beat):
+            # A repeated write has an equal record, with one sending time.
             held_s = last.held_s
         return self._begin_write(
             dataclasses.replace(
@@ -495,8 +493,11 @@
         """Records a write of the term as in flight and returns it."""
         assert self._end_offset is not None  # noqa: S101 - checked by callers
         self._write_in_flight = TermWrite(term, self._end_offset)
-        if term != self._last_written_term:
-            self._first_sent_s = now_s
+        last = self._last_written_term
+        if last is None or (term.epoch, term.beat) != (last.epoch, last.beat):
+            self._sent_s_by_record.clear()
+        # Any of repeated writes may have been stored, by then at the earliest.
+        self._sent_s_by_record.setdefault(term, now_s)
         self._last_written_term = term
         self._write_sent_s = now_s
         return self._write_in_flight
