--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -9,6 +9,7 @@
 import structlog
 
 from basiljunction.coordination.leadership import _election
+from basiljunction.coordination.leadership import _epoch_range
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.platform import _store
 from basiljunction.protocol import _errors
@@ -34,6 +35,10 @@
 """Time from the answer to a registration or a removal until it is repeated
 unless it was read back, in seconds."""
 
+_LOGGED_DIGITS = 20
+"""Number of digits of an epoch that are logged, as other writers may leave
+thousands; that of a term has fewer."""
+
 _log = structlog.get_logger()
 
 
@@ -92,6 +97,8 @@
         self._registration_offset: int | None = None
         self._next_registration_s = 0.0
         self._last_read_s: float | None = None
+        self._store_moves = 0
+        self._malformed_keys: set[str] = set()
 
     def current_time(self) -> _time.Now:
         """Returns the current time."""
@@ -135,6 +142,7 @@
             self.address_by_member.clear()
             self.provision_by_member.clear()
         terms: list[tuple[_leadership.Term, int | None]] = []
+        hidden: _leadership.Term | None = None
         for record in records:
             if record.key.startswith(_store.MEMBER_PREFIX):
                 self._apply_member_record(record)
@@ -142,10 +150,16 @@
                 self._apply_provision_record(record)
             if record.key != _store.TERM_KEY or not record.value:
                 continue
+            max_epoch = _epoch_range.max_epoch_at(
+                end_offset if record.offset is None else record.offset
+            )
             try:
-                term = _job_records.decode_term(record.value)
+                term = _decode_term(record.value, max_epoch)
             except _errors.DecodeError as error:
-                _log.warning("term.malformed", error=str(error))
+                self._log_malformed_term(record.key, error)
+                if is_whole:
+                    # The newest record of a key hides those before it.
+                    hidden = _leadership.hidden_term(max_epoch)
                 continue
             terms.append((term, record.offset))
         self._update_registration(now_s)
@@ -153,9 +167,15 @@
             self._grants.record_term(term, offset)
         self.election.update_provisions(self.provision_by_member)
         self.election.apply_read(
-            terms[-1][0] if terms else None, end_offset, now_s
+            terms[-1][0] if terms else hidden, end_offset, now_s
         )
 
+    def _log_malformed_term(self, key: str, error: _errors.DecodeError) -> None:
+        """Logs a term record that is none, once for each key."""
+        if key not in self._malformed_keys:
+            self._malformed_keys.add(key)
+            _log.warning("term.malformed", key=key, error=str(error))
+
     def _update_registration(self, now_s: float) -> None:
         """Records whether the store has the registration of this instance."""
         registered = self.address_by_member.get(self._member)
@@ -193,16 +213,7 @@
         if self.current_time().boot_s < self._next_registration_s:
             return
         self._is_registering = True
-        self._calls.send(
-            _store.make_append_call(
-                self.address,
-                _store.TERM_TOPIC,
-                0,
-                records,
-                timeout_s=WRITE_TIMEOUT_S,
-            ),
-            self._handle_registration_reply,
-        )
+        self._send_append(records, self._handle_registration_reply)
         _log.info("members.removed", members=sorted(names))
 
     def handle_read_failure(self) -> None:
@@ -222,6 +233,8 @@
         self.address_by_member.clear()
         self.provision_by_member.clear()
         self._grants.record_removal()
+        self._store_moves += 1
+        self._is_registering = False
         self._next_registration_s = 0.0
         self._last_read_s = None
         self.election.reset_after_store_move(incarnation)
@@ -260,14 +273,39 @@
         if not records:
             return
         self._is_registering = True
+        self._send_append(records, self._handle_registration_reply)
+
+    def _send_append(
+        self,
+        records: tuple[_job_records.KeyedRecord, ...],
+        on_reply: _http_calls.ReplyCallback,
+        at_offset: int | None = None,
+    ) -> None:
+        """Appends records to the topic.
+
+        Unlike a read, an append outlives a restart of the feed at the same
+        address; at another one its answer says nothing and is ignored.
+
+        Args:
+            records: The records.
+            on_reply: Called with the answer, unless the store moved meanwhile.
+            at_offset: End offset that the topic must have; None for any.
+        """
+        moves = self._store_moves
+
+        def pass_on(reply: _http_call.HttpReply) -> None:
+            if moves == self._store_moves:
+                on_reply(reply)
+
         call = _store.make_append_call(
             self.address,
             _store.TERM_TOPIC,
             0,
             records,
+            at_offset=at_offset,
             timeout_s=WRITE_TIMEOUT_S,
         )
-        self._calls.send(call, self._handle_registration_reply)
+        self._calls.send(call, pass_on)
 
     def _missing_records(self) -> tuple[_job_records.KeyedRecord, ...]:
         """Returns the records of this instance that were not read back."""
@@ -315,15 +353,11 @@
                 delay_s=round(self.election.claim_delay_s, 3),
             )
         value = _job_records.encode_term(claim.term)
-        call = _store.make_append_call(
-            self.address,
-            _store.TERM_TOPIC,
-            0,
+        self._send_append(
             (_job_records.KeyedRecord(_store.TERM_KEY, value),),
-            at_offset=claim.expected_end_offset,
-            timeout_s=WRITE_TIMEOUT_S,
+            self._handle_write_reply,
+            claim.expected_end_offset,
         )
-        self._calls.send(call, self._handle_write_reply)
 
     def _handle_write_reply(self, reply: _http_call.HttpReply) -> None:
         """Reports the success, conflict or failure of a term write."""
@@ -340,3 +374,20 @@
                 "term.write-failed", status=reply.status, fault=reply.error_text
             )
             self.election.record_write_failure(now_s)
+
+
+def _decode_term(data: bytes, max_epoch: int) -> _leadership.Term:
+    """Decodes a term from the store.
+
+    Raises:
+        DecodeError: The bytes are not a term, or its epoch is out of range.
+    """
+    term = _job_records.decode_term(data)
+    if not 0 < term.epoch <= max_epoch:
+        digits = str(term.epoch)
+        raise _errors.DecodeError(
+            "term",
+            f"epoch {digits[:_LOGGED_DIGITS]} ({len(digits)} digits) is not "
+            f"from 1 to {max_epoch}",
+        )
+    return term
