Count a long task as slow only once it could have shown a percent

Operators saw long tasks of a step stopped and started elsewhere, without checkpoint from the beginning, right after they had begun on another executor.

Cause: progress is reported in whole percent, and a run without a new percent counted with a rate of zero, which is below any share of the rate of tasks that began before. A task of 400 s shows its first percent after 4 s.

Change: a run without a new percent counts with the highest rate at which it may show none, one percent over the time of the measurement. Tasks of up to some twenty seconds are judged as soon as before, one of 100 s on an executor at a quarter of its speed after 2.9 s of measurement in place of 0.6 s. The gain of a move follows from the same rate, so that a long task that has just begun is not moved with slow tasks beside it. The detection of stalls compares times without progress with the time of a percent already and is not affected; the rates that it reads are recorded as measured.

--- a/src/basiljunction/coordination/scheduling/_slowness.py
+++ b/src/basiljunction/coordination/scheduling/_slowness.py
@@ -22,6 +22,9 @@
 """Shortest time over which a rate of progress is measured, in seconds; a task
 of ten seconds progresses by six percent in it."""
 
+PROGRESS_STEP_PERCENT = 1.0
+"""Least progress that an executor reports, in percent; less shows as none."""
+
 MIN_COMPARED_TASKS = 2
 """Least number of tasks to compare, on the executor and on others: a single
 task may be slowed down by other tasks beside it."""
@@ -110,7 +113,8 @@
             run, job, _required_task_count(executor)
         )
         if rate_elsewhere > 0:
-            compared.append((run, rate, rate_elsewhere))
+            highest_rate = max(rate, _unseen_rate(run, now_s))
+            compared.append((run, highest_rate, rate_elsewhere))
     if len(compared) < _required_task_count(executor):
         return []
     shares = [rate / elsewhere for _, rate, elsewhere in compared]
@@ -161,6 +165,18 @@
     )
 
 
+def _unseen_rate(run: _runs.Run, now_s: float) -> float:
+    """Returns the rate up to which a measured run may still show no progress.
+
+    Long tasks take seconds for a step of their progress, also where tasks of
+    their step that began before have shown several.
+    """
+    measured_from_s = run.speed_measured_from_s
+    if measured_from_s is None:
+        return 0.0
+    return PROGRESS_STEP_PERCENT / (now_s - measured_from_s)
+
+
 def _median_rate_elsewhere(
     run: _runs.Run, job: _jobs.Job, min_rates: int
 ) -> float:
@@ -185,8 +201,6 @@
 
 def _gains_by_move(run: _runs.Run, rate: float, rate_elsewhere: float) -> bool:
     """Returns whether a move saves at least `MIN_MOVE_GAIN_S`, by the rates."""
-    if rate <= 0:
-        return True
     percent_left = FULL_PERCENT - run.progress_percent
     percent_elsewhere = percent_left if run.step.checkpoints else FULL_PERCENT
     return (
