Restore the full pace of adopted fillers that were slowed down

Operators saw fillers work at a fifth of their speed to their end after a change of schedulers, though nothing served beside them any more.

Cause: executors do not list the pace of a run, and a new scheduler took an adopted filler for one at full pace. It also learned too small an effect of the image, expected the headroom that the slowed filler leaves also at full pace, and compared its progress with that of fillers at full speed.

Evidence: the listed test of test_filler_starts.py, red before.

Change: the pace of an adopted filler counts as not known until an order on it is answered. Until then it is the processor time in use over that requested, as each report tells; it is restored where the headroom allows it, and an order slows it down beside a late serving task whatever it has used. The rate of progress is measured anew at another pace, which also held for any filler that was slowed and let go: its mean over both paces could count as slow.

Result: the test and four new ones of test_runs.py pass, without a new failure in tests/coordination/scheduling.

--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -387,9 +387,8 @@
             run = self._adopt_run(executor, report, now)
         run.record_progress(report.progress_percent, now.boot_s)
         _slowness.start_rate_measurement(run, now.boot_s)
-        run.reported_value = report.reported_value
-        if report.checkpoint:
-            run.checkpoint = report.checkpoint
+        run.record_reported_value(report.reported_value)
+        run.checkpoint = report.checkpoint or run.checkpoint
         _begun_tasks.record_begin(self._cell, run)
         run.was_listed = True
         if run.phase in (_runs.RunPhase.ORDERED, _runs.RunPhase.UNSETTLED):
@@ -419,6 +418,7 @@
             was_confirmed=True,
             was_listed=True,
             is_proven=True,
+            is_pace_known=step is None or not step.fills,
         )
         executor.add_run(run)
         is_free = report.task not in cell.current_run_by_task
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -5,6 +5,9 @@
 
 from basiljunction.state.workload import _job_spec
 
+FULL_PACE_PERCENT = 100
+"""Pace, in percent of full speed, at which each run starts."""
+
 
 class RunPhase(enum.Enum):
     """Phase of a run, from its start order to its removal.
@@ -68,7 +71,10 @@
         headroom_alone: Estimated headroom without fillers; 0 if not known.
         over_target_since_s: When the tail latency rose over its target; None if
             it is within the target.
-        pace_percent: Percent of full speed at which the run may work.
+        pace_percent: Percent of full speed at which the run may work, or does
+            work as far as its pace is not known.
+        is_pace_known: Whether the pace is that of its start or of an order; of
+            an adopted filler an earlier scheduler may have changed it.
         is_slowing_due: Whether it is to be slowed down as soon as it runs.
         is_pace_order_in_flight: Whether a pace order waits for its answer.
         pace_answered_s: When a pace order was last answered or failed.
@@ -104,7 +110,8 @@
     headroom: float = 0.0
     headroom_alone: float = 0.0
     over_target_since_s: float | None = None
-    pace_percent: int = 100
+    pace_percent: int = FULL_PACE_PERCENT
+    is_pace_known: bool = True
     is_slowing_due: bool = False
     is_pace_order_in_flight: bool = False
     pace_answered_s: float = 0.0
@@ -140,6 +147,34 @@
         self.progress_percent = percent
         self.progress_changed_s = now_s
 
+    def record_reported_value(self, value: float) -> None:
+        """Records the reported value, which also tells a pace not known."""
+        self.reported_value = value
+        requested = self.step.size.cpu_millicores
+        if not self.is_pace_known and requested > 0:
+            percent = int(FULL_PACE_PERCENT * value / requested)
+            self.pace_percent = min(FULL_PACE_PERCENT, percent)
+
+    def record_pace(self, percent: int) -> None:
+        """Records the pace that an answered order set.
+
+        The rate of progress is measured anew where the pace has changed.
+        """
+        if percent != self.pace_percent:
+            self.speed_measured_from_s = None
+        self.pace_percent = percent
+        self.is_pace_known = True
+        self.is_slowing_due = False
+
+    def needs_slowing(self, percent: int) -> bool:
+        """Returns whether an order has to keep the run within a pace.
+
+        What a run has used lately does not bound a pace that is not known.
+        """
+        if self.is_pace_order_in_flight:
+            return False
+        return self.pace_percent > percent or not self.is_pace_known
+
     def mark_unsettled(self, now_s: float) -> None:
         """Marks the run as one that may exist or not."""
         self.phase = RunPhase.UNSETTLED
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -538,8 +538,7 @@
             executor.revision += 1
             run.is_pace_order_in_flight = False
             if is_answered:
-                run.pace_percent = order.percent
-                run.is_slowing_due = False
+                run.record_pace(order.percent)
             run.pace_answered_s = now.boot_s
 
     def handle_approval_answer(
--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -74,7 +74,7 @@
 """Units of exposure in a whole executor: the headroom that fillers take is
 learned per tenth of an executor's CPU."""
 
-FULL_PACE_PERCENT = 100
+FULL_PACE_PERCENT = _runs.FULL_PACE_PERCENT
 """Pace, in percent of full speed, at which each run starts."""
 
 
@@ -378,7 +378,7 @@
                 continue
             if run.step.checkpoints:
                 executor.stop_run(run, now.boot_s)
-            elif run.pace_percent > percent and not run.is_pace_order_in_flight:
+            elif run.needs_slowing(percent):
                 orders.append(_make_pace_order(executor, run, percent))
         return orders
 
