Find a lasting task that stalls beside short terms

Clients saw a task that runs until cancelled do no work for as long as its executor hung, where schedulers followed each other within three seconds.

Cause: a new scheduler took the moment of the adoption for the beginning of the time below full speed, as executors list no times. A term of less than three seconds found no stall of such a task.

Change: the time below full speed of a run is stored with the progress of its job after each second of it, and the next scheduler goes on from there. It is an amount, as clocks of instances differ, and counts for one run, by its number. It is deleted once the run is at full speed. A task that reaches full speed in time is never stored; a stall makes three records of its job at most. The time between two schedulers does not count, and terms below a second find nothing.

The same cause elsewhere: short tasks are found within 1.6 s, and slow ones are measured for 0.6 s after 0.6 s, so that terms of less than that find none; that no task is placed on a stalled or slow executor for some seconds, how often a task was taken for stalled, and the time over a tail latency target are also known to one scheduler only. None of that is changed.

--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -58,6 +58,9 @@
             a checkpoint.
         progress_percent: Progress as last reported.
         progress_changed_s: When the progress last changed.
+        slow_before_s: Time, in seconds, for which a run that lasts until
+            cancelled was below full speed under earlier schedulers, unless it
+            has reached it since; None before that was looked up.
         slowest_percent_s: Longest time that one percent of its work took; 0
             before it has shown any.
         speed_measured_from_s: Start of the speed measurement; None before that.
@@ -101,6 +104,7 @@
     started_without_checkpoint: bool = False
     progress_percent: float = 0.0
     progress_changed_s: float = 0.0
+    slow_before_s: float | None = None
     slowest_percent_s: float = 0.0
     speed_measured_from_s: float | None = None
     speed_measured_from_percent: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_stalls.py
+++ b/src/basiljunction/coordination/scheduling/_stalls.py
@@ -9,6 +9,10 @@
 none for 36 s. How long a task may show none follows from the pace of its run,
 of its step on other executors, or from its estimate. All of them may be far
 off: each time that a task is taken for stalled, its next run may take longer.
+
+A task that runs until cancelled is at full speed or stalled. How long it was
+not is stored with the progress of its job, so that the next scheduler goes on
+measuring; executors do not tell it.
 """
 
 from collections.abc import Mapping
@@ -39,6 +43,11 @@
 """Time below full speed after which a task that runs until cancelled counts as
 stalled, in seconds; such tasks reach full speed 0.3 s after their start."""
 
+SLOW_NOTE_S = 1.0
+"""Time below full speed of a task that runs until cancelled after which it is
+stored, and again after as much more, in seconds; that is longer than any takes
+to reach full speed, and makes three records until it counts as stalled."""
+
 STALL_AVOID_S = 2.8
 """Time for which no task is placed on an executor once a task there counts as
 stalled, in seconds; a job whose task only that executor may run has to have it
@@ -65,6 +74,9 @@
         executor: The executor that has just reported.
         now: The time.
     """
+    for run in executor.run_by_key.values():
+        if _is_expected_at_full_speed(run):
+            _store_slow_time(cell, run, now.boot_s)
     for run in find_stalled_runs(executor, cell.job_by_id, now.boot_s):
         if run.is_superseded:
             continue
@@ -117,16 +129,61 @@
     lasting = [
         run
         for run in executor.run_by_key.values()
-        if run.step.runs_until_cancelled
-        and not run.step.may_be_away
-        and run.phase is _runs.RunPhase.RUNNING
-        and run.progress_percent < FULL_PERCENT
-        and now_s - max(run.phase_since_s, run.progress_changed_s)
-        > LASTING_TASK_STALL_S
+        if _is_expected_at_full_speed(run)
+        and _slow_time_s(run, now_s) > LASTING_TASK_STALL_S
     ]
     return stalled + lasting
 
 
+def _is_expected_at_full_speed(run: _runs.Run) -> bool:
+    """Returns whether a run stalls as long as it is below full speed."""
+    return (
+        run.step.runs_until_cancelled
+        and not run.step.may_be_away
+        and run.phase is _runs.RunPhase.RUNNING
+    )
+
+
+def _slow_time_s(run: _runs.Run, now_s: float) -> float:
+    """Returns for how long a lasting run has been below full speed, in s."""
+    if run.progress_percent >= FULL_PERCENT:
+        return 0.0
+    own_s = now_s - max(run.phase_since_s, run.progress_changed_s)
+    return (run.slow_before_s or 0.0) + own_s
+
+
+def _store_slow_time(
+    cell: _cell_state.CellState, run: _runs.Run, now_s: float
+) -> None:
+    """Stores for how long a lasting run has been below full speed.
+
+    Nothing is left of it once the run is at full speed.
+    """
+    job = cell.job_by_id.get(run.task.job)
+    if job is None or run.is_superseded:
+        return
+    place = _cell_state.place_in_job(run.task)
+    slow_run_by_position = job.progress.slow_run_by_position
+    stored = slow_run_by_position.get(place)
+    stored_s = 0.0
+    if stored is not None and stored.run_number == run.number:
+        stored_s = stored.slow_s
+    if run.slow_before_s is None:
+        run.slow_before_s = stored_s
+    if run.progress_percent >= FULL_PERCENT:
+        run.slow_before_s = 0.0
+        if stored is not None:
+            del slow_run_by_position[place]
+            cell.mark_progress_dirty(job)
+        return
+    slow_s = _slow_time_s(run, now_s)
+    if slow_s - stored_s >= SLOW_NOTE_S:
+        slow_run_by_position[place] = _progress.SlowRun(
+            run.number, round(slow_s, 3)
+        )
+        cell.mark_progress_dirty(job)
+
+
 def _longest_silence_s(run: _runs.Run, job: _jobs.Job | None) -> float:
     """Returns for how long a short task may show no progress, in seconds."""
     percent_s = run.slowest_percent_s or run.step.estimate_s / FULL_PERCENT
--- a/src/basiljunction/protocol/_progress_document.py
+++ b/src/basiljunction/protocol/_progress_document.py
@@ -38,6 +38,11 @@
             )
             for place, crashes in progress.crashes_by_position.items()
         ]
+    if progress.slow_run_by_position:
+        document["slow_runs"] = [
+            (*place, slow.run_number, slow.slow_s)
+            for place, slow in progress.slow_run_by_position.items()
+        ]
     return document
 
 
@@ -71,6 +76,12 @@
             )
             for row in document.get("crashes", ())
         },
+        slow_run_by_position={
+            _parse_position(row[:3]): _progress.SlowRun(
+                int(row[3]), float(row[4])
+            )
+            for row in document.get("slow_runs", ())
+        },
     )
 
 
--- a/src/basiljunction/protocol/_progress_parts.py
+++ b/src/basiljunction/protocol/_progress_parts.py
@@ -29,7 +29,7 @@
 """Upper bound of the punctuation of the rows of one task, in bytes."""
 
 _RUN_BYTES = 20
-"""Upper bound of the size of a run number in a row, in bytes."""
+"""Upper bound of the size of a run number or a time in a row, in bytes."""
 
 _Value = TypeVar("_Value")
 
@@ -279,6 +279,7 @@
     progress.failed_runs_by_position |= part.failed_runs_by_position
     progress.checkpoint_by_position |= part.checkpoint_by_position
     progress.crashes_by_position |= part.crashes_by_position
+    progress.slow_run_by_position |= part.slow_run_by_position
     if progress.executor_by_position is not None:
         progress.executor_by_position |= part.executor_by_position or {}
 
@@ -299,6 +300,7 @@
         progress.checkpoint_by_position,
         progress.executor_by_position or (),
         progress.crashes_by_position,
+        progress.slow_run_by_position,
     )
 
 
@@ -314,19 +316,16 @@
         for position in runs_before.keys() | runs_after.keys()
         if runs_before.get(position) != runs_after.get(position)
     )
-    for position, _ in (
+    changes = (
         before.checkpoint_by_position.items()
-        ^ after.checkpoint_by_position.items()
-    ):
-        changed.add(position)
-    for position, _ in (before.executor_by_position or {}).items() ^ (
-        after.executor_by_position or {}
-    ).items():
-        changed.add(position)
-    for position, _ in (
-        before.crashes_by_position.items() ^ after.crashes_by_position.items()
-    ):
-        changed.add(position)
+        ^ after.checkpoint_by_position.items(),
+        (before.executor_by_position or {}).items()
+        ^ (after.executor_by_position or {}).items(),
+        before.crashes_by_position.items() ^ after.crashes_by_position.items(),
+        before.slow_run_by_position.items()
+        ^ after.slow_run_by_position.items(),
+    )
+    changed.update(position for rows in changes for position, _ in rows)
     return changed
 
 
@@ -346,6 +345,8 @@
     crashes = progress.crashes_by_position.get(position)
     if crashes is not None:
         size += digits + len(json.dumps(dataclasses.astuple(crashes)))
+    if position in progress.slow_run_by_position:
+        size += digits + _ROW_BYTES + 2 * _RUN_BYTES
     return size
 
 
@@ -377,6 +378,9 @@
                 crashes_by_position=_select(
                     progress.crashes_by_position, positions
                 ),
+                slow_run_by_position=_select(
+                    progress.slow_run_by_position, positions
+                ),
             ),
         )
     )
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -90,6 +90,19 @@
     return incarnation.rpartition("@")[0]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlowRun:
+    """Time for which a run of a lasting task was below full speed.
+
+    Attributes:
+        run_number: Number of the run.
+        slow_s: Time without full speed until it was stored, in seconds.
+    """
+
+    run_number: int
+    slow_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class JobProgress:
     """Stored progress of one job.
@@ -110,6 +123,8 @@
             program may have started some, or if the job has no such task.
         crashes_by_position: Crashes of executors by position of each task that
             may have caused them, stored before the task starts again.
+        slow_run_by_position: Last run by position of each task that runs until
+            cancelled, if it has lately been below full speed.
     """
 
     state: JobState = JobState.PENDING
@@ -127,6 +142,9 @@
     crashes_by_position: dict[TaskPosition, TaskCrashes] = dataclasses.field(
         default_factory=dict
     )
+    slow_run_by_position: dict[TaskPosition, SlowRun] = dataclasses.field(
+        default_factory=dict
+    )
 
     def copy_to_store(self) -> "JobProgress":
         """Returns a copy of what a successor needs to know.
@@ -155,6 +173,7 @@
                 else dict(self.executor_by_position)
             ),
             crashes_by_position=dict(self.crashes_by_position),
+            slow_run_by_position=dict(self.slow_run_by_position),
         )
 
 
--- a/tests/coordination/scheduling/test_stalls.py
+++ b/tests/coordination/scheduling/test_stalls.py
@@ -24,6 +24,10 @@
 """Time in which a stall of a short task is found, in seconds: the time without
 progress, a report, and a second for tasks that have just progressed."""
 
+_LASTING_FOUND_S = 5.0
+"""Time in which a stall of a lasting task is found, in seconds: three without
+full speed, a report and a second to start again."""
+
 _SHORT_TERM_S = 2.0
 """Time for which each of many schedulers is at work, in seconds."""
 
@@ -194,6 +198,40 @@
             rig.run(_SHORT_TERM_S)
         assert {name for _, name, _ in rig.starts} == {"e0", "e1"}
 
+    @pytest.mark.parametrize("ends_before_take_over", [False, True])
+    def test_what_was_slow_before_full_speed_does_not_count(
+        self, *, ends_before_take_over: bool
+    ) -> None:
+        rig, _ = _make_rig("e0", "e1")
+        _submit_long_job(rig, 2.0, runs_until_cancelled=True)
+        rig.run(1.0)
+        for _ in range(5):
+            self._hang_all(rig)
+            rig.run(1.5)
+            if not ends_before_take_over:
+                rig.take_over()
+                rig.run(0.5)
+            for executor in rig.executor_by_id.values():
+                executor.is_hanging = False
+            rig.run(1.0)
+            if ends_before_take_over:
+                rig.take_over()
+        assert len(rig.starts) == 1
+
+    def test_a_lasting_stall_is_stored_a_few_times(self) -> None:
+        rig, _ = _make_rig("e0", "e1")
+        _submit_long_job(rig, 2.0, runs_until_cancelled=True)
+        rig.run(1.0)
+        (job,) = rig.scheduler.cell.job_by_id.values()
+        assert job.progress.slow_run_by_position == {}
+        self._hang_all(rig)
+        stored: set[_progress.SlowRun] = set()
+        for _ in range(round(_LASTING_FOUND_S / cell_rig.STEP_S)):
+            rig.run(cell_rig.STEP_S)
+            stored |= set(job.progress.slow_run_by_position.values())
+        assert len(rig.starts) == 2
+        assert 1 <= len({each for each in stored if each.run_number == 1}) <= 3
+
     def test_what_a_run_resumes_with_is_not_its_pace(self) -> None:
         # It seemed to have done half of its work within a second.
         run = _runs.Run(
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -25,6 +25,7 @@
         (0, 1, 2): _progress.TaskCrashes(("e1@5", "e2@6"), ("e3@7",), "e4@8"),
         (0, 1, 3): _progress.TaskCrashes(attempt_executor="e4@8"),
     },
+    slow_run_by_position={(0, 2, 0): _progress.SlowRun(1048578, 2.05)},
 )
 
 
--- a/tests/protocol/test_progress_parts.py
+++ b/tests/protocol/test_progress_parts.py
@@ -220,7 +220,7 @@
     rng: random.Random,
 ) -> None:
     """Changes the rows of one task at random."""
-    kind = rng.randrange(5)
+    kind = rng.randrange(6)
     if kind == 0:
         progress.completed_positions.add(position)
         progress.checkpoint_by_position.pop(position, None)
@@ -233,6 +233,10 @@
     elif kind == 3:
         assert progress.executor_by_position is not None
         progress.executor_by_position[position] = f"e{rng.randrange(9)}"
+    elif kind == 4:
+        progress.slow_run_by_position[position] = _progress.SlowRun(
+            rng.randrange(1 << 40), rng.random()
+        )
     else:
         progress.crashes_by_position[position] = _progress.TaskCrashes(
             attempt_executor=f"e{rng.randrange(9)}@5"
--- a/tests/state/workload/test_progress.py
+++ b/tests/state/workload/test_progress.py
@@ -13,6 +13,7 @@
         failed_runs_by_position={(0, 0, 2): {7}},
         checkpoint_by_position={(0, 0, 2): "00ff"},
         finished_wall_s=3.0,
+        slow_run_by_position={(0, 0, 3): _progress.SlowRun(7, 1.0)},
     )
 
 
