Start tasks elsewhere if an order is not sent, gangs too (LOST)

Cause: a task avoids an executor whose list of runs lacked one of its runs. An order that was not sent, came too late or was not understood left no trace, so that the same executor ranked first 30 ms later. Gangs avoided none.

Change: each refusal that doesn't keep all tasks off the executor is a lost start of the task. A gang avoids the executors that any of its members avoids, for the first second of its wait, as single tasks do; so it also avoids those where a member has failed. Runs are released as before, so no second run begins sooner (TWICE).

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -33,9 +33,9 @@
     _mutation(
         "start-without-answer-released",
         "one run",
-        f"{_SCHEDULING}/_scheduler.py",
+        f"{_SCHEDULING}/_start_answers.py",
         "            run.mark_unsettled(now.boot_s)\n",
-        "            self.cell.release_run(state, run, now)\n",
+        "            cell.release_run(executor, run, now)\n",
         f"{_TESTS}/test_scheduler.py",
     ),
     _mutation(
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -66,7 +66,8 @@
         failed_executor_ids_by_place: Executors on which each task has failed,
             as far as this scheduler knows.
         lost_start_executor_ids_by_place: Executors on which an ordered run of
-            each task was not there when they listed their runs next.
+            each task was not there when they listed their runs next, or that
+            were not reached by its order or refused it for its own sake.
         urgent_from_s_by_place: Time from which the start of a task that runs
             until cancelled goes before short tasks.
         remaining_work: Estimated work of the tasks that are not done, as last
@@ -210,6 +211,18 @@
         """Returns whether a waiting task's start goes before short tasks."""
         return now_s >= self.urgent_from_s_by_place.get(place, float("inf"))
 
+    def record_lost_start(
+        self, place: _progress.TaskPosition, executor_id: str
+    ) -> None:
+        """Lets a task start elsewhere first, as a start of it got lost.
+
+        An executor that takes no starts may still answer renewals. As nothing
+        runs on it, it would be chosen again each time.
+        """
+        self.lost_start_executor_ids_by_place.setdefault(place, set()).add(
+            executor_id
+        )
+
     def executor_ids_to_avoid(self, place: _progress.TaskPosition) -> Set[str]:
         """Returns the ids of executors that a task should not start on next.
 
@@ -225,6 +238,22 @@
             ids = ids | crashes.executor_ids
         return ids | self.failed_executor_ids_by_place.get(place, set())
 
+    def executor_ids_gang_avoids(self, key: tuple[int, int]) -> Set[str]:
+        """Returns the ids of executors that any member of a gang avoids."""
+        places = {
+            *self.lost_start_executor_ids_by_place,
+            *self.failed_executor_ids_by_place,
+            *self.progress.crashes_by_position,
+        }
+        empty: frozenset[str] = frozenset()
+        return empty.union(
+            *(
+                self.executor_ids_to_avoid(place)
+                for place in places
+                if place[:2] == key
+            )
+        )
+
     def needs_isolated_start(self, task: _job_spec.TaskId) -> bool:
         """Returns whether a task starts only apart from other unproven runs.
 
@@ -243,6 +272,20 @@
             for place, crashes in crashes_by_position.items()
         )
 
+    def checkpoint_to_resume(self, task: _job_spec.TaskId) -> str:
+        """Returns the checkpoint to resume from, or an empty string.
+
+        The members of a gang share one checkpoint.
+        """
+        checkpoint_by_place = self.progress.checkpoint_by_position
+        key = (task.occurrence, task.step)
+        step = self.spec.steps[task.step]
+        if not step.gang:
+            return checkpoint_by_place.get((*key, task.index), "")
+        places = ((*key, index) for index in range(step.count))
+        values = (checkpoint_by_place.get(place, "") for place in places)
+        return next((value for value in values if value), "")
+
     def earliest_urgent_start_s(self) -> float:
         """Returns when the first of the waiting tasks' starts is urgent."""
         return min(
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -641,6 +641,11 @@
         first = _job_spec.TaskId(
             job.id, waiting_tasks.occurrence, waiting_tasks.step, 0
         )
+        waited_s = now.boot_s - max(waiting_tasks.ready_s_by_index.values())
+        if waited_s <= RETRY_ELSEWHERE_S:
+            executors = _without_failed_executors(
+                executors, job.executor_ids_gang_avoids(key)
+            )
         is_isolated = job.needs_isolated_start(first)
         if is_isolated:
             chosen = self._isolated_starts.choose_gang(
@@ -686,7 +691,7 @@
             phase=_runs.RunPhase.ORDERED,
             phase_since_s=now.boot_s,
             generation=executor.generation,
-            checkpoint=self._checkpoint_to_resume(job, task, step),
+            checkpoint=job.checkpoint_to_resume(task),
             is_isolated=is_isolated,
             is_slowing_due=is_slowed,
         )
@@ -730,25 +735,6 @@
             ),
         )
 
-    def _checkpoint_to_resume(
-        self,
-        job: _jobs.Job,
-        task: _job_spec.TaskId,
-        step: _job_spec.StepSpec,
-    ) -> str:
-        """Returns the checkpoint to resume from, or an empty string.
-
-        The members of a gang share one checkpoint.
-        """
-        checkpoint_by_place = job.progress.checkpoint_by_position
-        if not step.gang:
-            return checkpoint_by_place.get(_cell_state.place_in_job(task), "")
-        places = (
-            (task.occurrence, task.step, index) for index in range(step.count)
-        )
-        values = (checkpoint_by_place.get(place, "") for place in places)
-        return next((value for value in values if value), "")
-
 
 def _jobs_with_urgent_starts(
     jobs: Iterable[_jobs.Job], now: _time.Now
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -9,7 +9,6 @@
 
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.leadership import _term_history
-from basiljunction.coordination.scheduling import _begun_tasks
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _clock_reading
 from basiljunction.coordination.scheduling import _crashes
@@ -26,6 +25,7 @@
 from basiljunction.coordination.scheduling import _roster
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _silent_executors
+from basiljunction.coordination.scheduling import _start_answers
 from basiljunction.state import _time
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _executor
@@ -62,6 +62,9 @@
         self._renewals = _renewals.LeaseRenewals(
             self.cell, self._crashes, self._restarts
         )
+        self._start_answers = _start_answers.StartAnswers(
+            self.cell, self._crashes
+        )
         self._inherited_waits = _inherited_runs.InheritedRunWaits(self.cell)
         self._roster = _roster.Roster(self.cell)
         self._silent_executors = _silent_executors.SilentExecutors(self.cell)
@@ -458,36 +461,7 @@
             return
         if result is _orders.StartResult.FENCED:
             self._note_fence(state, run.generation)
-        if result is _orders.StartResult.NOT_APPROVED:
-            key = (order.task.job, order.task.occurrence, order.task.step)
-            self.cell.approvals.expire_rejected_approval(key, order.executor)
-            self.cell.release_run(
-                state, run, now, delay_s=_limits.RENEWAL_RETRY_S
-            )
-            return
-        if result.will_never_run:
-            avoid_s = _AVOIDANCE_S_BY_START_RESULT.get(result, 0.0)
-            if avoid_s:
-                state.avoid_until_s = now.boot_s + avoid_s
-                self.cell.note(
-                    "executor.avoided",
-                    executor=order.executor,
-                    reason=result.value,
-                    for_s=avoid_s,
-                )
-            self._crashes.withdraw_attempt(run)
-            self.cell.release_run(
-                state, run, now, delay_s=_limits.RENEWAL_DELAY_S
-            )
-            return
-        if run.phase is not _runs.RunPhase.ORDERED:
-            return
-        if result is _orders.StartResult.STARTED:
-            run.mark_running(now.boot_s)
-            _begun_tasks.record_begin(self.cell, run)
-            self.cell.orders += self.cell.sharing.slow_started_fillers(state)
-        else:
-            run.mark_unsettled(now.boot_s)
+        self._start_answers.apply(state, run, result, now)
 
     def handle_clock(
         self,
@@ -814,13 +788,6 @@
             self._silent_executors.handle_stored(record)
 
 
-_AVOIDANCE_S_BY_START_RESULT = {
-    _orders.StartResult.UNHEALTHY: _limits.UNHEALTHY_AVOID_S,
-    _orders.StartResult.OTHER_LIFE: _limits.UNHEALTHY_AVOID_S,
-    _orders.StartResult.NO_ROOM: _limits.RENEWAL_RETRY_S,
-}
-"""Seconds without placement on an executor after it refused a start order."""
-
 SHORTEN_FINISHED_INTERVAL_S = 1.0
 """Interval between searches for finished jobs to shorten, in seconds."""
 
--- a/src/basiljunction/coordination/scheduling/_unlisted_runs.py
+++ b/src/basiljunction/coordination/scheduling/_unlisted_runs.py
@@ -43,7 +43,11 @@
                 run=run.number,
                 executor=executor.listing.id,
             )
-            _record_lost_start(cell, run)
+            job = cell.find_job(run.task)
+            if job is not None:
+                job.record_lost_start(
+                    _cell_state.place_in_job(run.task), run.executor
+                )
             executor.stop_run(run, now.boot_s)
         elif (
             run.phase is _runs.RunPhase.STOPPING
@@ -65,17 +69,3 @@
         ):
             # A gang reports one end for all of its members.
             cell.release_run(executor, run, now)
-
-
-def _record_lost_start(cell: _cell_state.CellState, run: _runs.Run) -> None:
-    """Lets the task of a run that is not there start elsewhere first.
-
-    An executor that takes no starts may still answer renewals. As nothing runs
-    on it, it would be chosen again each time.
-    """
-    job = cell.find_job(run.task)
-    if job is None:
-        return
-    job.lost_start_executor_ids_by_place.setdefault(
-        _cell_state.place_in_job(run.task), set()
-    ).add(run.executor)
