Start a task on a failing executor if no other has room (LOST)

Cause: an executor gets no tasks for 1, 2, 4, then 8 s from its third failed run in a row on, whoever's fault the failures are. Nothing was left if all were avoided, or all with room.

Change: after a second, a task that fits on no other executor may start on a failing one: one task of a job that has nothing running, gangs as a whole, and each lasting task. Not where it has failed itself, so that an executor that fails everything takes one attempt of a task at most before its time is over (test_lasting.py keeps that for lasting tasks). Failing executors are left out as long as others have room. Starts that are held are sent to an executor that was failing as they were ordered; they are dropped as before if it became so since.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -256,8 +256,8 @@
     _mutation(
         "urgent-starts-not-first",
         "lasting tasks run",
-        f"{_SCHEDULING}/_placer.py",
-        "        if urgent_from_s <= now.boot_s\n",
+        f"{_SCHEDULING}/_ordering.py",
+        "        if urgent_from_s <= now_s\n",
         "        if False\n",
         f"{_TESTS}/test_lasting.py",
     ),
@@ -1000,9 +1000,9 @@
     _mutation(
         "held-start-sent-over-the-capacity",
         "capacity",
-        f"{_SCHEDULING}/_scheduler.py",
-        " and not executor.is_overbooked:",
-        ":",
+        f"{_SCHEDULING}/_last_resorts.py",
+        "    if executor.is_overbooked:\n        return False\n",
+        "",
         f"{_TESTS}/test_capacity_changes.py",
     ),
     _mutation(
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -145,9 +145,7 @@
 
         Its silence is excused as far as the scheduler itself is late.
         """
-        return executor.accepts_new_tasks(
-            now_s, own_delay_s=self._own_delay_s()
-        )
+        return executor.accepts_new_tasks(now_s, own_delay_s=self.own_delay_s())
 
     def is_in_contact(
         self, executor: _executors.ExecutorState, now_s: float
@@ -156,9 +154,9 @@
 
         Its silence is excused as far as the scheduler itself is late.
         """
-        return executor.is_in_contact(now_s, own_delay_s=self._own_delay_s())
+        return executor.is_in_contact(now_s, own_delay_s=self.own_delay_s())
 
-    def _own_delay_s(self) -> float:
+    def own_delay_s(self) -> float:
         """Returns the silence that the scheduler may cause, in seconds."""
         return self.tick_gap_s * _limits.TICKS_PER_RENEWAL
 
--- a/src/basiljunction/coordination/scheduling/_executors.py
+++ b/src/basiljunction/coordination/scheduling/_executors.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from basiljunction.coordination.scheduling import _clock_reading
+from basiljunction.coordination.scheduling import _failure_record
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state.workload import _executor
@@ -76,8 +77,7 @@
         avoid_until_s: Time before which no task is placed on it.
         is_suspect: Whether it was slow lately and no task has run at normal
             speed since.
-        consecutive_failures: Number of failed runs since the last successful
-            one, or the last one that lasted.
+        failures: Its failed runs in a row.
         inherited_until_s: Time until which unreported runs of an earlier
             scheduler may exist on it; None once all its runs are known.
         silent_bound: Bound of its runs in the newest record of silent
@@ -151,7 +151,9 @@
     next_renewal_s: float = 0.0
     avoid_until_s: float = 0.0
     is_suspect: bool = False
-    consecutive_failures: int = 0
+    failures: _failure_record.FailureRecord = dataclasses.field(
+        default_factory=_failure_record.FailureRecord
+    )
     inherited_until_s: float | None = None
     silent_bound: _run_bound.RunBound | None = None
     is_lease_frozen: bool = False
@@ -310,11 +312,23 @@
         return not self.free_capacity.covers(_job_spec.Resources())
 
     def accepts_new_tasks(self, now_s: float, *, own_delay_s: float) -> bool:
-        """Returns whether the executor accepts new tasks now.
+        """Returns whether the executor accepts tasks and is not failing.
+
+        Args:
+            now_s: Current time in seconds.
+            own_delay_s: Part of its silence that the scheduler may have caused.
+        """
+        if self.failures.is_avoided(now_s):
+            return False
+        return self.accepts_starts(now_s, own_delay_s=own_delay_s)
+
+    def accepts_starts(self, now_s: float, *, own_delay_s: float) -> bool:
+        """Returns whether tasks may start on the executor, failing or not.
 
         It has to be listed, with the capacity of the incarnation that answers,
         which has listed its runs, not draining, stored in the roster, in
-        contact and not avoided, and its lease may be extended.
+        contact and not avoided for another reason, and its lease may be
+        extended.
 
         Args:
             now_s: Current time in seconds.
@@ -638,22 +652,6 @@
             for each, _ in self.run_by_key
         )
 
-    def record_failure(self, now_s: float) -> None:
-        """Counts a failed run and avoids the executor after several in a row.
-
-        The time for which no task is placed doubles with each further failure.
-        """
-        self.consecutive_failures += 1
-        if self.consecutive_failures < FAILURES_BEFORE_AVOIDED:
-            return
-        doublings = self.consecutive_failures - FAILURES_BEFORE_AVOIDED
-        wait_s = _limits.UNHEALTHY_AVOID_S * 2 ** min(doublings, 3)
-        self.avoid_until_s = now_s + min(wait_s, _limits.MAX_UNHEALTHY_AVOID_S)
-
-    def reset_failures(self) -> None:
-        """Resets the count of consecutive failures."""
-        self.consecutive_failures = 0
-
 
 def _is_young(clock_ms: int, times: _limits.LeaseTimes) -> bool:
     """Returns whether orders for an incarnation before may have an effect.
@@ -669,10 +667,6 @@
     return clock_ms / 1000 < longest_s
 
 
-FAILURES_BEFORE_AVOIDED = 3
-"""Consecutive failed runs after which an executor is avoided; the probability
-of that many by chance is below one in a hundred thousand."""
-
 SERVING_IDLE_FRACTION = 0.45
 """Fraction of the CPU reserved by serving tasks that fillers may use. Serving
 tasks reserve their peak; fillers ran at full speed beside them up to this
--- a/src/basiljunction/coordination/scheduling/_ordering.py
+++ b/src/basiljunction/coordination/scheduling/_ordering.py
@@ -7,6 +7,7 @@
 waits, the smaller it counts, so that large jobs don't starve.
 """
 
+from collections.abc import Iterable
 import enum
 
 from basiljunction.coordination.scheduling import _jobs
@@ -104,3 +105,20 @@
         objective_status(job, now_s),
         remaining_work(job).core_seconds / (1.0 + waited_s / patience_s),
     )
+
+
+def jobs_with_urgent_starts(
+    jobs: Iterable[_jobs.Job], now_s: float
+) -> list[_jobs.Job]:
+    """Returns the jobs with urgent starts, the longest urgent first."""
+    urgent_from_s_and_job = [
+        (job.earliest_urgent_start_s(), job)
+        for job in jobs
+        if job.spec.has_lasting_step
+    ]
+    urgent_from_s_and_job.sort(key=lambda pair: pair[0])
+    return [
+        job
+        for urgent_from_s, job in urgent_from_s_and_job
+        if urgent_from_s <= now_s
+    ]
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+from collections.abc import Set
 import heapq
 
 from basiljunction.coordination.scheduling import _executors
@@ -166,6 +167,17 @@
     ]
 
 
+def without_executors(
+    executors: list[_executors.ExecutorState], avoided_ids: Set[str]
+) -> list[_executors.ExecutorState]:
+    """Returns the executors that a task does not avoid, or all if none.
+
+    Attempts are limited, and the executor may be the cause of the failure.
+    """
+    others = [each for each in executors if each.listing.id not in avoided_ids]
+    return others or executors
+
+
 def choose_gang(
     step: _job_spec.StepSpec,
     task: _job_spec.TaskId,
@@ -265,7 +277,7 @@
         bool(step.data_rack) and step.data_rack not in executor.listing.labels
     )
     wastes_gpus = executor.listing.capacity.gpus > 0 and not step.size.gpus
-    health_penalty = executor.consecutive_failures + executor.is_suspect
+    health_penalty = executor.failures.in_a_row + executor.is_suspect
     if step.runs_until_cancelled:
         health_penalty += executor.holds_up_lasting_tasks
     left_millicores = executor.unused_millicores - step.size.cpu_millicores
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -10,6 +10,7 @@
 from basiljunction.coordination.scheduling import _inherited_runs
 from basiljunction.coordination.scheduling import _isolated_starts
 from basiljunction.coordination.scheduling import _jobs
+from basiljunction.coordination.scheduling import _last_resorts
 from basiljunction.coordination.scheduling import _ordering
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _placement
@@ -75,6 +76,7 @@
         ] = {}
         self._unplaceable_steps: set[tuple[str, int, int]] = set()
         self._isolated_starts = _isolated_starts.IsolatedStarts(cell)
+        self._last_resorts = _last_resorts.LastResorts(cell)
         self._wait_notes = _wait_notes.WaitNotes(cell)
 
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
@@ -126,11 +128,14 @@
             others = executors_by_service.setdefault(service, [])
             if executor.isolated_for is None:
                 others.append(executor)
+        self._last_resorts.begin_pass(now.boot_s)
+        for service in self._last_resorts.services:
+            executors_by_service.setdefault(service, [])
         self._isolated_starts.set_executors(executors_by_service)
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
         urgent_budget = self._place_jobs(
-            _jobs_with_urgent_starts(jobs, now),
+            _ordering.jobs_with_urgent_starts(jobs, now.boot_s),
             executors_by_service,
             MAX_URGENT_STARTS_PER_PASS,
             now,
@@ -351,7 +356,13 @@
                 job.queue.approval is not None
                 and waiting_tasks.ready_s_by_index
             ):
-                self._request_approval(job, waiting_tasks, executors, now)
+                self._request_approval(
+                    job,
+                    waiting_tasks,
+                    executors
+                    or self._last_resorts.executors_of(job.queue.service),
+                    now,
+                )
         return budget
 
     def _place_step_tasks(
@@ -387,12 +398,11 @@
             if chosen is None:
                 if not failed_ids:
                     self._remember_unplaceable(job, step)
-                budget -= self._start_slowed(
+                budget -= self._start_if_nothing_better(
                     job, task, waited_s, executors, now
                 )
                 if urgent_only:
                     self._unplaceable_steps.add(key)
-                self._preempt_lasting_run(job, step, waited_s, executors, now)
                 break
             self._start_run(
                 job, task, chosen, self._cell.next_run_number(), now
@@ -420,7 +430,7 @@
         used = capacity.total_millicores - capacity.free_millicores
         return used < MAX_SLOWED_START_USE * capacity.total_millicores
 
-    def _start_slowed(
+    def _start_if_nothing_better(
         self,
         job: _jobs.Job,
         task: _job_spec.TaskId,
@@ -428,17 +438,41 @@
         executors: list[_executors.ExecutorState],
         now: _time.Now,
     ) -> int:
-        """Starts a filler where serving tasks allow it at a reduced pace.
+        """Starts a task at a reduced pace or on a failing executor, if it may.
 
-        It is slowed only where they don't allow full pace, and shares the
-        processor time of the executor with other fillers.
+        Otherwise a lasting run may be stopped for it.
 
         Returns:
             The number of started tasks.
         """
         step = job.spec.steps[task.step]
-        if not self._may_start_slowed(job, step, waited_s):
+        chosen = self._executor_at_reduced_pace(
+            job, task, waited_s, executors
+        ) or self._last_resorts.choose_executor(job, task, waited_s, now.boot_s)
+        if chosen is None:
+            self._preempt_lasting_run(job, step, waited_s, executors, now)
             return 0
+        number = self._cell.next_run_number()
+        self._start_run(job, task, chosen, number, now)
+        # Another lasting task of the step may start in the same way.
+        self._cell.needs_placing = True
+        return 1
+
+    def _executor_at_reduced_pace(
+        self,
+        job: _jobs.Job,
+        task: _job_spec.TaskId,
+        waited_s: float,
+        executors: list[_executors.ExecutorState],
+    ) -> _executors.ExecutorState | None:
+        """Returns where serving tasks allow a filler at a reduced pace.
+
+        It is slowed only where they don't allow full pace, and shares the
+        processor time of the executor with other fillers.
+        """
+        step = job.spec.steps[task.step]
+        if not self._may_start_slowed(job, step, waited_s):
+            return None
         ranking = _placement.StepRanking(
             step,
             task,
@@ -446,12 +480,7 @@
             self._cell.sharing,
             _sharing.THROTTLED_PACE_PERCENT,
         )
-        chosen = ranking.best_executor()
-        if chosen is None:
-            return 0
-        number = self._cell.next_run_number()
-        self._start_run(job, task, chosen, number, now)
-        return 1
+        return ranking.best_executor()
 
     def _place_isolated_tasks(
         self,
@@ -480,7 +509,7 @@
             chosen = self._isolated_starts.choose_executor(
                 step,
                 task,
-                _without_failed_executors(executors, failed_ids),
+                _placement.without_executors(executors, failed_ids),
                 now.boot_s,
                 pace_percent=(
                     _sharing.THROTTLED_PACE_PERCENT
@@ -584,7 +613,7 @@
         if unplaceable_size is not None and step.size.covers(unplaceable_size):
             executors = []
         elif failed_ids:
-            executors = _without_failed_executors(executors, failed_ids)
+            executors = _placement.without_executors(executors, failed_ids)
         return _placement.StepRanking(step, task, executors, self._cell.sharing)
 
     def _remember_unplaceable(
@@ -643,7 +672,7 @@
         )
         waited_s = now.boot_s - max(waiting_tasks.ready_s_by_index.values())
         if waited_s <= RETRY_ELSEWHERE_S:
-            executors = _without_failed_executors(
+            executors = _placement.without_executors(
                 executors, job.executor_ids_gang_avoids(key)
             )
         is_isolated = job.needs_isolated_start(first)
@@ -654,6 +683,8 @@
         else:
             chosen = _placement.choose_gang(
                 step, first, step.count, executors, self._cell.sharing
+            ) or self._last_resorts.choose_gang(
+                job, first, waited_s, executors, now.boot_s
             )
         if chosen is None:
             return 0
@@ -694,6 +725,7 @@
             checkpoint=job.checkpoint_to_resume(task),
             is_isolated=is_isolated,
             is_slowing_due=is_slowed,
+            is_last_resort=executor.failures.is_avoided(now.boot_s),
         )
         run.started_without_checkpoint = not run.checkpoint
         executor.add_run(run)
@@ -736,23 +768,6 @@
         )
 
 
-def _jobs_with_urgent_starts(
-    jobs: Iterable[_jobs.Job], now: _time.Now
-) -> list[_jobs.Job]:
-    """Returns the jobs with urgent starts, the longest urgent first."""
-    urgent_from_s_and_job = [
-        (job.earliest_urgent_start_s(), job)
-        for job in jobs
-        if job.spec.has_lasting_step
-    ]
-    urgent_from_s_and_job.sort(key=lambda pair: pair[0])
-    return [
-        job
-        for urgent_from_s, job in urgent_from_s_and_job
-        if urgent_from_s <= now.boot_s
-    ]
-
-
 def _kind_of_step(
     job: _jobs.Job, step: _job_spec.StepSpec
 ) -> tuple[str, str | None]:
@@ -770,14 +785,3 @@
     if waited_s > RETRY_ELSEWHERE_S:
         return frozenset()
     return job.executor_ids_to_avoid(_cell_state.place_in_job(task))
-
-
-def _without_failed_executors(
-    executors: list[_executors.ExecutorState], failed_ids: Set[str]
-) -> list[_executors.ExecutorState]:
-    """Returns the executors on which a task has not failed, or all if none.
-
-    Attempts are limited, and the executor may be the cause of the failure.
-    """
-    others = [each for each in executors if each.listing.id not in failed_ids]
-    return others or executors
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -467,7 +467,7 @@
                 now.boot_s - run.phase_since_s > _limits.MAX_UNHEALTHY_AVOID_S
             ):
                 # It never succeeds, but having lasted shows as much.
-                executor.reset_failures()
+                executor.failures.reset()
         if job is not None and cell.find_step(end.task):
             if is_current or end.kind is _executor.RunEndKind.DONE:
                 self._record_end(executor, job, end, now)
@@ -509,7 +509,7 @@
             failures=len(job.progress.failed_runs_by_position.get(place, ())),
         )
         if end.kind is _executor.RunEndKind.DONE:
-            executor.reset_failures()
+            executor.failures.reset()
             self._record_success(job, end.task, step, now)
             self._stop_other_runs(end, step, now)
             return
@@ -558,14 +558,14 @@
             or place in job.progress.completed_positions
         ):
             return
-        executor.record_failure(now.boot_s)
-        if now.boot_s < executor.avoid_until_s:
+        executor.failures.record_failure(now.boot_s)
+        if executor.failures.is_avoided(now.boot_s):
             self._cell.note(
                 "executor.avoided",
                 executor=executor.listing.id,
                 reason="failures",
-                failures_in_row=executor.consecutive_failures,
-                for_s=round(executor.avoid_until_s - now.boot_s, 3),
+                failures_in_row=executor.failures.in_a_row,
+                for_s=round(executor.failures.avoid_until_s - now.boot_s, 3),
             )
         job.failed_executor_ids_by_place.setdefault(place, set()).add(
             executor.listing.id
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -51,6 +51,8 @@
         is_isolated: Whether it was started apart from other unproven runs.
         is_attempt: Whether its task was a suspect of a crash as it was started,
             so that its executor is on record until it is proven.
+        is_last_resort: Whether its executor was avoided for failures as it was
+            ordered.
         started_without_checkpoint: Whether it is known to have started without
             a checkpoint.
         progress_percent: Progress as last reported.
@@ -92,6 +94,7 @@
     is_proven: bool = False
     is_isolated: bool = False
     is_attempt: bool = False
+    is_last_resort: bool = False
     started_without_checkpoint: bool = False
     progress_percent: float = 0.0
     progress_changed_s: float = 0.0
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -16,6 +16,7 @@
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _inherited_runs
 from basiljunction.coordination.scheduling import _jobs
+from basiljunction.coordination.scheduling import _last_resorts
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _orders
@@ -426,9 +427,8 @@
             return False
         if run.phase is not _runs.RunPhase.ORDERED:
             return False
-        return not run.is_start_held or (
-            self.cell.is_usable(executor, now.boot_s)
-            and not executor.is_overbooked
+        return not run.is_start_held or _last_resorts.may_still_start(
+            self.cell, executor, run, now.boot_s
         )
 
     def note_start_sent(self, order: _orders.StartOrder) -> None:
@@ -765,7 +765,7 @@
             return
         if run.phase is not _runs.RunPhase.ORDERED:
             return
-        if cell.is_usable(executor, now.boot_s) and not executor.is_overbooked:
+        if _last_resorts.may_still_start(cell, executor, run, now.boot_s):
             run.is_start_held = False
             cell.orders.append(order)
         else:
--- a/tests/coordination/scheduling/test_placement.py
+++ b/tests/coordination/scheduling/test_placement.py
@@ -7,6 +7,7 @@
 import pytest
 
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _failure_record
 from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _placement
 from basiljunction.coordination.scheduling import _runs
@@ -313,7 +314,9 @@
                     ),
                     labels=(rng.choice(["kind-a", "kind-b"]), "rack-1"),
                 ),
-                consecutive_failures=rng.choice([0, 0, 0, 1]),
+                failures=_failure_record.FailureRecord(
+                    in_a_row=rng.choice([0, 0, 0, 1])
+                ),
             )
             for number in range(12)
         ]
