--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -33,9 +33,9 @@
     _mutation(
         "start-without-answer-released",
         "one run",
-        f"{_SCHEDULING}/_scheduler.py",
+        f"{_SCHEDULING}/_start_answers.py",
         "            run.mark_unsettled(now.boot_s)\n",
-        "            self.cell.release_run(state, run, now)\n",
+        "            cell.release_run(executor, run, now)\n",
         f"{_TESTS}/test_scheduler.py",
     ),
     _mutation(
@@ -265,8 +265,8 @@
     _mutation(
         "urgent-starts-not-first",
         "lasting tasks run",
-        f"{_SCHEDULING}/_placer.py",
-        "        if urgent_from_s <= now.boot_s\n",
+        f"{_SCHEDULING}/_ordering.py",
+        "        if urgent_from_s <= now_s\n",
         "        if False\n",
         f"{_TESTS}/test_lasting.py",
     ),
@@ -1017,9 +1017,9 @@
     _mutation(
         "held-start-sent-over-the-capacity",
         "capacity",
-        f"{_SCHEDULING}/_scheduler.py",
-        " and not executor.is_overbooked:",
-        ":",
+        f"{_SCHEDULING}/_last_resorts.py",
+        "    if executor.is_overbooked:\n        return False\n",
+        "",
         f"{_TESTS}/test_capacity_changes.py",
     ),
     _mutation(
