Keep the records of a claim as a value that states can share

The states of the model copy an election's fields and compare them.

The times are kept as a tuple of pairs, in the order of the writes; the search leaves the time held out of these terms as out of all others. No check is changed. tests/coordination/leadership: 141 passed.

--- a/src/basiljunction/coordination/leadership/_election.py
+++ b/src/basiljunction/coordination/leadership/_election.py
@@ -158,7 +158,7 @@
         self._write_in_flight: TermWrite | None = None
         self._last_written_term: _leadership.Term | None = None
         self._write_sent_s = 0.0
-        self._sent_s_by_record: dict[_leadership.Term, float] = {}
+        self._sent_records: tuple[tuple[_leadership.Term, float], ...] = ()
         self._claimed_s = 0.0
         self._given_up_epoch = 0
         self._answered_epoch = 0
@@ -250,7 +250,7 @@
         self._failed_since_s = None
         self._write_in_flight = None
         self._last_written_term = None
-        self._sent_s_by_record.clear()
+        self._sent_records = ()
         self._next_write_s = 0.0
         self.update_provisions({})
         self.predecessor = None
@@ -359,8 +359,9 @@
         if is_own and not term.is_resigned:
             # A write without an answer is confirmed by reading it back.
             self.role = ElectionRole.LEADER
-            if term in self._sent_s_by_record:
-                self._confirm(term, self._sent_s_by_record[term])
+            for record, sent_s in self._sent_records:
+                if record == term:
+                    self._confirm(term, sent_s)
         else:
             self.role = ElectionRole.FOLLOWER
             self._next_write_s = now_s + self._rng.uniform(
@@ -495,9 +496,10 @@
         self._write_in_flight = TermWrite(term, self._end_offset)
         last = self._last_written_term
         if last is None or (term.epoch, term.beat) != (last.epoch, last.beat):
-            self._sent_s_by_record.clear()
+            self._sent_records = ()
         # Any of repeated writes may have been stored, by then at the earliest.
-        self._sent_s_by_record.setdefault(term, now_s)
+        if all(record != term for record, _ in self._sent_records):
+            self._sent_records += ((term, now_s),)
         self._last_written_term = term
         self._write_sent_s = now_s
         return self._write_in_flight
--- a/tests/election_model.py
+++ b/tests/election_model.py
@@ -92,6 +92,8 @@
         return _compare_term(value)
     if isinstance(value, _election.TermWrite):
         return value.expected_end_offset, _compare_term(value.term)
+    if isinstance(value, tuple):
+        return tuple(_drop_held_time(each) for each in value)
     return value
 
 
