--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -103,6 +103,49 @@
         "            ):",
         f"{_TESTS}/test_resignations.py",
     ),
+    _mutation(
+        "fence-of-a-later-term-taken-for-an-own-one",
+        "one run",
+        f"{_TRANSPORT}/_checked_calls.py",
+        "executor is not None and checked.token < _limits.fencing_token(",
+        "executor is not None and 0 <= _limits.fencing_token(",
+        f"{_TRANSPORT_TESTS}/test_check_round.py",
+    ),
+    _mutation(
+        "crashes-of-one-executor-counted-twice",
+        "crashing tasks",
+        f"{_SCHEDULING}/_crash_evidence.py",
+        "    executor_count = len(crashes.executor_ids)\n",
+        "    executor_count = len(\n"
+        "        crashes.shared_executors + crashes.isolated_executors\n"
+        "    )\n",
+        f"{_TESTS}/test_crash_evidence.py",
+    ),
+    _mutation(
+        "lease-of-a-restart-kept-after-a-refusal",
+        "lasting tasks",
+        f"{_SCHEDULING}/_restarts.py",
+        "        and executor.lease_until_ms <= executor.clock.clock_ms\n",
+        "",
+        f"{_TESTS}/test_clocks_after_refusals.py",
+    ),
+    _mutation(
+        "refused-executor-asked-ever-later",
+        "lasting tasks",
+        f"{_SCHEDULING}/_restarts.py",
+        "            _limits.MAX_REFUSED_RETRY_S,\n",
+        '            float("inf"),\n',
+        f"{_TESTS}/test_clocks_after_refusals.py",
+    ),
+    _mutation(
+        "attempt-of-finished-job-settled",
+        "crashing tasks",
+        f"{_SCHEDULING}/_crashes.py",
+        "if job is None or not self._cell.is_task_unfinished(task):\n"
+        "                #",
+        "if job is None:\n                #",
+        f"{_TESTS}/test_crashes.py",
+    ),
     _mutation(
         "connection-to-former-incarnation-used",
         "one run",
--- a/tests/coordination/scheduling/test_clocks_after_refusals.py
+++ b/tests/coordination/scheduling/test_clocks_after_refusals.py
@@ -1,5 +1,6 @@
 """Tests of late answers of an executor that was refused at its address."""
 
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _orders
 import cell_rig
 import workload_builders as build
@@ -45,3 +46,30 @@
     # The rig fails if a task starts elsewhere while it still runs.
     rig.run(3)
     assert rig.count_lasting_runs() == 6
+
+
+def test_a_refusal_ends_the_lease_that_a_restart_may_have_had() -> None:
+    rig = cell_rig.CellRig(build.executor_entry("e1"))
+    rig.run(61)
+    state = rig.scheduler.cell.executor_by_id["e1"]
+    now = build.clock_readings_at(rig.now_s)
+    rig.scheduler.handle_clock("e1", state.clock, 0, now, sent_s=rig.now_s)
+    assert state.lease_left_s() > 0.0
+    rig.scheduler.handle_renewal_failure(
+        _orders.RenewalOrder("e1", None, 0, 0), now, is_other_incarnation=True
+    )
+    assert state.lease_left_s() == 0.0
+
+
+def test_an_address_is_asked_again_in_time_after_many_failures() -> None:
+    rig = cell_rig.CellRig(build.executor_entry("e1"))
+    rig.run(1)
+    state = rig.scheduler.cell.executor_by_id["e1"]
+    now = build.clock_readings_at(rig.now_s)
+    for is_other_incarnation in (*[False] * 30, True):
+        rig.scheduler.handle_renewal_failure(
+            _orders.RenewalOrder("e1", None, 0, 0),
+            now,
+            is_other_incarnation=is_other_incarnation,
+        )
+    assert state.next_renewal_s <= rig.now_s + _limits.MAX_REFUSED_RETRY_S
--- a/tests/coordination/scheduling/test_crash_evidence.py
+++ b/tests/coordination/scheduling/test_crash_evidence.py
@@ -1,5 +1,8 @@
 """Tests that crashes of one executor alone are put down to no task."""
 
+import pytest
+
+from basiljunction.coordination.scheduling import _crash_evidence
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 import crash_rig
@@ -86,3 +89,19 @@
         job = rig.scheduler.cell.job_by_id[_JOB_ID]
         (crashes,) = job.progress.crashes_by_position.values()
         assert len(crashes.shared_executors) == 1
+
+
+class TestIsCulprit:
+    """It takes crashes of several executors, of which each counts once."""
+
+    @pytest.mark.parametrize(
+        "crashes",
+        [
+            _progress.TaskCrashes(("e1@1",), ("e2@1",)),
+            _progress.TaskCrashes(("e1@1", "e2@1"), ("e1@2",)),
+        ],
+    )
+    def test_crashes_of_two_executors_show_none(
+        self, crashes: _progress.TaskCrashes
+    ) -> None:
+        assert not _crash_evidence.is_culprit(crashes)
--- a/tests/transport/jobs/test_check_round.py
+++ b/tests/transport/jobs/test_check_round.py
@@ -193,3 +193,39 @@
         rig.run_until(lambda: len(executor.results) == 2, limit_s=_WAIT_S)
         assert len(executor.results) == 2
         assert not cell.is_fenced
+
+    def test_a_later_term_does(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        executor: _LossyExecutor,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.setattr(rig.scheduler, "handle_fence", lambda *_: None)
+        cell = rig.scheduler.cell
+        platform.executors[0].highest_token = _limits.fencing_token(
+            cell.epoch + 1, 0
+        )
+        _start(rig, executor)
+        assert executor.results == [_orders.StartResult.FENCED]
+        assert cell.is_fenced
+
+    def test_one_that_is_answered_in_full_counts(
+        self,
+        rig: order_rig.OrderRig,
+        platform: platform_standin.Platform,
+        executor: _LossyExecutor,
+    ) -> None:
+        executor.lost_checks = 1
+        rig.submit(
+            build.accepted_job(
+                build.step_spec(runs_until_cancelled=True), payload="lasts"
+            )
+        )
+        rig.run_until(lambda: len(executor.checks) == 1, limit_s=_WAIT_S)
+        cell = rig.scheduler.cell
+        cell.begin_order_generation(
+            cell.executor_by_id[platform.executors[0].id]
+        )
+        rig.run_until(lambda: bool(executor.results), limit_s=_WAIT_S)
+        assert executor.results == [_orders.StartResult.STARTED]
