--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -287,6 +287,35 @@
             assert rig.state_of(job_id) is _progress.JobState.COMPLETED
 
 
+class TestAttemptOfFinishedJob:
+    """Nothing is blamed for a crash once its job has finished."""
+
+    def test_its_executor_comes_back_after_the_steps_are_forgotten(
+        self,
+    ) -> None:
+        rig = _make_rig(3)
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        _run_until_crashes(rig, _CULPRIT, 1)
+        rig.crashing_tasks = frozenset()
+        rig.run_time_s = 60.0
+        _run_until_starts(rig, _CULPRIT, 2)
+        _, executor_id = _find_starts(rig, _CULPRIT)[-1]
+        executor = rig.executor_by_id[executor_id]
+        executor.is_answering = False
+        rig.take_over()
+        rig.run(1.0)
+        rig.cancel(_CULPRIT_JOB_ID)
+        rig.run(30.0)
+        job = rig.scheduler.cell.job_by_id[_CULPRIT_JOB_ID]
+        assert job.spec.steps == ()
+        executor.restart()
+        executor.is_answering = True
+        rig.run(3.0)
+        assert len(rig.find_notes("task.crash-recorded")) == 1
+        assert rig.state_of(_CULPRIT_JOB_ID) is _progress.JobState.CANCELLED
+
+
 class TestAttemptThatEnded:
     """An isolated run that ended did not crash its executor later on."""
 
