Leave attempts of finished jobs out when their executor is back

Operators would see a scheduler fail with an IndexError as it read the answer of an executor that had restarted.

Cause: a suspect's attempt that a term inherits is settled when its executor answers. If the job has finished since and its steps have been dropped (1 s after the wait for earlier runs ended), whether the task needs isolation was looked up in no steps.

The new test fails with it on the code before.

Change: attempts of finished jobs are not settled; nothing depends on them.

Result: the test passes. tests/coordination/scheduling/test_crash*.py pass.

--- a/src/basiljunction/coordination/scheduling/_crashes.py
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -199,7 +199,10 @@
         for task in tasks:
             job = self._cell.find_job(task)
             place = _cell_state.place_in_job(task)
-            if job is None or place not in job.progress.crashes_by_position:
+            if job is None or job.progress.state.is_final:
+                # The steps of a finished job may be gone.
+                continue
+            if place not in job.progress.crashes_by_position:
                 continue
             attempt = job.progress.crashes_by_position[place].attempt_executor
             # This term may have started the task again elsewhere.
--- a/tests/coordination/scheduling/test_crashes.py
+++ b/tests/coordination/scheduling/test_crashes.py
@@ -209,6 +209,30 @@
         assert crashes.attempt_executor == ""
 
 
+class TestAttemptOfAFinishedJob:
+    """Nobody needs to know any longer whether it crashed its executor."""
+
+    def test_its_executor_is_back_after_the_steps_are_forgotten(self) -> None:
+        rig = _make_rig(4)
+        rig.crashing_tasks = ()
+        rig.keeps_ids = True
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id=_CULPRIT_JOB_ID))
+        _run_until_starts(rig, _CULPRIT, 1)
+        rig.crash(rig.starts[0][1])
+        _run_until_starts(rig, _CULPRIT, 2)
+        executor_id = rig.starts[1][1]
+        rig.restart_s = 20.0
+        rig.crash(executor_id)
+        rig.take_over()
+        rig.cancel(_CULPRIT_JOB_ID)
+        rig.run(18.0)
+        assert not rig.scheduler.cell.job_by_id[_CULPRIT_JOB_ID].spec.steps
+        rig.run(5.0)
+        executor = rig.scheduler.cell.executor_by_id[executor_id]
+        assert executor.has_listed_runs
+
+
 class TestExecutorsThatStayAway:
     """An executor that is lost with its listing counts as well."""
 
