Log the whole wait of tasks that are sent in vain

Change: a run keeps the time since which its task could start; if it never began, the task keeps that time. task.waits and task.lasting-waits count from it, cover tasks whose run is not known to have begun, and name the executor of such a run (sent_to). A job of which no run is known to have begun has nothing running in these events. Nothing is placed by these times.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -113,7 +113,6 @@
     current_run_by_task: dict[_job_spec.TaskId, _runs.Run] = dataclasses.field(
         default_factory=dict
     )
-
     duplicated_tasks: set[_job_spec.TaskId] = dataclasses.field(
         default_factory=set
     )
@@ -305,6 +304,8 @@
                 _limits.LASTING_START_PATIENCE_S if run.is_preempted else 0.0
             )
             job.urgent_from_s_by_place[place] = now.boot_s + patience_s
+        if not run.was_confirmed:
+            job.turn_s_by_place[place] = run.turn_s
         job.requeue_task(place, now.boot_s, delay_s)
 
     def supersede_run(
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -68,6 +68,8 @@
         lost_start_executor_ids_by_place: Executors on which an ordered run of
             each task was not there when they listed their runs next, or that
             were not reached by its order or refused it for its own sake.
+        turn_s_by_place: Time since which each waiting task could start of which
+            a start has been refused or lost since.
         urgent_from_s_by_place: Time from which the start of a task that runs
             until cancelled goes before short tasks.
         remaining_work: Estimated work of the tasks that are not done, as last
@@ -104,6 +106,9 @@
     lost_start_executor_ids_by_place: dict[_progress.TaskPosition, set[str]] = (
         dataclasses.field(default_factory=dict)
     )
+    turn_s_by_place: dict[_progress.TaskPosition, float] = dataclasses.field(
+        default_factory=dict
+    )
     urgent_from_s_by_place: dict[_progress.TaskPosition, float] = (
         dataclasses.field(default_factory=dict)
     )
@@ -311,6 +316,7 @@
 
     def remove_waiting_task(self, place: _progress.TaskPosition) -> None:
         """Removes a task from the waiting ones, if it waits."""
+        self.turn_s_by_place.pop(place, None)
         waiting_tasks = self.waiting_tasks_by_step.get(place[:2])
         if waiting_tasks is None:
             return
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -735,6 +735,8 @@
         ready_s = now.boot_s
         if waiting_tasks is not None:
             ready_s = waiting_tasks.ready_s_by_index.get(task.index, now.boot_s)
+        place = _cell_state.place_in_job(task)
+        run.turn_s = job.turn_s_by_place.get(place, ready_s)
         cell.note(
             "task.started",
             task=str(task),
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -36,6 +36,8 @@
         step: Specification of the task's step.
         phase: Phase of the run.
         phase_since_s: When the phase began.
+        turn_s: Time since which its task could start; earlier starts of it that
+            were refused or lost don't count.
         generation: Generation of orders to its executor when it was ordered.
         checkpoint: Newest checkpoint, from which a later run can resume.
         was_confirmed: Whether the executor has confirmed or listed it.
@@ -84,6 +86,7 @@
     step: _job_spec.StepSpec
     phase: RunPhase
     phase_since_s: float
+    turn_s: float = float("inf")
     generation: int = 0
     checkpoint: str = ""
     was_confirmed: bool = False
--- a/src/basiljunction/coordination/scheduling/_wait_notes.py
+++ b/src/basiljunction/coordination/scheduling/_wait_notes.py
@@ -5,7 +5,7 @@
 keeps a task from starting on it.
 """
 
-from collections.abc import Callable
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -60,16 +60,19 @@
     """The wait of a task.
 
     Attributes:
-        ready_s: Time since which it could start, in seconds.
+        turn_s: Time since which it could start, in seconds.
         index: Rank of its job, which decides between equal waits.
         job: Its job.
         task: The task.
+        sent_to: Executor to which a start of it was sent that is not known to
+            have begun; empty if there is none.
     """
 
-    ready_s: float
+    turn_s: float
     index: int
     job: _jobs.Job
     task: _job_spec.TaskId
+    sent_to: str = ""
 
     @property
     def step(self) -> _job_spec.StepSpec:
@@ -90,15 +93,16 @@
 
     def note_longest_waits(
         self,
-        jobs: Iterable[_jobs.Job],
+        jobs: Sequence[_jobs.Job],
         executors_by_service: Mapping[str, Sequence[_executors.ExecutorState]],
         now: _time.Now,
     ) -> None:
         """Logs the longest waits at intervals, if they are long.
 
         One is that of a job that has nothing running, the other that of a
-        lasting task. Only the first waiting task of each step counts; a step
-        may have a hundred thousand.
+        lasting task. Only the first waiting task of each step counts, as a step
+        may have a hundred thousand, and those whose start was sent in vain or
+        is not known to have begun.
 
         Args:
             jobs: The jobs with waiting tasks.
@@ -108,13 +112,25 @@
         if now.boot_s < self._next_note_s:
             return
         self._next_note_s = now.boot_s + NOTE_INTERVAL_S
-        waits = _first_waits(jobs)
-        for event, is_included in _FILTER_BY_EVENT.items():
-            included = [each for each in waits if is_included(each)]
+        unbegun = self._waits_of_unbegun_runs()
+        unbegun_count_by_job = collections.Counter(e.job.id for e in unbegun)
+        waits = [*_first_waits(jobs), *_repeated_waits(jobs), *unbegun]
+        included_by_event = {
+            "task.waits": [
+                each
+                for each in waits
+                if len(each.job.running_places)
+                <= unbegun_count_by_job[each.job.id]
+            ],
+            "task.lasting-waits": [
+                each for each in waits if each.step.runs_until_cancelled
+            ],
+        }
+        for event, included in included_by_event.items():
             if not included:
                 continue
-            longest = min(included, key=lambda each: (each.ready_s, each.index))
-            if now.boot_s - longest.ready_s < MIN_NOTED_WAIT_S:
+            longest = min(included, key=lambda each: (each.turn_s, each.index))
+            if now.boot_s - longest.turn_s < MIN_NOTED_WAIT_S:
                 continue
             executors = executors_by_service.get(longest.job.queue.service, ())
             self._note(
@@ -125,6 +141,17 @@
                 now,
             )
 
+    def _waits_of_unbegun_runs(self) -> list[_Wait]:
+        """Returns the waits of tasks whose run is not known to have begun."""
+        cell = self._cell
+        return [
+            _Wait(run.turn_s, len(cell.job_by_id), job, task, run.executor)
+            for task, run in cell.current_run_by_task.items()
+            if not run.was_confirmed
+            and (job := cell.find_job(task)) is not None
+            and job.is_active
+        ]
+
     def _note(
         self,
         event: str,
@@ -144,7 +171,8 @@
         self._cell.note(
             event,
             task=str(task),
-            waited_s=round(now.boot_s - wait.ready_s, 3),
+            waited_s=round(now.boot_s - wait.turn_s, 3),
+            sent_to=wait.sent_to,
             waiting_jobs=waiting_jobs,
             may_run_unlisted=_inherited_runs.may_run_unlisted(
                 self._cell, wait.job, _cell_state.place_in_job(task)
@@ -178,21 +206,13 @@
     ]
 
 
-def _is_of_idle_job(wait: _Wait) -> bool:
-    """Returns whether the job has nothing running."""
-    return not wait.job.running_places
-
-
-def _is_of_lasting_task(wait: _Wait) -> bool:
-    """Returns whether the task runs until its job is cancelled."""
-    return wait.step.runs_until_cancelled
-
-
-_FILTER_BY_EVENT: Mapping[str, Callable[[_Wait], bool]] = {
-    "task.waits": _is_of_idle_job,
-    "task.lasting-waits": _is_of_lasting_task,
-}
-"""Waits of which the longest is logged, by the name of the log event."""
+def _repeated_waits(jobs: Iterable[_jobs.Job]) -> list[_Wait]:
+    """Returns the waits of waiting tasks whose start was sent in vain."""
+    return [
+        _Wait(turn_s, index, job, _job_spec.TaskId(job.id, *place))
+        for index, job in enumerate(jobs)
+        for place, turn_s in job.turn_s_by_place.items()
+    ]
 
 
 def find_refusal(
--- a/tests/coordination/scheduling/test_wait_notes.py
+++ b/tests/coordination/scheduling/test_wait_notes.py
@@ -1,7 +1,11 @@
 """Tests of the log entries that say why tasks wait."""
 
+import pytest
+
 from basiljunction.coordination.scheduling import _notes
+from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _wait_notes
+from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _job_spec
 import cell_rig
 import workload_builders as build
@@ -10,13 +14,33 @@
 """Run time of a task, longer than any of these tests, in seconds."""
 
 
+class _DeafRig(cell_rig.CellRig):
+    """A cell whose executors may take no starts.
+
+    Attributes:
+        start_result: What the scheduler is told of each start; None if they are
+            carried out.
+    """
+
+    start_result: _orders.StartResult | None = None
+
+    def _execute_order(
+        self,
+        executor: cell_rig.SimulatedExecutor,
+        token: int,
+        order: _orders.ExecutorOrder,
+    ) -> _orders.StartResult | _executor.LeaseRenewalReply | bool:
+        """Answers a start without carrying it out."""
+        if self.start_result and isinstance(order, _orders.StartOrder):
+            return self.start_result
+        return super()._execute_order(executor, token, order)
+
+
 def _make_rig(
     event: str = "task.waits",
-) -> tuple[cell_rig.CellRig, list[_notes.Note]]:
+) -> tuple[_DeafRig, list[_notes.Note]]:
     """Returns a rig of two executors of four cores, and its entries."""
-    rig = cell_rig.CellRig(
-        build.executor_entry("e1"), build.executor_entry("e2")
-    )
+    rig = _DeafRig(build.executor_entry("e1"), build.executor_entry("e2"))
     rig.run_time_s = _RUN_TIME_S
     notes: list[_notes.Note] = []
     rig.on_note = lambda note: (
@@ -74,6 +98,29 @@
         assert notes == []
 
 
+class TestTaskThatIsSentInVain:
+    """The entry tells the whole wait, whether a start is on its way or not."""
+
+    @pytest.mark.parametrize(
+        "result", [_orders.StartResult.NO_ROOM, _orders.StartResult.UNKNOWN]
+    )
+    def test_no_executor_takes_it(self, result: _orders.StartResult) -> None:
+        rig, notes = _make_rig()
+        rig.start_result = result
+        rig.submit(build.accepted_job(job_id="a1"))
+        rig.run(_wait_notes.MIN_NOTED_WAIT_S + 5)
+        waits_s = [float(each.value_by_field["waited_s"]) for each in notes]
+        assert len(waits_s) >= 4
+        assert waits_s[-1] - waits_s[0] == pytest.approx(
+            len(waits_s) - 1, abs=0.5
+        )
+        rig.start_result = None
+        rig.run(5)
+        notes.clear()
+        rig.run(5)
+        assert notes == []
+
+
 class TestLastingTask:
     """The entry tells why a lasting task waits beside others of its job."""
 
