Tell why a step waits though the one before was active in this term

Its good end counts when the executor is back, though the task runs again by then; an earlier scheduler may have opened the step for it without having stored that.

No source changed.

--- a/tests/coordination/scheduling/test_inherited_runs.py
+++ b/tests/coordination/scheduling/test_inherited_runs.py
@@ -7,8 +7,10 @@
 from basiljunction.coordination.leadership import _lease_grants
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
+from basiljunction.coordination.scheduling import _orders
 from basiljunction.coordination.scheduling import _summary
 from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _records
 import cell_rig
 import workload_builders as build
@@ -176,3 +178,67 @@
         rig.run(1)
         assert _read_roster_ids(rig) == {"e1", "e2"}
         assert "e1" in {executor for _, executor, _ in rig.starts}
+
+
+class _CutRig(cell_rig.CellRig):
+    """A cell whose scheduler does not reach some executors, which go on.
+
+    Attributes:
+        cut_ids: Ids of the executors that no order reaches.
+        loses_stops: Whether stop orders get lost.
+    """
+
+    cut_ids: frozenset[str] = frozenset()
+    loses_stops = False
+
+    def _send_order(self, order: _orders.ExecutorOrder) -> None:
+        """Sends an order unless it is lost."""
+        now = build.clock_readings_at(self.now_s)
+        if self.loses_stops and isinstance(order, _orders.StopOrder):
+            return
+        if order.executor not in self.cut_ids:
+            super()._send_order(order)
+        elif isinstance(order, _orders.RenewalOrder):
+            self.scheduler.handle_renewal_failure(
+                order, now, is_other_incarnation=False
+            )
+        elif isinstance(order, _orders.StartOrder):
+            self.scheduler.handle_start_answer(
+                order, _orders.StartResult.UNHEALTHY, now
+            )
+
+
+class TestStepAfterOneWithASecondRun:
+    """That a task is active in this term does not tell that it was not done."""
+
+    def test_the_next_step_does_not_run_twice(self) -> None:
+        rig = _CutRig(*(build.executor_entry(f"e{n}") for n in range(4)))
+        rig.run_time_s = 4.0
+        rig.run(1.0)
+        whole = _job_spec.Resources(4000, 8000, 0)
+        steps = (
+            build.step_spec(size=whole),
+            build.step_spec(size=whole, after=(0,)),
+        )
+        rig.submit(build.accepted_job(*steps))
+        rig.run(2.0)
+        first = rig.starts[0][1]
+        # Its run ends before its lease does, and is then started again.
+        rig.cut_ids = frozenset({first})
+        while len(rig.starts) < 2:
+            rig.step()
+        rig.run(0.3)
+        # The good end of the first run is read, begins the next step, and is
+        # not stored.
+        rig.store_is_up = False
+        rig.loses_stops = True
+        rig.cut_ids = frozenset()
+        while len(rig.starts) < 3:
+            rig.step()
+        rig.cut_ids = frozenset({first, rig.starts[2][1]})
+        rig.loses_stops = False
+        rig.store_is_up = True
+        rig.take_over()
+        # The rig checks that no task runs twice.
+        rig.run(12.0)
+        assert len(rig.starts) == 4
