Keep run numbers above those of a term that has used up its own

Callers: after a term with more than 2^20 starts, executors refused those of the next one as old, for tasks that had ended there with a higher number. Cause: each epoch has 2^20 run numbers, by its epoch alone; the term went on above them, into those of the next epoch. Ends of runs with such numbers also counted as those of an earlier term by the next but one, and not by the next. Change: a term that has used up its numbers takes a further block, which shifts all later ones. How many further blocks there are is a new record (`runs`), which goes with the same batch as the starts that need it; these are held until it is stored, as starts that rely on a record are already. So once in 2^20 starts some wait for one append, and no term has to end. A number that another writer left too high is read as the highest possible one at its offset, so that a later term can still go on above. Rolling upgrade: nothing is written before a term has used up its numbers. Same cause elsewhere, by reading, left as it is: fencing tokens have 2^20 generations of orders for an epoch; from there on they stay equal, so that later orders of that term no longer bar earlier ones.

--- a/src/basiljunction/bench/_scheduler_cost.py
+++ b/src/basiljunction/bench/_scheduler_cost.py
@@ -252,7 +252,7 @@
     @property
     def start_count(self) -> int:
         """Number of runs that were started."""
-        return self._scheduler.cell.run_counter
+        return self._scheduler.cell.run_numbers.count
 
     @property
     def waiting_task_count(self) -> int:
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -8,6 +8,7 @@
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _run_numbers
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _sharing
 from basiljunction.state import _time
@@ -35,8 +36,7 @@
         records: Records to store.
         dirty_job_ids: Jobs whose progress has to be stored.
         unstored_final_job_ids: Jobs whose final state is not stored yet.
-        unshortened_job_ids: Finished jobs whose stored record still contains
-            their payload and steps.
+        unshortened_job_ids: Finished jobs that are stored with their steps.
         notes: Decisions to log.
         replies: Answers to callers that wait for the next batch.
         roster_changed: Whether the list of executors has to be stored.
@@ -44,8 +44,7 @@
             executors have to be stored.
         needs_placing: Whether a change since the last placement pass may let
             tasks start.
-        is_term_confirmed: Whether the store confirmed this term recently
-            enough to grant leases and start tasks.
+        is_term_confirmed: Whether the term allows leases and starts now.
         confirmed_s: Sending time of the newest record of this term that the
             store confirmed.
         confirmed_beat: Number of the renewal that wrote this record.
@@ -55,16 +54,14 @@
             executors that have not listed them.
         knows_inherited_executors: Whether the stored executors of tasks that
             run until cancelled are those of their last runs.
-        next_shorten_finished_s: When records of finished jobs are next
-            shortened.
+        next_shorten_finished_s: When finished jobs are next shortened.
         next_forget_finished_s: When finished jobs are next cleaned up.
         next_learned_record_s: When the filler models are next stored.
-        run_counter: Run numbers that this term has used.
+        run_numbers: Numbers of the starts of this term.
         last_tick_s: When the scheduler last did its timed work.
         tick_gap_s: Longest gap between two such times lately.
         tick_gap_until_s: When that gap no longer counts.
-        sharing: Learned effect of fillers (tasks that use spare processor
-            time) on serving tasks.
+        sharing: Learned effect of fillers on serving tasks.
         approvals: Executors that the outside approval policy approves.
         current_run_by_task: The run of each task whose end counts.
         duplicated_tasks: Tasks that may have more than one active run.
@@ -100,7 +97,6 @@
     next_shorten_finished_s: float = 0.0
     next_forget_finished_s: float = 0.0
     next_learned_record_s: float = 0.0
-    run_counter: int = 0
     last_tick_s: float = float("inf")
     tick_gap_s: float = 0.0
     tick_gap_until_s: float = 0.0
@@ -113,10 +109,13 @@
     current_run_by_task: dict[_job_spec.TaskId, _runs.Run] = dataclasses.field(
         default_factory=dict
     )
-
     duplicated_tasks: set[_job_spec.TaskId] = dataclasses.field(
         default_factory=set
     )
+    run_numbers: _run_numbers.RunNumbers = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.run_numbers = _run_numbers.RunNumbers(self.epoch)
 
     def note(self, event: str, **fields: str | int | float | bool) -> None:
         """Queues a decision for the log, with the inputs that led to it."""
@@ -135,8 +134,7 @@
 
     def next_run_number(self) -> int:
         """Returns a run number above all numbers of this and earlier terms."""
-        self.run_counter += 1
-        return (self.epoch - 1) * _limits.RUNS_PER_EPOCH + self.run_counter
+        return self.run_numbers.take(self.records)
 
     def is_usable(
         self, executor: _executors.ExecutorState, now_s: float
@@ -244,12 +242,13 @@
             self.mark_progress_dirty(job)
 
     def order_start(self, job: _jobs.Job, order: _orders.StartOrder) -> None:
-        """Queues a start order, after the batch if its executor is stored."""
+        """Queues a start order, after the batch if that stores part of it."""
         step = job.spec.steps[order.task.step]
         run = self.current_run_by_task[order.task]
+        stores_executor = job.progress.executor_by_position is not None
         if run.is_attempt or (
-            step.runs_until_cancelled
-            and job.progress.executor_by_position is not None
+            not self.run_numbers.may_be_sent(order.run)
+            or (step.runs_until_cancelled and stores_executor)
         ):
             run.is_start_held = True
             self.held_starts.append(order)
--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -537,7 +537,7 @@
         self, end: _executor.EndedRunReport
     ) -> bool:
         """Returns whether the run number belongs to an earlier term."""
-        return end.run_number <= (self._cell.epoch - 1) * _limits.RUNS_PER_EPOCH
+        return self._cell.run_numbers.is_of_earlier_term(end.run_number)
 
     def _record_failure(
         self,
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -94,11 +94,9 @@
             longest_inherited_run_s: Longest time for which runs of earlier
                 terms may go on after that, in seconds; None if the scheduler
                 before may have gone on without a confirmation.
-            knows_longest_leases: Whether that time counts the leases of
-                executors that have restarted, as the scheduler before told it.
-            bounded_since_epoch: First epoch from which on all schedulers before
-                this one store bounds of silent executors before they extend
-                leases; 0 if the last one need not have.
+            knows_longest_leases: Whether that counts leases after a restart.
+            bounded_since_epoch: First epoch from which on all schedulers stored
+                bounds of silent executors before leases; 0 if the last did not.
         """
         cell = self.cell
         if longest_inherited_run_s is None:
@@ -110,6 +108,7 @@
         )
         stored = tuple(records)
         self._restore_jobs(stored, now)
+        cell.run_numbers.restore(stored)
         restarted_excess_s = (
             0.0 if knows_longest_leases else cell.times.max_restarted_excess_s
         )
@@ -763,6 +762,7 @@
         their executors with the next renewal.
         """
         cell = self.cell
+        cell.run_numbers.handle_stored(batch.records)
         for record in batch.records:
             self._mark_record_stored(record)
         for order in batch.starts:
--- a/src/basiljunction/protocol/_job_records.py
+++ b/src/basiljunction/protocol/_job_records.py
@@ -16,6 +16,7 @@
 
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _progress_document
+from basiljunction.protocol import _run_numbers_document
 from basiljunction.state.workload import _executor
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _progress
@@ -43,6 +44,8 @@
 """Prefix of the keys of parts of that list, before the number of the part."""
 _SILENT_KEY = "silent"
 """Key of the bounds of runs on executors that do not answer."""
+_RUN_NUMBERS_KEY = "runs"
+"""Key of the number of blocks of run numbers."""
 _LEARNED_KEY = "learned"
 """Key under which earlier versions store the learned headroom of all images.
 
@@ -117,17 +120,27 @@
         return (_encode_roster(record),)
     if isinstance(record, _records.LearnedHeadroomRecord):
         return _encode_learned(record)
-    if isinstance(record, _records.SilentExecutorsRecord):
-        value = _wrap_with_version(
-            _silent_adapter.dump_python(record, mode="json")
-        )
-        return (KeyedRecord(_SILENT_KEY, value),)
+    if isinstance(
+        record, _records.SilentExecutorsRecord | _records.RunNumbersRecord
+    ):
+        return (_encode_single(record),)
     return (
         KeyedRecord(_JOB_KEY + record.job_id, b""),
         KeyedRecord(_PROGRESS_KEY + record.job_id, b""),
     )
 
 
+def _encode_single(
+    record: _records.SilentExecutorsRecord | _records.RunNumbersRecord,
+) -> KeyedRecord:
+    """Encodes a record of which there is one."""
+    if isinstance(record, _records.RunNumbersRecord):
+        document = _run_numbers_document.encode(record)
+        return KeyedRecord(_RUN_NUMBERS_KEY, _wrap_with_version(document))
+    document = _silent_adapter.dump_python(record, mode="json")
+    return KeyedRecord(_SILENT_KEY, _wrap_with_version(document))
+
+
 def decode_record(record: KeyedRecord) -> _records.Record:
     """Decodes a record from the store.
 
@@ -151,6 +164,8 @@
             )
         if record.key == _SILENT_KEY:
             return _silent_adapter.validate_python(document)
+        if record.key == _RUN_NUMBERS_KEY:
+            return _run_numbers_document.decode(document, record.offset)
     except (
         ValueError,
         TypeError,
--- a/src/basiljunction/state/workload/_records.py
+++ b/src/basiljunction/state/workload/_records.py
@@ -141,6 +141,20 @@
     tells_long_runs: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunNumbersRecord:
+    """Record of how many run numbers all terms have used.
+
+    Each epoch has a block of run numbers, and a term may use further ones.
+
+    Attributes:
+        further_blocks: Blocks that all terms have used beyond one for each
+            epoch.
+    """
+
+    further_blocks: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobDeletionRecord:
     """Record that deletes the job record and the progress record of a job.
@@ -160,6 +174,7 @@
     | ExecutorRosterPartRecord
     | LearnedHeadroomRecord
     | SilentExecutorsRecord
+    | RunNumbersRecord
     | JobDeletionRecord
 )
 """Any record that the job scheduler writes to the store."""
