Let a request wait for its body without holding a thread

Cause: a thread took a request with its header and read the body to its end. Evidence: the listed test, which fails without the change. Change: a body with a Content-Length is received as it arrives. If the rest has not arrived, the connection goes back to those that wait as idle ones do, with what it has, and a thread takes it up when more arrives or its deadline has passed (408, up to 1 s late for a silent client). As many may wait as may be idle, with the bytes of the bodies of all threads; beyond that threads wait as before, so that descriptors and memory stay bounded. During a stop threads wait too, and take over what waits then, so that no request is cut that was not before. The application now begins when the body is there; its own time for an answer began then already. The connections that wait have a module of their own; the mutation of the stop follows them there. Same cause elsewhere, left as it is: a chunked body, and a header, hold a thread for their time (20 s and 5 s); the latter is listed (40 connections that send nothing). Tests with processes were not run.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -992,7 +992,7 @@
     _mutation(
         "connections-not-accepted-yet-reset",
         "graceful leave",
-        "src/basiljunction/transport/_http_connection.py",
+        "src/basiljunction/transport/_http_waiting.py",
         "            if not arrived:\n",
         "            if arrived:\n",
         "tests/transport/test_http_server.py",
--- a/src/basiljunction/transport/_http_connection.py
+++ b/src/basiljunction/transport/_http_connection.py
@@ -17,13 +17,13 @@
 import time
 from typing import Any
 
-from cheroot import connections
 from cheroot import makefile
 from cheroot import server
 from cheroot import wsgi
 import structlog
 
 from basiljunction.transport import _http_threads
+from basiljunction.transport import _http_waiting
 
 _log = structlog.get_logger()
 
@@ -73,6 +73,11 @@
         """
         self._at_s = min(time.monotonic() + timeout_s, end_s)
 
+    @property
+    def has_passed(self) -> bool:
+        """Whether the phase has ended."""
+        return time.monotonic() >= self._at_s
+
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline.
 
@@ -132,13 +137,32 @@
 
 
 class _DeadlineRequest(server.HTTPRequest):
-    """A request that restarts the deadline at each of its phases."""
+    """A request that restarts the deadline at each of its phases.
+
+    Args:
+        http_server: The server.
+        conn: The connection.
+    """
+
+    def __init__(self, http_server: "DeadlineServer", conn: Any) -> None:  # noqa: ANN401 - cheroot has no type for it
+        super().__init__(http_server, conn)
+        self.body: _http_waiting.RequestBody | None = None
+        self._closes_connection = False
+
+    def parse_request(self) -> None:
+        """Reads the headers, unless the request has waited for its body."""
+        if self.body is None:
+            super().parse_request()
 
     def respond(self) -> None:
-        """Runs the application within the body's deadline.
+        """Runs the application once the body is complete.
 
         Answers 400 to a request whose headers leave the body's length unclear.
         """
+        if self.body is not None:
+            self.close_connection = self._closes_connection
+            self._respond_with_body(self.body)
+            return
         if not _is_body_length_unambiguous(self.inheaders):
             self.simple_response(
                 "400 Bad Request", "ambiguous length of the body"
@@ -147,7 +171,33 @@
         self.conn.deadline.restart(
             self.server.timeouts.body_s, self.server.reading_end_s()
         )
-        super().respond()
+        length = int(self.inheaders.get(b"Content-Length", 0))
+        if not 0 < length <= self.server.max_request_body_size:
+            super().respond()
+            return
+        self.body = _http_waiting.RequestBody(
+            self.conn.rfile, self.conn.socket, length
+        )
+        self._respond_with_body(self.body)
+
+    def _respond_with_body(self, body: _http_waiting.RequestBody) -> None:
+        """Runs the application, or lets the connection wait for the rest.
+
+        Raises:
+            TimeoutError: The deadline of the body has passed.
+        """
+        self.conn.deadline.remaining_s()
+        if not body.receive(self.server.may_hold):
+            self._closes_connection = self.close_connection
+            self.close_connection = False
+            self.conn.waiting_request = self
+            return
+        stream = self.conn.rfile
+        self.conn.rfile = body.open()
+        try:
+            super().respond()
+        finally:
+            self.conn.rfile = stream
 
     def send_headers(self) -> None:
         """Sends the response headers and starts the write deadline.
@@ -176,7 +226,7 @@
 class _DeadlineConnection(server.HTTPConnection):
     """A connection whose requests have deadlines."""
 
-    RequestHandlerClass = _DeadlineRequest
+    RequestHandlerClass: Any = _DeadlineRequest
 
     def __init__(
         self,
@@ -186,56 +236,36 @@
     ) -> None:
         super().__init__(http_server, sock, make_file)
         self.deadline = _PhaseDeadline(http_server.timeouts.write_s)
+        self.waiting_request: _DeadlineRequest | None = None
         read = _DeadlineSocketIO(sock, "rb", self.deadline)
         write = _DeadlineSocketIO(sock, "wb", self.deadline)
         self.rfile = _DeadlineReader(read, self.rbufsize)
         self.wfile = _DeadlineWriter(write, self.wbufsize)
 
+    @property
+    def waiting_body(self) -> _http_waiting.RequestBody | None:
+        """Body of the request of which the rest has not arrived, if any."""
+        request = self.waiting_request
+        return None if request is None else request.body
+
     def communicate(self) -> bool:
-        """Handles the next request; returns whether to keep the connection."""
-        self.deadline.restart(
-            self.server.timeouts.header_s, self.server.reading_end_s()
-        )
+        """Handles the next request, or goes on with the one that has waited.
+
+        Returns:
+            Whether to keep the connection.
+        """
+        waiting, self.waiting_request = self.waiting_request, None
+        if waiting is None:
+            self.RequestHandlerClass = _DeadlineRequest
+            self.deadline.restart(
+                self.server.timeouts.header_s, self.server.reading_end_s()
+            )
+        else:
+            self.RequestHandlerClass = lambda *_: waiting
         is_kept: bool = super().communicate()  # type: ignore[no-untyped-call]  # cheroot has no type for it
         return is_kept
 
 
-class _DrainingConnections(connections.ConnectionManager):
-    """Connections of a server that answers those made before its stop.
-
-    A connection that the kernel has completed and the server has not accepted
-    is reset when the listening socket closes: its client has sent a request
-    and cannot know whether it ran.
-    """
-
-    # Cheroot's type stubs leave these out.
-    _selector: Any
-    _from_server_socket: Callable[[Any], Any]
-
-    def stop(self) -> None:
-        """Ends the loop, serves what has arrived and stops to listen."""
-        super().stop()
-        listener = self.server.socket
-        for _ in range(self.server.request_queue_size):
-            arrived = list(self._selector.select(timeout=0))
-            if not arrived:
-                break
-            for descriptor, connection in arrived:
-                self._serve_arrived(descriptor, connection)
-        self.server.socket = None
-        listener.close()
-
-    def _serve_arrived(self, descriptor: int, connection: Any) -> None:  # noqa: ANN401 - cheroot has no type for it
-        """Passes a connection with a request, or a new one, to a thread."""
-        if connection is not self.server:
-            self._selector.unregister(descriptor)
-            self.server.process_conn(connection)
-            return
-        accepted = self._from_server_socket(self.server.socket)
-        if accepted is not None:
-            self.server.process_conn(accepted)
-
-
 class DeadlineServer(wsgi.Server):
     """A WSGI server with a deadline for each phase of a request.
 
@@ -254,7 +284,7 @@
 
     ConnectionClass = _DeadlineConnection
     requests: _http_threads.BoundedThreadPool
-    _connections: connections.ConnectionManager
+    _connections: _http_waiting.WaitingConnections
 
     def __init__(
         self,
@@ -286,6 +316,30 @@
             self.requests.reading_end_s, time.monotonic() + ARRIVED_READ_S
         )
 
+    def may_hold(self, size: int) -> bool:
+        """Returns whether a connection may wait for a body without a thread.
+
+        So many connections may wait as may be idle, with as many bytes as fit
+        into the bodies of requests on all threads. Threads wait for others, as
+        they do during a stop.
+
+        Args:
+            size: Bytes of the body that have been received.
+        """
+        if not self.can_add_keepalive_connection:
+            return False
+        held = self._connections.received_bytes() + size
+        limit: int = self.requests.max * self.max_request_body_size
+        return held <= limit
+
+    def put_conn(self, conn: Any) -> None:  # noqa: ANN401 - cheroot has no type for it
+        """Lets a connection wait; completes its request during a stop."""
+        while conn.waiting_request is not None and not self.ready:
+            if not conn.communicate():
+                conn.close()
+                return
+        super().put_conn(conn)
+
     def process_conn(self, conn: Any) -> None:  # noqa: ANN401 - cheroot has no type for it
         """Passes a connection to a thread; answers 503 if too many wait.
 
@@ -310,7 +364,7 @@
         """Binds the listening socket and starts the threads."""
         super().prepare()
         self._connections.close()
-        self._connections = _DrainingConnections(self)
+        self._connections = _http_waiting.WaitingConnections(self)
 
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
