--- a/src/basiljunction/transport/jobs/_term_keeper.py
+++ b/src/basiljunction/transport/jobs/_term_keeper.py
@@ -15,11 +15,13 @@
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _http_call
 from basiljunction.protocol import _job_records
+from basiljunction.protocol import _term_requests
 from basiljunction.state import _time
 from basiljunction.state.workload import _leadership
 from basiljunction.state.workload import _provision
 from basiljunction.transport.jobs import _feeds
 from basiljunction.transport.jobs import _http_calls
+from basiljunction.transport.jobs import _term_decoding
 
 WRITE_TIMEOUT_S = 1.0
 """Timeout of a term write, in seconds.
@@ -35,10 +37,6 @@
 """Time from the answer to a registration or a removal until it is repeated
 unless it was read back, in seconds."""
 
-_LOGGED_DIGITS = 20
-"""Number of digits of an epoch that are logged, as other writers may leave
-thousands; that of a term has fewer."""
-
 _log = structlog.get_logger()
 
 
@@ -148,13 +146,15 @@
                 self._apply_member_record(record)
             if record.key.startswith(_store.PROVISION_PREFIX):
                 self._apply_provision_record(record)
+            if record.key == _store.REQUEST_KEY and record.value:
+                self._apply_request_record(record)
             if record.key != _store.TERM_KEY or not record.value:
                 continue
             max_epoch = _epoch_range.max_epoch_at(
                 end_offset if record.offset is None else record.offset
             )
             try:
-                term = _decode_term(record.value, max_epoch)
+                term = _term_decoding.decode_term(record.value, max_epoch)
             except _errors.DecodeError as error:
                 self._log_malformed_term(record.key, error)
                 if is_whole:
@@ -263,6 +263,15 @@
         except _errors.DecodeError as error:
             _log.warning("provision.malformed", member=name, error=str(error))
 
+    def _apply_request_record(self, record: _job_records.KeyedRecord) -> None:
+        """Passes a request to the election; a malformed one is none."""
+        try:
+            request = _term_requests.decode_request(record.value)
+        except _errors.DecodeError as error:
+            _log.warning("request.malformed", error=str(error))
+            return
+        self.election.hand_over.record_request(request)
+
     def register_member(self, now: _time.Now) -> None:
         """Publishes what the store does not know of this instance, if due."""
         if self._is_registering or self._offset is None:
@@ -345,7 +354,7 @@
         claim = self.election.next_term_write(now.boot_s)
         if claim is None:
             return
-        if self.election.role is _election.ElectionRole.CLAIMING:
+        if self.election.role is _leadership.ElectionRole.CLAIMING:
             _log.info(
                 "term.claiming",
                 epoch=claim.term.epoch,
@@ -375,19 +384,16 @@
             )
             self.election.record_write_failure(now_s)
 
-
-def _decode_term(data: bytes, max_epoch: int) -> _leadership.Term:
-    """Decodes a term from the store.
-
-    Raises:
-        DecodeError: The bytes are not a term, or its epoch is out of range.
-    """
-    term = _job_records.decode_term(data)
-    if not 0 < term.epoch <= max_epoch:
-        digits = str(term.epoch)
-        raise _errors.DecodeError(
-            "term",
-            f"epoch {digits[:_LOGGED_DIGITS]} ({len(digits)} digits) is not "
-            f"from 1 to {max_epoch}",
+    def send_due_request(self, now: _time.Now) -> None:
+        """Requests the term of a scheduler that leaves, if that is due."""
+        request = self.election.next_request(now.boot_s)
+        if request is None:
+            return
+        _log.info("term.requested", epoch=request.epoch)
+        value = _term_requests.encode_request(request)
+        # It is repeated unless it is read back.
+        self._send_append(
+            (_job_records.KeyedRecord(_store.REQUEST_KEY, value),),
+            lambda _: None,
+            request.expected_end_offset,
         )
-    return term
