--- a/tests/coordination/scheduling/test_clocks_after_refusals.py
+++ b/tests/coordination/scheduling/test_clocks_after_refusals.py
@@ -54,7 +54,11 @@
     state = rig.scheduler.cell.executor_by_id["e1"]
     now = build.clock_readings_at(rig.now_s)
     rig.scheduler.handle_clock("e1", state.clock, 0, now, sent_s=rig.now_s)
+    rig.executor_by_id["e1"].is_answering = False
+    # Its next renewal is for the present incarnation.
+    rig.run(0.3)
     assert state.lease_left_s() > 0.0
+    now = build.clock_readings_at(rig.now_s)
     rig.scheduler.handle_renewal_failure(
         _orders.RenewalOrder("e1", None, 0, 0), now, is_other_incarnation=True
     )
