Start a task elsewhere only after two lost starts on an executor (TWICE)

Callers might see a task run twice where orders are carried out late, after their executor has restarted.

Its order may only be late. A later run on the same executor bars it, also in the next incarnation, one elsewhere does not.

Change: an executor is avoided for a task from the second lost start on. Starts that were not sent, or were refused, are certainly not carried out and count at once, as before.

--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -65,9 +65,11 @@
         done_count_by_step: Successful tasks by occurrence and step.
         failed_executor_ids_by_place: Executors on which each task has failed,
             as far as this scheduler knows.
-        lost_start_executor_ids_by_place: Executors on which an ordered run of
-            each task was not there when they listed their runs next, or that
-            were not reached by its order or refused it for its own sake.
+        unlisted_start_executor_ids_by_place: Executors on which an ordered run
+            of each task was not there when they listed their runs next.
+        lost_start_executor_ids_by_place: Executors on which that was so twice,
+            or that were not reached by an order to start each task or refused
+            it for its own sake.
         turn_s_by_place: Time since which each waiting task could start of which
             a start has been refused or lost since.
         urgent_from_s_by_place: Time from which the start of a task that runs
@@ -103,6 +105,9 @@
     failed_executor_ids_by_place: dict[_progress.TaskPosition, set[str]] = (
         dataclasses.field(default_factory=dict)
     )
+    unlisted_start_executor_ids_by_place: dict[
+        _progress.TaskPosition, set[str]
+    ] = dataclasses.field(default_factory=dict)
     lost_start_executor_ids_by_place: dict[_progress.TaskPosition, set[str]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -228,6 +233,21 @@
             executor_id
         )
 
+    def record_unlisted_start(
+        self, place: _progress.TaskPosition, executor_id: str
+    ) -> None:
+        """Lets a task start elsewhere once two starts on an executor got lost.
+
+        The order of the first one may only be late. A later run there bars it,
+        also in the executor's next incarnation, a run elsewhere does not.
+        """
+        executor_ids = self.unlisted_start_executor_ids_by_place.setdefault(
+            place, set()
+        )
+        if executor_id in executor_ids:
+            self.record_lost_start(place, executor_id)
+        executor_ids.add(executor_id)
+
     def executor_ids_to_avoid(self, place: _progress.TaskPosition) -> Set[str]:
         """Returns the ids of executors that a task should not start on next.
 
--- a/src/basiljunction/coordination/scheduling/_unlisted_runs.py
+++ b/src/basiljunction/coordination/scheduling/_unlisted_runs.py
@@ -45,7 +45,7 @@
             )
             job = cell.find_job(run.task)
             if job is not None:
-                job.record_lost_start(
+                job.record_unlisted_start(
                     _cell_state.place_in_job(run.task), run.executor
                 )
             executor.stop_run(run, now.boot_s)
--- a/tests/coordination/scheduling/test_held_back_tasks.py
+++ b/tests/coordination/scheduling/test_held_back_tasks.py
@@ -24,9 +24,11 @@
 
     Attributes:
         start_result: What the scheduler is told of such a start.
+        untaken_count: Number of starts that e1 has not taken.
     """
 
     start_result = _orders.StartResult.UNKNOWN
+    untaken_count = 0
 
     def _execute_order(
         self,
@@ -36,6 +38,7 @@
     ) -> _orders.StartResult | _executor.LeaseRenewalReply | bool:
         """Answers a start for e1 without carrying it out."""
         if isinstance(order, _orders.StartOrder) and order.executor == "e1":
+            self.untaken_count += 1
             return self.start_result
         return super()._execute_order(executor, token, order)
 
@@ -139,6 +142,14 @@
         rig.submit(build.accepted_job(step, job_id="a1"))
         assert _measure_wait_s(rig, "a1") <= _MAX_WAIT_S + _SLACK_S
 
+    def test_a_lost_order_is_repeated_there_once(self) -> None:
+        """It may only be late, and a later run on e1 bars it."""
+        rig = _DeafRig(*_entries(4))
+        rig.run(1.0)
+        rig.submit(build.accepted_job(job_id="a1"))
+        _measure_wait_s(rig, "a1")
+        assert rig.untaken_count == 2
+
     def test_its_order_is_not_sent(self) -> None:
         rig = _DeafRig(*_entries(4))
         rig.start_result = _orders.StartResult.NOT_SENT
