Test three guards that failed no test when taken out

Of five trial edits of the hand-over, two were not noticed: the time that who leaves has left to others since the offer, and the claim of who requested the term.

No source is changed.

--- a/tests/coordination/leadership/test_hand_over.py
+++ b/tests/coordination/leadership/test_hand_over.py
@@ -52,6 +52,20 @@
     assert hand_over.claim_delay_s(later, 0.0, 20.0, 20.0) == PATIENCE_S
 
 
+def test_an_instance_that_leaves_waits_since_the_term_was_offered() -> None:
+    hand_over = _make_hand_over()
+    hand_over.resign_by_s = 99.0
+    assert hand_over.claim_delay_s(OFFERED, 0.0, 11.0, 11.0) == pytest.approx(
+        PATIENCE_S - 1.0
+    )
+
+
+def test_an_instance_claims_the_term_that_it_requested_at_once() -> None:
+    hand_over = _make_hand_over()
+    hand_over.record_request(REQUEST)
+    assert hand_over.claim_delay_s(OFFERED, 0.8, 20.0, 20.0) == 0.0
+
+
 def test_no_term_is_claimed_that_ends_before_its_first_renewal() -> None:
     hand_over = _make_hand_over()
     hand_over.resign_by_s = 20.5
--- a/tests/coordination/scheduling/test_refusals.py
+++ b/tests/coordination/scheduling/test_refusals.py
@@ -121,6 +121,13 @@
         refusals.refuse_for(10.0)
         assert len(refusals.renewals) <= 10
 
+    def test_it_is_asked_again_in_time_however_long_it_is_gone(self) -> None:
+        refusals = _Refusals()
+        refusals.refuse_for(10.0)
+        count = len(refusals.renewals)
+        refusals.refuse_for(_limits.MAX_REFUSED_RETRY_S + 2 * _STEP_S)
+        assert len(refusals.renewals) > count
+
     def test_it_is_asked_again_at_once_after_lost_renewals(self) -> None:
         refusals = _Refusals()
         refusals.lose_for(3.0)
