--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -19,12 +19,14 @@
 import threading
 import time
 import tomllib
+import traceback
 
 import store as store_module
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 LIBRARY = pathlib.Path(__file__).resolve().parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LIMIT_S = 114
 
 SETTINGS = """\
 NodeName={name}
@@ -222,6 +224,11 @@
         self._read = 0
 
     def start(self):
+        with self.deployment.lock:
+            if not self.deployment.is_closed:
+                self._start()
+
+    def _start(self):
         self.process = subprocess.Popen(
             [
                 sys.executable,
@@ -239,6 +246,15 @@
         self.process.kill()
         self.process.wait()
 
+    def is_up(self):
+        """Returns whether its process takes connections."""
+        host, _, port = self.address.rpartition(":")
+        try:
+            socket.create_connection((host, int(port)), timeout=0.2).close()
+        except OSError:
+            return False
+        return True
+
     def new_events(self):
         """Returns what it has logged since the last call."""
         with self.log_path.open(encoding="utf-8") as log_file:
@@ -285,6 +301,7 @@
         self.instances = [Instance(self, n) for n in range(instances)]
         self.executors = [ExecutorProcess(self, n) for n in range(executors)]
         self.begin_s = time.time()
+        self.is_closed = False
 
     def next_port(self):
         while True:
@@ -407,6 +424,8 @@
 
     def close(self):
         """Ends all processes and writes the record."""
+        with self.lock:
+            self.is_closed = True
         for each in (*self.instances, *self.executors):
             if each.process is not None and each.process.poll() is None:
                 each.process.send_signal(signal.SIGCONT)
@@ -439,16 +458,27 @@
 def run_case(case_folder, make, play):
     """Runs a case and exits with its result.
 
+    An error of the case itself, the end of its time or SIGTERM mean that it
+    could not run; the processes that it started are ended then, too.
+
     Args:
         case_folder: Folder of the case.
         make: Returns the deployment.
         play: Plays the case; returns the breaks of the rule, one text each.
     """
+
+    def give_up(number, _):
+        raise CannotRunError(f"ended by signal {number}")
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(LIMIT_S)
     try:
         deployment = make()
     except (CannotRunError, OSError) as error:
         print(f"cannot run: {error}")
         sys.exit(NOT_RUN)
+    result = NOT_RUN
     try:
         breaks = play(deployment)
         for text in breaks:
@@ -459,7 +489,10 @@
         print("rule broken" if breaks else "rule held")
     except CannotRunError as error:
         print(f"cannot run: {error}")
-        result = NOT_RUN
+    except Exception:
+        traceback.print_exc()
+        print("cannot run: error of the case")
     finally:
+        signal.alarm(0)
         deployment.close()
     sys.exit(result)
