Log for how long serving tasks are over their target beside fillers

Change: each second of such a time is noted (task.over-target), with how much of it counts toward the last resort, and for each filler its phase and the age of that, its pace on record and the CPU that it is reported with; the end of it too (task.within-target), with a histogram of the lengths. No decision changes.

--- a/src/basiljunction/coordination/scheduling/_renewals.py
+++ b/src/basiljunction/coordination/scheduling/_renewals.py
@@ -17,6 +17,7 @@
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _slowness
 from basiljunction.coordination.scheduling import _stalls
+from basiljunction.coordination.scheduling import _target_watch
 from basiljunction.coordination.scheduling import _unlisted_runs
 from basiljunction.state import _time
 from basiljunction.state.workload import _executor
@@ -331,6 +332,7 @@
         """
         cell = self._cell
         cell.sharing.learn_from_report(executor, now)
+        _target_watch.record_stretches(cell, executor, now.boot_s)
         relieved_before_s = executor.fillers_adjusted_s
         cell.orders += cell.sharing.slow_started_fillers(executor)
         cell.orders += cell.sharing.adjust_fillers(executor, now)
--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -78,6 +78,9 @@
         headroom_alone: Estimated headroom without fillers; 0 if not known.
         over_target_since_s: When the tail latency rose over its target; None if
             it is within the target.
+        strained_since_s: When its reported tail latency rose over its target
+            beside fillers at work; None if it is not so.
+        strain_noted_s: How much of that time has been noted, in seconds.
         pace_percent: Percent of full speed at which the run may work, or does
             work as far as its pace is not known.
         is_pace_known: Whether the pace is that of its start or of an order; of
@@ -120,6 +123,8 @@
     headroom: float = 0.0
     headroom_alone: float = 0.0
     over_target_since_s: float | None = None
+    strained_since_s: float | None = None
+    strain_noted_s: float = 0.0
     pace_percent: int = FULL_PACE_PERCENT
     is_pace_known: bool = True
     is_slowing_due: bool = False
--- a/src/basiljunction/transport/_metric_names.py
+++ b/src/basiljunction/transport/_metric_names.py
@@ -279,6 +279,13 @@
         "",
         "Serving tasks whose tail latency is over its target",
     ),
+    Metric(
+        "cell_over_target_duration",
+        MetricKind.HISTOGRAM,
+        "s",
+        "Times of 1 s and more for which the reported tail latency of a serving"
+        " task was over its target beside fillers at work",
+    ),
     Metric(
         "cell_fillers_paced",
         MetricKind.GAUGE,
--- a/src/basiljunction/transport/jobs/_cell_metrics.py
+++ b/src/basiljunction/transport/jobs/_cell_metrics.py
@@ -20,8 +20,9 @@
     def count_decision(self, note: _notes.Note) -> None:
         """Counts a scheduling decision by its event name.
 
-        Also records the wait of a started task, the outcome of an ended task
-        and the duration of a finished job.
+        Also records the wait of a started task, the outcome of an ended task,
+        the time of a serving task over its target and the duration of a
+        finished job.
         """
         self._metrics.count("cell_decisions", event=note.event)
         fields = note.value_by_field
@@ -29,6 +30,10 @@
             self._metrics.observe("task_start_wait", float(fields["waited_s"]))
         elif note.event == "task.ended":
             self._metrics.count("task_ends", how=str(fields["how"]))
+        elif note.event == "task.within-target":
+            self._metrics.observe(
+                "cell_over_target_duration", float(fields["for_s"])
+            )
         elif note.event == "job.finished":
             state = str(fields["state"])
             self._metrics.observe(
