--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -309,13 +309,27 @@
             started_wall_ms=self.born_ms,
             active_runs=tuple(
                 _executor.ActiveRunReport(
-                    task, run, "", self._progress_percent(simulated), 0.0
+                    task,
+                    run,
+                    "",
+                    self._progress_percent(simulated),
+                    self.reported_value((task, run)),
                 )
                 for (task, run), simulated in self.run_by_key.items()
             ),
             unacknowledged_ends=tuple(self.ends[: self.rig.ends_per_answer]),
         )
 
+    def reported_value(self, key: RunKey) -> float:
+        """Returns the tail latency or the CPU that a run is reported with."""
+        del key
+        return 0.0
+
+    def set_pace(self, token: int, order: _orders.PaceOrder) -> None:
+        """Records an order to change the pace of a run."""
+        del token
+        self.paces.append(order)
+
     def _progress_percent(self, run: SimulatedRun) -> float:
         """Returns the progress of a run as it is reported."""
         if self.is_hanging or run.is_waiting_for_gang:
@@ -1297,7 +1311,7 @@
         if isinstance(order, _orders.StopOrder):
             executor.stop(token, order)
         else:
-            executor.paces.append(order)
+            executor.set_pace(token, order)
         return True
 
     def _deliver_answer(
