Count a time over the target until reported and derived latency are within it (HARM)

Cause: a conclusion from one noisy figure. The latency of a single report interval is derived from two smoothed reports, whose gap rarely is a whole number of intervals; a falling tail that is still over its target shows as one within it. One such figure began the 1.5 s anew after which all fillers have to go, so that fillers without checkpoints stayed at 20 % for as long as the load swung. The last resort also asked for a derived latency over the target when its time had come. Change: the time goes on until both latencies are within the target, and is enough by itself for the last resort.

--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -137,7 +137,9 @@
                 continue
             self._update_model(run, exposure, headroom, now.boot_s)
             run.headroom = headroom
-            if headroom >= 1.0:
+            # The headroom is derived and may err to either side, so it does
+            # not end the time over the target without the reported latency.
+            if not _exceeds_target(run):
                 run.over_target_since_s = None
             elif run.over_target_since_s is None:
                 run.over_target_since_s = now.boot_s
@@ -317,7 +319,11 @@
             run
             for run in executor.run_by_key.values()
             if _has_usable_latency(run, now.boot_s)
-            and 0 < run.headroom < MIN_HEADROOM
+            and run.headroom > 0
+            and (
+                run.headroom < MIN_HEADROOM
+                or _is_over_target_too_long(run, now.boot_s)
+            )
         ]
         if not degraded:
             return self._restore_pace(executor, fillers, now)
@@ -355,10 +361,7 @@
 
         Those that take the most headroom from the run come first.
         """
-        since_s = degraded.over_target_since_s
-        is_over_too_long = since_s is not None and (
-            now.boot_s - since_s > MAX_OVER_TARGET_S
-        )
+        is_over_too_long = _is_over_target_too_long(degraded, now.boot_s)
         model = self._models.model_for_image(degraded.step.image)
         missing_headroom = RECOVERY_HEADROOM - degraded.headroom
         drop_by_filler = sorted(
@@ -432,6 +435,17 @@
     return _orders.PaceOrder(executor.listing.id, run.task, run.number, percent)
 
 
+def _exceeds_target(run: _runs.Run) -> bool:
+    """Returns whether the reported or derived latency is over its target."""
+    return run.headroom < 1.0 or run.reported_value > run.step.tail_target_ms
+
+
+def _is_over_target_too_long(run: _runs.Run, now_s: float) -> bool:
+    """Returns whether no filler may go on beside a run."""
+    since_s = run.over_target_since_s
+    return since_s is not None and now_s - since_s > MAX_OVER_TARGET_S
+
+
 def _is_over_target(run: _runs.Run) -> bool:
     """Returns whether the tail latency is above its target or was lately.
 
