--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -170,6 +170,18 @@
             percent = int(FULL_PACE_PERCENT * value / requested)
             self.pace_percent = min(FULL_PACE_PERCENT, percent)
 
+    @property
+    def reports_over_target(self) -> bool:
+        """Whether its reported tail latency may be over its target.
+
+        It is reported in whole milliseconds, so that one at the target may be
+        over it.
+        """
+        return (
+            self.step.is_serving
+            and self.reported_value >= self.step.tail_target_ms
+        )
+
     def record_pace(self, percent: int) -> None:
         """Records the pace that an answered order set.
 
--- a/src/basiljunction/coordination/scheduling/_sharing.py
+++ b/src/basiljunction/coordination/scheduling/_sharing.py
@@ -461,7 +461,7 @@
 
 def _exceeds_target(run: _runs.Run) -> bool:
     """Returns whether the reported or derived latency is over its target."""
-    return run.headroom < 1.0 or run.reported_value > run.step.tail_target_ms
+    return run.headroom < 1.0 or run.reports_over_target
 
 
 def _may_be_stopped_or_paused(run: _runs.Run) -> bool:
@@ -485,12 +485,7 @@
     The reported tail latency is smoothed and stays high for some reports after
     the latency itself has recovered.
     """
-    if not run.step.is_serving:
-        return False
-    return (
-        run.over_target_since_s is not None
-        or run.reported_value > run.step.tail_target_ms
-    )
+    return run.over_target_since_s is not None or run.reports_over_target
 
 
 def _has_usable_latency(run: _runs.Run, now_s: float) -> bool:
--- a/src/basiljunction/coordination/scheduling/_summary.py
+++ b/src/basiljunction/coordination/scheduling/_summary.py
@@ -72,10 +72,7 @@
         serving=sum(e.serving_count > 0 for e in listed),
         serving_runs=sum(run.step.is_serving for run in runs),
         filler_runs=sum(run.step.fills for run in runs),
-        over_target=sum(
-            run.step.is_serving and run.reported_value > run.step.tail_target_ms
-            for run in runs
-        ),
+        over_target=sum(run.reports_over_target for run in runs),
         paced=sum(run.pace_percent < 100 for run in runs),
         booked_share=round(booked / capacity, 3),
         filler_share=round(filling / capacity, 3),
--- a/src/basiljunction/coordination/scheduling/_target_watch.py
+++ b/src/basiljunction/coordination/scheduling/_target_watch.py
@@ -35,7 +35,7 @@
     for run in executor.run_by_key.values():
         if not run.step.is_serving:
             continue
-        if fillers and run.reported_value > run.step.tail_target_ms:
+        if fillers and run.reports_over_target:
             _continue_stretch(cell, run, fillers, now_s)
         elif run.strained_since_s is not None:
             _end_stretch(cell, run, now_s)
