Slow a filler again whose pace order got no answer (HARM)

An order for full pace without an answer left the pace on record as it was, so that no order was sent to a filler that the record says is paused, though it works.

--- a/src/basiljunction/coordination/scheduling/_runs.py
+++ b/src/basiljunction/coordination/scheduling/_runs.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.state.workload import _job_spec
 
 FULL_PACE_PERCENT = 100
@@ -85,6 +86,9 @@
             work as far as its pace is not known.
         is_pace_known: Whether the pace is that of its start or of an order; of
             an adopted filler an earlier scheduler may have changed it.
+        late_pace_until_s: Time until which an order of its pace that got no
+            answer may still be carried out; its pace is not certain until the
+            next one after that is answered.
         is_slowing_due: Whether it is to be slowed down as soon as it runs.
         is_pace_order_in_flight: Whether a pace order waits for its answer.
         pace_answered_s: When a pace order was last answered or failed.
@@ -127,6 +131,7 @@
     strain_noted_s: float = 0.0
     pace_percent: int = FULL_PACE_PERCENT
     is_pace_known: bool = True
+    late_pace_until_s: float | None = None
     is_slowing_due: bool = False
     is_pace_order_in_flight: bool = False
     pace_answered_s: float = 0.0
@@ -163,12 +168,21 @@
         self.progress_changed_s = now_s
 
     def record_reported_value(self, value: float) -> None:
-        """Records the reported value, which also tells a pace not known."""
+        """Records the reported value, which also tells a pace not known.
+
+        It may show that a late order has made the run faster.
+        """
         self.reported_value = value
         requested = self.step.size.cpu_millicores
-        if not self.is_pace_known and requested > 0:
-            percent = int(FULL_PACE_PERCENT * value / requested)
-            self.pace_percent = min(FULL_PACE_PERCENT, percent)
+        if requested <= 0:
+            return
+        percent = min(
+            FULL_PACE_PERCENT, int(FULL_PACE_PERCENT * value / requested)
+        )
+        if not self.is_pace_known:
+            self.pace_percent = percent
+        elif self.late_pace_until_s is not None:
+            self.pace_percent = max(self.pace_percent, percent)
 
     @property
     def reports_over_target(self) -> bool:
@@ -193,6 +207,24 @@
         self.is_pace_known = True
         self.is_slowing_due = False
 
+    def record_pace_answer(
+        self, percent: int, now_s: float, *, is_answered: bool
+    ) -> None:
+        """Records whether a pace order was answered.
+
+        One that was not may have been carried out, or may be later.
+        """
+        self.is_pace_order_in_flight = False
+        self.pace_answered_s = now_s
+        if not is_answered:
+            self.late_pace_until_s = now_s + _limits.MAX_ORDER_DELAY_S
+            return
+        self.record_pace(percent)
+        if self.late_pace_until_s is not None and (
+            now_s >= self.late_pace_until_s
+        ):
+            self.late_pace_until_s = None
+
     def needs_slowing(self, percent: int) -> bool:
         """Returns whether an order has to keep the run within a pace.
 
@@ -200,7 +232,8 @@
         """
         if self.is_pace_order_in_flight:
             return False
-        return self.pace_percent > percent or not self.is_pace_known
+        is_certain = self.is_pace_known and self.late_pace_until_s is None
+        return self.pace_percent > percent or not is_certain
 
     def mark_unsettled(self, now_s: float) -> None:
         """Marks the run as one that may exist or not."""
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -509,10 +509,9 @@
         )
         if executor is not None and run is not None:
             executor.revision += 1
-            run.is_pace_order_in_flight = False
-            if is_answered:
-                run.record_pace(order.percent)
-            run.pace_answered_s = now.boot_s
+            run.record_pace_answer(
+                order.percent, now.boot_s, is_answered=is_answered
+            )
 
     def handle_approval_answer(
         self,
--- a/tests/coordination/scheduling/test_runs.py
+++ b/tests/coordination/scheduling/test_runs.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.state.workload import _job_spec
 import workload_builders as build
@@ -54,3 +55,29 @@
     assert run.speed_measured_from_s == 2.0
     run.record_pace(_runs.FULL_PACE_PERCENT)
     assert run.speed_measured_from_s is None
+
+
+class TestPaceOrderWithoutAnswer:
+    """It may be carried out late, so the pace on record is not certain."""
+
+    def test_the_run_is_slowed_down_again(self) -> None:
+        run = _make_filler(pace_percent=0)
+        run.record_pace_answer(100, 10.0, is_answered=False)
+        assert run.needs_slowing(0)
+        run.record_pace_answer(0, 11.0, is_answered=True)
+        assert run.needs_slowing(0)
+
+    def test_it_is_certain_after_the_longest_delay(self) -> None:
+        run = _make_filler(pace_percent=0)
+        run.record_pace_answer(100, 10.0, is_answered=False)
+        over_s = 10.0 + _limits.MAX_ORDER_DELAY_S
+        run.record_pace_answer(0, over_s, is_answered=True)
+        assert not run.needs_slowing(0)
+
+    def test_processor_time_in_use_shows_that_it_was_carried_out(self) -> None:
+        run = _make_filler(pace_percent=20)
+        run.record_pace_answer(100, 10.0, is_answered=False)
+        run.record_reported_value(_MILLICORES / 10)
+        assert run.pace_percent == 20
+        run.record_reported_value(_MILLICORES)
+        assert run.pace_percent == _runs.FULL_PACE_PERCENT
