Preempt several lasting tasks for a short one that no single one makes room for (SHORT)

Cause: starvation. Lasting tasks book 0.96 of the capacity, and a short task could preempt one of them only, if that alone made room. A task of 15 to 32 cores on executors of 32, full of lasting tasks of some 6 cores, waits until a job of these is cancelled. Ruled out: the scheduler's own time (the same without processor time) and the fillers (waits are for room, not for headroom). Change: of each executor the lasting runs that make room with little processor time are found, and those of the cheapest executor are preempted.

--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -261,7 +261,7 @@
             kept_millicores=capacity.reserved_millicores,
         )
 
-    def _preempt_lasting_run(
+    def _preempt_lasting_runs(
         self,
         job: _jobs.Job,
         step: _job_spec.StepSpec,
@@ -269,7 +269,7 @@
         executors: list[_executors.ExecutorState],
         now: _time.Now,
     ) -> None:
-        """Stops a lasting run so that a waiting short task can start.
+        """Stops lasting runs so that a waiting short task can start.
 
         Does nothing before the task has waited for a while, or if enough
         capacity is being freed already.
@@ -286,8 +286,7 @@
             _ordering.ObjectiveStatus.IN_TIME
         ):
             return
-        run = _preemption.choose_run_to_preempt(step, executors)
-        if run is not None:
+        for run in _preemption.choose_runs_to_preempt(step, executors):
             capacity.vacating_millicores += run.step.size.cpu_millicores
             self._cell.note(
                 "task.preempted",
@@ -450,7 +449,7 @@
             job, task, waited_s, executors
         ) or self._last_resorts.choose_executor(job, task, waited_s, now.boot_s)
         if chosen is None:
-            self._preempt_lasting_run(job, step, waited_s, executors, now)
+            self._preempt_lasting_runs(job, step, waited_s, executors, now)
             return 0
         number = self._cell.next_run_number()
         self._start_run(job, task, chosen, number, now)
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _runs
@@ -101,29 +102,58 @@
     return left_millicores >= kept_millicores
 
 
-def choose_run_to_preempt(
+def choose_runs_to_preempt(
     step: _job_spec.StepSpec,
     executors: Iterable[_executors.ExecutorState],
-) -> _runs.Run | None:
-    """Returns the smallest lasting run to preempt for a short task, or None.
+) -> list[_runs.Run]:
+    """Returns the lasting runs to preempt for a short task; empty if none.
 
-    A lasting run is of a task that runs until cancelled. Stopping it must free
-    enough capacity for the task. Steps that limit how many of their tasks may
-    be unavailable are not preempted.
+    A lasting run is of a task that runs until cancelled. They are those of one
+    executor with the least CPU in all whose stop frees enough capacity for the
+    task. Steps that limit how many of their tasks may be unavailable are not
+    preempted.
     """
-    best: _runs.Run | None = None
+    best: list[_runs.Run] = []
+    best_millicores = math.inf
     for executor in executors:
-        free = executor.free_capacity
-        for run in executor.run_by_key.values():
-            if not run.step.runs_until_cancelled or run.step.may_be_away:
-                continue
-            if run.phase is not _runs.RunPhase.RUNNING:
-                continue
-            if not (free + run.step.reserved_resources).covers(
-                step.reserved_resources
-            ):
-                continue
-            size = run.step.size.cpu_millicores
-            if best is None or size < best.step.size.cpu_millicores:
-                best = run
+        chosen = _runs_that_make_room(step, executor)
+        millicores = sum(each.step.size.cpu_millicores for each in chosen)
+        if chosen and millicores < best_millicores:
+            best, best_millicores = chosen, millicores
     return best
+
+
+def _runs_that_make_room(
+    step: _job_spec.StepSpec, executor: _executors.ExecutorState
+) -> list[_runs.Run]:
+    """Returns lasting runs whose stop makes room on an executor, or none.
+
+    They are few, as each stop takes a task away from its users: the largest
+    ones, and of those that make enough room as the last one the smallest.
+    """
+    needed = step.reserved_resources
+    free = executor.free_capacity
+    if not executor.listing.capacity.covers(needed):
+        return []
+    candidates = sorted(
+        (run for run in executor.run_by_key.values() if _is_preemptible(run)),
+        key=lambda each: each.step.size.cpu_millicores,
+    )
+    chosen: list[_runs.Run] = []
+    while candidates:
+        for run in candidates:
+            if (free + run.step.reserved_resources).covers(needed):
+                return [*chosen, run]
+        largest = candidates.pop()
+        chosen.append(largest)
+        free += largest.step.reserved_resources
+    return []
+
+
+def _is_preemptible(run: _runs.Run) -> bool:
+    """Returns whether a run lasts and may be stopped for a short task."""
+    return (
+        run.step.runs_until_cancelled
+        and not run.step.may_be_away
+        and run.phase is _runs.RunPhase.RUNNING
+    )
--- a/tests/coordination/scheduling/test_preemption.py
+++ b/tests/coordination/scheduling/test_preemption.py
@@ -1,5 +1,7 @@
 """Tests of capacity for short tasks on executors full of lasting tasks."""
 
+import pytest
+
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _preemption
 from basiljunction.coordination.scheduling import _runs
@@ -10,6 +12,10 @@
 
 _LASTING_STEP = build.step_spec(count=4, runs_until_cancelled=True)
 
+_MAX_WAIT_S = 1.0
+"""Time in which lasting tasks make room for a short one whose job is in time,
+in seconds."""
+
 
 class TestFullOfLastingTasks:
     """Short tasks get capacity although lasting tasks hold every core."""
@@ -35,6 +41,17 @@
             _progress.JobState.COMPLETED
         )
 
+    def test_a_large_task_gets_room_that_no_single_lasting_one_frees(
+        self,
+    ) -> None:
+        rig = self._make_full_rig()
+        large = build.step_spec(size=_job_spec.Resources(3000, 1000, 0))
+        rig.submit(build.accepted_job(large, job_id="00000000000000a1"))
+        rig.run(_MAX_WAIT_S)
+        assert len(rig.starts) == 4 + 1
+        rig.run(5)
+        assert len(rig.executor_by_id["e1"].run_by_key) == 4
+
     def test_the_lasting_task_comes_back(self) -> None:
         rig = self._make_full_rig()
         rig.submit(build.accepted_job(job_id="00000000000000a1"))
@@ -51,6 +68,57 @@
         assert len(rig.starts) == 4
 
 
+class TestRunsToPreempt:
+    """Few lasting runs are stopped, and as small ones as make room."""
+
+    def _make_executor(
+        self, executor_id: str, *sizes_millicores: int
+    ) -> _executors.ExecutorState:
+        """Returns a four-core executor with lasting runs of these sizes."""
+        executor = _executors.ExecutorState(
+            listing=build.executor_entry(executor_id)
+        )
+        for number, millicores in enumerate(sizes_millicores):
+            executor.add_run(
+                _runs.Run(
+                    task=_job_spec.TaskId("00000000000000a1", 0, 0, number),
+                    number=number,
+                    executor=executor_id,
+                    step=build.step_spec(
+                        size=_job_spec.Resources(millicores, 100, 0),
+                        runs_until_cancelled=True,
+                    ),
+                    phase=_runs.RunPhase.RUNNING,
+                    phase_since_s=0.0,
+                )
+            )
+        return executor
+
+    @pytest.mark.parametrize(
+        ("needed_millicores", "expected"),
+        [
+            (800, [("e1", 800)]),
+            (2000, [("e2", 1500), ("e2", 500)]),
+            (3000, [("e2", 1500), ("e2", 1500)]),
+            (5000, []),
+        ],
+    )
+    def test_they_take_the_least_processor_time_in_all(
+        self, needed_millicores: int, expected: list[tuple[str, int]]
+    ) -> None:
+        executors = [
+            self._make_executor("e1", 800, 800, 2400),
+            self._make_executor("e2", 1500, 500, 1500, 500),
+        ]
+        step = build.step_spec(
+            size=_job_spec.Resources(needed_millicores, 100, 0)
+        )
+        chosen = _preemption.choose_runs_to_preempt(step, executors)
+        assert [
+            (each.executor, each.step.size.cpu_millicores) for each in chosen
+        ] == expected
+
+
 class TestDemand:
     """The recent demand of short tasks decays instead of dropping at once."""
 
