Let short tasks of late jobs preempt lasting tasks (SHORT)

A short task could preempt only while its job can still meet its objective, which leaves some 0.6 s beyond its own work. Then a task whose room was not free by that time waited until a lasting job was cancelled, as those tasks never end by themselves. Change: late jobs preempt too, and those far beyond their objective once a task of them has waited for 5 s, so that every accepted short job ends.

--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -271,8 +271,8 @@
     ) -> None:
         """Stops lasting runs so that a waiting short task can start.
 
-        Does nothing before the task has waited for a while, or if enough
-        capacity is being freed already.
+        Does nothing before the task has waited for a while, longer if its job
+        earns nothing any more, or if enough capacity is being freed already.
         """
         capacity = self._capacity_by_service[job.queue.service]
         if not _preemption.is_short_step(step) or step.required_label:
@@ -282,8 +282,10 @@
             or capacity.vacating_millicores >= capacity.requested_millicores
         ):
             return
-        if _ordering.objective_status(job, now.boot_s) is not (
-            _ordering.ObjectiveStatus.IN_TIME
+        status = _ordering.objective_status(job, now.boot_s)
+        if (
+            status is _ordering.ObjectiveStatus.HOPELESS
+            and waited_s < _preemption.MAX_HOPELESS_WAIT_S
         ):
             return
         for run in _preemption.choose_runs_to_preempt(step, executors):
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -30,6 +30,11 @@
 """Time that a short task waits before it preempts one that runs until
 cancelled, in seconds; most short tasks get free capacity within it."""
 
+MAX_HOPELESS_WAIT_S = 5.0
+"""Time that a short task waits before it preempts one that runs until cancelled
+if its job is far beyond its latency objective, in seconds: others have the room
+first, but lasting tasks never end by themselves."""
+
 
 @dataclasses.dataclass(slots=True)
 class ShortTaskDemand:
--- a/tests/coordination/scheduling/test_preemption.py
+++ b/tests/coordination/scheduling/test_preemption.py
@@ -16,6 +16,9 @@
 """Time in which lasting tasks make room for a short one whose job is in time,
 in seconds."""
 
+_OBJECTIVE_S = build.queue().stretch * 1.0 + build.queue().target_latency_s
+"""Latency objective of a job of one task of a second, in seconds."""
+
 
 class TestFullOfLastingTasks:
     """Short tasks get capacity although lasting tasks hold every core."""
@@ -35,8 +38,7 @@
         rig = self._make_full_rig()
         short = build.accepted_job(job_id="00000000000000a1")
         rig.submit(short)
-        objective_s = build.queue().stretch * 1.0 + 0.25
-        rig.run(objective_s)
+        rig.run(_OBJECTIVE_S)
         assert rig.scheduler.visible_state(short.id) is (
             _progress.JobState.COMPLETED
         )
@@ -52,6 +54,24 @@
         rig.run(5)
         assert len(rig.executor_by_id["e1"].run_by_key) == 4
 
+    def test_a_late_job_gets_room(self) -> None:
+        rig = self._make_full_rig()
+        late = build.accepted_job(
+            job_id="00000000000000a1", accepted_s=rig.now_s - _OBJECTIVE_S
+        )
+        rig.submit(late)
+        rig.run(_MAX_WAIT_S)
+        assert len(rig.starts) == 4 + 1
+
+    def test_a_job_far_beyond_its_objective_does_not_wait_forever(self) -> None:
+        rig = self._make_full_rig()
+        hopeless = build.accepted_job(
+            job_id="00000000000000a1", accepted_s=rig.now_s - 60.0
+        )
+        rig.submit(hopeless)
+        rig.run(_preemption.MAX_HOPELESS_WAIT_S + _MAX_WAIT_S)
+        assert any(order.task.job == hopeless.id for _, _, order in rig.starts)
+
     def test_the_lasting_task_comes_back(self) -> None:
         rig = self._make_full_rig()
         rig.submit(build.accepted_job(job_id="00000000000000a1"))
