Search faster for lasting runs to preempt

Cause: a search over 445 executors with five lasting runs each took 4.0 ms, for each step that waits and in each pass. Change: runs that may be preempted are found and sorted once in a pass; executors whose short tasks leave too little, or which can't be cheaper than the best found, are left out without a look at their runs; a size that found no room is not looked for again in the pass. Decisions are the same (test_preemption.py).

--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -75,6 +75,9 @@
             tuple[str, str | None], _job_spec.Resources
         ] = {}
         self._unplaceable_steps: set[tuple[str, int, int]] = set()
+        self._preemption_by_service: dict[
+            str, _preemption.PreemptionSearch
+        ] = {}
         self._isolated_starts = _isolated_starts.IsolatedStarts(cell)
         self._last_resorts = _last_resorts.LastResorts(cell)
         self._wait_notes = _wait_notes.WaitNotes(cell)
@@ -119,6 +122,7 @@
         self._last_pass_s = now.boot_s
         self._unplaceable_size_by_kind.clear()
         self._unplaceable_steps.clear()
+        self._preemption_by_service.clear()
         executors_by_service: dict[str, list[_executors.ExecutorState]] = {}
         self._isolated_starts.begin_pass(now)
         for executor in cell.executor_by_id.values():
@@ -288,7 +292,14 @@
             and waited_s < _preemption.MAX_HOPELESS_WAIT_S
         ):
             return
-        for run in _preemption.choose_runs_to_preempt(step, executors):
+        if job.queue.approval is not None:
+            # The approved executors differ from step to step.
+            search = _preemption.PreemptionSearch()
+        else:
+            search = self._preemption_by_service.setdefault(
+                job.queue.service, _preemption.PreemptionSearch()
+            )
+        for run in search.choose_runs(step, executors):
             capacity.vacating_millicores += run.step.size.cpu_millicores
             self._cell.note(
                 "task.preempted",
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -35,6 +35,9 @@
 if its job is far beyond its latency objective, in seconds: others have the room
 first, but lasting tasks never end by themselves."""
 
+_Candidate = tuple[_runs.Run, _job_spec.Resources]
+"""A run that may be preempted, and what its stop frees."""
+
 
 @dataclasses.dataclass(slots=True)
 class ShortTaskDemand:
@@ -107,52 +110,114 @@
     return left_millicores >= kept_millicores
 
 
-def choose_runs_to_preempt(
-    step: _job_spec.StepSpec,
-    executors: Iterable[_executors.ExecutorState],
-) -> list[_runs.Run]:
-    """Returns the lasting runs to preempt for a short task; empty if none.
+class PreemptionSearch:
+    """Finds lasting runs of one service to preempt, in one placement pass.
 
-    A lasting run is of a task that runs until cancelled. They are those of one
-    executor with the least CPU in all whose stop frees enough capacity for the
-    task. Steps that limit how many of their tasks may be unavailable are not
-    preempted.
+    In a cell of hundreds of executors that are full, many tasks ask in each
+    pass. What holds for the whole pass is derived once.
     """
-    best: list[_runs.Run] = []
-    best_millicores = math.inf
-    for executor in executors:
-        chosen = _runs_that_make_room(step, executor)
-        millicores = sum(each.step.size.cpu_millicores for each in chosen)
-        if chosen and millicores < best_millicores:
-            best, best_millicores = chosen, millicores
-    return best
 
+    def __init__(self) -> None:
+        self._candidates_by_executor: dict[str, list[_Candidate]] = {}
+        self._sizes_without_room: list[_job_spec.Resources] = []
 
-def _runs_that_make_room(
-    step: _job_spec.StepSpec, executor: _executors.ExecutorState
-) -> list[_runs.Run]:
-    """Returns lasting runs whose stop makes room on an executor, or none.
+    def choose_runs(
+        self,
+        step: _job_spec.StepSpec,
+        executors: Iterable[_executors.ExecutorState],
+    ) -> list[_runs.Run]:
+        """Returns the lasting runs to preempt for a short task, if any.
 
-    They are few, as each stop takes a task away from its users: the largest
-    ones, and of those that make enough room as the last one the smallest.
-    """
-    needed = step.reserved_resources
-    free = executor.free_capacity
-    if not executor.listing.capacity.covers(needed):
+        A lasting run is of a task that runs until cancelled. They are those of
+        one executor with the least CPU in all whose stop frees enough capacity
+        for the task. Steps that limit how many of their tasks may be
+        unavailable are not preempted.
+
+        Args:
+            step: Step of the task.
+            executors: Executors of the service that the search is for.
+        """
+        needed = step.reserved_resources
+        if any(needed.covers(size) for size in self._sizes_without_room):
+            return []
+        best: list[_runs.Run] = []
+        best_millicores = math.inf
+        for executor in executors:
+            # Most executors of a full cell are ruled out by these.
+            if _reachable_millicores(executor) < needed.cpu_millicores:
+                continue
+            free_millicores = executor.free_capacity.cpu_millicores
+            if needed.cpu_millicores - free_millicores >= best_millicores:
+                continue
+            chosen = self._runs_that_make_room(needed, executor)
+            millicores = sum(each.step.size.cpu_millicores for each in chosen)
+            if chosen and millicores < best_millicores:
+                best, best_millicores = chosen, millicores
+        if not best:
+            self._sizes_without_room.append(needed)
+        return best
+
+    def _runs_that_make_room(
+        self,
+        needed: _job_spec.Resources,
+        executor: _executors.ExecutorState,
+    ) -> list[_runs.Run]:
+        """Returns lasting runs whose stop makes room on an executor, or none.
+
+        They are few, as each stop takes a task away from its users: the largest
+        ones, and of those that make enough room as the last one the smallest.
+        """
+        free = executor.free_capacity
+        # This loop is run for hundreds of executors, so it adds plain numbers.
+        cpu_millicores = needed.cpu_millicores - free.cpu_millicores
+        memory_mb = needed.memory_mb - free.memory_mb
+        gpus = needed.gpus - free.gpus
+        candidates = [
+            each
+            for each in self._candidates(executor)
+            if each[0].phase is _runs.RunPhase.RUNNING
+        ]
+        chosen: list[_runs.Run] = []
+        while candidates:
+            for run, size in candidates:
+                if (
+                    size.cpu_millicores >= cpu_millicores
+                    and size.memory_mb >= memory_mb
+                    and size.gpus >= gpus
+                ):
+                    return [*chosen, run]
+            run, size = candidates.pop()
+            chosen.append(run)
+            cpu_millicores -= size.cpu_millicores
+            memory_mb -= size.memory_mb
+            gpus -= size.gpus
         return []
-    candidates = sorted(
-        (run for run in executor.run_by_key.values() if _is_preemptible(run)),
-        key=lambda each: each.step.size.cpu_millicores,
+
+    def _candidates(
+        self, executor: _executors.ExecutorState
+    ) -> list[_Candidate]:
+        """Returns an executor's runs that may be preempted, smallest first."""
+        candidates = self._candidates_by_executor.get(executor.listing.id)
+        if candidates is None:
+            candidates = sorted(
+                (
+                    (run, run.step.reserved_resources)
+                    for run in executor.run_by_key.values()
+                    if _is_preemptible(run)
+                ),
+                key=lambda each: each[1].cpu_millicores,
+            )
+            self._candidates_by_executor[executor.listing.id] = candidates
+        return candidates
+
+
+def _reachable_millicores(executor: _executors.ExecutorState) -> int:
+    """Returns the CPU that is free once all lasting runs are stopped."""
+    return (
+        executor.listing.capacity.cpu_millicores
+        - executor.short_millicores
+        - executor.vacating_millicores
     )
-    chosen: list[_runs.Run] = []
-    while candidates:
-        for run in candidates:
-            if (free + run.step.reserved_resources).covers(needed):
-                return [*chosen, run]
-        largest = candidates.pop()
-        chosen.append(largest)
-        free += largest.step.reserved_resources
-    return []
 
 
 def _is_preemptible(run: _runs.Run) -> bool:
--- a/tests/coordination/scheduling/test_preemption.py
+++ b/tests/coordination/scheduling/test_preemption.py
@@ -133,7 +133,7 @@
         step = build.step_spec(
             size=_job_spec.Resources(needed_millicores, 100, 0)
         )
-        chosen = _preemption.choose_runs_to_preempt(step, executors)
+        chosen = _preemption.PreemptionSearch().choose_runs(step, executors)
         assert [
             (each.executor, each.step.size.cpu_millicores) for each in chosen
         ] == expected
