Add failing tests: crowds of clients that don't keep to the protocol

Checked are that the process lives, its memory with the unread bytes of its connections, its descriptors, and that an ordinary request is answered afterwards; no times and no shares.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SEED ?= 20261203
 
-.PHONY: setup test processes format lint types demo openapi faults binary mutations capacity fault-seeds soak sequences budgets
+.PHONY: setup test processes crowds format lint types demo openapi faults binary mutations capacity fault-seeds soak sequences budgets
 
 setup: $(STAMP)
 
@@ -17,13 +17,17 @@
 TEST_PROCESSES ?= 4
 
 test: setup
-	$(BIN)/python -m pytest -m "not processes" --numprocesses $(TEST_PROCESSES)
+	$(BIN)/python -m pytest -m "not processes and not crowds" \
+		--numprocesses $(TEST_PROCESSES)
 
 PROCESS_TESTS ?= 3
 
 processes: setup
 	$(BIN)/python -m pytest -m processes --numprocesses $(PROCESS_TESTS)
 
+crowds: setup
+	$(BIN)/python -m pytest -m crowds
+
 format: setup
 	$(BIN)/ruff format src tests scripts smoke
 	$(BIN)/ruff check --fix src tests scripts smoke
--- a/tests/instance_process.py
+++ b/tests/instance_process.py
@@ -46,6 +46,7 @@
         number: Number of the instance, which names it.
         grace_s: Time from SIGTERM to SIGKILL in its settings, in seconds.
         program: Arguments of the interpreter that runs it.
+        more_settings: Further lines of its settings file.
 
     Attributes:
         name: Name of the instance.
@@ -62,6 +63,7 @@
         *,
         grace_s: float = GRACE_S,
         program: Sequence[str] = ("-m", "basiljunction", "platform"),
+        more_settings: str = "",
     ) -> None:
         self.name = f"front-{number}"
         ports = _ports.reserve_free_ports(4)
@@ -73,6 +75,7 @@
         ) = ports
         self._grace_s = grace_s
         self._program = program
+        self._more_settings = more_settings
         self.settings_path = folder / f"{self.name}.conf"
         self.log_path = folder / f"{self.name}.log"
         self.write_settings(platform)
@@ -103,6 +106,7 @@
                 store=platform.address,
                 grace=self._grace_s,
             )
+            + self._more_settings
         )
 
     def call(
