Receive bodies in chunks within limits, and drop their trailers

Cause: cheroot reads the line of a chunk's size, with its extension, as long as it is, leaves trailers unread, and holds a thread for the body. Nothing bounded the bodies of all requests together. Change: bodies in chunks are received like those of a known length, as they arrive, and whole before the application runs. At most 16,384 chunks, and as many bytes of extensions and trailers as a header may have; what follows belongs to the next request. Bodies share a budget; one that finds no memory gets 503 without having been passed on, and its connection is closed. Connections take over a receive buffer of limited size.

--- a/src/basiljunction/protocol/_http_limits.py
+++ b/src/basiljunction/protocol/_http_limits.py
@@ -14,6 +14,20 @@
         le=64 << 20,
         description="Largest body of a request, in bytes.",
     )
+    bodies_bytes: int = pydantic.Field(
+        default=256 << 20,
+        ge=1,
+        le=1 << 40,
+        description="Most bytes of the bodies of all requests together; a body"
+        " that would exceed it gets 503.",
+    )
+    receive_buffer_bytes: int = pydantic.Field(
+        default=65_536,
+        ge=4096,
+        le=16 << 20,
+        description="Bytes that the system keeps of a connection until they are"
+        " read, at most; Linux doubles the number.",
+    )
     header_bytes: int = pydantic.Field(
         default=16_384,
         ge=512,
--- a/src/basiljunction/transport/_http_connection.py
+++ b/src/basiljunction/transport/_http_connection.py
@@ -24,6 +24,7 @@
 
 from basiljunction.transport import _http_threads
 from basiljunction.transport import _http_waiting
+from basiljunction.transport import _request_bodies
 
 _log = structlog.get_logger()
 
@@ -146,7 +147,7 @@
 
     def __init__(self, http_server: "DeadlineServer", conn: Any) -> None:  # noqa: ANN401 - cheroot has no type for it
         super().__init__(http_server, conn)
-        self.body: _http_waiting.RequestBody | None = None
+        self.body: _request_bodies.RequestBody | None = None
         self._closes_connection = False
 
     def parse_request(self) -> None:
@@ -171,33 +172,63 @@
         self.conn.deadline.restart(
             self.server.timeouts.body_s, self.server.reading_end_s()
         )
-        length = int(self.inheaders.get(b"Content-Length", 0))
-        if not 0 < length <= self.server.max_request_body_size:
+        body = self._make_body()
+        if body is None:
             super().respond()
             return
-        self.body = _http_waiting.RequestBody(
-            self.conn.rfile, self.conn.socket, length
+        self.body = body
+        self._respond_with_body(body)
+
+    def _make_body(self) -> _request_bodies.RequestBody | None:
+        """Returns the body to receive; None if there is none, or too much."""
+        limits = (self.server.max_request_body_size, self.server.body_budget)
+        if self.chunked_read:
+            return _request_bodies.ChunkedBody(
+                self.conn.rfile,
+                self.conn.socket,
+                *limits,
+                self.server.max_request_header_size,
+            )
+        length = int(self.inheaders.get(b"Content-Length", 0))
+        if not 0 < length <= self.server.max_request_body_size:
+            return None
+        return _request_bodies.SizedBody(
+            self.conn.rfile, self.conn.socket, length, self.server.body_budget
         )
-        self._respond_with_body(self.body)
 
-    def _respond_with_body(self, body: _http_waiting.RequestBody) -> None:
+    def _respond_with_body(self, body: _request_bodies.RequestBody) -> None:
         """Runs the application, or lets the connection wait for the rest.
 
         Raises:
             TimeoutError: The deadline of the body has passed.
         """
-        self.conn.deadline.remaining_s()
-        if not body.receive(self.server.may_hold):
+        try:
+            self.conn.deadline.remaining_s()
+            is_complete = body.receive(self.server.may_hold)
+        except _request_bodies.BodyError as error:
+            body.close()
+            _log.debug("http.body-refused", error=str(error))
+            self.simple_response(error.status, error.detail)
+            return
+        except OSError:
+            body.close()
+            raise
+        if not is_complete:
             self._closes_connection = self.close_connection
             self.close_connection = False
             self.conn.waiting_request = self
             return
         stream = self.conn.rfile
         self.conn.rfile = body.open()
+        # The application reads what has been received, without its chunks.
+        self.chunked_read = False
+        self.inheaders.pop(b"Transfer-Encoding", None)
+        self.inheaders[b"Content-Length"] = str(body.size).encode()
         try:
             super().respond()
         finally:
             self.conn.rfile = stream
+            body.close()
 
     def send_headers(self) -> None:
         """Sends the response headers and starts the write deadline.
@@ -243,7 +274,7 @@
         self.wfile = _DeadlineWriter(write, self.wbufsize)
 
     @property
-    def waiting_body(self) -> _http_waiting.RequestBody | None:
+    def waiting_body(self) -> _request_bodies.RequestBody | None:
         """Body of the request of which the rest has not arrived, if any."""
         request = self.waiting_request
         return None if request is None else request.body
@@ -265,6 +296,13 @@
         is_kept: bool = super().communicate()  # type: ignore[no-untyped-call]  # cheroot has no type for it
         return is_kept
 
+    def close(self) -> None:
+        """Closes the connection and gives the memory of its body back."""
+        waiting, self.waiting_request = self.waiting_request, None
+        if waiting is not None and waiting.body is not None:
+            waiting.body.close()
+        super().close()
+
 
 class DeadlineServer(wsgi.Server):
     """A WSGI server with a deadline for each phase of a request.
@@ -274,10 +312,14 @@
     Args:
         args: Positional arguments of cheroot's server.
         timeouts: Duration of each phase.
+        bodies_bytes: Most bytes of the bodies of all requests together.
+        receive_buffer_bytes: Bytes that the system keeps of a connection until
+            they are read, at most.
         kwargs: Keyword arguments of cheroot's server.
 
     Attributes:
         timeouts: Duration of each phase.
+        body_budget: Memory that the bodies of all requests share.
         stop_end_s: Time of the monotonic clock at which a stop closes the
             connections that are still open, in seconds.
     """
@@ -290,10 +332,14 @@
         self,
         *args: Any,  # noqa: ANN401 - passed to cheroot
         timeouts: RequestTimeouts,
+        bodies_bytes: int,
+        receive_buffer_bytes: int,
         **kwargs: Any,  # noqa: ANN401 - passed to cheroot
     ) -> None:
         super().__init__(*args, **kwargs)
         self.timeouts = timeouts
+        self.body_budget = _request_bodies.BodyBudget(bodies_bytes)
+        self._receive_buffer_bytes = receive_buffer_bytes
         self.stop_end_s = math.inf
         self.requests = _http_threads.BoundedThreadPool(
             self,
@@ -361,8 +407,17 @@
             conn.close()
 
     def prepare(self) -> None:
-        """Binds the listening socket and starts the threads."""
+        """Binds the listening socket and starts the threads.
+
+        Connections take over the size of its receive buffer.
+        """
         super().prepare()
+        try:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes
+            )
+        except OSError as error:
+            _log.warning("http.receive-buffer-kept", error=str(error))
         self._connections.close()
         self._connections = _http_waiting.WaitingConnections(self)
 
--- a/src/basiljunction/transport/_http_server.py
+++ b/src/basiljunction/transport/_http_server.py
@@ -58,6 +58,8 @@
                 body_s=limits.body_timeout_s,
                 write_s=limits.write_timeout_s,
             ),
+            bodies_bytes=limits.bodies_bytes,
+            receive_buffer_bytes=limits.receive_buffer_bytes,
         )
         self._server.max_request_header_size = limits.header_bytes
         self._server.max_request_body_size = limits.body_bytes
--- a/src/basiljunction/transport/_http_waiting.py
+++ b/src/basiljunction/transport/_http_waiting.py
@@ -1,66 +1,11 @@
 """Connections of an HTTP server that hold no thread while they wait."""
 
-from collections.abc import Callable
-import io
-import select
 import time
 from typing import Any
 
 from cheroot import connections
 
 
-class RequestBody:
-    """The body of a request, received as it arrives.
-
-    Args:
-        stream: Buffered stream of the connection.
-        sock: Its socket.
-        length: Length of the body, in bytes.
-    """
-
-    def __init__(self, stream: Any, sock: Any, length: int) -> None:  # noqa: ANN401 - cheroot has no type for them
-        self._stream = stream
-        self._socket = sock
-        self._length = length
-        self._received = bytearray()
-
-    @property
-    def size(self) -> int:
-        """Bytes that have been received."""
-        return len(self._received)
-
-    def receive(self, may_hold: Callable[[int], bool]) -> bool:
-        """Receives more of the body.
-
-        Args:
-            may_hold: Returns whether so many bytes may be held without a
-                thread; otherwise this one waits for the rest.
-
-        Returns:
-            Whether the body is complete, or the client sends no more of it.
-        """
-        while self.size < self._length:
-            if not self._has_arrived() and may_hold(self.size):
-                return False
-            chunk = self._stream.read1(self._length - self.size)
-            if not chunk:
-                break
-            self._received += chunk
-        return True
-
-    def open(self) -> io.BytesIO:
-        """Returns the received bytes as a stream."""
-        return io.BytesIO(self._received)
-
-    def _has_arrived(self) -> bool:
-        """Returns whether more can be read at once."""
-        if self._stream.has_data():
-            return True
-        poller = select.poll()
-        poller.register(self._socket, select.POLLIN)
-        return bool(poller.poll(0))
-
-
 class WaitingConnections(connections.ConnectionManager):
     """Connections that wait for a request or for the rest of a body.
 
