Limit connections and bodies by the memory of the instance

Cause: Limits.MemoryMb was read nowhere. Connections followed from descriptors alone, each with a receive buffer of the system's size, and bodies from the number of threads: 64 and 32 of 1 MiB each, and as much again for those that wait without a thread. Change: a quarter of the memory is for what callers send, half of it for connections with a receive buffer of 16 KiB, half for bodies, which share a budget. What doesn't fit is refused before it is passed on.

--- a/src/basiljunction/platform/_settings.py
+++ b/src/basiljunction/platform/_settings.py
@@ -34,6 +34,8 @@
 """Longest bound that is taken for one, in seconds; a longer one is a mistake in
 its unit."""
 
+_BYTES_PER_MB = 1_000_000
+
 MAX_QUOTED_CHARS = 40
 """Most characters of a malformed value that an error quotes."""
 
@@ -129,6 +131,7 @@
         policy_address=values.optional_address("Advice"),
         provision=_parse_provision(values),
         max_open_files=values.optional_count("Limits.MaxFds"),
+        max_memory_bytes=_parse_memory(values),
         bound_s_by_name={
             name: bound_s
             for name, bound_s in bound_s_by_name.items()
@@ -142,6 +145,12 @@
     )
 
 
+def _parse_memory(values: "_SettingValues") -> int | None:
+    """Returns the memory of the process in bytes; None if it is not set."""
+    megabytes = values.optional_limit("Limits.MemoryMb")
+    return None if megabytes is None else int(megabytes * _BYTES_PER_MB)
+
+
 def _is_in_range(bound_s: float) -> bool:
     """Returns whether a bound can be compared with sums of waits."""
     return 0 < bound_s <= MAX_BOUND_S
--- a/src/basiljunction/protocol/_instance_settings.py
+++ b/src/basiljunction/protocol/_instance_settings.py
@@ -82,6 +82,7 @@
         provision: Link and processor of this instance, as far as known.
         max_open_files: File descriptors of this process; None if the system's
             own limit holds.
+        max_memory_bytes: Memory of this process; None if no limit is known.
         bound_s_by_name: Bounds of the deployment's rules, in seconds, as far
             as they are set; the sums of our waits are compared with them.
         bounds_out_of_range: Bounds that are zero or absurdly long.
@@ -98,6 +99,7 @@
     policy_address: str = ""
     provision: _provision.Provision = _provision.UNKNOWN
     max_open_files: int | None = None
+    max_memory_bytes: int | None = None
     bound_s_by_name: Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
--- a/src/basiljunction/transport/jobs/_daemon.py
+++ b/src/basiljunction/transport/jobs/_daemon.py
@@ -22,6 +22,7 @@
 from basiljunction.transport.jobs import _apps
 from basiljunction.transport.jobs import _cell_task
 from basiljunction.transport.jobs import _connection_limits
+from basiljunction.transport.jobs import _memory_limits
 from basiljunction.transport.jobs import _metrics_app
 
 FRONT_THREADS = 32
@@ -44,6 +45,9 @@
 """Most waiting and most idle connections of the servers for checks, each of
 which has one or two clients."""
 
+CHECK_BODY_BYTES = 16_384
+"""Most bytes of the bodies of checks, which need none."""
+
 TASK_THREADS = 5
 """Threads of the task pool: one for the cell task and one for each server."""
 
@@ -68,6 +72,13 @@
 """Interval at which a leaving instance checks the end of its grace period, in
 seconds."""
 
+_CHECK_LIMITS = _memory_limits.ServerLimits(
+    connections=CHECK_CONNECTIONS,
+    bodies_bytes=CHECK_BODY_BYTES,
+    body_bytes=CHECK_BODY_BYTES,
+)
+"""Limits of the servers for checks."""
+
 MAX_HEADER_BYTES = 16_384
 """Largest request header, in bytes; the configuration has the same bound."""
 
@@ -109,6 +120,9 @@
         connections = _connection_limits.divide_descriptors(
             settings.max_open_files
         )
+        server_limits = _memory_limits.divide_memory(
+            settings.max_memory_bytes, connections
+        )
         self._pool = futures.ThreadPoolExecutor(TASK_THREADS, "task")
         self._task = _cell_task.CellTask(
             settings=settings,
@@ -121,7 +135,7 @@
             _build_server(
                 settings.ready_listen,
                 _apps.ReadyApp(self._is_ready),
-                _make_limits(READY_THREADS, CHECK_CONNECTIONS),
+                _make_limits(READY_THREADS, _CHECK_LIMITS),
             ),
             _build_server(
                 settings.peer_listen,
@@ -130,7 +144,7 @@
                     _apps.CallSlots(PEER_THREADS - RESERVED_THREADS),
                     self._answer_limit,
                 ),
-                _make_limits(PEER_THREADS, connections.server),
+                _make_limits(PEER_THREADS, server_limits),
             ),
             _build_server(
                 settings.front_listen,
@@ -141,7 +155,7 @@
                     _apps.CallSlots(FRONT_THREADS - RESERVED_THREADS),
                     self._answer_limit,
                 ),
-                _make_limits(FRONT_THREADS, connections.server),
+                _make_limits(FRONT_THREADS, server_limits),
             ),
         ]
         if metrics_port is not None:
@@ -150,7 +164,7 @@
                 _build_server(
                     f"{host}:{metrics_port}",
                     _metrics_app.MetricsApp(metrics),
-                    _make_limits(METRICS_THREADS, CHECK_CONNECTIONS),
+                    _make_limits(METRICS_THREADS, _CHECK_LIMITS),
                 )
             )
 
@@ -282,18 +296,22 @@
         )
 
 
-def _make_limits(threads: int, connections: int) -> _http_limits.Limits:
+def _make_limits(
+    threads: int, server: _memory_limits.ServerLimits
+) -> _http_limits.Limits:
     """Returns the limits of a server.
 
     Args:
         threads: Requests handled at once.
-        connections: Most connections that wait for a thread, and most idle
-            ones.
+        server: Connections and memory that it may use.
     """
     return _http_limits.Limits(
         http_threads=threads,
-        waiting_connections=connections,
-        idle_connections=connections,
+        waiting_connections=server.connections,
+        idle_connections=server.connections,
+        body_bytes=server.body_bytes,
+        bodies_bytes=server.bodies_bytes,
+        receive_buffer_bytes=_memory_limits.RECEIVE_BUFFER_BYTES,
         header_bytes=MAX_HEADER_BYTES,
         drain_s=SHUTDOWN_RESERVE_S / 3,
     )
