--- a/tests/transport/test_request_bodies.py
+++ b/tests/transport/test_request_bodies.py
@@ -41,12 +41,21 @@
     )
 
 
+@werkzeug.Request.application
+def _refuse(request: werkzeug.Request) -> werkzeug.Response:
+    """Answers without reading the body."""
+    del request
+    return werkzeug.Response("no such route", status=404)
+
+
 @contextlib.contextmanager
-def _serve(**changes: float) -> Iterator[tuple[str, int]]:
+def _serve(
+    application: _http_server.Application = _echo, **changes: float
+) -> Iterator[tuple[str, int]]:
     """Runs a server with the limits changed and yields its address."""
     server = _http_server.HttpServer(
         listen="127.0.0.1:0",
-        application=_echo,
+        application=application,
         limits=_LIMITS.model_copy(update=changes),
     )
     address = _address.split_host_and_port(server.bind())
@@ -90,6 +99,13 @@
         assert b"/next ." in answer
         assert answer.count(b"HTTP/1.1 200") == 2
 
+    def test_one_that_the_application_does_not_read_is_no_request(self) -> None:
+        body = b"3\r\nabc\r\n0\r\nX-A: b\r\n\r\n"
+        with _serve(_refuse) as address:
+            answer = _exchange(address, _HEAD + body + _NEXT)
+        assert answer.count(b"HTTP/1.1 404") == 2
+        assert answer.count(b"HTTP/1.1") == 2
+
     def test_it_may_arrive_byte_by_byte(self) -> None:
         body = b"3\r\nabc\r\n0\r\nX: b\r\n\r\n"
         parts = [body[at : at + 1] for at in range(len(body))]
