Tell the application the announced length of a body that ends early

Cause: since bodies in chunks are received whole, the length that was received replaced the announced one also for bodies of a known length, so that one that ends early passed for a whole one. Change: only for bodies in chunks.

--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -276,7 +276,7 @@
         """Stops lasting runs so that a waiting short task can start.
 
         Does nothing before the task has waited for a while, longer if its job
-        earns nothing any more, or if enough capacity is being freed already.
+        is far beyond its objective, or if enough capacity is being freed.
         """
         capacity = self._capacity_by_service[job.queue.service]
         if not _preemption.is_short_step(step) or step.required_label:
@@ -289,7 +289,7 @@
         status = _ordering.objective_status(job, now.boot_s)
         if (
             status is _ordering.ObjectiveStatus.HOPELESS
-            and waited_s < _preemption.MAX_HOPELESS_WAIT_S
+            and waited_s < _preemption.HOPELESS_PREEMPTION_DELAY_S
         ):
             return
         if job.queue.approval is not None:
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -30,14 +30,11 @@
 """Time that a short task waits before it preempts one that runs until
 cancelled, in seconds; most short tasks get free capacity within it."""
 
-MAX_HOPELESS_WAIT_S = 5.0
+HOPELESS_PREEMPTION_DELAY_S = 5.0
 """Time that a short task waits before it preempts one that runs until cancelled
 if its job is far beyond its latency objective, in seconds: others have the room
 first, but lasting tasks never end by themselves."""
 
-_Candidate = tuple[_runs.Run, _job_spec.Resources]
-"""A run that may be preempted, and what its stop frees."""
-
 
 @dataclasses.dataclass(slots=True)
 class ShortTaskDemand:
@@ -110,6 +107,19 @@
     return left_millicores >= kept_millicores
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Candidate:
+    """A run that may be preempted.
+
+    Attributes:
+        run: The run.
+        freed: What its stop frees.
+    """
+
+    run: _runs.Run
+    freed: _job_spec.Resources
+
+
 class PreemptionSearch:
     """Finds lasting runs of one service to preempt, in one placement pass.
 
@@ -175,22 +185,23 @@
         candidates = [
             each
             for each in self._candidates(executor)
-            if each[0].phase is _runs.RunPhase.RUNNING
+            if each.run.phase is _runs.RunPhase.RUNNING
         ]
         chosen: list[_runs.Run] = []
         while candidates:
-            for run, size in candidates:
+            for candidate in candidates:
+                freed = candidate.freed
                 if (
-                    size.cpu_millicores >= cpu_millicores
-                    and size.memory_mb >= memory_mb
-                    and size.gpus >= gpus
+                    freed.cpu_millicores >= cpu_millicores
+                    and freed.memory_mb >= memory_mb
+                    and freed.gpus >= gpus
                 ):
-                    return [*chosen, run]
-            run, size = candidates.pop()
-            chosen.append(run)
-            cpu_millicores -= size.cpu_millicores
-            memory_mb -= size.memory_mb
-            gpus -= size.gpus
+                    return [*chosen, candidate.run]
+            largest = candidates.pop()
+            chosen.append(largest.run)
+            cpu_millicores -= largest.freed.cpu_millicores
+            memory_mb -= largest.freed.memory_mb
+            gpus -= largest.freed.gpus
         return []
 
     def _candidates(
@@ -201,18 +212,18 @@
         if candidates is None:
             candidates = sorted(
                 (
-                    (run, run.step.reserved_resources)
+                    _Candidate(run, run.step.reserved_resources)
                     for run in executor.run_by_key.values()
                     if _is_preemptible(run)
                 ),
-                key=lambda each: each[1].cpu_millicores,
+                key=lambda each: each.freed.cpu_millicores,
             )
             self._candidates_by_executor[executor.listing.id] = candidates
         return candidates
 
 
 def _reachable_millicores(executor: _executors.ExecutorState) -> int:
-    """Returns the CPU that is free once all lasting runs are stopped."""
+    """Returns the CPU that is free once the lasting runs that go on stop."""
     return (
         executor.listing.capacity.cpu_millicores
         - executor.short_millicores
--- a/src/basiljunction/transport/_http_connection.py
+++ b/src/basiljunction/transport/_http_connection.py
@@ -220,10 +220,11 @@
             return
         stream = self.conn.rfile
         self.conn.rfile = body.open()
-        # The application reads what has been received, without its chunks.
-        self.chunked_read = False
-        self.inheaders.pop(b"Transfer-Encoding", None)
-        self.inheaders[b"Content-Length"] = str(body.size).encode()
+        if self.chunked_read:
+            # The application reads what has been received, without its chunks.
+            self.chunked_read = False
+            del self.inheaders[b"Transfer-Encoding"]
+            self.inheaders[b"Content-Length"] = str(body.size).encode()
         try:
             super().respond()
         finally:
--- a/tests/coordination/scheduling/test_preemption.py
+++ b/tests/coordination/scheduling/test_preemption.py
@@ -69,7 +69,7 @@
             job_id="00000000000000a1", accepted_s=rig.now_s - 60.0
         )
         rig.submit(hopeless)
-        rig.run(_preemption.MAX_HOPELESS_WAIT_S + _MAX_WAIT_S)
+        rig.run(_preemption.HOPELESS_PREEMPTION_DELAY_S + _MAX_WAIT_S)
         assert any(order.task.job == hopeless.id for _, _, order in rig.starts)
 
     def test_the_lasting_task_comes_back(self) -> None:
--- a/tests/transport/test_request_bodies.py
+++ b/tests/transport/test_request_bodies.py
@@ -145,6 +145,30 @@
         assert answer.startswith(b"HTTP/1.1 413")
 
 
+class TestSizedBody:
+    """A body that ends early is not taken for a whole one."""
+
+    def test_the_application_is_told_the_length_that_was_announced(
+        self,
+    ) -> None:
+        seen: list[str] = []
+
+        @werkzeug.Request.application
+        def note_length(request: werkzeug.Request) -> werkzeug.Response:
+            seen.append(request.headers["Content-Length"])
+            return werkzeug.Response("noted")
+
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n"
+        with (
+            _serve(note_length) as address,
+            socket.create_connection(address, timeout=_WAIT_S) as client,
+        ):
+            client.sendall(head + b"abc")
+            client.shutdown(socket.SHUT_WR)
+            client.recv(65_536)
+        assert seen == ["6"]
+
+
 class TestBudget:
     """Bodies share the memory that is for them."""
 
