Preempt no several runs on an executor that is over its capacity

Cause: on an executor whose capacity has shrunk below what runs, room for one short task of a core took the stop of three lasting ones, since several may be preempted. Change: there only a single run that is enough by itself is preempted, as before. The mutation quotes the line as it is.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -812,8 +812,8 @@
         "fillers-beside-a-tail-over-its-target",
         "serving tasks",
         f"{_SCHEDULING}/_sharing.py",
-        "run.over_target_since_s is not None\n        or",
-        "run.over_target_since_s is not None\n        and",
+        "run.over_target_since_s is not None or",
+        "run.over_target_since_s is not None and",
         f"{_TESTS}/test_sharing.py",
     ),
     _mutation(
--- a/src/basiljunction/coordination/scheduling/_preemption.py
+++ b/src/basiljunction/coordination/scheduling/_preemption.py
@@ -197,6 +197,10 @@
                     and freed.gpus >= gpus
                 ):
                     return [*chosen, candidate.run]
+            if executor.is_overbooked:
+                # More would stop than the task needs, and the capacity may
+                # grow back.
+                return []
             largest = candidates.pop()
             chosen.append(largest.run)
             cpu_millicores -= largest.freed.cpu_millicores
