--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,14 +15,7 @@
     w.store.server.crash()
     w.store.server = web.Server(w.store.handle)
     await w.store.start()
-    for each in w.instances:
-        text = each.path.read_text()
-        each.path.write_text(
-            text.replace(
-                f"platform.Address={old}", f"platform.Address={w.store.address}"
-            )
-        )
-    w.record("store-moved", old=old, new=w.store.address)
+    w.change_setting("platform.Address", old, w.store.address)
 
 
 async def scenario(w):
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -214,6 +214,13 @@
         # As on the platform, traffic begins some time after the machines.
         await asyncio.sleep(2.0)
 
+    def change_setting(self, name, old, new):
+        """Changes a setting in the files of all instances."""
+        for each in self.instances:
+            text = each.path.read_text()
+            each.path.write_text(text.replace(f"{name}={old}", f"{name}={new}"))
+        self.record("settings", name=name, old=old, new=new)
+
     async def request(self, method, path, body=None, deadline_ms=3000):
         """Makes a client's request to the next instance that is ready.
 
