--- a/review/lib-3/web.py
+++ b/review/lib-3/web.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import socket
 import urllib.parse
 
@@ -20,10 +21,18 @@
 
 
 def free_port():
-    """Returns a free port of loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port of loopback, below those of outgoing connections.
+
+    It is drawn, so that scripts that run beside one another seldom meet.
+    """
+    while True:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 async def read_head(reader):
@@ -57,7 +66,7 @@
 
     async def start(self):
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self._port or 0, limit=1 << 20
+            self._serve, "127.0.0.1", self._port or free_port(), limit=1 << 20
         )
         self._port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{self._port}"
