--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,52 +1,66 @@
-"""Executors crash one at a time; jobs whose tasks never fail must not fail."""
+"""Many jobs come at once to a queue whose service at `Advice` takes its time."""
 
 import asyncio
 import time
 
+import policy
 import world
 
-JOBS = 50
-CRASH_INTERVAL_S = 2.0
-DOWN_S = 1.5
+STEP = {"Count": 2, "Cpu": 1000, "MemMb": 500, "EstDurationMs": 1000}
+EXECUTORS = 30
+JOBS = 12
+FINISH_S = 14.0
+IDLE_S = 3.0
 
 
-async def crash_in_turn(w, until_s):
-    """Crashes one of eight executors at a time, each in its turn."""
-    number = 0
-    while time.monotonic() < until_s:
-        executor = w.fleet.executors[number % len(w.fleet.executors)]
-        executor.crash()
-        await asyncio.sleep(DOWN_S)
-        await executor.start()
-        number += 1
-        await asyncio.sleep(CRASH_INTERVAL_S - DOWN_S)
+async def scenario(w):
+    service = policy.Policy(
+        w, decision_s=0.2, per_worker_s=0.05, validity_s=3.0
+    )
+    await service.start()
+    w.advice_address = service.server.address
+    w.fleet.tickets = service
+    w.routes[0]["Advice"] = service.settings()
+    await w.start(instances=3, executors=EXECUTORS)
+    accepted = []
 
+    async def submit(job):
+        if await w.submit(job, [STEP], work_ms=1000):
+            accepted.append(job)
 
-async def scenario(w):
-    await w.start(instances=3, executors=8)
-    step = {"Count": 8, "Cpu": 900, "MemMb": 500, "EstDurationMs": 1500}
-    step["AntiAffinity"] = 1
-    jobs = []
-    begin_s = time.monotonic()
-    crashes = None
-    if world.TROUBLE:
-        crashes = asyncio.create_task(crash_in_turn(w, begin_s + 75.0))
-        w.tasks.append(crashes)
+    # At once, or one each four seconds.
+    gap_s = 0.1 if world.TROUBLE else 4.0
+    submissions = []
     for number in range(JOBS):
-        job = f"{number:016x}"
-        if await w.submit(job, [step], work_ms=1500):
-            jobs.append(job)
-        await asyncio.sleep(1.5)
-    if crashes is not None:
-        await crashes
-    states = await w.settle(
-        jobs, time.monotonic() + 20.0, ("completed", "failed")
-    )
-    w.record("states", **{f"j{job}": state for job, state in states.items()})
+        submissions.append(asyncio.create_task(submit(f"{number:016x}")))
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*submissions)
+    await asyncio.sleep(FINISH_S)
+    idle_since_s = {}
+    longest_s = {}
+    used = 0.0
+    end_s = time.monotonic() + 20.0
+    while time.monotonic() < end_s:
+        now_s = time.monotonic()
+        running = sum(len(e.running) for e in w.fleet.executors)
+        used = max(used, running * STEP["Cpu"] / (EXECUTORS * 8000))
+        for job in accepted:
+            tasks = [f"{job}.0.0.{n}" for n in range(STEP["Count"])]
+            is_done = all(task in w.fleet.done for task in tasks)
+            if is_done or any(w.fleet.active.get(task) for task in tasks):
+                idle_since_s.pop(job, None)
+                continue
+            idle_s = now_s - idle_since_s.setdefault(job, now_s)
+            longest_s[job] = max(longest_s.get(job, 0.0), idle_s)
+        await asyncio.sleep(0.05)
+    states = dict(zip(accepted, [await w.state(job) for job in accepted]))
+    w.record("end", used=f"{used:.3f}", states=states)
+    service.server.crash()
     return [
-        f"LOST: {job} is shown as {state}, though no run of it has failed"
-        for job, state in states.items()
-        if state != "completed"
+        f"LOST: {job}, {states[job]}, has nothing running for {idle_s:.1f} s,"
+        f" with at most {used:.3f} of the processor in use"
+        for job, idle_s in longest_s.items()
+        if idle_s >= IDLE_S and used < 0.5
     ] + w.fleet.violations
 
 
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,41 +1,47 @@
-"""The settings name a new address of the store, and no signal is sent."""
+"""One job that can never be done, beside small jobs; see claim.txt."""
 
 import asyncio
 import time
 
-import web
 import world
 
-STEP = {"Count": 3, "Cpu": 1000, "MemMb": 500, "EstDurationMs": 6000}
-
-
-async def move_store(w):
-    """Serves the same log at a new address and changes the settings files."""
-    old = w.store.address
-    w.store.server.crash()
-    w.store.server = web.Server(w.store.handle)
-    await w.store.start()
-    w.change_setting("platform.Address", old, w.store.address)
+HUGE_STEPS = 40
+HUGE_COUNT = 100_000
+JOBS = 20
+MEMORY_MB = 300.0
 
 
 async def scenario(w):
-    await w.start(instances=3, executors=6)
-    jobs = []
-    for number in range(6):
+    await w.start(instances=3, executors=8)
+    w.tasks.append(asyncio.create_task(w.keep_running(MEMORY_MB)))
+    small = {"Count": 2, "Cpu": 500, "MemMb": 100, "EstDurationMs": 2000}
+    huge = small | {"Count": HUGE_COUNT}
+    accepted = []
+
+    async def submit(job):
+        if await w.submit(job, [small], work_ms=2000, attempts=2):
+            accepted.append(job)
+
+    submissions = []
+    for number in range(JOBS):
         job = f"{number:016x}"
-        if await w.submit(job, [STEP], work_ms=6000):
-            jobs.append(job)
-    if world.TROUBLE:
-        await move_store(w)
-    states = await w.settle(jobs, time.monotonic() + 45.0)
-    running = sum(len(each.running) for each in w.fleet.executors)
-    w.record("end", running=running)
-    return [
-        f"LOST: {job}, accepted before, is answered with {state} 45 s later;"
-        f" {running} runs in all"
+        submissions.append(asyncio.create_task(submit(job)))
+        if number == 9 and world.TROUBLE:
+            await w.submit("f" * 16, [huge] * HUGE_STEPS, work_ms=2000)
+        await asyncio.sleep(0.3)
+    await asyncio.gather(*submissions)
+    # Twice finish_s.
+    states = await w.settle(accepted, time.monotonic() + 28.0)
+    deaths = {each.name: each.deaths for each in w.instances}
+    w.record("over-memory-in-all", **deaths)
+    found = [
+        f"LOST: {job} was accepted and is answered with {state}"
         for job, state in states.items()
         if state != "completed"
-    ] + w.fleet.violations
+    ]
+    if sum(count >= 3 for count in deaths.values()) >= 2:
+        found.append(f"Fault: over their memory, times: {deaths}")
+    return found + w.fleet.violations
 
 
 world.main(__file__, scenario)
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -95,6 +95,7 @@
         )
 
     async def start(self):
+        self.begun_s = time.monotonic()
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         words = deploy["roles"]["instance"]["run"].split(" ")
         # Ports are the same on all machines; on loopback each needs its own.
@@ -201,16 +202,19 @@
         self.instances = [Instance(self, n) for n in range(instances)]
         for each in self.instances:
             await each.start()
-        end_s = time.monotonic() + 25.0
-        while not all([await each.is_ready() for each in self.instances]):
-            if time.monotonic() > end_s:
-                raise TimeoutError("the instances are not ready in time")
-            for each in self.instances:
+        end_s = time.monotonic() + 30.0
+        for each in self.instances:
+            while not await each.is_ready():
+                if time.monotonic() > end_s:
+                    raise TimeoutError("the instances are not ready in time")
+                if time.monotonic() > each.begun_s + 8.0:
+                    each.signal(signal.SIGKILL)
+                    await each.process.wait()
                 if each.process.returncode is not None:
-                    # Another program has taken a port in the meantime.
+                    # Another program may have taken a port in the meantime.
                     each.choose_ports()
                     await each.start()
-            await asyncio.sleep(0.1)
+                await asyncio.sleep(0.1)
         # As on the platform, traffic begins some time after the machines.
         await asyncio.sleep(2.0)
 
