--- a/review/13/case.py
+++ b/review/13/case.py
@@ -6,7 +6,7 @@
 import world
 
 REPEAT = 10_000
-STEPS = 20
+STEPS = 30
 JOBS = 20
 FINISH_S = 14.0
 IDLE_S = 3.0
@@ -83,6 +83,7 @@
     terms = sum(
         each.log_path.read_text().count('"term.begun"') for each in w.instances
     )
+    w.record("memory", mb=[int(i.memory_mb()) for i in w.instances])
     w.record("end", terms=terms, not_accepted=JOBS - len(accepted))
     print(f"{terms} terms, {JOBS - len(accepted)} small jobs not accepted")
     return found + w.fleet.violations
