Size approval requests by what the step needs and the policy's time

Cause: a request named 30 executors whatever its step needed and however long the policy takes for each, with a fixed timeout; the validity counted from the sending though the policy had another request to handle first. So approvals had expired when they arrived, as long as two steps waited; with slower policies also for single jobs.

Change: a request names what the waiting tasks need, by the share approved so far, within half of the validity and the request before it counted. Its timeout follows from the policy's terms, late or failed requests halve the next, pauses double up to 1.6 s, jobs of a priority take turns. The validity counts from the answer before, if that came after the sending.

test_border.py now expects the two further fields of the terms.

--- a/src/basiljunction/coordination/scheduling/_approvals.py
+++ b/src/basiljunction/coordination/scheduling/_approvals.py
@@ -1,38 +1,20 @@
 """Approvals of executors for steps by an external policy service.
 
-Load pattern: the policy answers slowly, and more slowly the more executors a
-request names, and it handles one request at a time. Its decisions for a step
-never change, but each approval is valid for a short time only. So a step
-requests approval only for executors with free capacity and never again for one
-that was not approved. Few requests are in flight at a time, so that the most
-urgent step sends the next one.
+Load pattern: the policy's decisions for a step never change, but each approval
+is valid for a short time only. So a step requests approval only for executors
+with free capacity, and never again for one that was not approved.
 """
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
+import math
 
+from basiljunction.coordination.scheduling import _approval_calls
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _orders
-
-MAX_EXECUTORS_PER_REQUEST = 30
-"""Most executors in one approval request: as many as a job's latency objective
-allows time for."""
-
-MAX_REQUESTS_IN_FLIGHT = 2
-"""Most approval requests in flight: the policy works on one while the next one
-is being sent."""
-
-VALIDITY_MARGIN_S = 0.3
-"""Remaining validity that an approval needs to be used, in seconds, so that the
-start order arrives in time."""
-
-REQUEST_RETRY_S = 0.2
-"""Delay before an approval request that got no answer is repeated, in
-seconds."""
-
-StepKey = tuple[str, int, int]
-"""Key of a step: job id, occurrence and step number."""
+from basiljunction.state.workload import _configuration
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,40 +34,54 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _StepApprovals:
-    """Approvals and pending request of one step.
+class StepApprovals:
+    """Approvals of one step.
 
     Attributes:
+        wanted_since_s: Time at which the step first needed approvals.
+        request_count: Number of requests so far.
         decided_executors: Ids of the executors on which the policy has decided.
         approval_by_executor: Approvals by executor id, also expired ones.
-        request_sent_s: Time at which the request in flight was sent; None if
-            none is in flight.
-        asked_started_ms_by_executor: Start time of the incarnation for which
-            each executor was last named in a request, in milliseconds since
-            the Unix epoch.
+        failures_in_a_row: Number of requests since the last answer that failed.
         next_request_s: Time before which no request is sent.
     """
 
+    wanted_since_s: float
+    request_count: int = 0
     decided_executors: set[str] = dataclasses.field(default_factory=set)
     approval_by_executor: dict[str, _ExecutorApproval] = dataclasses.field(
         default_factory=dict
     )
-    request_sent_s: float | None = None
-    asked_started_ms_by_executor: dict[str, int] = dataclasses.field(
-        default_factory=dict
-    )
-    next_request_s: float = 0.0
+    failures_in_a_row: int = 0
+    next_request_s: float = float("-inf")
+
+    @property
+    def approved_share(self) -> float:
+        """Estimate of the share of executors that the policy approves, 0 to 1.
+
+        By Laplace's rule of succession, which starts at a half.
+        """
+        approved = len(self.approval_by_executor)
+        return (approved + 1) / (len(self.decided_executors) + 2)
 
 
 class ApprovalTracker:
-    """Stores the approvals of all steps and chooses the next requests."""
+    """Stores the approvals of all steps and builds the requests for them."""
 
     def __init__(self) -> None:
-        self._approvals_by_step: dict[StepKey, _StepApprovals] = {}
+        self._approvals_by_step: dict[
+            _approval_calls.StepKey, StepApprovals
+        ] = {}
+        self._calls = _approval_calls.PolicyCalls()
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Number of requests that wait for an answer."""
+        return self._calls.count
 
     def approved_executors(
         self,
-        key: StepKey,
+        key: _approval_calls.StepKey,
         executors: Iterable[_executors.ExecutorState],
         now_s: float,
     ) -> list[_executors.ExecutorState]:
@@ -95,7 +91,7 @@
         ]
 
     def is_refused(
-        self, key: StepKey, executor: _executors.ExecutorState
+        self, key: _approval_calls.StepKey, executor: _executors.ExecutorState
     ) -> bool:
         """Returns whether the policy did not approve an executor for a step."""
         step_approvals = self._approvals_by_step.get(key)
@@ -108,7 +104,10 @@
         )
 
     def approval_token(
-        self, key: StepKey, executor: _executors.ExecutorState, now_s: float
+        self,
+        key: _approval_calls.StepKey,
+        executor: _executors.ExecutorState,
+        now_s: float,
     ) -> str:
         """Returns the token of a valid approval; empty if there is none."""
         step_approvals = self._approvals_by_step.get(key)
@@ -122,65 +121,91 @@
             return ""
         return approval.token if now_s < approval.expires_s else ""
 
+    def may_request(self, now_s: float) -> bool:
+        """Returns whether any request may be sent now."""
+        return self._calls.may_begin(now_s)
+
     def next_request(
         self,
-        key: StepKey,
-        candidates: Iterable[_executors.ExecutorState],
+        key: _approval_calls.StepKey,
+        terms: _configuration.ApprovalPolicy,
+        candidates: Sequence[_executors.ExecutorState],
+        needed: int,
         now_s: float,
     ) -> _orders.ApprovalOrder | None:
         """Returns the next approval request for a step, or None.
 
-        The returned request counts as in flight until its result is reported.
+        It names executors until as many as are needed should be approved, in
+        so far as the policy decides on them in time. The returned request
+        counts as in flight until its result is reported, or its time is over.
 
         Args:
             key: Key of the step.
+            terms: The policy's terms for its queue.
             candidates: Executors with free capacity for the step, best first.
+            needed: Number of executors that its waiting tasks need.
             now_s: Current time in seconds.
         """
-        step_approvals = self._approvals_by_step.setdefault(
-            key, _StepApprovals()
+        approvals = self._approvals_by_step.setdefault(
+            key, StepApprovals(now_s)
         )
         if (
-            step_approvals.request_sent_s is not None
-            or now_s < step_approvals.next_request_s
+            now_s < approvals.next_request_s
+            or not self._calls.may_begin(now_s)
+            or self._calls.is_in_flight(key)
         ):
             return None
-        if self._count_in_flight() >= MAX_REQUESTS_IN_FLIGHT:
-            return None
-        unapproved = [
-            each
-            for each in candidates
-            if not self.approval_token(key, each, now_s)
-            and (
-                each.listing.id not in step_approvals.decided_executors
-                or each.listing.id in step_approvals.approval_by_executor
-            )
-        ][:MAX_EXECUTORS_PER_REQUEST]
-        if not unapproved:
+        chosen = self._choose_executors(
+            key, approvals, candidates, needed, now_s
+        )
+        chosen = chosen[: self._calls.max_executors(terms)]
+        if not chosen:
             return None
-        step_approvals.request_sent_s = now_s
-        step_approvals.asked_started_ms_by_executor.update(
-            (each.listing.id, each.started_wall_ms) for each in unapproved
+        number, call = self._calls.begin(
+            key,
+            terms,
+            {each.listing.id: each.started_wall_ms for each in chosen},
+            now_s,
         )
+        approvals.request_count += 1
         return _orders.ApprovalOrder(
-            *key, tuple(each.listing.id for each in unapproved)
+            *key,
+            tuple(call.started_ms_by_executor),
+            number=number,
+            timeout_s=call.timeout_s,
         )
 
-    def _count_in_flight(self) -> int:
-        """Returns the number of approval requests in flight."""
-        return sum(
-            each.request_sent_s is not None
-            for each in self._approvals_by_step.values()
-        )
+    def _choose_executors(
+        self,
+        key: _approval_calls.StepKey,
+        approvals: StepApprovals,
+        candidates: Sequence[_executors.ExecutorState],
+        needed: int,
+        now_s: float,
+    ) -> list[_executors.ExecutorState]:
+        """Returns the executors to name, without those that were refused.
+
+        Those whose approval has expired come first, as they are approved again.
+        """
+        expired = []
+        undecided = []
+        for each in candidates:
+            if self.approval_token(key, each, now_s):
+                continue
+            if each.listing.id in approvals.approval_by_executor:
+                expired.append(each)
+            elif each.listing.id not in approvals.decided_executors:
+                undecided.append(each)
+        missing = max(0, needed - len(expired))
+        count = math.ceil(missing / approvals.approved_share)
+        return [*expired[:needed], *undecided[:count]]
 
     def record_answer(
         self,
         order: _orders.ApprovalOrder,
         token_by_executor: Mapping[str, str],
-        *,
-        validity_s: float,
         now_s: float,
-    ) -> None:
+    ) -> StepApprovals | None:
         """Records the policy's answer to an approval request.
 
         An approval is for the incarnation that was known when it was asked for;
@@ -189,41 +214,45 @@
         Args:
             order: The request.
             token_by_executor: Tokens of the approved executors by id.
-            validity_s: Validity of the approvals in seconds, counted from the
-                sending of the request.
             now_s: Current time in seconds.
+
+        Returns:
+            The approvals of the step; None if its job is not known any more,
+            or the request had been given up.
         """
-        step_approvals = self._approvals_by_step.get(
-            (order.job, order.occurrence, order.step)
-        )
-        if step_approvals is None:
-            return
-        sent_s = (
-            now_s
-            if step_approvals.request_sent_s is None
-            else step_approvals.request_sent_s
-        )
-        step_approvals.request_sent_s = None
-        step_approvals.decided_executors.update(order.executors)
+        try:
+            call, expires_s = self._calls.end_answered(order.number, now_s)
+        except KeyError:
+            return None
+        approvals = self._approvals_by_step.get(call.key)
+        if approvals is None:
+            return None
+        approvals.failures_in_a_row = 0
+        approvals.decided_executors.update(order.executors)
         for executor, token in token_by_executor.items():
-            step_approvals.approval_by_executor[executor] = _ExecutorApproval(
-                token,
-                sent_s + validity_s - VALIDITY_MARGIN_S,
-                step_approvals.asked_started_ms_by_executor.get(executor, 0),
-            )
+            if executor in call.started_ms_by_executor:
+                approvals.approval_by_executor[executor] = _ExecutorApproval(
+                    token, expires_s, call.started_ms_by_executor[executor]
+                )
+        return approvals
 
     def record_failure(
         self, order: _orders.ApprovalOrder, now_s: float
     ) -> None:
         """Records that an approval request failed, and delays the next one."""
-        step_approvals = self._approvals_by_step.get(
+        self._calls.end_failed(order.number, now_s)
+        approvals = self._approvals_by_step.get(
             (order.job, order.occurrence, order.step)
         )
-        if step_approvals is not None:
-            step_approvals.request_sent_s = None
-            step_approvals.next_request_s = now_s + REQUEST_RETRY_S
+        if approvals is not None:
+            approvals.failures_in_a_row += 1
+            approvals.next_request_s = now_s + _approval_calls.retry_delay_s(
+                approvals.failures_in_a_row
+            )
 
-    def expire_rejected_approval(self, key: StepKey, executor: str) -> None:
+    def expire_rejected_approval(
+        self, key: _approval_calls.StepKey, executor: str
+    ) -> None:
         """Expires an approval that its executor did not accept."""
         step_approvals = self._approvals_by_step.get(key)
         if step_approvals is None:
@@ -235,7 +264,11 @@
             )
 
     def delete_job(self, job_id: str) -> None:
-        """Deletes the approvals of all steps of a job."""
+        """Deletes the approvals of all steps of a job.
+
+        Its requests count as in flight until they end, as the policy goes on
+        with them.
+        """
         for key in [
             each for each in self._approvals_by_step if each[0] == job_id
         ]:
--- a/src/basiljunction/coordination/scheduling/_orders.py
+++ b/src/basiljunction/coordination/scheduling/_orders.py
@@ -100,12 +100,16 @@
         occurrence: Number of the occurrence.
         step: Number of the step.
         executors: Ids of the executors to be decided on.
+        number: Number of the request within the term.
+        timeout_s: Time after which it is given up, in seconds.
     """
 
     job: str
     occurrence: int
     step: int
     executors: tuple[str, ...]
+    number: int = 0
+    timeout_s: float = 0.0
 
 
 ExecutorOrder = StartOrder | StopOrder | PaceOrder | RenewalOrder
--- a/src/basiljunction/coordination/scheduling/_placement.py
+++ b/src/basiljunction/coordination/scheduling/_placement.py
@@ -61,6 +61,32 @@
     return executor.unused_millicores >= step.size.cpu_millicores
 
 
+def count_fitting_tasks(
+    step: _job_spec.StepSpec, executor: _executors.ExecutorState
+) -> int:
+    """Returns how many tasks of a step fit into the free capacity, 1 or more.
+
+    The executor is known to have room for one.
+    """
+    free, size = executor.free_capacity, step.reserved_resources
+    counts = [
+        available // requested
+        for available, requested in (
+            (free.cpu_millicores, size.cpu_millicores),
+            (free.memory_mb, size.memory_mb),
+            (free.gpus, size.gpus),
+        )
+        if requested
+    ]
+    if step.fills and step.size.cpu_millicores:
+        counts.append(
+            int(executor.unused_millicores) // step.size.cpu_millicores
+        )
+    if step.max_per_executor:
+        counts.append(step.max_per_executor)
+    return max(1, min(counts, default=1))
+
+
 class StepRanking:
     """The executors on which tasks of one step can start now, best first.
 
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from collections.abc import Set
 
+from basiljunction.coordination.scheduling import _approval_requests
 from basiljunction.coordination.scheduling import _cell_state
 from basiljunction.coordination.scheduling import _crashes
 from basiljunction.coordination.scheduling import _executors
@@ -80,6 +81,7 @@
         ] = {}
         self._isolated_starts = _isolated_starts.IsolatedStarts(cell)
         self._last_resorts = _last_resorts.LastResorts(cell)
+        self._approval_requests = _approval_requests.ApprovalRequests(cell)
         self._wait_notes = _wait_notes.WaitNotes(cell)
 
     def could_ever_fit(self, accepted: _progress.AcceptedJob) -> bool:
@@ -149,6 +151,7 @@
         budget = self._place_jobs(
             jobs, executors_by_service, MAX_STARTS_PER_PASS - started, now
         )
+        self._approval_requests.send_due(now)
         cell.needs_placing |= budget <= 0
         self._wait_notes.note_longest_waits(jobs, executors_by_service, now)
 
@@ -368,12 +371,11 @@
                 job.queue.approval is not None
                 and waiting_tasks.ready_s_by_index
             ):
-                self._request_approval(
+                self._approval_requests.add(
                     job,
                     waiting_tasks,
                     executors
                     or self._last_resorts.executors_of(job.queue.service),
-                    now,
                 )
         return budget
 
@@ -570,36 +572,6 @@
                 return
             yield task, waited_s
 
-    def _request_approval(
-        self,
-        job: _jobs.Job,
-        waiting_tasks: _jobs.WaitingTasks,
-        executors: list[_executors.ExecutorState],
-        now: _time.Now,
-    ) -> None:
-        """Requests approval of executors with capacity for a waiting task."""
-        cell = self._cell
-        step = job.spec.steps[waiting_tasks.step]
-        index = next(iter(waiting_tasks.ready_s_by_index))
-        task = _job_spec.TaskId(
-            job.id, waiting_tasks.occurrence, waiting_tasks.step, index
-        )
-        order = cell.approvals.next_request(
-            (job.id, waiting_tasks.occurrence, waiting_tasks.step),
-            _placement.rank_executors(step, task, executors, cell.sharing),
-            now.boot_s,
-        )
-        if order is None:
-            return
-        cell.orders.append(order)
-        cell.note(
-            "approval.asked",
-            job=job.id,
-            occurrence=waiting_tasks.occurrence,
-            step=waiting_tasks.step,
-            executors=len(order.executors),
-        )
-
     def _rank_executors(
         self,
         job: _jobs.Job,
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -530,12 +530,12 @@
         job = cell.job_by_id.get(order.job)
         if job is None or job.queue.approval is None:
             return
-        cell.approvals.record_answer(
-            order,
-            proof_by_executor,
-            validity_s=job.queue.approval.validity_s,
-            now_s=now.boot_s,
+        approvals = cell.approvals.record_answer(
+            order, proof_by_executor, now.boot_s
         )
+        if approvals is None:
+            cell.note("approval.unused", job=order.job, request=order.number)
+            return
         cell.note(
             "approval.answered",
             job=order.job,
@@ -543,6 +543,8 @@
             step=order.step,
             asked=len(order.executors),
             approved=len(proof_by_executor),
+            requests=approvals.request_count,
+            waited_s=round(now.boot_s - approvals.wanted_since_s, 3),
         )
         cell.needs_placing = True
 
--- a/src/basiljunction/platform/_clients.py
+++ b/src/basiljunction/platform/_clients.py
@@ -163,9 +163,13 @@
 
     Attributes:
         ValidityMs: Milliseconds for which an approval may be used.
+        DecisionMs: Milliseconds that the policy takes for a request.
+        PerWorkerMs: Further milliseconds for each executor named in it.
     """
 
     ValidityMs: float
+    DecisionMs: Annotated[float, pydantic.Field(ge=0)] = 0
+    PerWorkerMs: Annotated[float, pydantic.Field(ge=0)] = 0
 
 
 class _Route(pydantic.BaseModel):
@@ -285,7 +289,11 @@
     """Converts a queue's approval settings; None if it needs no approval."""
     if advice is None:
         return None
-    return _configuration.ApprovalPolicy(advice.ValidityMs / 1000)
+    return _configuration.ApprovalPolicy(
+        validity_s=advice.ValidityMs / 1000,
+        decision_s=advice.DecisionMs / 1000,
+        per_executor_s=advice.PerWorkerMs / 1000,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/state/workload/_configuration.py
+++ b/src/basiljunction/state/workload/_configuration.py
@@ -9,9 +9,19 @@
 
     Attributes:
         validity_s: Time for which an approval is valid, in seconds.
+        decision_s: Time that the policy takes for a request, in seconds; 0 if
+            the configuration does not tell.
+        per_executor_s: Further time for each executor that the request names,
+            in seconds.
     """
 
     validity_s: float
+    decision_s: float = 0.0
+    per_executor_s: float = 0.0
+
+    def handling_s(self, executor_count: int) -> float:
+        """Returns how long the policy takes for a request, in seconds."""
+        return self.decision_s + self.per_executor_s * executor_count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/basiljunction/transport/jobs/_order_sender.py
+++ b/src/basiljunction/transport/jobs/_order_sender.py
@@ -30,13 +30,6 @@
 """Longest timeout of a start order as a share of the lease that it carries, 0
 to 1; the lease begins before the order is sent."""
 
-APPROVAL_TIMEOUT_S = 5.0
-"""Timeout of an approval request to the policy service, in seconds.
-
-The service handles the requests of one instance in turn, a fraction of a second
-each.
-"""
-
 _log = structlog.get_logger()
 
 
@@ -153,7 +146,7 @@
             return
         self._calls.send(
             _executor_calls.make_approval_call(
-                self._policy_address, order, timeout_s=APPROVAL_TIMEOUT_S
+                self._policy_address, order, timeout_s=order.timeout_s
             ),
             handle_reply,
         )
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -416,7 +416,10 @@
     Attributes:
         approved_executors: Executors that it approves.
         validity_s: Validity of an approval, in seconds.
-        decision_s: Time from a request to its answer, in seconds.
+        decision_s: Time that it takes for a request, in seconds.
+        per_executor_s: Further time for each executor named, in seconds.
+        handles_in_turn: Whether it handles one request after the other.
+        free_s: Virtual time at which it has handled all requests.
         is_up: Whether requests are answered.
         received_requests: All approval requests received so far.
         expiry_s_by_proof: Virtual time at which each proof expires.
@@ -425,6 +428,9 @@
     approved_executors: set[str]
     validity_s: float = 2.0
     decision_s: float = 0.2
+    per_executor_s: float = 0.0
+    handles_in_turn: bool = False
+    free_s: float = 0.0
     is_up: bool = True
     received_requests: list[_orders.ApprovalOrder] = dataclasses.field(
         default_factory=list
@@ -433,6 +439,15 @@
         default_factory=dict
     )
 
+    def answer_due_s(self, order: _orders.ApprovalOrder, now_s: float) -> float:
+        """Returns when a request that arrives now is answered."""
+        begin_s = max(now_s, self.free_s) if self.handles_in_turn else now_s
+        handling_s = self.decision_s + (
+            self.per_executor_s * len(order.executors)
+        )
+        self.free_s = begin_s + handling_s
+        return self.free_s
+
     def approve_executors(
         self, order: _orders.ApprovalOrder, now_s: float
     ) -> dict[str, str]:
@@ -1103,7 +1118,7 @@
         """Sends an approval request that the policy answers later."""
         assert self.policy is not None
         self.policy.received_requests.append(order)
-        due_s = self.now_s + self.policy.decision_s
+        due_s = self.policy.answer_due_s(order, self.now_s)
         self.decisions.append((due_s, self.scheduler, order))
 
     def _answer_due_approval_requests(self) -> None:
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -256,7 +256,9 @@
         assert plain is not None
         assert plain.approval is None
         assert approved is not None
-        assert approved.approval == _configuration.ApprovalPolicy(3.0)
+        assert approved.approval == _configuration.ApprovalPolicy(
+            validity_s=3.0, decision_s=0.04, per_executor_s=0.005
+        )
 
     def test_a_question_names_the_step_and_the_executors(self) -> None:
         order = _orders.ApprovalOrder("5c0e7a21d94b36f8", 0, 1, ("a", "b"))
