End each request for approval by its own time limit

Cause: the answer to a request whose queue needs no approval any more was dropped before the request was taken off those in flight. Two such requests ended all others.

Change: each request is known by its number and ends with its answer, its failure, or 1 s after its time limit if none is reported.

--- a/src/basiljunction/coordination/scheduling/_approval_calls.py
+++ b/src/basiljunction/coordination/scheduling/_approval_calls.py
@@ -46,6 +46,10 @@
 """Time until a call is given up if the configuration does not tell how long the
 policy takes, in seconds."""
 
+REPORT_MARGIN_S = 1.0
+"""Time after its time limit by which the end of a call is reported, in seconds.
+A call of which no end is reported counts no longer."""
+
 RETRY_S = 0.2
 """Delay after a failed call, in seconds; it doubles with each in a row."""
 
@@ -78,6 +82,10 @@
     timeout_s: float
     started_ms_by_executor: dict[str, int]
 
+    def is_over(self, now_s: float) -> bool:
+        """Returns whether its end should have been reported by now."""
+        return now_s >= self.sent_s + self.timeout_s + REPORT_MARGIN_S
+
 
 def retry_delay_s(failures_in_a_row: int) -> float:
     """Returns the delay after a number of failures in a row, in seconds."""
@@ -87,7 +95,8 @@
 class PolicyCalls:
     """The calls in flight to the policy.
 
-    A call ends with its answer or its failure.
+    A call ends with its answer, its failure or its time limit, whatever has
+    become of its job and its queue meanwhile.
     """
 
     def __init__(self) -> None:
@@ -105,6 +114,9 @@
 
     def may_begin(self, now_s: float) -> bool:
         """Returns whether another call may be sent now."""
+        for number, call in list(self._call_by_number.items()):
+            if call.is_over(now_s):
+                del self._call_by_number[number]
         return self.count < MAX_CALLS_IN_FLIGHT and now_s >= self._next_call_s
 
     def is_in_flight(self, key: StepKey) -> bool:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -527,9 +527,6 @@
             now: The time.
         """
         cell = self.cell
-        job = cell.job_by_id.get(order.job)
-        if job is None or job.queue.approval is None:
-            return
         approvals = cell.approvals.record_answer(
             order, proof_by_executor, now.boot_s
         )
