Keep the memory of a job in proportion to what runs, and bound all jobs

Cause: each waiting task had an entry of its own, and so had each done task and each opened step, in memory and in part in the store. Nothing weighed the jobs together at acceptance.

Change: tasks that have not run are ranges, done tasks are ranges over indexes and occurrences, ready steps are ranges of occurrences that change as tasks end. All jobs together may take a third of the memory by their steps and text; more are answered 429 at once, one that would not fit alone 422. Jobs of earlier terms are borne whatever they take.

Tests that built progress from plain sets build the new type now, with the same contents. The mutation of the order of steps names its new place.

--- a/scripts/platform_mutations.py
+++ b/scripts/platform_mutations.py
@@ -735,11 +735,9 @@
     _mutation(
         "steps-in-any-order",
         "order of steps",
-        f"{_SCHEDULING}/_jobs.py",
-        "if key not in self.opened_steps and self._are_predecessors_done(\n"
-        "                    occurrence, step\n"
-        "                ):",
-        "if key not in self.opened_steps:",
+        f"{_SCHEDULING}/_ready_steps.py",
+        "ready = ready.intersection(self._done_occurrences(each))",
+        "pass",
         f"{_TESTS}/test_scheduler.py",
     ),
     _mutation(
--- a/src/basiljunction/bench/_scheduler_cost.py
+++ b/src/basiljunction/bench/_scheduler_cost.py
@@ -258,7 +258,7 @@
     def waiting_task_count(self) -> int:
         """Number of tasks that wait for an executor."""
         return sum(
-            len(each.ready_s_by_index)
+            len(each)
             for job in self._scheduler.cell.job_by_id.values()
             for each in job.waiting_tasks_by_step.values()
         )
--- a/src/basiljunction/coordination/scheduling/_approval_requests.py
+++ b/src/basiljunction/coordination/scheduling/_approval_requests.py
@@ -6,6 +6,7 @@
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _placement
+from basiljunction.coordination.scheduling import _waiting_tasks
 from basiljunction.state import _time
 from basiljunction.state.workload import _job_spec
 
@@ -21,7 +22,7 @@
     """
 
     job: _jobs.Job
-    waiting_tasks: _jobs.WaitingTasks
+    waiting_tasks: _waiting_tasks.WaitingTasks
     executors: list[_executors.ExecutorState]
 
 
@@ -44,7 +45,7 @@
     def add(
         self,
         job: _jobs.Job,
-        waiting_tasks: _jobs.WaitingTasks,
+        waiting_tasks: _waiting_tasks.WaitingTasks,
         executors: list[_executors.ExecutorState],
     ) -> None:
         """Adds a step whose tasks wait; the steps come in order of rank."""
@@ -76,9 +77,9 @@
         """Orders a request for a step; returns whether one is due."""
         cell, job, waiting_tasks = self._cell, want.job, want.waiting_tasks
         terms = job.queue.approval
-        index = next(iter(waiting_tasks.ready_s_by_index), None)
-        if terms is None or index is None:
+        if terms is None or not waiting_tasks:
             return False
+        index, _ = waiting_tasks.first()
         key = (job.id, waiting_tasks.occurrence, waiting_tasks.step)
         step = job.spec.steps[waiting_tasks.step]
         candidates = _placement.rank_executors(
@@ -88,9 +89,7 @@
             key,
             terms,
             candidates,
-            _count_needed_executors(
-                step, len(waiting_tasks.ready_s_by_index), candidates
-            ),
+            _count_needed_executors(step, len(waiting_tasks), candidates),
             now.boot_s,
         )
         if order is None:
--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -4,6 +4,7 @@
 
 from basiljunction.coordination.scheduling import _approvals
 from basiljunction.coordination.scheduling import _executors
+from basiljunction.coordination.scheduling import _job_memory
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _notes
@@ -44,6 +45,7 @@
             executors have to be stored.
         needs_placing: Whether a change since the last placement pass may let
             tasks start.
+        job_memory: Memory of the jobs.
         is_term_confirmed: Whether the term allows leases and starts now.
         confirmed_s: Sending time of the newest record of this term that the
             store confirmed.
@@ -87,6 +89,9 @@
     roster_changed: bool = True
     silent_executors_changed: bool = True
     needs_placing: bool = True
+    job_memory: _job_memory.JobMemory = dataclasses.field(
+        default_factory=_job_memory.JobMemory
+    )
     is_term_confirmed: bool = True
     confirmed_s: float = 0.0
     confirmed_beat: int = 0
@@ -201,7 +206,7 @@
         """Sets a job's final state and starts stopping all of its runs."""
         job.progress.state = state
         job.progress.finished_wall_s = now.wall_s
-        job.waiting_tasks_by_step.clear()
+        job.clear_waiting_tasks()
         self.approvals.delete_job(job.id)
         self.duplicated_tasks = {
             e for e in self.duplicated_tasks if e.job != job.id
--- a/src/basiljunction/coordination/scheduling/_crashes.py
+++ b/src/basiljunction/coordination/scheduling/_crashes.py
@@ -318,7 +318,7 @@
         if (
             not crash_count
             or waiting_tasks is None
-            or place[2] not in waiting_tasks.ready_s_by_index
+            or place[2] not in waiting_tasks
         ):
             return
         delay_s = min(FIRST_BACKOFF_S * 2 ** (crash_count - 1), MAX_BACKOFF_S)
--- a/src/basiljunction/coordination/scheduling/_evacuation.py
+++ b/src/basiljunction/coordination/scheduling/_evacuation.py
@@ -180,14 +180,14 @@
             and cell.is_task_unfinished(run.task)
         ]
         for job in cell.job_by_id.values():
-            if not job.is_active:
+            if not job.is_active or not job.has_lasting_step:
                 continue
             for key, waiting_tasks in job.waiting_tasks_by_step.items():
                 step = job.spec.steps[waiting_tasks.step]
                 if step.runs_until_cancelled and not step.gang:
                     found += [
                         (step, _job_spec.TaskId(job.id, *key, index))
-                        for index in waiting_tasks.ready_s_by_index
+                        for index, _ in waiting_tasks.items()
                     ]
         return found
 
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -5,28 +5,14 @@
 
 from basiljunction.coordination.scheduling import _crash_evidence
 from basiljunction.coordination.scheduling import _limits
+from basiljunction.coordination.scheduling import _ready_steps
+from basiljunction.coordination.scheduling import _waiting_tasks
 from basiljunction.state.workload import _configuration
+from basiljunction.state.workload import _index_ranges
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 
 
-@dataclasses.dataclass(slots=True)
-class WaitingTasks:
-    """The tasks of one step that wait to start, within one occurrence.
-
-    Attributes:
-        occurrence: Number of the occurrence, that is, of one execution of the
-            job's steps.
-        step: Number of the step.
-        ready_s_by_index: Earliest start of each waiting task, on the steady
-            clock, by its index in the step.
-    """
-
-    occurrence: int
-    step: int
-    ready_s_by_index: dict[int, float]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemainingWork:
     """Estimated work of a job's tasks that are not done.
@@ -56,13 +42,11 @@
         is_stored: Whether its acceptance is stored.
         is_inherited: Whether an earlier term may have started its tasks.
         waiting_tasks_by_step: Waiting tasks by occurrence and step.
-        opened_steps: Occurrences and steps whose tasks have been queued.
         running_places: Places of the tasks that have a current run.
         adopted_places: Places of the tasks of which this scheduler adopted the
             run of an earlier term, so that there is no other.
         has_started_tasks: Whether an executor has begun any task; a start that
             was only ordered does not count.
-        done_count_by_step: Successful tasks by occurrence and step.
         failed_executor_ids_by_place: Executors on which each task has failed,
             as far as this scheduler knows.
         unlisted_start_executor_ids_by_place: Executors on which an ordered run
@@ -80,6 +64,10 @@
             percent of the task's work per second.
         stalls_by_place: How often runs of a task were taken for stalled, apart
             for those that had shown progress before.
+        waiting_short_millicores: Processor that its waiting tasks request which
+            end by themselves and are no fillers.
+        has_lasting_step: Whether any step runs until the job is cancelled.
+        chain_s: Estimated time of its critical path, in seconds.
     """
 
     accepted: _progress.AcceptedJob
@@ -88,10 +76,9 @@
     arrived_s: float
     is_stored: bool = False
     is_inherited: bool = False
-    waiting_tasks_by_step: dict[tuple[int, int], WaitingTasks] = (
-        dataclasses.field(default_factory=dict)
-    )
-    opened_steps: set[tuple[int, int]] = dataclasses.field(default_factory=set)
+    waiting_tasks_by_step: dict[
+        tuple[int, int], _waiting_tasks.WaitingTasks
+    ] = dataclasses.field(default_factory=dict)
     running_places: set[_progress.TaskPosition] = dataclasses.field(
         default_factory=set
     )
@@ -99,9 +86,6 @@
         default_factory=set
     )
     has_started_tasks: bool = False
-    done_count_by_step: dict[tuple[int, int], int] = dataclasses.field(
-        default_factory=dict
-    )
     failed_executor_ids_by_place: dict[_progress.TaskPosition, set[str]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -124,6 +108,22 @@
     stalls_by_place: dict[tuple[_progress.TaskPosition, bool], int] = (
         dataclasses.field(default_factory=dict)
     )
+    waiting_short_millicores: int = 0
+    has_lasting_step: bool = dataclasses.field(init=False)
+    chain_s: float = dataclasses.field(init=False)
+    _unopened_steps: _ready_steps.ReadySteps = dataclasses.field(init=False)
+    _open_count_by_kind: dict[int, int] = dataclasses.field(
+        init=False, default_factory=dict
+    )
+    _may_open: bool = dataclasses.field(init=False, default=True)
+
+    def __post_init__(self) -> None:
+        # Each pass reads them, and a job may have a thousand steps.
+        self.has_lasting_step = self.spec.has_lasting_step
+        self.chain_s = self.spec.critical_path_s()
+        self._unopened_steps = _ready_steps.ReadySteps(
+            self.spec, self.progress.completed_positions
+        )
 
     @property
     def id(self) -> str:
@@ -148,78 +148,94 @@
     @property
     def has_known_executors(self) -> bool:
         """Whether the executor of a task's inherited run may be known."""
-        return bool(self.adopted_places) or self.spec.has_lasting_step
+        return bool(self.adopted_places) or self.has_lasting_step
 
     @property
     def objective_s(self) -> float:
         """Time from submission within which the job earns its full credit."""
-        chain_s = self.spec.critical_path_s()
-        return self.queue.stretch * chain_s + self.queue.target_latency_s
+        return self.queue.stretch * self.chain_s + self.queue.target_latency_s
 
-    def open_ready_steps(self, now_s: float, wall_s: float) -> None:
-        """Queues the tasks of every step that has become ready.
+    def done_count(self, occurrence: int, step: int) -> int:
+        """Returns how many tasks of a step are done."""
+        return len(self.progress.completed_positions.indexes(occurrence, step))
 
-        A step is ready when its occurrence is due and all steps that it
-        depends on are done.
+    def open_ready_steps(self, now_s: float, wall_s: float) -> None:
+        """Queues the tasks of steps that have become ready.
 
         Args:
             now_s: The time on the steady clock.
             wall_s: The time since the Unix epoch.
         """
-        step_count = len(self.spec.steps) * self.spec.occurrence_count
-        if len(self.opened_steps) >= step_count:
+        if self._unopened_steps.add_due(self.spec.due_count(wall_s)):
+            self._may_open = True
+        if not self._may_open:
             return
-        for occurrence in range(self.spec.occurrence_count):
-            if self.spec.due_wall_s(occurrence) > wall_s:
-                break
-            for number, step in enumerate(self.spec.steps):
-                key = (occurrence, number)
-                if key not in self.opened_steps and self._are_predecessors_done(
-                    occurrence, step
-                ):
-                    self._open_step(key, step, now_s)
-
-    def _are_predecessors_done(
-        self, occurrence: int, step: _job_spec.StepSpec
-    ) -> bool:
-        """Returns whether all steps that a step depends on are done."""
-        return all(
-            self.done_count_by_step.get((occurrence, each), 0)
-            >= self.spec.steps[each].count
-            for each in step.after
-        )
+        self._may_open = False
+        for kind in self._unopened_steps.kinds:
+            while (key := self._unopened_steps.take(kind)) is not None:
+                self._open_step(key, now_s)
 
-    def _open_step(
-        self, key: tuple[int, int], step: _job_spec.StepSpec, now_s: float
-    ) -> None:
+    def _open_step(self, key: tuple[int, int], now_s: float) -> None:
         """Queues the tasks of a step that are neither done nor running.
 
         Lasting tasks of an earlier term have probably lost their run.
         """
-        self.opened_steps.add(key)
-        ready_s_by_index = {
-            index: now_s
-            for index in range(step.count)
-            if (*key, index) not in self.progress.completed_positions
-            and (*key, index) not in self.running_places
-        }
-        if ready_s_by_index:
-            self.waiting_tasks_by_step[key] = WaitingTasks(
-                *key, ready_s_by_index
-            )
+        step = self.spec.steps[key[1]]
+        known = self.waiting_tasks_by_step.get(key)
+        missing = _index_ranges.IndexRanges([(0, step.count)]).minus(
+            self.progress.completed_positions.indexes(*key)
+        )
+        for place in self.running_places:
+            if place[:2] == key:
+                missing.discard(place[2])
+        if known is not None:
+            # A run that was adopted before has been lost since.
+            for index in known.returned_s_by_index:
+                missing.discard(index)
+        if not missing:
+            return
+        waiting_tasks = known or self._add_waiting_step(key)
+        waiting_tasks.fresh = missing
+        waiting_tasks.opened_s = now_s
+        self._count_waiting(step, len(missing))
         if step.runs_until_cancelled:
             patience_s = _limits.LASTING_START_PATIENCE_S
-            urgent_from_s = now_s + (0.0 if self.is_inherited else patience_s)
-            for index in ready_s_by_index:
-                self.urgent_from_s_by_place.setdefault(
-                    (*key, index), urgent_from_s
-                )
+            waiting_tasks.urgent_from_s = now_s + (
+                0.0 if self.is_inherited else patience_s
+            )
+
+    def _add_waiting_step(
+        self, key: tuple[int, int]
+    ) -> _waiting_tasks.WaitingTasks:
+        """Adds a step to those that have waiting tasks."""
+        kind = self._unopened_steps.kind_of(key[1])
+        open_count = self._open_count_by_kind.get(kind, 0)
+        self._open_count_by_kind[kind] = open_count + 1
+        waiting_tasks = _waiting_tasks.WaitingTasks(*key)
+        self.waiting_tasks_by_step[key] = waiting_tasks
+        return waiting_tasks
+
+    def _count_waiting(self, step: _job_spec.StepSpec, count: int) -> None:
+        """Adds to the processor that waiting tasks request."""
+        if not step.fills and not step.runs_until_cancelled:
+            self.waiting_short_millicores += step.size.cpu_millicores * count
+
+    def clear_waiting_tasks(self) -> None:
+        """Removes all waiting tasks, as none will start any more."""
+        self.waiting_tasks_by_step.clear()
+        self.waiting_short_millicores = 0
 
     def is_start_urgent(
         self, place: _progress.TaskPosition, now_s: float
     ) -> bool:
         """Returns whether a waiting task's start goes before short tasks."""
-        return now_s >= self.urgent_from_s_by_place.get(place, float("inf"))
+        urgent_from_s = self.urgent_from_s_by_place.get(place)
+        if urgent_from_s is None:
+            waiting_tasks = self.waiting_tasks_by_step.get(place[:2])
+            if waiting_tasks is None or place[2] not in waiting_tasks.fresh:
+                return False
+            urgent_from_s = waiting_tasks.urgent_from_s
+        return now_s >= urgent_from_s
 
     def record_lost_start(
         self, place: _progress.TaskPosition, executor_id: str
@@ -313,14 +329,15 @@
 
     def earliest_urgent_start_s(self) -> float:
         """Returns when the first of the waiting tasks' starts is urgent."""
-        return min(
-            (
-                self.urgent_from_s_by_place.get((*key, index), float("inf"))
-                for key, waiting_tasks in self.waiting_tasks_by_step.items()
-                for index in waiting_tasks.ready_s_by_index
-            ),
-            default=float("inf"),
-        )
+        earliest_s = float("inf")
+        for key, waiting_tasks in self.waiting_tasks_by_step.items():
+            if waiting_tasks.fresh:
+                earliest_s = min(earliest_s, waiting_tasks.urgent_from_s)
+            for index in waiting_tasks.returned_s_by_index:
+                urgent_from_s = self.urgent_from_s_by_place.get((*key, index))
+                if urgent_from_s is not None:
+                    earliest_s = min(earliest_s, urgent_from_s)
+        return earliest_s
 
     def requeue_task(
         self, place: _progress.TaskPosition, now_s: float, delay_s: float = 0.0
@@ -329,20 +346,40 @@
         key = place[:2]
         waiting_tasks = self.waiting_tasks_by_step.get(key)
         if waiting_tasks is None:
-            waiting_tasks = self.waiting_tasks_by_step[key] = WaitingTasks(
-                *key, {}
-            )
-        waiting_tasks.ready_s_by_index[place[2]] = now_s + delay_s
+            waiting_tasks = self._add_waiting_step(key)
+        if place[2] not in waiting_tasks:
+            self._count_waiting(self.spec.steps[key[1]], 1)
+        self._keep_urgency(place, waiting_tasks)
+        waiting_tasks.add_returned(place[2], now_s + delay_s)
 
     def remove_waiting_task(self, place: _progress.TaskPosition) -> None:
         """Removes a task from the waiting ones, if it waits."""
         self.turn_s_by_place.pop(place, None)
-        waiting_tasks = self.waiting_tasks_by_step.get(place[:2])
+        key = place[:2]
+        waiting_tasks = self.waiting_tasks_by_step.get(key)
         if waiting_tasks is None:
             return
-        waiting_tasks.ready_s_by_index.pop(place[2], None)
-        if not waiting_tasks.ready_s_by_index:
-            del self.waiting_tasks_by_step[place[:2]]
+        self._keep_urgency(place, waiting_tasks)
+        if waiting_tasks.remove(place[2]):
+            self._count_waiting(self.spec.steps[key[1]], -1)
+        if not waiting_tasks:
+            del self.waiting_tasks_by_step[key]
+            self._open_count_by_kind[self._unopened_steps.kind_of(key[1])] -= 1
+            self._may_open = True
+
+    def _keep_urgency(
+        self,
+        place: _progress.TaskPosition,
+        waiting_tasks: _waiting_tasks.WaitingTasks,
+    ) -> None:
+        """Keeps from when a start is urgent of a task that has been fresh."""
+        if (
+            self.spec.steps[place[1]].runs_until_cancelled
+            and place[2] in waiting_tasks.fresh
+        ):
+            self.urgent_from_s_by_place.setdefault(
+                place, waiting_tasks.urgent_from_s
+            )
 
     def mark_task_done(self, place: _progress.TaskPosition) -> bool:
         """Records a task as done; returns False if it already was."""
@@ -351,8 +388,8 @@
         self.progress.completed_positions.add(place)
         self.progress.checkpoint_by_position.pop(place, None)
         self.progress.crashes_by_position.pop(place, None)
-        key = place[:2]
-        self.done_count_by_step[key] = self.done_count_by_step.get(key, 0) + 1
+        if self._unopened_steps.is_done(*place[:2]):
+            self._may_open |= self._unopened_steps.record_step_done(*place[:2])
         return True
 
     def is_complete(self) -> bool:
@@ -380,7 +417,7 @@
         wall_s: The time since the Unix epoch.
     """
     age_s = max(0.0, wall_s - accepted.accepted_wall_s)
-    job = Job(
+    return Job(
         accepted=accepted,
         queue=accepted.queue,
         progress=progress,
@@ -388,7 +425,3 @@
         is_stored=True,
         is_inherited=True,
     )
-    for place in progress.completed_positions:
-        key = place[:2]
-        job.done_count_by_step[key] = job.done_count_by_step.get(key, 0) + 1
-    return job
--- a/src/basiljunction/coordination/scheduling/_ordering.py
+++ b/src/basiljunction/coordination/scheduling/_ordering.py
@@ -61,7 +61,7 @@
     spec = job.spec
     end_by_step: list[float] = []
     for number, step in enumerate(spec.steps):
-        done = job.done_count_by_step.get((0, number), 0) >= step.count
+        done = job.done_count(0, number) >= step.count
         step_s = 0.0 if done else step.estimate_s
         begin_s = max((end_by_step[each] for each in step.after), default=0.0)
         end_by_step.append(begin_s + step_s)
@@ -70,7 +70,7 @@
 
 def objective_status(job: _jobs.Job, now_s: float) -> ObjectiveStatus:
     """Returns whether the job can meet its objective, by its own estimates."""
-    if job.spec.has_lasting_step:
+    if job.has_lasting_step:
         return ObjectiveStatus.IN_TIME
     end_s = now_s - job.arrived_s + remaining_work(job).critical_path_s
     if end_s <= job.objective_s:
@@ -84,7 +84,7 @@
     """Returns the estimated core-seconds of the tasks that are not done."""
     core_seconds = 0.0
     for number, step in enumerate(job.spec.steps):
-        done = job.done_count_by_step.get((0, number), 0)
+        done = job.done_count(0, number)
         cores = step.size.cpu_millicores / 1000
         core_seconds += max(0, step.count - done) * step.estimate_s * cores
     return core_seconds
@@ -101,7 +101,7 @@
     patience_s = max(job.objective_s, MIN_OBJECTIVE_S)
     return (
         job.queue.priority,
-        job.spec.has_lasting_step,
+        job.has_lasting_step,
         objective_status(job, now_s),
         remaining_work(job).core_seconds / (1.0 + waited_s / patience_s),
     )
@@ -114,7 +114,7 @@
     urgent_from_s_and_job = [
         (job.earliest_urgent_start_s(), job)
         for job in jobs
-        if job.spec.has_lasting_step
+        if job.has_lasting_step
     ]
     urgent_from_s_and_job.sort(key=lambda pair: pair[0])
     return [
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -20,6 +20,7 @@
 from basiljunction.coordination.scheduling import _service_capacity
 from basiljunction.coordination.scheduling import _sharing
 from basiljunction.coordination.scheduling import _wait_notes
+from basiljunction.coordination.scheduling import _waiting_tasks
 from basiljunction.state import _time
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -141,7 +142,7 @@
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
         urgent_budget = self._place_jobs(
-            _ordering.jobs_with_urgent_starts(jobs, now.boot_s),
+            _steps_by_job(_ordering.jobs_with_urgent_starts(jobs, now.boot_s)),
             executors_by_service,
             MAX_URGENT_STARTS_PER_PASS,
             now,
@@ -149,7 +150,10 @@
         )
         started = MAX_URGENT_STARTS_PER_PASS - urgent_budget
         budget = self._place_jobs(
-            jobs, executors_by_service, MAX_STARTS_PER_PASS - started, now
+            _steps_by_job(jobs),
+            executors_by_service,
+            MAX_STARTS_PER_PASS - started,
+            now,
         )
         self._approval_requests.send_due(now)
         cell.needs_placing |= budget <= 0
@@ -157,7 +161,9 @@
 
     def _place_jobs(
         self,
-        jobs: Iterable[_jobs.Job],
+        job_steps: Iterable[
+            tuple[_jobs.Job, list[_waiting_tasks.WaitingTasks]]
+        ],
         executors_by_service: dict[str, list[_executors.ExecutorState]],
         budget: int,
         now: _time.Now,
@@ -167,7 +173,7 @@
         """Places the waiting tasks of jobs in turn while the budget lasts.
 
         Args:
-            jobs: The jobs, the first to place first.
+            job_steps: The jobs and their steps, the first to place first.
             executors_by_service: Executors that take tasks of any job.
             budget: Tasks that this pass may still start.
             now: The time.
@@ -176,13 +182,13 @@
         Returns:
             The remaining budget, which a gang may exceed.
         """
-        for job in jobs:
+        for job, steps in job_steps:
             if budget <= 0:
                 break
             executors = executors_by_service.get(job.queue.service)
             if executors is not None:
                 budget = self._place_job(
-                    job, executors, budget, now, urgent_only=urgent_only
+                    job, steps, executors, budget, now, urgent_only=urgent_only
                 )
         return budget
 
@@ -218,15 +224,9 @@
         """Updates each service's capacity and its demand of short tasks."""
         waiting_by_service: dict[str, int] = {}
         for job in jobs:
-            for waiting_tasks in job.waiting_tasks_by_step.values():
-                step = job.spec.steps[waiting_tasks.step]
-                if _preemption.is_short_step(step):
-                    service = job.queue.service
-                    waiting = waiting_by_service.get(service, 0)
-                    waiting_by_service[service] = waiting + (
-                        step.size.cpu_millicores
-                        * len(waiting_tasks.ready_s_by_index)
-                    )
+            service = job.queue.service
+            waiting = waiting_by_service.get(service, 0)
+            waiting_by_service[service] = waiting + job.waiting_short_millicores
         for service, executors in executors_by_service.items():
             used, vacating = _preemption.sum_short_and_vacating(executors)
             demand = self._demand_by_service.setdefault(
@@ -318,6 +318,7 @@
     def _place_job(
         self,
         job: _jobs.Job,
+        steps: Iterable[_waiting_tasks.WaitingTasks],
         executors: list[_executors.ExecutorState],
         budget: int,
         now: _time.Now,
@@ -328,6 +329,7 @@
 
         Args:
             job: The job.
+            steps: The waiting tasks of some of its steps.
             executors: Executors of its service that accept new tasks.
             budget: Tasks that this pass may still start.
             now: The time.
@@ -336,7 +338,7 @@
         Returns:
             The remaining budget.
         """
-        for waiting_tasks in list(job.waiting_tasks_by_step.values()):
+        for waiting_tasks in steps:
             approved_executors = executors
             if job.queue.approval is not None:
                 key = (job.id, waiting_tasks.occurrence, waiting_tasks.step)
@@ -367,10 +369,7 @@
             )
             if budget <= 0:
                 return budget
-            if (
-                job.queue.approval is not None
-                and waiting_tasks.ready_s_by_index
-            ):
+            if job.queue.approval is not None and waiting_tasks:
                 self._approval_requests.add(
                     job,
                     waiting_tasks,
@@ -382,7 +381,7 @@
     def _place_step_tasks(
         self,
         job: _jobs.Job,
-        waiting_tasks: _jobs.WaitingTasks,
+        waiting_tasks: _waiting_tasks.WaitingTasks,
         executors: list[_executors.ExecutorState],
         budget: int,
         now: _time.Now,
@@ -499,7 +498,7 @@
     def _place_isolated_tasks(
         self,
         job: _jobs.Job,
-        waiting_tasks: _jobs.WaitingTasks,
+        waiting_tasks: _waiting_tasks.WaitingTasks,
         executors: list[_executors.ExecutorState],
         budget: int,
         now: _time.Now,
@@ -541,7 +540,7 @@
     def _tasks_to_place(
         self,
         job: _jobs.Job,
-        waiting_tasks: _jobs.WaitingTasks,
+        waiting_tasks: _waiting_tasks.WaitingTasks,
         now: _time.Now,
         *,
         urgent_only: bool,
@@ -556,7 +555,7 @@
         """
         key = (waiting_tasks.occurrence, waiting_tasks.step)
         step = job.spec.steps[waiting_tasks.step]
-        for index, ready_s in list(waiting_tasks.ready_s_by_index.items()):
+        for index, ready_s in waiting_tasks.items():
             waited_s = now.boot_s - ready_s
             is_urgent = job.is_start_urgent((*key, index), now.boot_s)
             if waited_s < 0 or (urgent_only and not is_urgent):
@@ -621,7 +620,7 @@
     def _place_gang(
         self,
         job: _jobs.Job,
-        waiting_tasks: _jobs.WaitingTasks,
+        waiting_tasks: _waiting_tasks.WaitingTasks,
         executors: list[_executors.ExecutorState],
         now: _time.Now,
         *,
@@ -636,25 +635,26 @@
             The number of started tasks.
         """
         step = job.spec.steps[waiting_tasks.step]
-        if len(waiting_tasks.ready_s_by_index) < step.count:
+        if len(waiting_tasks) < step.count:
             return 0
-        if max(waiting_tasks.ready_s_by_index.values()) > now.boot_s:
+        ready_s = waiting_tasks.latest_ready_s()
+        if ready_s > now.boot_s:
             return 0
         key = (waiting_tasks.occurrence, waiting_tasks.step)
         if any(
             _inherited_runs.may_run_unlisted(self._cell, job, (*key, index))
-            for index in waiting_tasks.ready_s_by_index
+            for index, _ in waiting_tasks.items()
         ):
             return 0
         if urgent_only and not any(
             job.is_start_urgent((*key, index), now.boot_s)
-            for index in waiting_tasks.ready_s_by_index
+            for index, _ in waiting_tasks.items()
         ):
             return 0
         first = _job_spec.TaskId(
             job.id, waiting_tasks.occurrence, waiting_tasks.step, 0
         )
-        waited_s = now.boot_s - max(waiting_tasks.ready_s_by_index.values())
+        waited_s = now.boot_s - ready_s
         if waited_s <= RETRY_ELSEWHERE_S:
             executors = _placement.without_executors(
                 executors, job.executor_ids_gang_avoids(key)
@@ -718,7 +718,8 @@
         )
         ready_s = now.boot_s
         if waiting_tasks is not None:
-            ready_s = waiting_tasks.ready_s_by_index.get(task.index, now.boot_s)
+            known_s = waiting_tasks.ready_s(task.index)
+            ready_s = now.boot_s if known_s is None else known_s
         place = _cell_state.place_in_job(task)
         run.turn_s = job.turn_s_by_place.get(place, ready_s)
         cell.note(
@@ -754,6 +755,13 @@
         )
 
 
+def _steps_by_job(
+    jobs: Iterable[_jobs.Job],
+) -> list[tuple[_jobs.Job, list[_waiting_tasks.WaitingTasks]]]:
+    """Returns the steps with waiting tasks of each job."""
+    return [(job, list(job.waiting_tasks_by_step.values())) for job in jobs]
+
+
 def _kind_of_step(
     job: _jobs.Job, step: _job_spec.StepSpec
 ) -> tuple[str, str | None]:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -15,6 +15,7 @@
 from basiljunction.coordination.scheduling import _evacuation
 from basiljunction.coordination.scheduling import _executors
 from basiljunction.coordination.scheduling import _inherited_runs
+from basiljunction.coordination.scheduling import _job_memory
 from basiljunction.coordination.scheduling import _jobs
 from basiljunction.coordination.scheduling import _last_resorts
 from basiljunction.coordination.scheduling import _limits
@@ -45,6 +46,7 @@
         epoch: Epoch of this scheduler's term, the fencing token of its orders.
         times: Durations of leases and of job retention.
         configuration: Newest configuration of the queues.
+        max_jobs_bytes: Memory for all jobs together, in bytes.
     """
 
     def __init__(
@@ -53,9 +55,13 @@
         epoch: int,
         times: _limits.LeaseTimes,
         configuration: _configuration.Configuration,
+        max_jobs_bytes: float = float("inf"),
     ) -> None:
         self.cell = _cell_state.CellState(
-            epoch=epoch, times=times, configuration=configuration
+            epoch=epoch,
+            times=times,
+            configuration=configuration,
+            job_memory=_job_memory.JobMemory(max_jobs_bytes),
         )
         self._placer = _placer.Placer(self.cell)
         self._crashes = _crashes.CrashRecorder(self.cell)
@@ -192,6 +198,7 @@
                 now_s=now.boot_s,
                 wall_s=now.wall_s,
             )
+            cell.job_memory.record(accepted)
 
     def _restore_executors(
         self,
@@ -329,8 +336,21 @@
                 _orders.SubmitReply(accepted.id, _orders.SubmitResult.ACCEPTED)
             )
             return None
-        if not self._placer.could_ever_fit(accepted):
+        if not (
+            self._placer.could_ever_fit(accepted)
+            and cell.job_memory.could_ever_fit(accepted)
+        ):
             return _orders.SubmitResult.NEVER_FITS
+        if not cell.job_memory.has_room(accepted):
+            cell.note(
+                "job.no-memory",
+                job=accepted.id,
+                needed_bytes=_job_memory.estimate_bytes(accepted),
+                used_bytes=cell.job_memory.used_bytes,
+                limit_bytes=cell.job_memory.limit_bytes,
+            )
+            return _orders.SubmitResult.OVERLOADED
+        cell.job_memory.record(accepted)
         job = cell.job_by_id[accepted.id] = _jobs.Job(
             accepted=accepted,
             queue=accepted.queue,
@@ -688,6 +708,7 @@
             job = cell.job_by_id.get(job_id)
             if job is not None and job.progress.state.is_final:
                 job.accepted = job.accepted.without_spec()
+                cell.job_memory.record(job.accepted)
                 cell.records.append(_records.JobRecord(job.accepted))
 
     def _forget_finished_jobs(self, now: _time.Now) -> None:
@@ -703,6 +724,7 @@
                 cell.times.finished_job_retention_s
             ):
                 del cell.job_by_id[job_id]
+                cell.job_memory.remove(job_id)
                 cell.records.append(_records.JobDeletionRecord(job_id))
 
     def take_orders(self) -> list[_orders.Order]:
--- a/src/basiljunction/coordination/scheduling/_summary.py
+++ b/src/basiljunction/coordination/scheduling/_summary.py
@@ -11,7 +11,11 @@
 
     Attributes:
         jobs: Number of jobs that are not finished.
-        waiting_tasks: Number of tasks that are ready to start and have no run.
+        waiting_tasks: Number of tasks that are ready to start and have no run,
+            without those of steps that are not opened yet.
+        jobs_bytes: Estimated memory of all jobs, in bytes.
+        max_jobs_bytes: Memory beyond which jobs are refused, in bytes.
+        approval_calls: Number of requests to the approval policy in flight.
         runs: Number of runs on listed executors.
         executors: Number of listed executors.
         usable: Number of executors on which tasks may be placed now.
@@ -31,6 +35,9 @@
 
     jobs: int
     waiting_tasks: int
+    jobs_bytes: int
+    max_jobs_bytes: float
+    approval_calls: int
     runs: int
     executors: int
     usable: int
@@ -55,10 +62,13 @@
     return CellSummary(
         jobs=sum(j.is_active for j in cell.job_by_id.values()),
         waiting_tasks=sum(
-            len(bag.ready_s_by_index)
+            len(bag)
             for job in cell.job_by_id.values()
             for bag in job.waiting_tasks_by_step.values()
         ),
+        jobs_bytes=cell.job_memory.used_bytes,
+        max_jobs_bytes=cell.job_memory.limit_bytes,
+        approval_calls=cell.approvals.calls_in_flight,
         runs=len(runs),
         executors=len(listed),
         usable=sum(cell.is_usable(e, now_s) for e in listed),
--- a/src/basiljunction/coordination/scheduling/_wait_notes.py
+++ b/src/basiljunction/coordination/scheduling/_wait_notes.py
@@ -200,9 +200,7 @@
         )
         for index, job in enumerate(jobs)
         for waiting in job.waiting_tasks_by_step.values()
-        for task_index, ready_s in itertools.islice(
-            waiting.ready_s_by_index.items(), 1
-        )
+        for task_index, ready_s in itertools.islice(waiting.items(), 1)
     ]
 
 
--- a/src/basiljunction/protocol/_progress_document.py
+++ b/src/basiljunction/protocol/_progress_document.py
@@ -5,15 +5,20 @@
 
 from typing import Any
 
+from basiljunction.state.workload import _position_set
 from basiljunction.state.workload import _progress
 
+RANGES_SHARE = 8
+"""Positions per range from which on ranges are stored: a row of a range takes
+about twice the bytes of a position, and earlier versions read only these."""
+
 
 def encode_progress(progress: _progress.JobProgress) -> dict[str, Any]:
     """Converts the progress of a job to a dict for JSON."""
     document: dict[str, Any] = {
         "state": progress.state.value,
         "finished": progress.finished_wall_s,
-        "done": sorted(progress.completed_positions),
+        **_encode_completed(progress.completed_positions),
         "failed_runs": [
             (*place, *sorted(runs))
             for place, runs in progress.failed_runs_by_position.items()
@@ -51,7 +56,7 @@
     return _progress.JobProgress(
         state=_progress.JobState(document["state"]),
         finished_wall_s=float(document["finished"]),
-        completed_positions={_parse_position(row) for row in document["done"]},
+        completed_positions=_decode_completed(document),
         failed_runs_by_position={
             _parse_position(row[:3]): {int(each) for each in row[3:]}
             for row in document["failed_runs"]
@@ -85,6 +90,33 @@
     )
 
 
+def _encode_completed(
+    positions: _position_set.PositionSet,
+) -> dict[str, Any]:
+    """Converts positions of done tasks to a field for JSON.
+
+    Ranges are stored where they are shorter. Earlier versions read only single
+    positions.
+    """
+    rows = positions.rows()
+    if RANGES_SHARE * len(rows) > len(positions):
+        return {"done": sorted(positions)}
+    return {"done": [], "done_ranges": rows} if rows else {"done": []}
+
+
+def _decode_completed(document: dict[str, Any]) -> _position_set.PositionSet:
+    """Converts the fields of a progress record to positions of done tasks."""
+    rows = [
+        (int(first), int(stop), int(step), int(index), int(index_stop))
+        for first, stop, step, index, index_stop in document.get(
+            "done_ranges", ()
+        )
+    ]
+    return _position_set.PositionSet(
+        (_parse_position(row) for row in document["done"]), rows=rows
+    )
+
+
 def _parse_position(row: list[int]) -> _progress.TaskPosition:
     """Converts a list to the position of a task in its job."""
     occurrence, step, index = (int(each) for each in row)
--- a/src/basiljunction/protocol/_progress_parts.py
+++ b/src/basiljunction/protocol/_progress_parts.py
@@ -15,6 +15,7 @@
 import structlog
 
 from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _position_set
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 
@@ -275,7 +276,9 @@
     progress: _progress.JobProgress, part: _progress.JobProgress
 ) -> None:
     """Adds the rows of a part to progress."""
-    progress.completed_positions |= part.completed_positions
+    progress.completed_positions = progress.completed_positions.union(
+        part.completed_positions
+    )
     progress.failed_runs_by_position |= part.failed_runs_by_position
     progress.checkpoint_by_position |= part.checkpoint_by_position
     progress.crashes_by_position |= part.crashes_by_position
@@ -295,7 +298,7 @@
     progress: _progress.JobProgress,
 ) -> set[_progress.TaskPosition]:
     """Returns the positions of all tasks that have rows."""
-    return progress.completed_positions.union(
+    return set(progress.completed_positions).union(
         progress.failed_runs_by_position,
         progress.checkpoint_by_position,
         progress.executor_by_position or (),
@@ -308,7 +311,7 @@
     before: _progress.JobProgress, after: _progress.JobProgress
 ) -> set[_progress.TaskPosition]:
     """Returns the positions of the tasks whose rows differ."""
-    changed = before.completed_positions ^ after.completed_positions
+    changed = set(before.completed_positions) ^ set(after.completed_positions)
     runs_before = before.failed_runs_by_position
     runs_after = after.failed_runs_by_position
     changed.update(
@@ -365,7 +368,11 @@
             part_count,
             part,
             _progress.JobProgress(
-                completed_positions=progress.completed_positions & positions,
+                completed_positions=_position_set.PositionSet(
+                    each
+                    for each in positions
+                    if each in progress.completed_positions
+                ),
                 failed_runs_by_position=_select(
                     progress.failed_runs_by_position, positions
                 ),
--- a/src/basiljunction/state/workload/_job_spec.py
+++ b/src/basiljunction/state/workload/_job_spec.py
@@ -156,6 +156,27 @@
             return 0.0
         return self.first_due_wall_s + occurrence * self.interval_s
 
+    def due_count(self, wall_s: float) -> int:
+        """Returns how many occurrences are due at a time.
+
+        Args:
+            wall_s: The time since the Unix epoch, in seconds.
+        """
+        if not self.is_scheduled:
+            return 1
+        passed_s = wall_s - self.first_due_wall_s
+        if passed_s < 0:
+            return 0
+        if self.interval_s <= 0:
+            return self.repeat_count
+        count = min(self.repeat_count, int(passed_s / self.interval_s) + 1)
+        # The quotient may be off by one occurrence, as it is rounded.
+        while count < self.repeat_count and self.due_wall_s(count) <= wall_s:
+            count += 1
+        while count and self.due_wall_s(count - 1) > wall_s:
+            count -= 1
+        return count
+
     def critical_path_s(self) -> float:
         """Returns the estimated duration of the critical path, in seconds.
 
--- a/src/basiljunction/state/workload/_progress.py
+++ b/src/basiljunction/state/workload/_progress.py
@@ -5,6 +5,7 @@
 
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _position_set
 
 
 class JobState(enum.Enum):
@@ -22,7 +23,7 @@
         return self not in (JobState.PENDING, JobState.RUNNING)
 
 
-TaskPosition = tuple[int, int, int]
+TaskPosition = _position_set.TaskPosition
 """Position of a task within its job: occurrence, step and index, from 0."""
 
 
@@ -128,8 +129,8 @@
     """
 
     state: JobState = JobState.PENDING
-    completed_positions: set[TaskPosition] = dataclasses.field(
-        default_factory=set
+    completed_positions: _position_set.PositionSet = dataclasses.field(
+        default_factory=_position_set.PositionSet
     )
     failed_runs_by_position: dict[TaskPosition, set[int]] = dataclasses.field(
         default_factory=dict
@@ -160,7 +161,7 @@
         # the positions one by one.
         return JobProgress(
             state=self.state,
-            completed_positions=set(self.completed_positions),
+            completed_positions=self.completed_positions.copy(),
             failed_runs_by_position={
                 position: set(runs)
                 for position, runs in self.failed_runs_by_position.items()
--- a/src/basiljunction/transport/_metric_names.py
+++ b/src/basiljunction/transport/_metric_names.py
@@ -267,6 +267,19 @@
     Metric(
         "cell_tasks_waiting", MetricKind.GAUGE, "", "Tasks that could start now"
     ),
+    Metric(
+        "cell_approval_calls",
+        MetricKind.GAUGE,
+        "",
+        "Requests to the approval policy that wait for an answer",
+    ),
+    Metric(
+        "cell_job_memory",
+        MetricKind.GAUGE,
+        "By",
+        "Estimated memory of all jobs, and the limit at which more are refused",
+        ("kind",),
+    ),
     Metric(
         "cell_runs", MetricKind.GAUGE, "", "Runs by kind of task", ("kind",)
     ),
--- a/src/basiljunction/transport/jobs/_cell_metrics.py
+++ b/src/basiljunction/transport/jobs/_cell_metrics.py
@@ -55,6 +55,9 @@
         metrics.set("cell_term", epoch)
         metrics.set("cell_jobs", summary.jobs)
         metrics.set("cell_tasks_waiting", summary.waiting_tasks)
+        metrics.set("cell_approval_calls", summary.approval_calls)
+        metrics.set("cell_job_memory", summary.jobs_bytes, kind="used")
+        metrics.set("cell_job_memory", summary.max_jobs_bytes, kind="limit")
         metrics.set("cell_runs", summary.serving_runs, kind="serving")
         metrics.set("cell_runs", summary.filler_runs, kind="filler")
         other_runs = summary.runs - summary.serving_runs - summary.filler_runs
--- a/src/basiljunction/transport/jobs/_leader_session.py
+++ b/src/basiljunction/transport/jobs/_leader_session.py
@@ -28,6 +28,7 @@
 from basiljunction.transport.jobs import _held_calls
 from basiljunction.transport.jobs import _http_calls
 from basiljunction.transport.jobs import _journal
+from basiljunction.transport.jobs import _memory_limits
 from basiljunction.transport.jobs import _order_sender
 from basiljunction.transport.jobs import _record_sizes
 
@@ -93,6 +94,9 @@
                 stop_timeout_s=settings.bounds.stop_timeout_s,
             ),
             configuration=configuration,
+            max_jobs_bytes=_memory_limits.max_jobs_bytes(
+                settings.max_memory_bytes
+            ),
         )
         self._max_connections = calls.max_connections
         self._max_record_bytes = settings.store.max_record_bytes
--- a/src/basiljunction/transport/jobs/_memory_limits.py
+++ b/src/basiljunction/transport/jobs/_memory_limits.py
@@ -8,6 +8,9 @@
 """Part of the memory, one in so many, that is for what callers send; the rest
 is for the process itself and its state."""
 
+JOBS_PART = 3
+"""Part of the memory, one in so many, that is for accepted jobs."""
+
 RECEIVE_BUFFER_BYTES = 16_384
 """Receive buffer of a connection, in bytes: the largest header fits into it."""
 
@@ -44,6 +47,15 @@
     body_bytes: int
 
 
+def max_jobs_bytes(max_memory_bytes: int | None) -> int:
+    """Returns what all accepted jobs together may use, in bytes.
+
+    Args:
+        max_memory_bytes: Memory of the process; None if it is not known.
+    """
+    return (max_memory_bytes or UNKNOWN_MEMORY_BYTES) // JOBS_PART
+
+
 def divide_memory(
     max_memory_bytes: int | None,
     connections: _connection_limits.ConnectionLimits,
--- a/tests/cell_rig.py
+++ b/tests/cell_rig.py
@@ -1581,8 +1581,8 @@
         )
         if state is not None and not may_start_after_done:
             # The record of a finished job no longer lists its done tasks.
-            done = state.progress.completed_positions.union(
-                self.stored_done_by_job[task.job]
+            done = self.stored_done_by_job[task.job].union(
+                state.progress.completed_positions
             )
             assert (
                 task_position not in done
--- a/tests/protocol/test_job_records.py
+++ b/tests/protocol/test_job_records.py
@@ -10,6 +10,7 @@
 
 from basiljunction.protocol import _errors
 from basiljunction.protocol import _job_records
+from basiljunction.state.workload import _position_set
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _provision
 from basiljunction.state.workload import _records
@@ -17,7 +18,7 @@
 
 _PROGRESS = _progress.JobProgress(
     state=_progress.JobState.RUNNING,
-    completed_positions={(0, 0, 1), (0, 0, 0)},
+    completed_positions=_position_set.PositionSet({(0, 0, 1), (0, 0, 0)}),
     failed_runs_by_position={(0, 1, 2): {7, 1048577}},
     checkpoint_by_position={(0, 1, 2): "c"},
     finished_wall_s=5.5,
--- a/tests/protocol/test_progress_parts.py
+++ b/tests/protocol/test_progress_parts.py
@@ -12,6 +12,7 @@
 from basiljunction.protocol import _job_records
 from basiljunction.protocol import _progress_parts
 from basiljunction.state.workload import _job_spec
+from basiljunction.state.workload import _position_set
 from basiljunction.state.workload import _progress
 from basiljunction.state.workload import _records
 
@@ -106,9 +107,9 @@
         progress = _progress.JobProgress(state=_progress.JobState.RUNNING)
         step = _job_spec.MAX_TASKS_PER_JOB // 5
         for first in range(0, _job_spec.MAX_TASKS_PER_JOB, step):
-            progress.completed_positions.update(
+            progress.completed_positions |= {
                 (0, 0, index) for index in range(first, first + step)
-            )
+            }
             store.write(progress)
             assert store.take_over() == progress
 
@@ -116,9 +117,9 @@
         store = _KeyedStore()
         progress = _progress.JobProgress(
             state=_progress.JobState.RUNNING,
-            completed_positions={
+            completed_positions=_position_set.PositionSet(
                 (0, 0, index) for index in range(_job_spec.MAX_TASKS_PER_JOB)
-            },
+            ),
         )
         store.write(progress)
         store.written_bytes = 0
--- a/tests/state/workload/test_progress.py
+++ b/tests/state/workload/test_progress.py
@@ -2,6 +2,7 @@
 
 import copy
 
+from basiljunction.state.workload import _position_set
 from basiljunction.state.workload import _progress
 
 
@@ -9,7 +10,7 @@
     """Returns the progress of a job of which each field is set."""
     return _progress.JobProgress(
         state=_progress.JobState.RUNNING,
-        completed_positions={(0, 0, 1)},
+        completed_positions=_position_set.PositionSet({(0, 0, 1)}),
         failed_runs_by_position={(0, 0, 2): {7}},
         checkpoint_by_position={(0, 0, 2): "00ff"},
         finished_wall_s=3.0,
