Bound the steps that a placement pass opens and looks at

Cause: each pass walked over all due occurrences and steps of every job, opened them all and ranked executors for each that waited, on the thread that renews the term. Starts had a bound, looks had none.

Change: of the steps of one kind of a job 40 with tasks that have not run are open, the others wait as ranges.

--- a/src/basiljunction/coordination/scheduling/_cell_state.py
+++ b/src/basiljunction/coordination/scheduling/_cell_state.py
@@ -45,6 +45,8 @@
             executors have to be stored.
         needs_placing: Whether a change since the last placement pass may let
             tasks start.
+        skipped_step_count: Number of waiting steps that the last placement
+            pass left out.
         job_memory: Memory of the jobs.
         is_term_confirmed: Whether the term allows leases and starts now.
         confirmed_s: Sending time of the newest record of this term that the
@@ -89,6 +91,7 @@
     roster_changed: bool = True
     silent_executors_changed: bool = True
     needs_placing: bool = True
+    skipped_step_count: int = 0
     job_memory: _job_memory.JobMemory = dataclasses.field(
         default_factory=_job_memory.JobMemory
     )
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -6,26 +6,16 @@
 from basiljunction.coordination.scheduling import _crash_evidence
 from basiljunction.coordination.scheduling import _limits
 from basiljunction.coordination.scheduling import _ready_steps
+from basiljunction.coordination.scheduling import _remaining_work
 from basiljunction.coordination.scheduling import _waiting_tasks
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _index_ranges
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RemainingWork:
-    """Estimated work of a job's tasks that are not done.
-
-    Attributes:
-        done_count: Number of done tasks at which it was computed.
-        critical_path_s: Time left on the critical path, in seconds.
-        core_seconds: Processor time of the tasks, in core-seconds.
-    """
-
-    done_count: int
-    critical_path_s: float
-    core_seconds: float
+MAX_OPEN_STEPS_PER_KIND = 40
+"""Most steps of one kind of a job with tasks that wait for their first start:
+as many as a placement pass starts tasks."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,7 +31,8 @@
         arrived_s: Time of submission on this scheduler's steady clock.
         is_stored: Whether its acceptance is stored.
         is_inherited: Whether an earlier term may have started its tasks.
-        waiting_tasks_by_step: Waiting tasks by occurrence and step.
+        waiting_tasks_by_step: Waiting tasks by occurrence and step. Of the
+            steps of one kind that are ready only some are among them.
         running_places: Places of the tasks that have a current run.
         adopted_places: Places of the tasks of which this scheduler adopted the
             run of an earlier term, so that there is no other.
@@ -101,7 +92,7 @@
     urgent_from_s_by_place: dict[_progress.TaskPosition, float] = (
         dataclasses.field(default_factory=dict)
     )
-    remaining_work: RemainingWork | None = None
+    remaining_work: _remaining_work.RemainingWork | None = None
     rate_by_place: dict[_progress.TaskPosition, tuple[str, float]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -162,6 +153,9 @@
     def open_ready_steps(self, now_s: float, wall_s: float) -> None:
         """Queues the tasks of steps that have become ready.
 
+        Of each kind only as many steps have fresh tasks as one pass can start
+        tasks. Tasks that wait again do not count, as they may wait for long.
+
         Args:
             now_s: The time on the steady clock.
             wall_s: The time since the Unix epoch.
@@ -172,7 +166,10 @@
             return
         self._may_open = False
         for kind in self._unopened_steps.kinds:
-            while (key := self._unopened_steps.take(kind)) is not None:
+            while (
+                self._open_count_by_kind.get(kind, 0) < MAX_OPEN_STEPS_PER_KIND
+                and (key := self._unopened_steps.take(kind)) is not None
+            ):
                 self._open_step(key, now_s)
 
     def _open_step(self, key: tuple[int, int], now_s: float) -> None:
@@ -196,6 +193,9 @@
             return
         waiting_tasks = known or self._add_waiting_step(key)
         waiting_tasks.fresh = missing
+        kind = self._unopened_steps.kind_of(key[1])
+        open_count = self._open_count_by_kind.get(kind, 0)
+        self._open_count_by_kind[kind] = open_count + 1
         waiting_tasks.opened_s = now_s
         self._count_waiting(step, len(missing))
         if step.runs_until_cancelled:
@@ -208,9 +208,6 @@
         self, key: tuple[int, int]
     ) -> _waiting_tasks.WaitingTasks:
         """Adds a step to those that have waiting tasks."""
-        kind = self._unopened_steps.kind_of(key[1])
-        open_count = self._open_count_by_kind.get(kind, 0)
-        self._open_count_by_kind[kind] = open_count + 1
         waiting_tasks = _waiting_tasks.WaitingTasks(*key)
         self.waiting_tasks_by_step[key] = waiting_tasks
         return waiting_tasks
@@ -349,37 +346,38 @@
             waiting_tasks = self._add_waiting_step(key)
         if place[2] not in waiting_tasks:
             self._count_waiting(self.spec.steps[key[1]], 1)
-        self._keep_urgency(place, waiting_tasks)
-        waiting_tasks.add_returned(place[2], now_s + delay_s)
+        self._remove_fresh(place, waiting_tasks)
+        waiting_tasks.returned_s_by_index[place[2]] = now_s + delay_s
 
     def remove_waiting_task(self, place: _progress.TaskPosition) -> None:
         """Removes a task from the waiting ones, if it waits."""
         self.turn_s_by_place.pop(place, None)
         key = place[:2]
         waiting_tasks = self.waiting_tasks_by_step.get(key)
-        if waiting_tasks is None:
+        if waiting_tasks is None or place[2] not in waiting_tasks:
             return
-        self._keep_urgency(place, waiting_tasks)
-        if waiting_tasks.remove(place[2]):
-            self._count_waiting(self.spec.steps[key[1]], -1)
+        self._count_waiting(self.spec.steps[key[1]], -1)
+        self._remove_fresh(place, waiting_tasks)
+        waiting_tasks.returned_s_by_index.pop(place[2], None)
         if not waiting_tasks:
             del self.waiting_tasks_by_step[key]
-            self._open_count_by_kind[self._unopened_steps.kind_of(key[1])] -= 1
-            self._may_open = True
 
-    def _keep_urgency(
+    def _remove_fresh(
         self,
         place: _progress.TaskPosition,
         waiting_tasks: _waiting_tasks.WaitingTasks,
     ) -> None:
-        """Keeps from when a start is urgent of a task that has been fresh."""
-        if (
-            self.spec.steps[place[1]].runs_until_cancelled
-            and place[2] in waiting_tasks.fresh
-        ):
+        """Removes a task from the fresh ones of its step, if it is one."""
+        if not waiting_tasks.fresh.discard(place[2]):
+            return
+        if self.spec.steps[place[1]].runs_until_cancelled:
             self.urgent_from_s_by_place.setdefault(
                 place, waiting_tasks.urgent_from_s
             )
+        if not waiting_tasks.fresh:
+            kind = self._unopened_steps.kind_of(place[1])
+            self._open_count_by_kind[kind] -= 1
+            self._may_open = True
 
     def mark_task_done(self, place: _progress.TaskPosition) -> bool:
         """Records a task as done; returns False if it already was."""
@@ -399,29 +397,3 @@
             len(self.progress.completed_positions)
             >= tasks_per_occurrence * self.spec.occurrence_count
         )
-
-
-def restore_job(
-    accepted: _progress.AcceptedJob,
-    progress: _progress.JobProgress,
-    *,
-    now_s: float,
-    wall_s: float,
-) -> Job:
-    """Returns the in-memory job for records that an earlier term stored.
-
-    Args:
-        accepted: The stored job.
-        progress: Its stored progress.
-        now_s: The time on the steady clock.
-        wall_s: The time since the Unix epoch.
-    """
-    age_s = max(0.0, wall_s - accepted.accepted_wall_s)
-    return Job(
-        accepted=accepted,
-        queue=accepted.queue,
-        progress=progress,
-        arrived_s=now_s - age_s,
-        is_stored=True,
-        is_inherited=True,
-    )
--- a/src/basiljunction/coordination/scheduling/_ordering.py
+++ b/src/basiljunction/coordination/scheduling/_ordering.py
@@ -11,6 +11,7 @@
 import enum
 
 from basiljunction.coordination.scheduling import _jobs
+from basiljunction.coordination.scheduling import _remaining_work
 
 LATE_FACTOR = 3.0
 """Multiple of its latency objective after which a job earns no credit, as the
@@ -33,7 +34,7 @@
     HOPELESS = 2
 
 
-def remaining_work(job: _jobs.Job) -> _jobs.RemainingWork:
+def remaining_work(job: _jobs.Job) -> _remaining_work.RemainingWork:
     """Returns the work of the tasks that are not done.
 
     It is computed anew once further tasks are done: each pass ranks all jobs
@@ -43,7 +44,7 @@
     known = job.remaining_work
     if known is not None and known.done_count == done_count:
         return known
-    work = _jobs.RemainingWork(
+    work = _remaining_work.RemainingWork(
         done_count=done_count,
         critical_path_s=remaining_critical_path_s(job),
         core_seconds=remaining_core_seconds(job),
--- a/src/basiljunction/coordination/scheduling/_placer.py
+++ b/src/basiljunction/coordination/scheduling/_placer.py
@@ -14,6 +14,7 @@
 from basiljunction.coordination.scheduling import _last_resorts
 from basiljunction.coordination.scheduling import _ordering
 from basiljunction.coordination.scheduling import _orders
+from basiljunction.coordination.scheduling import _pass_window
 from basiljunction.coordination.scheduling import _placement
 from basiljunction.coordination.scheduling import _preemption
 from basiljunction.coordination.scheduling import _runs
@@ -80,6 +81,8 @@
         self._preemption_by_service: dict[
             str, _preemption.PreemptionSearch
         ] = {}
+        self._window = _pass_window.PassWindow()
+        self._urgent_window = _pass_window.PassWindow()
         self._isolated_starts = _isolated_starts.IsolatedStarts(cell)
         self._last_resorts = _last_resorts.LastResorts(cell)
         self._approval_requests = _approval_requests.ApprovalRequests(cell)
@@ -116,8 +119,11 @@
         if not cell.is_term_confirmed or cell.is_fenced:
             return
         since_last_pass_s = now.boot_s - self._last_pass_s
+        has_changed = cell.needs_placing
         interval_s = (
-            _BUSY_INTERVAL_S if cell.needs_placing else _IDLE_INTERVAL_S
+            _BUSY_INTERVAL_S
+            if has_changed or self._window.unseen_count
+            else _IDLE_INTERVAL_S
         )
         if since_last_pass_s < interval_s:
             return
@@ -142,7 +148,10 @@
         jobs = self._ranked_waiting_jobs(now)
         self._update_demand(jobs, executors_by_service, now)
         urgent_budget = self._place_jobs(
-            _steps_by_job(_ordering.jobs_with_urgent_starts(jobs, now.boot_s)),
+            self._urgent_window.choose(
+                _ordering.jobs_with_urgent_starts(jobs, now.boot_s),
+                has_changed=has_changed,
+            ),
             executors_by_service,
             MAX_URGENT_STARTS_PER_PASS,
             now,
@@ -150,20 +159,19 @@
         )
         started = MAX_URGENT_STARTS_PER_PASS - urgent_budget
         budget = self._place_jobs(
-            _steps_by_job(jobs),
+            self._window.choose(jobs, has_changed=has_changed),
             executors_by_service,
             MAX_STARTS_PER_PASS - started,
             now,
         )
         self._approval_requests.send_due(now)
+        cell.skipped_step_count = self._window.skipped_count
         cell.needs_placing |= budget <= 0
         self._wait_notes.note_longest_waits(jobs, executors_by_service, now)
 
     def _place_jobs(
         self,
-        job_steps: Iterable[
-            tuple[_jobs.Job, list[_waiting_tasks.WaitingTasks]]
-        ],
+        job_steps: Iterable[_pass_window.JobSteps],
         executors_by_service: dict[str, list[_executors.ExecutorState]],
         budget: int,
         now: _time.Now,
@@ -755,13 +763,6 @@
         )
 
 
-def _steps_by_job(
-    jobs: Iterable[_jobs.Job],
-) -> list[tuple[_jobs.Job, list[_waiting_tasks.WaitingTasks]]]:
-    """Returns the steps with waiting tasks of each job."""
-    return [(job, list(job.waiting_tasks_by_step.values())) for job in jobs]
-
-
 def _kind_of_step(
     job: _jobs.Job, step: _job_spec.StepSpec
 ) -> tuple[str, str | None]:
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -24,6 +24,7 @@
 from basiljunction.coordination.scheduling import _placer
 from basiljunction.coordination.scheduling import _renewals
 from basiljunction.coordination.scheduling import _restarts
+from basiljunction.coordination.scheduling import _restored_jobs
 from basiljunction.coordination.scheduling import _roster
 from basiljunction.coordination.scheduling import _runs
 from basiljunction.coordination.scheduling import _silent_executors
@@ -192,7 +193,7 @@
             progress = progress_by_id.get(job_id, _progress.JobProgress())
             if progress.state.is_final and accepted.spec.steps:
                 cell.unshortened_job_ids.add(job_id)
-            cell.job_by_id[job_id] = _jobs.restore_job(
+            cell.job_by_id[job_id] = _restored_jobs.restore_job(
                 accepted,
                 progress,
                 now_s=now.boot_s,
--- a/src/basiljunction/coordination/scheduling/_summary.py
+++ b/src/basiljunction/coordination/scheduling/_summary.py
@@ -13,6 +13,8 @@
         jobs: Number of jobs that are not finished.
         waiting_tasks: Number of tasks that are ready to start and have no run,
             without those of steps that are not opened yet.
+        skipped_steps: Number of steps with such tasks that the last placement
+            pass left to later ones.
         jobs_bytes: Estimated memory of all jobs, in bytes.
         max_jobs_bytes: Memory beyond which jobs are refused, in bytes.
         approval_calls: Number of requests to the approval policy in flight.
@@ -35,6 +37,7 @@
 
     jobs: int
     waiting_tasks: int
+    skipped_steps: int
     jobs_bytes: int
     max_jobs_bytes: float
     approval_calls: int
@@ -66,6 +69,7 @@
             for job in cell.job_by_id.values()
             for bag in job.waiting_tasks_by_step.values()
         ),
+        skipped_steps=cell.skipped_step_count,
         jobs_bytes=cell.job_memory.used_bytes,
         max_jobs_bytes=cell.job_memory.limit_bytes,
         approval_calls=cell.approvals.calls_in_flight,
--- a/src/basiljunction/coordination/scheduling/_waiting_tasks.py
+++ b/src/basiljunction/coordination/scheduling/_waiting_tasks.py
@@ -74,14 +74,3 @@
             yield index, self.opened_s
             index = self.fresh.next_from(index + 1)
         yield from list(self.returned_s_by_index.items())
-
-    def add_returned(self, index: int, ready_s: float) -> None:
-        """Adds a task that waits again, or changes its earliest start."""
-        self.fresh.discard(index)
-        self.returned_s_by_index[index] = ready_s
-
-    def remove(self, index: int) -> bool:
-        """Removes a task; returns whether it waited."""
-        if self.returned_s_by_index.pop(index, None) is not None:
-            return True
-        return self.fresh.discard(index)
--- a/src/basiljunction/transport/_metric_names.py
+++ b/src/basiljunction/transport/_metric_names.py
@@ -267,6 +267,12 @@
     Metric(
         "cell_tasks_waiting", MetricKind.GAUGE, "", "Tasks that could start now"
     ),
+    Metric(
+        "cell_steps_skipped",
+        MetricKind.GAUGE,
+        "",
+        "Waiting steps that the last placement pass left to later ones",
+    ),
     Metric(
         "cell_approval_calls",
         MetricKind.GAUGE,
--- a/src/basiljunction/transport/jobs/_cell_metrics.py
+++ b/src/basiljunction/transport/jobs/_cell_metrics.py
@@ -55,6 +55,7 @@
         metrics.set("cell_term", epoch)
         metrics.set("cell_jobs", summary.jobs)
         metrics.set("cell_tasks_waiting", summary.waiting_tasks)
+        metrics.set("cell_steps_skipped", summary.skipped_steps)
         metrics.set("cell_approval_calls", summary.approval_calls)
         metrics.set("cell_job_memory", summary.jobs_bytes, kind="used")
         metrics.set("cell_job_memory", summary.max_jobs_bytes, kind="limit")
--- a/tests/coordination/scheduling/test_large_jobs.py
+++ b/tests/coordination/scheduling/test_large_jobs.py
@@ -38,6 +38,16 @@
     return (build.step_spec(**changes),) * number
 
 
+def _different_steps(
+    count: int, millicores: int
+) -> tuple[_job_spec.StepSpec, ...]:
+    """Returns steps of one task that all differ in size."""
+    return tuple(
+        build.step_spec(size=_job_spec.Resources(millicores, 100 + number))
+        for number in range(count)
+    )
+
+
 class TestMemory:
     """The memory of a job is in proportion to what runs."""
 
@@ -159,8 +169,74 @@
         assert result is _orders.SubmitResult.NEVER_FITS
 
 
-class TestOrder:
-    """Steps are opened once, in order."""
+class TestPasses:
+    """A placement pass looks at a bounded number of steps."""
+
+    def test_due_occurrences_are_opened_as_tasks_can_start(self) -> None:
+        """Guards against 300,000 waiting steps in one pass."""
+        rig = _make_rig()
+        accepted = build.accepted_job(*_many_steps(30), repeat_count=10_000)
+        rig.submit(accepted)
+        job = rig.scheduler.cell.job_by_id[accepted.id]
+        for run_s in (0.1, 2.9):
+            rig.run(run_s)
+            assert len(job.waiting_tasks_by_step) <= 40
+        occurrences = [order.task.occurrence for _, _, order in rig.starts]
+        assert occurrences == sorted(occurrences)
+        assert len(rig.starts) > 100
+
+    def test_steps_that_fit_nowhere_do_not_hold_up_others(self) -> None:
+        """Guards against opened steps that keep others of the job closed."""
+        rig = _make_rig()
+        whole = build.step_spec(
+            count=EXECUTORS,
+            size=_job_spec.Resources(3_000, 1_000),
+            estimate_s=1_000.0,
+        )
+        rig.submit(build.accepted_job(whole, job_id="00000000000000b1"))
+        rig.run(0.5)
+        nowhere = build.step_spec(size=_job_spec.Resources(4_000, 1_000))
+        accepted = build.accepted_job(
+            nowhere, build.step_spec(), repeat_count=200
+        )
+        rig.submit(accepted)
+        rig.run(6)
+        started = {
+            order.task.step
+            for _, _, order in rig.starts
+            if order.task.job == accepted.id
+        }
+        assert 1 in started
+
+    def test_many_steps_without_room_get_their_turn(self) -> None:
+        """Guards against a pass over 1,500 steps, and steps never looked at."""
+        rig = _make_rig()
+        full = build.accepted_job(
+            build.step_spec(
+                count=EXECUTORS,
+                size=_job_spec.Resources(4_000, 1_000),
+                estimate_s=1.5,
+            ),
+            job_id="00000000000000b1",
+        )
+        rig.submit(full)
+        rig.run(0.5)
+        for number in range(3):
+            rig.submit(
+                build.accepted_job(
+                    *_different_steps(500, 1_000), job_id=f"{number:016x}"
+                )
+            )
+        rig.run(0.3)
+        assert rig.scheduler.cell.skipped_step_count >= 1_000
+        small = build.accepted_job(
+            build.step_spec(estimate_s=0.1), job_id="00000000000000c1"
+        )
+        rig.submit(small)
+        rig.run(6)
+        assert rig.scheduler.visible_state(small.id) is _State.COMPLETED
+        rig.run(50)
+        assert len({order.task.job for _, _, order in rig.starts}) == 5
 
     def test_steps_start_in_the_order_of_their_dependencies(self) -> None:
         """Guards against steps that are opened twice, early or never."""
@@ -177,3 +253,16 @@
         rig.take_over()
         rig.run(30)
         assert rig.scheduler.visible_state(accepted.id) is _State.COMPLETED
+
+    def test_failed_tasks_do_not_keep_other_steps_closed(self) -> None:
+        """Guards against steps held up by others that wait for a retry."""
+        rig = _make_rig()
+        accepted = build.accepted_job(*_many_steps(200))
+        rig.submit(accepted)
+        rig.run(0.5)
+        job = rig.scheduler.cell.job_by_id[accepted.id]
+        for number in range(150):
+            job.requeue_task((0, number, 0), rig.now_s, 1_000.0)
+        rig.run(8)
+        started = {order.task.step for _, _, order in rig.starts}
+        assert started >= set(range(150, 200))
