Free the ready steps of a finished job with its specification

Found by reading: a finished job whose record is shortened kept its steps by the ranges of ready steps, so that the memory it counted for was too small. The running tasks are looked through at the opening of a step only for inherited jobs, which alone can have any; an empty step is made in one place.

No fault was seen of it. tests/coordination/scheduling passes.

--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -13,10 +13,6 @@
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
 
-MAX_OPEN_STEPS_PER_KIND = 40
-"""Most steps of one kind of a job with tasks that wait for their first start:
-as many as a placement pass starts tasks."""
-
 
 @dataclasses.dataclass(slots=True)
 class Job:
@@ -160,17 +156,18 @@
             now_s: The time on the steady clock.
             wall_s: The time since the Unix epoch.
         """
-        if self._unopened_steps.add_due(self.spec.due_count(wall_s)):
-            self._may_open = True
+        due_count = self.spec.due_count(wall_s)
+        self._may_open |= self._unopened_steps.add_due(due_count)
         if not self._may_open:
             return
         self._may_open = False
         for kind in self._unopened_steps.kinds:
-            while (
-                self._open_count_by_kind.get(kind, 0) < MAX_OPEN_STEPS_PER_KIND
-                and (key := self._unopened_steps.take(kind)) is not None
+            count = self._open_count_by_kind.get(kind, 0)
+            while count < _ready_steps.MAX_OPEN_STEPS_PER_KIND and (
+                key := self._unopened_steps.take(kind)
             ):
                 self._open_step(key, now_s)
+                count = self._open_count_by_kind.get(kind, 0)
 
     def _open_step(self, key: tuple[int, int], now_s: float) -> None:
         """Queues the tasks of a step that are neither done nor running.
@@ -182,16 +179,18 @@
         missing = _index_ranges.IndexRanges([(0, step.count)]).minus(
             self.progress.completed_positions.indexes(*key)
         )
-        for place in self.running_places:
-            if place[:2] == key:
-                missing.discard(place[2])
-        if known is not None:
-            # A run that was adopted before has been lost since.
-            for index in known.returned_s_by_index:
+        if self.is_inherited:
+            # Runs may have been adopted, and lost since, before the step opens.
+            for place in self.running_places:
+                if place[:2] == key:
+                    missing.discard(place[2])
+            for index in known.returned_s_by_index if known else ():
                 missing.discard(index)
         if not missing:
             return
-        waiting_tasks = known or self._add_waiting_step(key)
+        waiting_tasks = self.waiting_tasks_by_step.setdefault(
+            key, _waiting_tasks.WaitingTasks(*key)
+        )
         waiting_tasks.fresh = missing
         kind = self._unopened_steps.kind_of(key[1])
         open_count = self._open_count_by_kind.get(kind, 0)
@@ -204,19 +203,18 @@
                 0.0 if self.is_inherited else patience_s
             )
 
-    def _add_waiting_step(
-        self, key: tuple[int, int]
-    ) -> _waiting_tasks.WaitingTasks:
-        """Adds a step to those that have waiting tasks."""
-        waiting_tasks = _waiting_tasks.WaitingTasks(*key)
-        self.waiting_tasks_by_step[key] = waiting_tasks
-        return waiting_tasks
-
     def _count_waiting(self, step: _job_spec.StepSpec, count: int) -> None:
         """Adds to the processor that waiting tasks request."""
         if not step.fills and not step.runs_until_cancelled:
             self.waiting_short_millicores += step.size.cpu_millicores * count
 
+    def drop_spec(self) -> None:
+        """Drops payload and steps, as no task will start any more."""
+        self.accepted = self.accepted.without_spec()
+        self._unopened_steps = _ready_steps.ReadySteps(
+            self.spec, self.progress.completed_positions
+        )
+
     def clear_waiting_tasks(self) -> None:
         """Removes all waiting tasks, as none will start any more."""
         self.waiting_tasks_by_step.clear()
@@ -341,9 +339,9 @@
     ) -> None:
         """Adds a task to the waiting ones, to start after `delay_s`."""
         key = place[:2]
-        waiting_tasks = self.waiting_tasks_by_step.get(key)
-        if waiting_tasks is None:
-            waiting_tasks = self._add_waiting_step(key)
+        waiting_tasks = self.waiting_tasks_by_step.setdefault(
+            key, _waiting_tasks.WaitingTasks(*key)
+        )
         if place[2] not in waiting_tasks:
             self._count_waiting(self.spec.steps[key[1]], 1)
         self._remove_fresh(place, waiting_tasks)
@@ -392,8 +390,6 @@
 
     def is_complete(self) -> bool:
         """Returns whether every task of every occurrence is done."""
-        tasks_per_occurrence = sum(step.count for step in self.spec.steps)
-        return (
-            len(self.progress.completed_positions)
-            >= tasks_per_occurrence * self.spec.occurrence_count
-        )
+        per_occurrence = sum(step.count for step in self.spec.steps)
+        count = per_occurrence * self.spec.occurrence_count
+        return len(self.progress.completed_positions) >= count
--- a/src/basiljunction/coordination/scheduling/_ready_steps.py
+++ b/src/basiljunction/coordination/scheduling/_ready_steps.py
@@ -13,6 +13,10 @@
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _position_set
 
+MAX_OPEN_STEPS_PER_KIND = 40
+"""Most steps of one kind of a job with tasks that wait for their first start:
+as many as a placement pass starts tasks."""
+
 
 class ReadySteps:
     """The steps of a job that are ready and have not been taken yet.
--- a/src/basiljunction/coordination/scheduling/_scheduler.py
+++ b/src/basiljunction/coordination/scheduling/_scheduler.py
@@ -708,7 +708,7 @@
             cell.unshortened_job_ids.discard(job_id)
             job = cell.job_by_id.get(job_id)
             if job is not None and job.progress.state.is_final:
-                job.accepted = job.accepted.without_spec()
+                job.drop_spec()
                 cell.job_memory.record(job.accepted)
                 cell.records.append(_records.JobRecord(job.accepted))
 
