Let steps open beside those that the approval policy refuses

What callers would see: a job of more than 40 equal steps, or occurrences of one, in a queue with advice has nothing running for ever if the policy refuses all executors for 40 of them.

Change: a step whose executors with room are all refused does not count. The earliest urgent start moves to the module that ranks by it.

--- a/src/basiljunction/coordination/scheduling/_approval_requests.py
+++ b/src/basiljunction/coordination/scheduling/_approval_requests.py
@@ -93,6 +93,10 @@
             now.boot_s,
         )
         if order is None:
+            if candidates and all(
+                cell.approvals.is_refused(key, each) for each in candidates
+            ):
+                job.pass_over_refused_step(waiting_tasks)
             return False
         cell.orders.append(order)
         self._request_count += 1
--- a/src/basiljunction/coordination/scheduling/_jobs.py
+++ b/src/basiljunction/coordination/scheduling/_jobs.py
@@ -322,18 +322,6 @@
         values = (checkpoint_by_place.get(place, "") for place in places)
         return next((value for value in values if value), "")
 
-    def earliest_urgent_start_s(self) -> float:
-        """Returns when the first of the waiting tasks' starts is urgent."""
-        earliest_s = float("inf")
-        for key, waiting_tasks in self.waiting_tasks_by_step.items():
-            if waiting_tasks.fresh:
-                earliest_s = min(earliest_s, waiting_tasks.urgent_from_s)
-            for index in waiting_tasks.returned_s_by_index:
-                urgent_from_s = self.urgent_from_s_by_place.get((*key, index))
-                if urgent_from_s is not None:
-                    earliest_s = min(earliest_s, urgent_from_s)
-        return earliest_s
-
     def requeue_task(
         self, place: _progress.TaskPosition, now_s: float, delay_s: float = 0.0
     ) -> None:
@@ -372,10 +360,21 @@
             self.urgent_from_s_by_place.setdefault(
                 place, waiting_tasks.urgent_from_s
             )
-        if not waiting_tasks.fresh:
-            kind = self._unopened_steps.kind_of(place[1])
-            self._open_count_by_kind[kind] -= 1
-            self._may_open = True
+        if not waiting_tasks.fresh and not waiting_tasks.is_refused:
+            self._uncount_open_step(place[1])
+
+    def pass_over_refused_step(
+        self, waiting_tasks: _waiting_tasks.WaitingTasks
+    ) -> None:
+        """Lets another step open beside one that the policy has refused."""
+        if waiting_tasks.fresh and not waiting_tasks.is_refused:
+            waiting_tasks.is_refused = True
+            self._uncount_open_step(waiting_tasks.step)
+
+    def _uncount_open_step(self, step: int) -> None:
+        """Lets another step of the same kind open."""
+        self._open_count_by_kind[self._unopened_steps.kind_of(step)] -= 1
+        self._may_open = True
 
     def mark_task_done(self, place: _progress.TaskPosition) -> bool:
         """Records a task as done; returns False if it already was."""
--- a/src/basiljunction/coordination/scheduling/_ordering.py
+++ b/src/basiljunction/coordination/scheduling/_ordering.py
@@ -113,7 +113,7 @@
 ) -> list[_jobs.Job]:
     """Returns the jobs with urgent starts, the longest urgent first."""
     urgent_from_s_and_job = [
-        (job.earliest_urgent_start_s(), job)
+        (_earliest_urgent_start_s(job), job)
         for job in jobs
         if job.has_lasting_step
     ]
@@ -123,3 +123,16 @@
         for urgent_from_s, job in urgent_from_s_and_job
         if urgent_from_s <= now_s
     ]
+
+
+def _earliest_urgent_start_s(job: _jobs.Job) -> float:
+    """Returns when the first start of a job's waiting tasks is urgent."""
+    earliest_s = float("inf")
+    for key, waiting_tasks in job.waiting_tasks_by_step.items():
+        if waiting_tasks.fresh:
+            earliest_s = min(earliest_s, waiting_tasks.urgent_from_s)
+        for index in waiting_tasks.returned_s_by_index:
+            urgent_from_s = job.urgent_from_s_by_place.get((*key, index))
+            if urgent_from_s is not None:
+                earliest_s = min(earliest_s, urgent_from_s)
+    return earliest_s
--- a/src/basiljunction/coordination/scheduling/_waiting_tasks.py
+++ b/src/basiljunction/coordination/scheduling/_waiting_tasks.py
@@ -23,6 +23,8 @@
             short tasks.
         returned_s_by_index: Earliest start of each task that waits again, on
             the steady clock, by its index in the step.
+        is_refused: Whether the approval policy has refused all executors that
+            had room for the tasks, so that other steps go on.
     """
 
     occurrence: int
@@ -35,6 +37,7 @@
     returned_s_by_index: dict[int, float] = dataclasses.field(
         default_factory=dict
     )
+    is_refused: bool = False
 
     def __len__(self) -> int:
         """Returns the number of waiting tasks."""
--- a/tests/coordination/scheduling/test_approval_requests.py
+++ b/tests/coordination/scheduling/test_approval_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from basiljunction.coordination.scheduling import _orders
 from basiljunction.state.workload import _configuration
 from basiljunction.state.workload import _job_spec
 from basiljunction.state.workload import _progress
@@ -16,6 +17,9 @@
 
 EXECUTORS = 30
 
+REFUSED_OCCURRENCES = 60
+"""Occurrences for which a policy of these tests refuses all executors."""
+
 
 def _make_rig(
     terms: _configuration.ApprovalPolicy,
@@ -125,6 +129,35 @@
         assert _completed(rig, job_ids) == job_ids
 
 
+class _StepPolicy(cell_rig.SimulatedPolicy):
+    """A policy that refuses all executors for some occurrences."""
+
+    def approve_executors(
+        self, order: _orders.ApprovalOrder, now_s: float
+    ) -> dict[str, str]:
+        """Returns a proof for each approved executor."""
+        if order.occurrence < REFUSED_OCCURRENCES:
+            return {}
+        return super().approve_executors(order, now_s)
+
+
+class TestRefusedSteps:
+    """Steps that the policy refuses do not hold up others."""
+
+    def test_refused_steps_do_not_keep_others_closed(self) -> None:
+        """Guards against a job that waits for steps which can never start."""
+        rig = _make_rig(_configuration.ApprovalPolicy(3.0), executors=2)
+        rig.policy = _StepPolicy({"e0", "e1"}, decision_s=0.02)
+        accepted = build.accepted_job(
+            repeat_count=REFUSED_OCCURRENCES + 10,
+            in_queue=rig.scheduler.cell.configuration.queues[0],
+        )
+        rig.submit(accepted)
+        rig.run(12)
+        started = {order.task.occurrence for _, _, order in rig.starts}
+        assert len(started) == 10
+
+
 class TestShares:
     """The steps of one job leave the policy time for those of others."""
 
